--- /dev/null
+++ b/apps/command_line/Commands.cpp
@@ -0,0 +1,215 @@
+/*
+ * The operators' commands.
+ */
+#include "Commands.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+namespace wasabispread {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr Duration kTimeout = std::chrono::seconds(5);
+
+std::optional<std::string>
+ReadFile(const std::string& aFile)
+{
+  std::ifstream stream(aFile);
+  if (!stream) {
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+void
+PrintError(const Error& aError, bool aJson)
+{
+  if (!aJson) {
+    std::cerr << ToText(aError) << "\n";
+    return;
+  }
+  const Json json{ { "kind", ToText(aError.mKind) },
+                   { "message", aError.mMessage },
+                   { "remedy", aError.mRemedy },
+                   { "ran", ToText(aError.mExecution) } };
+  std::cout << json.dump() << "\n";
+}
+
+void
+PrintFaults(const Faults& aFaults, bool aJson)
+{
+  Json list = Json::array();
+  for (const Fault& fault : aFaults) {
+    if (!aJson) {
+      std::cerr << ToText(fault) << "\n";
+    }
+    list.push_back({ { "file", fault.mFile },
+                     { "line", fault.mLine },
+                     { "column", fault.mColumn },
+                     { "message", fault.mMessage },
+                     { "remedy", fault.mRemedy } });
+  }
+  if (aJson) {
+    std::cout << Json{ { "faults", list } }.dump() << "\n";
+  }
+}
+
+/** The checked text of the file named, or nothing once faults are printed. */
+std::optional<std::string>
+ReadCheckedFile(const CommandOptions& aOptions)
+{
+  auto text = ReadFile(aOptions.mFile);
+  if (!text) {
+    PrintError(Error{ ErrorKind::kUsage,
+                      "the file '" + aOptions.mFile + "' cannot be read",
+                      "check its name" },
+               aOptions.mJson);
+    return std::nullopt;
+  }
+  const auto deployment = ParseDeployment(*text, aOptions.mFile);
+  if (!deployment) {
+    PrintFaults(deployment.error(), aOptions.mJson);
+    return std::nullopt;
+  }
+  return text;
+}
+
+ExitCode
+ExitFor(const Error& aError)
+{
+  if (aError.mKind == ErrorKind::kConflict) {
+    return ExitCode::kConflict;
+  }
+  return aError.mExecution == Execution::kUnknown ? ExitCode::kUnknown
+                                                  : ExitCode::kFailure;
+}
+
+/** The record that follows the one in the store. */
+Result<std::pair<std::uint64_t, ConfigurationRecord>>
+NextRecord(IoLoop& aLoop, const Endpoint& aPlatform, std::string aText)
+{
+  const auto stored =
+    ExchangeOnce(aLoop, aPlatform, FormatStoreRead(kConfigurationKey), kTimeout)
+      .and_then(ParseStoredConfiguration);
+  if (!stored) {
+    Error error = stored.error();
+    error.mExecution = Execution::kNotRun;
+    return tl::unexpected<Error>(std::move(error));
+  }
+  const std::uint64_t previous =
+    stored->mRecord ? stored->mRecord->mRevision.Value() : 0;
+  ConfigurationRecord record;
+  record.mRevision = Revision(previous + 1);
+  record.mTime = WallClockText();
+  const char* author = std::getenv("USER");
+  record.mAuthor = author == nullptr ? "unknown" : author;
+  record.mChangeId = record.mTime + "-" + std::to_string(previous + 1);
+  record.mText = std::move(aText);
+  return std::pair(stored->mStoreVersion, std::move(record));
+}
+
+ExitCode
+PrintResponse(const Result<HttpResponse>& aResponse, bool aJson)
+{
+  if (!aResponse) {
+    PrintError(aResponse.error(), aJson);
+    return ExitFor(aResponse.error());
+  }
+  const Json json = Json::parse(aResponse->mBody, nullptr, false);
+  constexpr int kIndent = 2;
+  std::cout << (json.is_discarded() ? aResponse->mBody
+                : aJson             ? json.dump()
+                                    : json.dump(kIndent))
+            << "\n";
+  constexpr unsigned kFirstErrorStatus = 400;
+  return aResponse->mStatus < kFirstErrorStatus ? ExitCode::kSuccess
+                                                : ExitCode::kFailure;
+}
+
+} // namespace
+
+ExitCode
+RunCheck(const CommandOptions& aOptions)
+{
+  if (!ReadCheckedFile(aOptions)) {
+    return ExitCode::kUsage;
+  }
+  std::cout << (aOptions.mJson ? R"({"faults":[]})"
+                               : aOptions.mFile + ": no fault found")
+            << "\n";
+  return ExitCode::kSuccess;
+}
+
+ExitCode
+RunApply(IoLoop& aLoop, const CommandOptions& aOptions)
+{
+  auto text = ReadCheckedFile(aOptions);
+  if (!text) {
+    return ExitCode::kUsage;
+  }
+  const auto next = NextRecord(aLoop, aOptions.mPlatform, std::move(*text));
+  if (!next) {
+    PrintError(next.error(), aOptions.mJson);
+    return ExitFor(next.error());
+  }
+  const auto written =
+    ExchangeOnce(aLoop,
+                 aOptions.mPlatform,
+                 FormatStoreSwap(kConfigurationKey,
+                                 next->first,
+                                 EncodeConfiguration(next->second)),
+                 kTimeout)
+      .and_then(ParseStoreSwap);
+  if (!written) {
+    PrintError(written.error(), aOptions.mJson);
+    return ExitFor(written.error());
+  }
+  const std::uint64_t revision = next->second.mRevision.Value();
+  if (aOptions.mJson) {
+    const Json json{ { "outcome", "accepted" },
+                     { "revision", revision },
+                     { "change_id", next->second.mChangeId } };
+    std::cout << json.dump() << "\n";
+  } else {
+    std::cout << "accepted as revision " << revision << "\n";
+  }
+  return ExitCode::kSuccess;
+}
+
+ExitCode
+RunStatus(IoLoop& aLoop, const CommandOptions& aOptions)
+{
+  HttpRequest request;
+  request.mTarget = "/v1/status";
+  return PrintResponse(ExchangeOnce(aLoop, aOptions.mDaemon, request, kTimeout),
+                       aOptions.mJson);
+}
+
+ExitCode
+RunQuery(IoLoop& aLoop, const CommandOptions& aOptions)
+{
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = "/v1/services/" + PercentEncode(aOptions.mService) + "/" +
+                    PercentEncode(aOptions.mOperation);
+  if (!aOptions.mKey.empty()) {
+    request.mTarget += "?key=" + PercentEncode(aOptions.mKey);
+  }
+  request.mHeaders = { { std::string(kPatienceHeader),
+                         std::to_string(aOptions.mPatienceMs) } };
+  request.mBody = aOptions.mBody;
+  const Duration patience = std::chrono::milliseconds(aOptions.mPatienceMs);
+  return PrintResponse(
+    ExchangeOnce(aLoop, aOptions.mDaemon, request, patience + kTimeout),
+    aOptions.mJson);
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/apps/command_line/main.cpp
@@ -0,0 +1,130 @@
+/*
+ * wasabispread: the operators' tool.
+ */
+#include "Commands.h"
+
+#include <iostream>
+
+#include <boost/program_options.hpp>
+
+namespace wasabispread {
+
+namespace {
+
+constexpr const char* kUsage =
+  "Usage: wasabispread COMMAND [options]\n\n"
+  "Commands:\n"
+  "  check FILE                 check a deployment file\n"
+  "  apply FILE --platform A    put a deployment file in force\n"
+  "  status --daemon A          show a daemon's operator status\n"
+  "  query --daemon A --service S\n"
+  "                             ask a service at a daemon's caller address\n\n"
+  "Exit codes: 0 success, 1 refused or unreachable, 2 wrong usage or file,\n"
+  "3 another change came first, 4 not known whether it took effect.\n\n";
+
+Result<Endpoint>
+ParseAddress(const std::string& aText, const char* aOption)
+{
+  const std::size_t colon = aText.rfind(':');
+  const int port =
+    colon == std::string::npos ? 0 : std::atoi(aText.c_str() + colon + 1);
+  constexpr int kMostPort = 65535;
+  if (port <= 0 || port > kMostPort) {
+    return Fail(ErrorKind::kUsage,
+                std::string(aOption) + " needs an address and a port",
+                "write it as 127.0.0.1:8080");
+  }
+  return Endpoint{ aText.substr(0, colon), static_cast<std::uint16_t>(port) };
+}
+
+int
+Usage(const std::string& aMessage)
+{
+  std::cerr << "usage: " << aMessage << "; see wasabispread --help\n";
+  return static_cast<int>(ExitCode::kUsage);
+}
+
+int
+RunCommand(CommandOptions& aOptions,
+           const std::string& aPlatform,
+           const std::string& aDaemon)
+{
+  if (aOptions.mCommand == "check") {
+    return static_cast<int>(RunCheck(aOptions));
+  }
+  IoLoop loop;
+  if (aOptions.mCommand == "apply") {
+    const auto platform = ParseAddress(aPlatform, "--platform");
+    if (!platform) {
+      return Usage(platform.error().mMessage);
+    }
+    aOptions.mPlatform = *platform;
+    return static_cast<int>(RunApply(loop, aOptions));
+  }
+  const auto daemon = ParseAddress(aDaemon, "--daemon");
+  if (!daemon) {
+    return Usage(daemon.error().mMessage);
+  }
+  aOptions.mDaemon = *daemon;
+  if (aOptions.mCommand == "status") {
+    return static_cast<int>(RunStatus(loop, aOptions));
+  }
+  if (aOptions.mCommand == "query") {
+    return static_cast<int>(RunQuery(loop, aOptions));
+  }
+  return Usage("no command '" + aOptions.mCommand + "'");
+}
+
+int
+Main(int aCount, char** aArguments)
+{
+  namespace options = boost::program_options;
+  CommandOptions command;
+  std::string platform;
+  std::string daemon;
+  std::string output = "text";
+  options::options_description description("Options");
+  auto add = description.add_options();
+  add("help,h", "show this text");
+  add("platform", options::value(&platform), "the platform's address");
+  add("daemon", options::value(&daemon), "a daemon's address");
+  add("service", options::value(&command.mService), "the service to ask");
+  add("operation", options::value(&command.mOperation), "what to ask of it");
+  add("key", options::value(&command.mKey), "the key of a lookup or action");
+  add("body", options::value(&command.mBody), "the request's body");
+  add("patience-ms", options::value(&command.mPatienceMs), "time to wait");
+  add("output", options::value(&output), "text or json");
+  options::options_description hidden;
+  hidden.add(description)
+    .add_options()("command", options::value(&command.mCommand))(
+      "file", options::value(&command.mFile));
+  options::positional_options_description positions;
+  positions.add("command", 1).add("file", 1);
+  try {
+    options::variables_map values;
+    options::store(options::command_line_parser(aCount, aArguments)
+                     .options(hidden)
+                     .positional(positions)
+                     .run(),
+                   values);
+    options::notify(values);
+    if (values.count("help") != 0) {
+      std::cout << kUsage << description;
+      return static_cast<int>(ExitCode::kSuccess);
+    }
+  } catch (const options::error& error) {
+    return Usage(error.what());
+  }
+  command.mJson = output == "json";
+  return RunCommand(command, platform, daemon);
+}
+
+} // namespace
+
+} // namespace wasabispread
+
+int
+main(int aCount, char** aArguments)
+{
+  return wasabispread::Main(aCount, aArguments);
+}
--- /dev/null
+++ b/modules/wasabispread_config/DaemonSettings.cpp
@@ -0,0 +1,133 @@
+/*
+ * The settings file's format.
+ */
+#include "TableReader.h"
+
+namespace wasabispread {
+
+namespace {
+
+constexpr std::int64_t kMostConfigurableBytes = 64LL << 20;
+constexpr std::int64_t kLeastConfigurableBytes = 1024;
+constexpr DurationRange kStopWaitRange{ std::chrono::seconds(1),
+                                        std::chrono::minutes(10) };
+
+void
+ReadListen(TableReader& aReader,
+           const std::string& aFile,
+           Faults& aFaults,
+           DaemonSettings& aSettings)
+{
+  const toml::table* table = aReader.OptionalTable("listen");
+  if (table == nullptr) {
+    aReader.AddTableFault("the file lacks the table [listen]", "add it");
+    return;
+  }
+  TableReader listen(*table, aFile, "[listen]", aFaults);
+  aSettings.mCallerAddress =
+    listen.RequiredEndpoint("callers").value_or(Endpoint{});
+  aSettings.mOperatorAddress =
+    listen.RequiredEndpoint("operators").value_or(Endpoint{});
+  aSettings.mPeerAddress =
+    listen.RequiredEndpoint("peers").value_or(Endpoint{});
+  listen.RejectUnknownKeys();
+}
+
+void
+ReadPeer(const toml::table& aTable,
+         const std::string& aFile,
+         Faults& aFaults,
+         DaemonSettings& aSettings)
+{
+  TableReader reader(aTable, aFile, "[[peer]]", aFaults);
+  PeerSettings peer;
+  peer.mName = reader.RequiredString("name").value_or("");
+  peer.mZone = ZoneName(reader.RequiredString("zone").value_or(""));
+  peer.mAddress = reader.RequiredEndpoint("address").value_or(Endpoint{});
+  reader.RejectUnknownKeys();
+  aSettings.mPeers.push_back(std::move(peer));
+}
+
+void
+ReadLog(TableReader& aReader,
+        const std::string& aFile,
+        Faults& aFaults,
+        DaemonSettings& aSettings)
+{
+  const toml::table* table = aReader.OptionalTable("log");
+  if (table == nullptr) {
+    return;
+  }
+  TableReader log(*table, aFile, "[log]", aFaults);
+  aSettings.mLogFile = log.OptionalString("file").value_or("");
+  const std::string level = log.OptionalString("level").value_or("info");
+  log.RejectUnknownKeys();
+  if (level == "debug") {
+    aSettings.mLogLevel = LogLevel::kDebug;
+  } else if (level == "warning") {
+    aSettings.mLogLevel = LogLevel::kWarning;
+  } else if (level == "error") {
+    aSettings.mLogLevel = LogLevel::kError;
+  } else if (level != "info") {
+    log.AddTableFault("the log level '" + level + "' is unknown",
+                      R"(use "debug", "info", "warning" or "error")");
+  }
+}
+
+void
+ReadLimits(TableReader& aReader,
+           const std::string& aFile,
+           Faults& aFaults,
+           DaemonSettings& aSettings)
+{
+  const toml::table* table = aReader.OptionalTable("limits");
+  if (table == nullptr) {
+    return;
+  }
+  constexpr IntegerRange kBytes{ kLeastConfigurableBytes,
+                                 kMostConfigurableBytes };
+  TableReader limits(*table, aFile, "[limits]", aFaults);
+  aSettings.mMostBodyBytes =
+    static_cast<std::uint32_t>(limits.OptionalInteger("body_bytes", kBytes)
+                                 .value_or(aSettings.mMostBodyBytes));
+  aSettings.mMostFrameBytes =
+    static_cast<std::uint32_t>(limits.OptionalInteger("frame_bytes", kBytes)
+                                 .value_or(aSettings.mMostFrameBytes));
+  aSettings.mStopWait = limits.OptionalDuration("stop_wait", kStopWaitRange)
+                          .value_or(aSettings.mStopWait);
+  limits.RejectUnknownKeys();
+}
+
+} // namespace
+
+tl::expected<DaemonSettings, Faults>
+ParseDaemonSettings(std::string_view aText, const std::string& aFile)
+{
+  Faults faults;
+  toml::table root;
+  try {
+    root = toml::parse(aText, aFile);
+  } catch (const toml::parse_error& error) {
+    faults.push_back(SyntaxFault(error, aFile));
+    return tl::unexpected<Faults>(std::move(faults));
+  }
+  DaemonSettings settings;
+  TableReader reader(root, aFile, "the file", faults);
+  settings.mName = reader.RequiredString("name").value_or("");
+  settings.mZone = ZoneName(reader.RequiredString("zone").value_or(""));
+  settings.mPlatformAddress =
+    reader.RequiredEndpoint("platform").value_or(Endpoint{});
+  ReadListen(reader, aFile, faults, settings);
+  for (const toml::table* peer : reader.Tables("peer")) {
+    ReadPeer(*peer, aFile, faults, settings);
+  }
+  ReadLog(reader, aFile, faults, settings);
+  ReadLimits(reader, aFile, faults, settings);
+  reader.RejectUnknownKeys();
+  if (!faults.empty()) {
+    return tl::unexpected<Faults>(std::move(faults));
+  }
+  return settings;
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_config/Deployment.cpp
@@ -0,0 +1,50 @@
+/*
+ * Lookups over a checked deployment.
+ */
+#include "wasabispread_config.h"
+
+#include <algorithm>
+
+namespace wasabispread {
+
+std::string_view
+ToText(Operation aOperation)
+{
+  switch (aOperation) {
+    case Operation::kSearch:
+      return "search";
+    case Operation::kLookup:
+      return "lookup";
+    case Operation::kAction:
+      return "action";
+  }
+  return "";
+}
+
+std::string_view
+ToText(Preference aPreference)
+{
+  return aPreference == Preference::kLatency ? "latency" : "coverage";
+}
+
+bool
+Service::Offers(Operation aOperation) const
+{
+  return std::binary_search(mOperations.begin(), mOperations.end(), aOperation);
+}
+
+const Service*
+Deployment::FindService(ServiceId aId) const
+{
+  const auto place = mServiceIndex.find(aId);
+  return place == mServiceIndex.end() ? nullptr : &mServices[place->second];
+}
+
+const Target*
+Deployment::FindTarget(TargetId aId) const
+{
+  const auto place = mTargetIndex.find(aId);
+  return place == mTargetIndex.end() ? nullptr : &mTargets[place->second];
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/Effect.h
@@ -0,0 +1,82 @@
+/*
+ * What the reducer asks its shell to do.
+ */
+#pragma once
+
+#include "DecisionRecord.h"
+#include "PeerMessage.h"
+#include "TargetMessage.h"
+
+#include <variant>
+#include <vector>
+
+namespace wasabispread {
+
+/** End a caller's exchange. */
+struct AnswerCaller
+{
+  CallerToken mToken;
+  RequestId mRequestId;
+  Outcome mOutcome;
+};
+
+/** Send a message to another VM. */
+struct SendToPeer
+{
+  VmId mPeer;
+  Endpoint mAddress;
+  PeerMessage mMessage;
+};
+
+/** Open a connection; answered by TargetConnected or TargetConnectFailed. */
+struct OpenTargetConnection
+{
+  ConnectionId mConnection;
+  Endpoint mAddress;
+  Duration mTimeout{};
+};
+
+/** Close a connection, without a further event for it. */
+struct CloseTargetConnection
+{
+  ConnectionId mConnection;
+};
+
+/** Send a sub-request on an idle connection; answered by TargetReplied or
+    TargetConnectionLost. */
+struct SendToTarget
+{
+  ConnectionId mConnection;
+  TargetRequest mRequest;
+};
+
+/** Wait until the configuration's store version exceeds one; answered by
+    StoreWatched. */
+struct WatchConfiguration
+{
+  std::uint64_t mAfterVersion = 0;
+  Duration mWait{};
+};
+
+/** Read the VM list; answered by VmListReceived. */
+struct ReadVmList
+{};
+
+/** Write a log line. */
+struct LogDecision
+{
+  DecisionRecord mRecord;
+};
+
+using Effect = std::variant<AnswerCaller,
+                            SendToPeer,
+                            OpenTargetConnection,
+                            CloseTargetConnection,
+                            SendToTarget,
+                            WatchConfiguration,
+                            ReadVmList,
+                            LogDecision>;
+
+using Effects = std::vector<Effect>;
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/Entry.h
@@ -0,0 +1,47 @@
+/*
+ * A node's part as entry: takes requests, scatters, gathers and answers.
+ */
+#pragma once
+
+#include "Effect.h"
+#include "Event.h"
+#include "NodeState.h"
+
+namespace wasabispread {
+
+/** Plans a request and sends it out, or refuses it. */
+void
+HandleCallerRequest(NodeState& aState,
+                    const CallerRequest& aRequest,
+                    TimePoint aNow,
+                    Effects& aEffects);
+
+/** Drops a request whose caller has gone. */
+void
+HandleCallerGone(NodeState& aState,
+                 const CallerGone& aEvent,
+                 Effects& aEffects);
+
+/** Takes in ended attempts. */
+void
+HandleBatchReply(NodeState& aState,
+                 VmId aOwner,
+                 const BatchReply& aReply,
+                 TimePoint aNow,
+                 Effects& aEffects);
+
+/** Ends the attempts that were at a VM which was lost. */
+void
+HandleOwnerLost(NodeState& aState,
+                VmId aOwner,
+                TimePoint aNow,
+                Effects& aEffects);
+
+/** Answers a request with what is there. */
+void
+HandleQueryDeadline(NodeState& aState,
+                    QueryId aQuery,
+                    TimePoint aNow,
+                    Effects& aEffects);
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/Event.h
@@ -0,0 +1,123 @@
+/*
+ * What may happen to a node.
+ */
+#pragma once
+
+#include "PeerMessage.h"
+#include "PlatformMessage.h"
+#include "TargetMessage.h"
+
+#include <optional>
+#include <variant>
+
+namespace wasabispread {
+
+/** The node begins; the first event it sees. */
+struct Started
+{};
+
+/** A caller asks. */
+struct CallerRequest
+{
+  CallerToken mToken;
+  RequestId mRequestId;
+  std::string mService;
+  Operation mOperation = Operation::kSearch;
+  std::string mKey;
+  SharedBytes mBody;
+  /** How long the caller will wait. */
+  Duration mPatience{};
+};
+
+/** A caller went away before its answer. */
+struct CallerGone
+{
+  CallerToken mToken;
+};
+
+/** A message came from another VM. */
+struct PeerMessageReceived
+{
+  VmId mPeer;
+  Endpoint mAddress;
+  PeerMessage mMessage;
+};
+
+/** The connection to another VM broke; what was sent may be lost. */
+struct PeerLost
+{
+  VmId mPeer;
+};
+
+/** A connection that was asked for is ready. */
+struct TargetConnected
+{
+  ConnectionId mConnection;
+};
+
+/** A connection that was asked for could not be had. */
+struct TargetConnectFailed
+{
+  ConnectionId mConnection;
+};
+
+/** A connection broke. */
+struct TargetConnectionLost
+{
+  ConnectionId mConnection;
+  /** Whether any byte of the request in flight may have been sent. */
+  bool mRequestWritten = true;
+};
+
+/** A reply came in on a connection. */
+struct TargetReplied
+{
+  ConnectionId mConnection;
+  TargetReply mReply;
+  /** Whether the connection can carry another request. */
+  bool mReusable = true;
+};
+
+/** The store's configuration, as read or after a watch. */
+struct StoredConfiguration
+{
+  /** The store's version of the value; 0 when there is no value. */
+  std::uint64_t mStoreVersion = 0;
+  std::optional<ConfigurationRecord> mRecord;
+};
+
+/** A watch on the configuration ended. */
+struct StoreWatched
+{
+  Result<StoredConfiguration> mResult;
+};
+
+/** The VM list was read. */
+struct VmListReceived
+{
+  Result<std::vector<VmRecord>> mResult;
+};
+
+/** The process was asked to stop. */
+struct StopRequested
+{};
+
+/** Time has passed; sent when NodeState::NextDue() is reached. */
+struct Tick
+{};
+
+using Event = std::variant<Started,
+                           CallerRequest,
+                           CallerGone,
+                           PeerMessageReceived,
+                           PeerLost,
+                           TargetConnected,
+                           TargetConnectFailed,
+                           TargetConnectionLost,
+                           TargetReplied,
+                           StoreWatched,
+                           VmListReceived,
+                           StopRequested,
+                           Tick>;
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/NodeState.cpp
@@ -0,0 +1,37 @@
+/*
+ * Construction and summary of a node's state.
+ */
+#include "wasabispread_decisions.h"
+
+namespace wasabispread {
+
+bool
+NodeState::IsReady() const
+{
+  return !mStopping && mConfiguration.mDeployment != nullptr;
+}
+
+bool
+NodeState::IsDrained() const
+{
+  return mStopping && mEntry.mQueries.empty() && mOwner.mItems.empty() &&
+         mOwner.mOutboxes.empty();
+}
+
+NodeState
+MakeNodeState(NodeIdentity aSelf, std::uint64_t aSeed)
+{
+  NodeState state;
+  state.mSelf = std::move(aSelf);
+  state.mRandom = Random(aSeed);
+  VmRecord self;
+  self.mId = state.mSelf.mId;
+  self.mName = state.mSelf.mName;
+  self.mZone = state.mSelf.mZone;
+  self.mPeerAddress = state.mSelf.mPeerAddress;
+  state.mMembership.mLiveByZone[self.mZone] = { self.mId };
+  state.mMembership.mMembers.emplace(self.mId, std::move(self));
+  return state;
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -0,0 +1,58 @@
+/*
+ * Everything that one node remembers.
+ */
+#pragma once
+
+#include "ConfigurationState.h"
+#include "Counters.h"
+#include "EntryState.h"
+#include "MembershipState.h"
+#include "OwnerState.h"
+#include "Random.h"
+#include "TimerQueue.h"
+
+#include <deque>
+#include <string>
+
+namespace wasabispread {
+
+/** Who a node is; fixed at its start. */
+struct NodeIdentity
+{
+  VmId mId;
+  std::string mName;
+  ZoneName mZone;
+  Incarnation mIncarnation;
+  Endpoint mPeerAddress;
+};
+
+/** A node's whole state. Reduce() alone changes it. */
+struct NodeState
+{
+  NodeIdentity mSelf;
+  Random mRandom;
+  ConfigurationState mConfiguration;
+  MembershipState mMembership;
+  EntryState mEntry;
+  OwnerState mOwner;
+  TimerQueue mTimers;
+  Counters mCounters;
+  /** Messages from this node to itself, handled before Reduce() returns. */
+  std::deque<PeerMessage> mLoopback;
+  bool mStopping = false;
+
+  /** Whether callers' requests can be taken. */
+  bool IsReady() const;
+
+  /** Whether a stopping node has nothing left in flight. */
+  bool IsDrained() const;
+
+  /** When a Tick is wanted; TimePoint::max() when none is. */
+  TimePoint NextDue() const { return mTimers.NextDue(); }
+};
+
+/** A state for a node that has not started. */
+NodeState
+MakeNodeState(NodeIdentity aSelf, std::uint64_t aSeed);
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/Owner.h
@@ -0,0 +1,87 @@
+/*
+ * A node's part as target owner: runs entries' attempts on its connections.
+ */
+#pragma once
+
+#include "Effect.h"
+#include "Event.h"
+#include "NodeState.h"
+
+namespace wasabispread {
+
+/** Takes in attempts from an entry: each is queued, or refused as not run. */
+void
+HandleBatchRequest(NodeState& aState,
+                   VmId aEntry,
+                   const Endpoint& aEntryAddress,
+                   const BatchRequest& aRequest,
+                   TimePoint aNow,
+                   Effects& aEffects);
+
+/** Drops attempts that the entry no longer wants. What was sent already runs
+    on at its target; its reply is dropped. */
+void
+HandleBatchCancel(NodeState& aState,
+                  VmId aEntry,
+                  const BatchCancel& aCancel,
+                  TimePoint aNow,
+                  Effects& aEffects);
+
+/** Ends the attempts of a batch whose time is up. */
+void
+HandleBatchDeadline(NodeState& aState,
+                    BatchId aBatch,
+                    TimePoint aNow,
+                    Effects& aEffects);
+
+/** Puts a new connection to use. */
+void
+HandleTargetConnected(NodeState& aState,
+                      const TargetConnected& aEvent,
+                      TimePoint aNow,
+                      Effects& aEffects);
+
+/** Waits before the next try; refuses what waited for a connection. */
+void
+HandleTargetConnectFailed(NodeState& aState,
+                          const TargetConnectFailed& aEvent,
+                          TimePoint aNow,
+                          Effects& aEffects);
+
+/** Ends the attempt that was on a connection which broke. */
+void
+HandleTargetConnectionLost(NodeState& aState,
+                           const TargetConnectionLost& aEvent,
+                           TimePoint aNow,
+                           Effects& aEffects);
+
+/** Ends the attempt that a reply answers and uses the connection again. */
+void
+HandleTargetReplied(NodeState& aState,
+                    const TargetReplied& aEvent,
+                    TimePoint aNow,
+                    Effects& aEffects);
+
+/** Closes a connection whose late reply did not come in time. */
+void
+HandleReplyOwed(NodeState& aState,
+                ConnectionId aConnection,
+                TimePoint aNow,
+                Effects& aEffects);
+
+/** Opens connections again after a wait. */
+void
+HandleReconnect(NodeState& aState,
+                TargetId aTarget,
+                TimePoint aNow,
+                Effects& aEffects);
+
+/** Sends an entry the replies that wait for it. */
+void
+FlushReplies(NodeState& aState, VmId aEntry, Effects& aEffects);
+
+/** Brings connection pools in line with a newly adopted configuration. */
+void
+ReconcilePools(NodeState& aState, Effects& aEffects);
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -0,0 +1,81 @@
+/*
+ * Timers kept in a node's state, so that waiting is data too.
+ */
+#pragma once
+
+#include <wasabispread_units/wasabispread_units.h>
+
+#include <cstdint>
+#include <optional>
+#include <queue>
+#include <vector>
+
+namespace wasabispread {
+
+/** What a timer is for; its key's meaning follows from it. */
+enum class TimerKind : std::uint8_t
+{
+  /** Key: the query. */
+  kQueryDeadline,
+  /** Key: the batch held by the owner. */
+  kBatchDeadline,
+  /** Key: the peer whose replies wait to be sent. */
+  kFlushReplies,
+  /** Key: the connection whose late reply is owed. */
+  kReplyOwed,
+  /** Key: the target whose connections may be opened again. */
+  kReconnect,
+  /** No key. */
+  kWatchConfiguration,
+  /** No key. */
+  kReadVmList,
+};
+
+/** A timer that came due. */
+struct Timer
+{
+  TimePoint mDue;
+  TimerKind mKind = TimerKind::kQueryDeadline;
+  std::uint64_t mKey = 0;
+};
+
+/** Timers by due time. A timer is never taken back: whoever handles it looks
+    whether its subject still exists. */
+class TimerQueue
+{
+public:
+  void Arm(TimePoint aDue, TimerKind aKind, std::uint64_t aKey = 0)
+  {
+    mTimers.push(Timer{ aDue, aKind, aKey });
+  }
+
+  /** Removes and returns a timer due at aNow or earlier, if there is one. */
+  std::optional<Timer> PopDue(TimePoint aNow)
+  {
+    if (mTimers.empty() || mTimers.top().mDue > aNow) {
+      return std::nullopt;
+    }
+    const Timer timer = mTimers.top();
+    mTimers.pop();
+    return timer;
+  }
+
+  /** When the next timer is due; TimePoint::max() when there is none. */
+  TimePoint NextDue() const
+  {
+    return mTimers.empty() ? TimePoint::max() : mTimers.top().mDue;
+  }
+
+private:
+  struct Later
+  {
+    bool operator()(const Timer& aLeft, const Timer& aRight) const
+    {
+      return aLeft.mDue > aRight.mDue;
+    }
+  };
+
+  std::priority_queue<Timer, std::vector<Timer>, Later> mTimers;
+};
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/wasabispread_decisions.h
@@ -0,0 +1,40 @@
+/*
+ * wasabispread_decisions: everything a node decides, as one reducer.
+ *
+ * Depends on wasabispread_units and wasabispread_config. Has no I/O, clock,
+ * threads or randomness of its own: events, the present time and a seed come
+ * in, effects go out as data. A daemon, a test, a fuzzer and a benchmark all
+ * drive the same code.
+ */
+#pragma once
+
+#include <wasabispread_config/wasabispread_config.h>
+#include <wasabispread_units/wasabispread_units.h>
+
+#include "Answer.h"
+#include "PeerMessage.h"
+#include "PlatformMessage.h"
+#include "TargetMessage.h"
+
+#include "DecisionRecord.h"
+#include "Effect.h"
+#include "Event.h"
+
+#include "Counters.h"
+#include "Random.h"
+#include "TimerQueue.h"
+
+#include "ConfigurationState.h"
+#include "EntryState.h"
+#include "MembershipState.h"
+#include "OwnerState.h"
+
+#include "NodeState.h"
+
+#include "Configuration.h"
+#include "Entry.h"
+#include "Membership.h"
+#include "Owner.h"
+#include "Placement.h"
+#include "QueryPlan.h"
+#include "Reducer.h"
--- /dev/null
+++ b/modules/wasabispread_runtime/AsioSupport.h
@@ -0,0 +1,69 @@
+/*
+ * Waiting in a fiber for an asynchronous operation. Private to this module.
+ */
+#pragma once
+
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <boost/fiber/future.hpp>
+
+#include <wasabispread_units/wasabispread_units.h>
+
+namespace wasabispread {
+
+/** How an asynchronous operation ended. */
+struct IoResult
+{
+  boost::system::error_code mError;
+  std::size_t mBytes = 0;
+};
+
+/** Starts an operation by calling aStart with a completion handler, and
+    blocks the calling fiber until it completes. */
+template<class Start>
+IoResult
+Await(Start&& aStart)
+{
+  boost::fibers::promise<IoResult> promise;
+  auto future = promise.get_future();
+  aStart([&promise](boost::system::error_code aError, std::size_t aBytes = 0) {
+    promise.set_value(IoResult{ aError, aBytes });
+  });
+  return future.get();
+}
+
+/** The Asio form of an endpoint; its host must be a dotted address. */
+inline boost::asio::ip::tcp::endpoint
+ToAsio(const Endpoint& aEndpoint)
+{
+  return { boost::asio::ip::make_address(aEndpoint.mHost), aEndpoint.mPort };
+}
+
+/** Opens a listening socket, or says why it cannot. */
+inline Result<boost::asio::ip::tcp::acceptor>
+Listen(boost::asio::io_context& aContext, const Endpoint& aEndpoint)
+{
+  namespace asio = boost::asio;
+  asio::ip::tcp::acceptor acceptor(aContext);
+  boost::system::error_code error;
+  acceptor.open(asio::ip::tcp::v4(), error);
+  if (!error) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(ToAsio(aEndpoint), error);
+  }
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(ErrorKind::kConnectionFailed,
+                "cannot listen on " + ToText(aEndpoint) + ": " +
+                  error.message(),
+                "free the port or choose another in the settings");
+  }
+  return acceptor;
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_runtime/HttpClient.h
@@ -0,0 +1,47 @@
+/*
+ * One HTTP/1.1 client connection.
+ */
+#pragma once
+
+#include "IoLoop.h"
+
+#include <wasabispread_wire/wasabispread_wire.h>
+
+#include <memory>
+
+namespace wasabispread {
+
+/** Carries one exchange at a time; each call blocks its fiber. Errors state
+    in mExecution whether the other side may have acted on the request. */
+class HttpConnection
+{
+public:
+  explicit HttpConnection(IoLoop& aLoop);
+  ~HttpConnection();
+
+  HttpConnection(const HttpConnection&) = delete;
+  HttpConnection& operator=(const HttpConnection&) = delete;
+
+  /** Connects, or fails by aTimeout. */
+  Result<std::monostate> Connect(const Endpoint& aAddress, Duration aTimeout);
+
+  /** Sends a request and reads its response, within aTimeout in all. */
+  Result<HttpResponse> Exchange(const HttpRequest& aRequest, Duration aTimeout);
+
+  /** Closes the connection; an exchange under way fails. */
+  void Close();
+
+private:
+  struct Implementation;
+
+  std::unique_ptr<Implementation> mImplementation;
+};
+
+/** One exchange on a connection of its own. */
+Result<HttpResponse>
+ExchangeOnce(IoLoop& aLoop,
+             const Endpoint& aAddress,
+             const HttpRequest& aRequest,
+             Duration aTimeout);
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -0,0 +1,66 @@
+/*
+ * An HTTP/1.1 server whose handlers run in fibers.
+ */
+#pragma once
+
+#include "IoLoop.h"
+
+#include <wasabispread_wire/wasabispread_wire.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace wasabispread {
+
+/** Answers one request; may block its fiber. */
+using HttpHandler = std::function<HttpResponse(const HttpRequest&)>;
+
+/** Limits of a server. */
+struct HttpServerLimits
+{
+  /** The largest body taken, in bytes; a larger one is answered by 413. */
+  std::uint64_t mMostBodyBytes = 1U << 20U;
+  /** The most connections at a time; further ones are closed at once. */
+  std::uint32_t mMostConnections = 4096;
+  /** How long a new connection waits before its first request is read. */
+  Duration mConnectionDelay{};
+};
+
+/** Serves one address until stopped. */
+class HttpServer
+{
+public:
+  /** Opens the port; kConnectionFailed when it cannot. */
+  static Result<std::unique_ptr<HttpServer>> Start(IoLoop& aLoop,
+                                                   const Endpoint& aAddress,
+                                                   HttpServerLimits aLimits,
+                                                   HttpHandler aHandler);
+
+  ~HttpServer();
+
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /** Takes no new connection, closes idle ones, and lets each request in
+      flight finish; returns when all have, or at aUntil. */
+  void Stop(TimePoint aUntil);
+
+  /** The connections open at present. */
+  std::size_t ConnectionCount() const;
+
+  /** The most connections that were open at a time. */
+  std::size_t PeakConnectionCount() const;
+
+  /** Connections closed at once because too many were open. */
+  std::uint64_t RefusedConnections() const;
+
+private:
+  struct Implementation;
+
+  explicit HttpServer(std::shared_ptr<Implementation> aImplementation);
+
+  std::shared_ptr<Implementation> mImplementation;
+};
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_runtime/IoLoop.cpp
@@ -0,0 +1,108 @@
+/*
+ * The scheduling algorithm that joins fibers and Asio.
+ */
+#include "AsioSupport.h"
+
+#include "wasabispread_runtime.h"
+
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/fiber/scheduler.hpp>
+
+namespace wasabispread {
+
+namespace {
+
+/** Runs ready fibers in turn and waits in the context when there are none. */
+class IoScheduler : public boost::fibers::algo::algorithm
+{
+public:
+  explicit IoScheduler(std::shared_ptr<boost::asio::io_context> aContext)
+    : mContext(std::move(aContext))
+    , mGuard(boost::asio::make_work_guard(*mContext))
+  {
+  }
+
+  void awakened(boost::fibers::context* aFiber) noexcept override
+  {
+    aFiber->ready_link(mReady);
+  }
+
+  boost::fibers::context* pick_next() noexcept override
+  {
+    if (mReady.empty()) {
+      return nullptr;
+    }
+    boost::fibers::context* fiber = &mReady.front();
+    mReady.pop_front();
+    return fiber;
+  }
+
+  // Polled here, on the dispatcher's own turn, so that input is not starved
+  // while fibers stay ready. Polling in pick_next() could complete an
+  // operation whose fiber still holds its future's lock.
+  bool has_ready_fibers() const noexcept override
+  {
+    mContext->poll();
+    return !mReady.empty();
+  }
+
+  void suspend_until(
+    const std::chrono::steady_clock::time_point& aUntil) noexcept override
+  {
+    if (mContext->poll() != 0) {
+      return;
+    }
+    if (aUntil == std::chrono::steady_clock::time_point::max()) {
+      mContext->run_one();
+    } else {
+      mContext->run_one_until(aUntil);
+    }
+  }
+
+  void notify() noexcept override
+  {
+    boost::asio::post(*mContext, [] {});
+  }
+
+private:
+  std::shared_ptr<boost::asio::io_context> mContext;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mGuard;
+  boost::fibers::scheduler::ready_queue_type mReady;
+};
+
+} // namespace
+
+IoLoop::IoLoop()
+  : mContext(std::make_shared<boost::asio::io_context>(1))
+{
+  boost::fibers::use_scheduling_algorithm<IoScheduler>(mContext);
+}
+
+IoLoop::~IoLoop() = default;
+
+boost::asio::io_context&
+IoLoop::Context()
+{
+  return *mContext;
+}
+
+void
+IoLoop::WaitForStopSignal()
+{
+  boost::asio::signal_set signals(*mContext, SIGTERM, SIGINT);
+  Await([&signals](auto aHandler) {
+    signals.async_wait([aHandler](boost::system::error_code aError,
+                                  int) mutable { aHandler(aError); });
+  });
+}
+
+void
+StartFiber(std::function<void()> aBody)
+{
+  boost::fibers::fiber(boost::fibers::launch::post, std::move(aBody)).detach();
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_runtime/NodeRunner.cpp
@@ -0,0 +1,243 @@
+/*
+ * The event loop around the reducer, and its effects on sockets.
+ */
+#include "wasabispread_runtime.h"
+
+#include <optional>
+
+namespace wasabispread {
+
+namespace {
+
+constexpr Duration kPlatformTimeout = std::chrono::seconds(2);
+/** A target's reply is waited for this much longer than its deadline, so that
+    the connection can be used again. */
+constexpr Duration kLateReplyTimeout = std::chrono::seconds(2);
+
+} // namespace
+
+/** A connection to a target and the request to send on it next. */
+struct NodeRunner::TargetLink
+{
+  explicit TargetLink(IoLoop& aLoop)
+    : mConnection(aLoop)
+  {
+  }
+
+  HttpConnection mConnection;
+  std::optional<TargetRequest> mNext;
+  FiberEvent mWake;
+  bool mIsClosed = false;
+};
+
+NodeRunner::NodeRunner(IoLoop& aLoop,
+                       NodeState aState,
+                       Endpoint aPlatform,
+                       LogWriter& aLog)
+  : mLoop(aLoop)
+  , mState(std::move(aState))
+  , mPlatform(std::move(aPlatform))
+  , mLog(aLog)
+{
+}
+
+NodeRunner::~NodeRunner() = default;
+
+Result<std::monostate>
+NodeRunner::Start(PeerTransportLimits aLimits)
+{
+  PeerTransportHandlers handlers;
+  handlers.mMessage =
+    [this](VmId aPeer, const Endpoint& aAddress, PeerMessage aMessage) {
+      Deliver(PeerMessageReceived{ aPeer, aAddress, std::move(aMessage) });
+    };
+  handlers.mLost = [this](VmId aPeer) { Deliver(PeerLost{ aPeer }); };
+  handlers.mNote = [this](const std::string& aNote) {
+    mLog.Write(FormatMessage(
+      LogLevel::kWarning, mState.mSelf.mName, aNote, WallClockText()));
+  };
+  auto transport =
+    PeerTransport::Start(mLoop, mState.mSelf, aLimits, std::move(handlers));
+  if (!transport) {
+    return tl::unexpected<Error>(transport.error());
+  }
+  mTransport = std::move(*transport);
+  StartFiber([this] { RunTimers(); });
+  Deliver(Started{});
+  return std::monostate{};
+}
+
+void
+NodeRunner::Deliver(Event aEvent)
+{
+  mEvents.push_back(std::move(aEvent));
+  if (mIsReducing) {
+    return;
+  }
+  mIsReducing = true;
+  while (!mEvents.empty()) {
+    const Event event = std::move(mEvents.front());
+    mEvents.pop_front();
+    Effects effects = Reduce(mState, event, Now());
+    for (Effect& effect : effects) {
+      Perform(effect);
+    }
+  }
+  mIsReducing = false;
+  if (mState.NextDue() < mTimerDue) {
+    mTimerWake.Notify();
+  }
+}
+
+Outcome
+NodeRunner::Ask(CallerRequest aRequest)
+{
+  aRequest.mToken = CallerToken(mNextToken++);
+  const CallerToken token = aRequest.mToken;
+  auto future = mCallers[token].get_future();
+  Deliver(std::move(aRequest));
+  Outcome outcome = future.get();
+  mCallers.erase(token);
+  return outcome;
+}
+
+void
+NodeRunner::Perform(Effect& aEffect)
+{
+  std::visit([this](auto& aPart) { Perform(aPart); }, aEffect);
+}
+
+void
+NodeRunner::Perform(AnswerCaller& aEffect)
+{
+  const auto place = mCallers.find(aEffect.mToken);
+  if (place != mCallers.end()) {
+    place->second.set_value(std::move(aEffect.mOutcome));
+  }
+}
+
+void
+NodeRunner::Perform(SendToPeer& aEffect)
+{
+  mTransport->Send(aEffect.mPeer, aEffect.mAddress, aEffect.mMessage);
+}
+
+void
+NodeRunner::Perform(OpenTargetConnection& aEffect)
+{
+  auto link = std::make_shared<TargetLink>(mLoop);
+  mTargetLinks[aEffect.mConnection] = link;
+  StartFiber([this, link, opening = aEffect] {
+    RunTargetLink(opening.mConnection, opening, *link);
+  });
+}
+
+void
+NodeRunner::Perform(CloseTargetConnection& aEffect)
+{
+  const auto place = mTargetLinks.find(aEffect.mConnection);
+  if (place == mTargetLinks.end()) {
+    return;
+  }
+  const std::shared_ptr<TargetLink> link = place->second;
+  mTargetLinks.erase(place);
+  link->mIsClosed = true;
+  link->mConnection.Close();
+  link->mWake.Notify();
+}
+
+void
+NodeRunner::Perform(SendToTarget& aEffect)
+{
+  TargetLink& link = *mTargetLinks.at(aEffect.mConnection);
+  link.mNext = std::move(aEffect.mRequest);
+  link.mWake.Notify();
+}
+
+void
+NodeRunner::Perform(WatchConfiguration& aEffect)
+{
+  StartFiber([this, effect = aEffect] {
+    const HttpRequest request =
+      FormatStoreWatch(kConfigurationKey, effect.mAfterVersion, effect.mWait);
+    const auto response =
+      ExchangeOnce(mLoop, mPlatform, request, effect.mWait + kPlatformTimeout);
+    Deliver(StoreWatched{ response.and_then(ParseStoredConfiguration) });
+  });
+}
+
+void
+NodeRunner::Perform(ReadVmList&)
+{
+  StartFiber([this] {
+    const auto response =
+      ExchangeOnce(mLoop, mPlatform, FormatVmListRead(), kPlatformTimeout);
+    Deliver(VmListReceived{ response.and_then(ParseVmList) });
+  });
+}
+
+void
+NodeRunner::Perform(LogDecision& aEffect)
+{
+  if (mLog.Writes(LevelOf(aEffect.mRecord))) {
+    mLog.Write(FormatRecord(aEffect.mRecord, mState, WallClockText()));
+  }
+}
+
+void
+NodeRunner::RunTimers()
+{
+  while (true) {
+    mTimerDue = mState.NextDue();
+    mTimerWake.WaitUntil(mTimerDue);
+    if (mState.NextDue() <= Now()) {
+      Deliver(Tick{});
+    }
+  }
+}
+
+void
+NodeRunner::RunTargetLink(ConnectionId aConnection,
+                          const OpenTargetConnection& aOpening,
+                          TargetLink& aLink)
+{
+  const auto connected =
+    aLink.mConnection.Connect(aOpening.mAddress, aOpening.mTimeout);
+  if (aLink.mIsClosed) {
+    return;
+  }
+  if (!connected) {
+    mTargetLinks.erase(aConnection);
+    Deliver(TargetConnectFailed{ aConnection });
+    return;
+  }
+  Deliver(TargetConnected{ aConnection });
+  while (!aLink.mIsClosed) {
+    if (!aLink.mNext) {
+      aLink.mWake.Wait();
+      continue;
+    }
+    const TargetRequest request = std::move(*aLink.mNext);
+    aLink.mNext.reset();
+    const auto response = aLink.mConnection.Exchange(
+      FormatTargetRequest(request), request.mBudget + kLateReplyTimeout);
+    if (!aLink.mIsClosed) {
+      DeliverTargetResult(aConnection, response);
+    }
+  }
+}
+
+void
+NodeRunner::DeliverTargetResult(ConnectionId aConnection,
+                                const Result<HttpResponse>& aResponse)
+{
+  if (aResponse) {
+    Deliver(TargetReplied{
+      aConnection, ParseTargetReply(*aResponse), aResponse->mKeepAlive });
+    return;
+  }
+  const bool mayBeWritten = aResponse.error().mExecution == Execution::kUnknown;
+  Deliver(TargetConnectionLost{ aConnection, mayBeWritten });
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_runtime/NodeRunner.h
@@ -0,0 +1,86 @@
+/*
+ * Feeds events to one node's reducer and performs its effects.
+ */
+#pragma once
+
+#include "FiberEvent.h"
+#include "HttpClient.h"
+#include "IoLoop.h"
+#include "PeerTransport.h"
+
+#include <wasabispread_decisions/wasabispread_decisions.h>
+#include <wasabispread_telemetry/wasabispread_telemetry.h>
+
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+#include <boost/fiber/future.hpp>
+
+namespace wasabispread {
+
+/** The shell around a node's state. All calls come from fibers of the thread
+    that runs the loop. It must outlive those fibers. */
+class NodeRunner
+{
+public:
+  NodeRunner(IoLoop& aLoop,
+             NodeState aState,
+             Endpoint aPlatform,
+             LogWriter& aLog);
+  ~NodeRunner();
+
+  NodeRunner(const NodeRunner&) = delete;
+  NodeRunner& operator=(const NodeRunner&) = delete;
+
+  /** Opens the peer port and begins. */
+  Result<std::monostate> Start(PeerTransportLimits aLimits);
+
+  /** Applies an event; never blocks. */
+  void Deliver(Event aEvent);
+
+  /** Asks on a caller's behalf and blocks its fiber until the outcome. The
+      request's token is set here. */
+  Outcome Ask(CallerRequest aRequest);
+
+  /** The node's present state. */
+  const NodeState& State() const { return mState; }
+
+  /** The present time, as the node sees it. */
+  static TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+private:
+  struct TargetLink;
+
+  void Perform(Effect& aEffect);
+  void Perform(AnswerCaller& aEffect);
+  void Perform(SendToPeer& aEffect);
+  void Perform(OpenTargetConnection& aEffect);
+  void Perform(CloseTargetConnection& aEffect);
+  void Perform(SendToTarget& aEffect);
+  void Perform(WatchConfiguration& aEffect);
+  void Perform(ReadVmList& aEffect);
+  void Perform(LogDecision& aEffect);
+
+  void RunTimers();
+  void RunTargetLink(ConnectionId aConnection,
+                     const OpenTargetConnection& aOpening,
+                     TargetLink& aLink);
+  void DeliverTargetResult(ConnectionId aConnection,
+                           const Result<HttpResponse>& aResponse);
+
+  IoLoop& mLoop;
+  NodeState mState;
+  Endpoint mPlatform;
+  LogWriter& mLog;
+  std::unique_ptr<PeerTransport> mTransport;
+  std::deque<Event> mEvents;
+  bool mIsReducing = false;
+  FiberEvent mTimerWake;
+  TimePoint mTimerDue = TimePoint::max();
+  std::uint64_t mNextToken = 1;
+  std::unordered_map<CallerToken, boost::fibers::promise<Outcome>> mCallers;
+  std::unordered_map<ConnectionId, std::shared_ptr<TargetLink>> mTargetLinks;
+};
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_runtime/OperatorInterface.cpp
@@ -0,0 +1,85 @@
+/*
+ * Health, readiness, metrics and status.
+ */
+#include "wasabispread_runtime.h"
+
+#include <nlohmann/json.hpp>
+
+namespace wasabispread {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnavailable = 503;
+
+std::string
+ReasonNotReady(const NodeState& aState)
+{
+  if (aState.mStopping) {
+    return "stopping";
+  }
+  return aState.mConfiguration.mDeployment == nullptr ? "no configuration" : "";
+}
+
+HttpResponse
+FormatReadiness(const NodeState& aState)
+{
+  Json json;
+  json["ready"] = aState.IsReady();
+  json["reason"] = ReasonNotReady(aState);
+  return JsonResponse(aState.IsReady() ? kOk : kUnavailable, json.dump());
+}
+
+HttpResponse
+FormatStatus(const NodeState& aState)
+{
+  Json json;
+  json["vm"] = aState.mSelf.mName;
+  json["zone"] = aState.mSelf.mZone.Value();
+  json["revision"] = aState.mConfiguration.mRevision.Value();
+  json["change_id"] = aState.mConfiguration.mChangeId;
+  json["ready"] = aState.IsReady();
+  json["members"] = Json::array();
+  for (const auto& [id, member] : aState.mMembership.mMembers) {
+    json["members"].push_back(
+      { { "vm", member.mName },
+        { "zone", member.mZone.Value() },
+        { "state", member.mLeaving ? "leaving" : "live" } });
+  }
+  return JsonResponse(kOk, json.dump());
+}
+
+} // namespace
+
+HttpResponse
+HandleOperatorRequest(const NodeRunner& aRunner, const HttpRequest& aRequest)
+{
+  const NodeState& state = aRunner.State();
+  const HttpPath path = ParsePath(aRequest.mTarget);
+  const std::string name =
+    path.mSegments.empty() ? std::string() : path.mSegments.back();
+  if (name == "healthz") {
+    return JsonResponse(kOk, R"({"healthy":true})");
+  }
+  if (name == "readyz") {
+    return FormatReadiness(state);
+  }
+  if (name == "status") {
+    return FormatStatus(state);
+  }
+  if (name == "metrics") {
+    HttpResponse response;
+    response.mHeaders.push_back(
+      { "Content-Type", "text/plain; version=0.0.4" });
+    response.mBody = FormatMetrics(state, NodeRunner::Now());
+    return response;
+  }
+  return FormatProblem(Error{ ErrorKind::kMalformedRequest,
+                              "no such path",
+                              "use /healthz, /readyz, /metrics or /v1/status" },
+                       "");
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_runtime/PeerTransport.cpp
@@ -0,0 +1,336 @@
+/*
+ * Links to and from other VMs.
+ */
+#include "AsioSupport.h"
+
+#include "wasabispread_runtime.h"
+
+#include <deque>
+#include <unordered_map>
+
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/fiber/operations.hpp>
+
+namespace wasabispread {
+
+namespace {
+
+constexpr Duration kHelloTimeout = std::chrono::seconds(1);
+constexpr Duration kWriteTimeout = std::chrono::seconds(5);
+constexpr Duration kAcceptPause = std::chrono::milliseconds(2);
+
+using Stream = boost::beast::tcp_stream;
+
+/** Messages on their way to one VM. */
+struct OutgoingLink
+{
+  Endpoint mAddress;
+  std::deque<std::string> mQueue;
+  std::size_t mQueuedBytes = 0;
+  FiberEvent mWake;
+  bool mIsBroken = false;
+};
+
+/** Reads one frame; a read that waits for ever has no time limit set. */
+Result<PeerFrame>
+ReadFrame(Stream& aStream, std::uint32_t aMostBytes)
+{
+  std::array<std::uint8_t, kFrameLengthBytes> prefix{};
+  const IoResult prefixRead = Await([&](auto aHandler) {
+    boost::asio::async_read(aStream, boost::asio::buffer(prefix), aHandler);
+  });
+  if (prefixRead.mError) {
+    return Fail(ErrorKind::kConnectionFailed,
+                prefixRead.mError.message(),
+                "check the other VM");
+  }
+  const auto length = DecodeFrameLength(prefix, aMostBytes);
+  if (!length) {
+    return tl::unexpected<Error>(length.error());
+  }
+  std::vector<std::uint8_t> bytes(*length);
+  const IoResult bodyRead = Await([&](auto aHandler) {
+    boost::asio::async_read(aStream, boost::asio::buffer(bytes), aHandler);
+  });
+  if (bodyRead.mError) {
+    return Fail(ErrorKind::kConnectionFailed,
+                "the connection ended within a frame",
+                "check the other VM");
+  }
+  return DecodeFrame(bytes);
+}
+
+bool
+WriteBytes(Stream& aStream, const std::string& aBytes)
+{
+  const IoResult written = Await([&](auto aHandler) {
+    boost::asio::async_write(aStream, boost::asio::buffer(aBytes), aHandler);
+  });
+  return !written.mError;
+}
+
+/** Reads the hello that a connection begins with. */
+Result<PeerHello>
+ReadHello(Stream& aStream, std::uint32_t aMostBytes)
+{
+  auto frame = ReadFrame(aStream, aMostBytes);
+  if (!frame) {
+    return tl::unexpected<Error>(frame.error());
+  }
+  const PeerHello* hello = std::get_if<PeerHello>(&*frame);
+  if (hello == nullptr) {
+    return Fail(ErrorKind::kInvalidFrame,
+                "the first frame is not a hello",
+                "check what connects to the peer port");
+  }
+  const auto version = CommonFrameVersion(*hello);
+  if (!version) {
+    return tl::unexpected<Error>(version.error());
+  }
+  return *hello;
+}
+
+} // namespace
+
+struct PeerTransport::Implementation
+{
+  Implementation(boost::asio::ip::tcp::acceptor aAcceptor,
+                 NodeIdentity aSelf,
+                 PeerTransportLimits aLimits,
+                 PeerTransportHandlers aHandlers)
+    : mAcceptor(std::move(aAcceptor))
+    , mSelf(std::move(aSelf))
+    , mLimits(aLimits)
+    , mHandlers(std::move(aHandlers))
+  {
+  }
+
+  PeerHello MakeHello(VmId aExpected) const
+  {
+    PeerHello hello;
+    hello.mVm = mSelf.mId;
+    hello.mIncarnation = mSelf.mIncarnation;
+    hello.mPeerAddress = mSelf.mPeerAddress;
+    hello.mExpectedVm = aExpected;
+    return hello;
+  }
+
+  /** Connects and exchanges hellos. */
+  Result<std::monostate> Open(Stream& aStream,
+                              VmId aPeer,
+                              const Endpoint& aAddress) const
+  {
+    aStream.expires_after(kHelloTimeout);
+    const IoResult connected = Await([&](auto aHandler) {
+      aStream.async_connect(ToAsio(aAddress), aHandler);
+    });
+    if (connected.mError) {
+      return Fail(ErrorKind::kConnectionFailed,
+                  "cannot reach the VM at " + ToText(aAddress) + ": " +
+                    connected.mError.message(),
+                  "check that its daemon runs");
+    }
+    boost::system::error_code ignored;
+    aStream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    if (!WriteBytes(aStream, EncodeHello(MakeHello(aPeer)))) {
+      return Fail(ErrorKind::kConnectionFailed,
+                  "the VM at " + ToText(aAddress) + " closed the connection",
+                  "check that its daemon runs");
+    }
+    const auto hello = ReadHello(aStream, mLimits.mMostFrameBytes);
+    if (!hello) {
+      return tl::unexpected<Error>(hello.error());
+    }
+    if (hello->mVm != aPeer) {
+      return Fail(ErrorKind::kConnectionFailed,
+                  "another VM answers at " + ToText(aAddress),
+                  "correct the VM list or the settings");
+    }
+    return std::monostate{};
+  }
+
+  /** Writes a link's queue until the link breaks. */
+  void RunWriter(Stream& aStream, OutgoingLink& aLink) const
+  {
+    while (!aLink.mIsBroken) {
+      if (aLink.mQueue.empty()) {
+        aLink.mWake.Wait();
+        continue;
+      }
+      std::string bytes;
+      for (std::string& message : aLink.mQueue) {
+        bytes += message;
+      }
+      aLink.mQueue.clear();
+      aLink.mQueuedBytes = 0;
+      aStream.expires_after(kWriteTimeout);
+      if (!WriteBytes(aStream, bytes)) {
+        return;
+      }
+      aStream.expires_never();
+    }
+  }
+
+  void NoteError(const Error& aError) const
+  {
+    if (mHandlers.mNote) {
+      mHandlers.mNote(ToText(aError));
+    }
+  }
+
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  NodeIdentity mSelf;
+  PeerTransportLimits mLimits;
+  PeerTransportHandlers mHandlers;
+  std::unordered_map<VmId, std::shared_ptr<OutgoingLink>> mLinks;
+};
+
+namespace {
+
+/** Notices that the other side closed, though nothing is being written. */
+void
+WatchForClose(const std::shared_ptr<Stream>& aStream,
+              const std::shared_ptr<OutgoingLink>& aLink)
+{
+  std::array<std::uint8_t, 1> byte{};
+  Await([&](auto aHandler) {
+    aStream->socket().async_read_some(boost::asio::buffer(byte), aHandler);
+  });
+  aLink->mIsBroken = true;
+  aLink->mWake.Notify();
+}
+
+/** A link's life: connect, write, and report its end. */
+template<class Transport>
+void
+RunLink(std::shared_ptr<Transport> aTransport,
+        VmId aPeer,
+        std::shared_ptr<OutgoingLink> aLink)
+{
+  auto stream = std::make_shared<Stream>(aTransport->mAcceptor.get_executor());
+  const auto opened = aTransport->Open(*stream, aPeer, aLink->mAddress);
+  if (opened) {
+    stream->expires_never();
+    StartFiber([stream, aLink] { WatchForClose(stream, aLink); });
+    aTransport->RunWriter(*stream, *aLink);
+    stream->close();
+  } else {
+    aTransport->NoteError(opened.error());
+  }
+  const auto place = aTransport->mLinks.find(aPeer);
+  if (place != aTransport->mLinks.end() && place->second == aLink) {
+    aTransport->mLinks.erase(place);
+  }
+  aTransport->mHandlers.mLost(aPeer);
+}
+
+/** Serves a connection that another VM opened. */
+template<class Transport>
+void
+ServePeer(const std::shared_ptr<Transport>& aTransport, Stream& aStream)
+{
+  aStream.expires_after(kHelloTimeout);
+  const auto hello = ReadHello(aStream, aTransport->mLimits.mMostFrameBytes);
+  if (!hello) {
+    aTransport->NoteError(hello.error());
+    return;
+  }
+  const std::string reply = EncodeHello(aTransport->MakeHello(hello->mVm));
+  const bool isMeantForUs = hello->mExpectedVm == aTransport->mSelf.mId;
+  if (!WriteBytes(aStream, reply) || !isMeantForUs) {
+    return;
+  }
+  aStream.expires_never();
+  while (true) {
+    auto frame = ReadFrame(aStream, aTransport->mLimits.mMostFrameBytes);
+    if (!frame) {
+      if (frame.error().mKind == ErrorKind::kInvalidFrame) {
+        aTransport->NoteError(frame.error());
+      }
+      return;
+    }
+    PeerMessage* message = std::get_if<PeerMessage>(&*frame);
+    if (message == nullptr) {
+      return;
+    }
+    aTransport->mHandlers.mMessage(
+      hello->mVm, hello->mPeerAddress, std::move(*message));
+  }
+}
+
+template<class Transport>
+void
+AcceptPeers(std::shared_ptr<Transport> aTransport)
+{
+  while (aTransport->mAcceptor.is_open()) {
+    boost::asio::ip::tcp::socket socket(aTransport->mAcceptor.get_executor());
+    const IoResult accepted = Await([&](auto aHandler) {
+      aTransport->mAcceptor.async_accept(socket, aHandler);
+    });
+    if (accepted.mError) {
+      boost::this_fiber::sleep_for(kAcceptPause);
+      continue;
+    }
+    auto stream = std::make_shared<Stream>(std::move(socket));
+    StartFiber([aTransport, stream] {
+      ServePeer(aTransport, *stream);
+      stream->close();
+    });
+  }
+}
+
+} // namespace
+
+Result<std::unique_ptr<PeerTransport>>
+PeerTransport::Start(IoLoop& aLoop,
+                     const NodeIdentity& aSelf,
+                     PeerTransportLimits aLimits,
+                     PeerTransportHandlers aHandlers)
+{
+  auto acceptor = Listen(aLoop.Context(), aSelf.mPeerAddress);
+  if (!acceptor) {
+    return tl::unexpected<Error>(acceptor.error());
+  }
+  auto implementation = std::make_shared<Implementation>(
+    std::move(*acceptor), aSelf, aLimits, std::move(aHandlers));
+  StartFiber([implementation] { AcceptPeers(implementation); });
+  return std::unique_ptr<PeerTransport>(
+    new PeerTransport(std::move(implementation)));
+}
+
+PeerTransport::PeerTransport(std::shared_ptr<Implementation> aImplementation)
+  : mImplementation(std::move(aImplementation))
+{
+}
+
+PeerTransport::~PeerTransport()
+{
+  boost::system::error_code ignored;
+  mImplementation->mAcceptor.close(ignored);
+}
+
+void
+PeerTransport::Send(VmId aPeer,
+                    const Endpoint& aAddress,
+                    const PeerMessage& aMessage)
+{
+  std::shared_ptr<OutgoingLink>& link = mImplementation->mLinks[aPeer];
+  if (link == nullptr || link->mIsBroken) {
+    link = std::make_shared<OutgoingLink>();
+    link->mAddress = aAddress;
+    StartFiber([transport = mImplementation, aPeer, link = link] {
+      RunLink(transport, aPeer, link);
+    });
+  }
+  std::string bytes = EncodeMessage(aMessage);
+  const std::size_t queued = link->mQueuedBytes + bytes.size();
+  if (queued > mImplementation->mLimits.mMostQueuedBytes) {
+    link->mIsBroken = true;
+  } else {
+    link->mQueuedBytes = queued;
+    link->mQueue.push_back(std::move(bytes));
+  }
+  link->mWake.Notify();
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_runtime/wasabispread_runtime.h
@@ -0,0 +1,22 @@
+/*
+ * wasabispread_runtime: fibers, sockets and HTTP; performs a node's effects.
+ *
+ * Depends on every other module, Boost.Fiber, Boost.Asio and Boost.Beast. Its
+ * headers include neither Asio nor Beast. Everything runs on one thread.
+ */
+#pragma once
+
+#include <wasabispread_platform/wasabispread_platform.h>
+#include <wasabispread_telemetry/wasabispread_telemetry.h>
+#include <wasabispread_wire/wasabispread_wire.h>
+
+#include "FiberEvent.h"
+#include "IoLoop.h"
+
+#include "HttpClient.h"
+#include "HttpServer.h"
+
+#include "PeerTransport.h"
+
+#include "NodeRunner.h"
+#include "OperatorInterface.h"
--- /dev/null
+++ b/modules/wasabispread_telemetry/LogWriter.cpp
@@ -0,0 +1,111 @@
+/*
+ * The log's sink: Boost.Log with a bounded asynchronous queue.
+ */
+#include <utility>
+
+#include "wasabispread_telemetry.h"
+
+#include <atomic>
+#include <fstream>
+#include <iostream>
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+
+namespace wasabispread {
+
+namespace {
+
+constexpr std::size_t kQueuedLines = 8192;
+
+std::atomic<std::uint64_t>&
+DroppedLineCount()
+{
+  static std::atomic<std::uint64_t> count{ 0 };
+  return count;
+}
+
+/** Drops a record that finds the queue full, and counts it. */
+class CountingDrop
+{
+public:
+  template<class Lock>
+  static bool on_overflow(const boost::log::record_view&, Lock&)
+  {
+    DroppedLineCount().fetch_add(1, std::memory_order_relaxed);
+    return false;
+  }
+
+  static void on_queue_space_available() {}
+
+  static void interrupt() {}
+};
+
+using Backend = boost::log::sinks::text_ostream_backend;
+using Sink = boost::log::sinks::asynchronous_sink<
+  Backend,
+  boost::log::sinks::bounded_fifo_queue<kQueuedLines, CountingDrop>>;
+
+boost::shared_ptr<std::ostream>
+OpenStream(const std::string& aFile)
+{
+  if (aFile.empty()) {
+    return { &std::clog, boost::null_deleter() };
+  }
+  return boost::make_shared<std::ofstream>(aFile, std::ios::app);
+}
+
+} // namespace
+
+struct LogWriter::Implementation
+{
+  boost::shared_ptr<Sink> mSink;
+  boost::log::sources::logger mLogger;
+};
+
+LogWriter::LogWriter(const std::string& aFile, LogLevel aLeast)
+  : mLeast(aLeast)
+  , mImplementation(std::make_unique<Implementation>())
+{
+  const auto backend = boost::make_shared<Backend>();
+  backend->add_stream(OpenStream(aFile));
+  backend->auto_flush(true);
+  mImplementation->mSink = boost::make_shared<Sink>(backend);
+  mImplementation->mSink->set_formatter(boost::log::expressions::stream
+                                        << boost::log::expressions::smessage);
+  boost::log::core::get()->add_sink(mImplementation->mSink);
+}
+
+LogWriter::~LogWriter()
+{
+  boost::log::core::get()->remove_sink(mImplementation->mSink);
+  mImplementation->mSink->stop();
+  mImplementation->mSink->flush();
+}
+
+void
+LogWriter::Write(const std::string& aLine)
+{
+  BOOST_LOG(mImplementation->mLogger) << aLine;
+}
+
+void
+LogWriter::Flush()
+{
+  mImplementation->mSink->flush();
+}
+
+std::uint64_t
+LogWriter::DroppedLines()
+{
+  return DroppedLineCount().load(std::memory_order_relaxed);
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_telemetry/LogWriter.h
@@ -0,0 +1,47 @@
+/*
+ * Writes log lines without ever holding up the request path.
+ */
+#pragma once
+
+#include <wasabispread_config/wasabispread_config.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace wasabispread {
+
+/** Lines go through a bounded queue to a thread that writes them. When the
+    queue is full, a line is dropped and counted. One writer per process. */
+class LogWriter
+{
+public:
+  /** Writes to a file, or to standard error when aFile is empty. */
+  LogWriter(const std::string& aFile, LogLevel aLeast);
+
+  /** Writes what is queued. */
+  ~LogWriter();
+
+  LogWriter(const LogWriter&) = delete;
+  LogWriter& operator=(const LogWriter&) = delete;
+
+  /** Whether lines of a level are written at all. */
+  bool Writes(LogLevel aLevel) const { return aLevel >= mLeast; }
+
+  /** Queues a line. */
+  void Write(const std::string& aLine);
+
+  /** Waits until the queue is written. */
+  void Flush();
+
+  /** Lines dropped since the start. */
+  static std::uint64_t DroppedLines();
+
+private:
+  struct Implementation;
+
+  LogLevel mLeast;
+  std::unique_ptr<Implementation> mImplementation;
+};
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_telemetry/MetricsText.cpp
@@ -0,0 +1,177 @@
+/*
+ * Metric names, and their values read from a node's state.
+ */
+#include "wasabispread_telemetry.h"
+
+#include <sstream>
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+namespace wasabispread {
+
+namespace {
+
+/** Collects families of one value each. */
+class FamilyList
+{
+public:
+  void AddCounter(const char* aName, const char* aHelp, std::uint64_t aValue)
+  {
+    prometheus::ClientMetric metric;
+    metric.counter.value = static_cast<double>(aValue);
+    Add(aName, aHelp, prometheus::MetricType::Counter, metric);
+  }
+
+  void AddGauge(const char* aName, const char* aHelp, double aValue)
+  {
+    prometheus::ClientMetric metric;
+    metric.gauge.value = aValue;
+    Add(aName, aHelp, prometheus::MetricType::Gauge, metric);
+  }
+
+  const std::vector<prometheus::MetricFamily>& Families() const
+  {
+    return mFamilies;
+  }
+
+private:
+  void Add(const char* aName,
+           const char* aHelp,
+           prometheus::MetricType aType,
+           const prometheus::ClientMetric& aMetric)
+  {
+    prometheus::MetricFamily family;
+    family.name = std::string("wasabispread_") + aName;
+    family.help = aHelp;
+    family.type = aType;
+    family.metric.push_back(aMetric);
+    mFamilies.push_back(std::move(family));
+  }
+
+  std::vector<prometheus::MetricFamily> mFamilies;
+};
+
+void
+AddEntryCounters(FamilyList& aList, const Counters& aCounters)
+{
+  aList.AddCounter("requests_total", "Callers' requests.", aCounters.mRequests);
+  aList.AddCounter("requests_refused_total",
+                   "Requests refused before anything was sent.",
+                   aCounters.mRequestsRefused);
+  aList.AddCounter("answers_complete_total",
+                   "Answers with every shard.",
+                   aCounters.mAnswersComplete);
+  aList.AddCounter("answers_partial_total",
+                   "Answers with missing shards.",
+                   aCounters.mAnswersPartial);
+  aList.AddCounter("answers_failed_total",
+                   "Requests that ended in an error.",
+                   aCounters.mAnswersFailed);
+  aList.AddCounter(
+    "attempts_total", "Attempts at shards.", aCounters.mAttempts);
+  aList.AddCounter(
+    "retries_total", "Attempts after a failed one.", aCounters.mRetries);
+  aList.AddCounter("batches_sent_total",
+                   "Batches sent to target owners.",
+                   aCounters.mBatchesSent);
+  aList.AddCounter("late_replies_total",
+                   "Replies dropped because nobody waits for them.",
+                   aCounters.mLateReplies);
+  aList.AddCounter("foreign_replies_total",
+                   "Replies dropped because they answer something else.",
+                   aCounters.mForeignReplies);
+  aList.AddCounter("snapshot_mismatches_total",
+                   "Replies from another snapshot, not used.",
+                   aCounters.mSnapshotMismatches);
+}
+
+void
+AddOwnerCounters(FamilyList& aList, const Counters& aCounters)
+{
+  aList.AddCounter("batches_received_total",
+                   "Batches taken from entries.",
+                   aCounters.mBatchesReceived);
+  aList.AddCounter("duplicate_attempts_total",
+                   "Attempts dropped because they were held already.",
+                   aCounters.mDuplicateAttempts);
+  aList.AddCounter("target_requests_total",
+                   "Sub-requests sent to targets.",
+                   aCounters.mTargetRequests);
+  aList.AddCounter("target_connections_opened_total",
+                   "Connections to targets asked for.",
+                   aCounters.mTargetConnectionsOpened);
+  aList.AddCounter("target_connections_failed_total",
+                   "Connections to targets that could not be had.",
+                   aCounters.mTargetConnectionsFailed);
+  aList.AddCounter("target_connections_lost_total",
+                   "Connections to targets that broke.",
+                   aCounters.mTargetConnectionsLost);
+  aList.AddCounter("items_refused_total",
+                   "Attempts refused as not run.",
+                   aCounters.mItemsRefused);
+}
+
+void
+AddConfiguration(FamilyList& aList, const NodeState& aState, TimePoint aNow)
+{
+  const Counters& counters = aState.mCounters;
+  aList.AddCounter("configurations_adopted_total",
+                   "Configurations adopted.",
+                   counters.mConfigurationsAdopted);
+  aList.AddCounter("configurations_rejected_total",
+                   "Configurations not adopted.",
+                   counters.mConfigurationsRejected);
+  aList.AddCounter("platform_calls_total",
+                   "Calls made to the platform.",
+                   counters.mPlatformCalls);
+  aList.AddCounter("platform_failures_total",
+                   "Calls to the platform that failed.",
+                   counters.mPlatformFailures);
+  aList.AddGauge("configuration_revision",
+                 "The revision in force; 0 is none.",
+                 static_cast<double>(aState.mConfiguration.mRevision.Value()));
+  aList.AddGauge("store_silence_seconds",
+                 "Time since the platform's store last answered.",
+                 ToMilliseconds(aNow - aState.mConfiguration.mStoreSeen) /
+                   1000.0);
+}
+
+void
+AddGauges(FamilyList& aList, const NodeState& aState)
+{
+  aList.AddGauge("members",
+                 "VMs known, this one included.",
+                 static_cast<double>(aState.mMembership.mMembers.size()));
+  aList.AddGauge("requests_in_flight",
+                 "Requests under way.",
+                 static_cast<double>(aState.mEntry.mQueries.size()));
+  aList.AddGauge("items_held",
+                 "Attempts that this VM holds as owner.",
+                 static_cast<double>(aState.mOwner.mItems.size()));
+  aList.AddGauge("target_connections",
+                 "Connections to targets, open or opening.",
+                 static_cast<double>(aState.mOwner.mConnections.size()));
+  aList.AddGauge(
+    "ready", "1 while this VM takes requests.", aState.IsReady() ? 1.0 : 0.0);
+}
+
+} // namespace
+
+std::string
+FormatMetrics(const NodeState& aState, TimePoint aNow)
+{
+  FamilyList list;
+  AddEntryCounters(list, aState.mCounters);
+  AddOwnerCounters(list, aState.mCounters);
+  AddConfiguration(list, aState, aNow);
+  AddGauges(list, aState);
+  list.AddCounter("log_lines_dropped_total",
+                  "Log lines dropped because the queue was full.",
+                  LogWriter::DroppedLines());
+  std::ostringstream text;
+  prometheus::TextSerializer().Serialize(text, list.Families());
+  return text.str();
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_telemetry/MetricsText.h
@@ -0,0 +1,16 @@
+/*
+ * A node's metrics in the Prometheus text format.
+ */
+#pragma once
+
+#include <wasabispread_decisions/wasabispread_decisions.h>
+
+#include <string>
+
+namespace wasabispread {
+
+/** Every metric of a node as of aNow. */
+std::string
+FormatMetrics(const NodeState& aState, TimePoint aNow);
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_telemetry/wasabispread_telemetry.h
@@ -0,0 +1,13 @@
+/*
+ * wasabispread_telemetry: the decision log as JSON lines, and metrics.
+ *
+ * Depends on wasabispread_decisions, Boost.Log, prometheus-cpp and
+ * nlohmann-json.
+ */
+#pragma once
+
+#include <wasabispread_decisions/wasabispread_decisions.h>
+
+#include "LogFormat.h"
+#include "LogWriter.h"
+#include "MetricsText.h"
--- /dev/null
+++ b/modules/wasabispread_wire/TargetProtocol.h
@@ -0,0 +1,23 @@
+/*
+ * The targets' HTTP interface: sub-requests out, replies in.
+ */
+#pragma once
+
+#include "HttpMessage.h"
+
+#include <wasabispread_decisions/wasabispread_decisions.h>
+
+namespace wasabispread {
+
+/** A sub-request as HTTP: POST /v1/shards/SHARD/OPERATION with headers
+    X-Request-Id, X-Attempt-Id, X-Deadline-Ms (time left) and X-Snapshot. */
+HttpRequest
+FormatTargetRequest(const TargetRequest& aRequest);
+
+/** Reads a target's response. 200 is an answer, 503 a shed request, 410 a
+    draining target, 409 a version not held; each of these three did not run.
+    Anything else leaves open whether it ran. */
+TargetReply
+ParseTargetReply(const HttpResponse& aResponse);
+
+} // namespace wasabispread
--- /dev/null
+++ b/tests/support/FakeFleet.cpp
@@ -0,0 +1,449 @@
+/*
+ * The fake fleet's delivery of messages, connections and faults.
+ */
+#include "FakeFleet.h"
+
+#include <stdexcept>
+
+namespace wasabispread::testing {
+
+FakeFleet::FakeFleet(std::uint64_t aSeed)
+  : mPlatform(mTimeline)
+  , mRandom(aSeed)
+{
+}
+
+VmId
+FakeFleet::AddVm(const std::string& aName, const std::string& aZone)
+{
+  const VmId vm = IdFromName<VmId>(aName);
+  VmRecord record;
+  record.mId = vm;
+  record.mName = aName;
+  record.mZone = ZoneName(aZone);
+  record.mPeerAddress = Endpoint{ aName, 1 };
+  mPlatform.SetVm(record);
+  mNodes[vm] = Node{};
+  StartNode(vm, aName, record.mZone);
+  return vm;
+}
+
+void
+FakeFleet::StartNode(VmId aVm, const std::string& aName, const ZoneName& aZone)
+{
+  Node& node = mNodes.at(aVm);
+  NodeIdentity identity;
+  identity.mId = aVm;
+  identity.mName = aName;
+  identity.mZone = aZone;
+  identity.mIncarnation = Incarnation(node.mIncarnation);
+  identity.mPeerAddress = Endpoint{ aName, 1 };
+  node.mState = std::make_unique<NodeState>(
+    MakeNodeState(std::move(identity), mRandom.Next()));
+  node.mIsAlive = true;
+  node.mIsPaused = false;
+  node.mHeld.clear();
+  node.mTickAt = TimePoint::max();
+  Deliver(aVm, Started{});
+}
+
+Revision
+FakeFleet::Apply(const std::string& aText)
+{
+  const auto deployment = ParseDeployment(aText, "test");
+  if (!deployment) {
+    throw std::invalid_argument(ToText(deployment.error().front()));
+  }
+  for (const Target& target : deployment->mTargets) {
+    const Service* service = deployment->FindService(target.mService);
+    mTargetZones[target.mId] = target.mZone;
+    mTargetsByAddress[target.mAddress] = target.mId;
+    if (!mTargets.contains(target.mId)) {
+      mTargets[target.mId] = std::make_unique<FakeTarget>(
+        target, service->mConnectionCap, mTimeline, mRandom, mExecutions);
+    }
+  }
+  return mPlatform.Apply(aText);
+}
+
+FakeTarget&
+FakeFleet::TargetNamed(const std::string& aName)
+{
+  return *mTargets.at(IdFromName<TargetId>(aName));
+}
+
+void
+FakeFleet::RunFor(Duration aSpan)
+{
+  mTimeline.RunUntil(mTimeline.Now() + aSpan);
+}
+
+std::size_t
+FakeFleet::Ask(VmId aVm, const AskOptions& aOptions)
+{
+  const std::size_t position = mExchanges.size();
+  CallerRequest request;
+  request.mToken = CallerToken(position);
+  request.mRequestId =
+    RequestId(aOptions.mRequestId.empty() ? "r" + std::to_string(position)
+                                          : aOptions.mRequestId);
+  request.mService = aOptions.mService;
+  request.mOperation = aOptions.mOperation;
+  request.mKey = aOptions.mKey;
+  request.mBody = std::make_shared<const std::string>("body");
+  request.mPatience = aOptions.mPatience;
+  mExchanges.push_back(
+    Exchange{ aVm, request, mTimeline.Now(), TimePoint{}, std::nullopt });
+  Deliver(aVm, request);
+  return position;
+}
+
+const Exchange&
+FakeFleet::AskAndWait(VmId aVm, const AskOptions& aOptions)
+{
+  const std::size_t position = Ask(aVm, aOptions);
+  mTimeline.RunUntil(
+    [this, position] { return mExchanges[position].mOutcome.has_value(); },
+    mTimeline.Now() + std::chrono::minutes(1));
+  return mExchanges[position];
+}
+
+void
+FakeFleet::Kill(VmId aVm)
+{
+  Node& node = mNodes.at(aVm);
+  node.mIsAlive = false;
+  ++node.mIncarnation;
+  DropConnections(aVm);
+  for (const auto& [other, otherNode] : mNodes) {
+    if (other != aVm && otherNode.mIsAlive) {
+      const Duration delay =
+        DelayBetween(node.mState->mSelf.mZone, otherNode.mState->mSelf.mZone);
+      mTimeline.After(
+        delay,
+        [this, to = other, from = aVm, incarnation = otherNode.mIncarnation] {
+          DeliverTo(to, incarnation, PeerLost{ from });
+        });
+    }
+  }
+}
+
+void
+FakeFleet::Restart(VmId aVm)
+{
+  const NodeIdentity identity = mNodes.at(aVm).mState->mSelf;
+  StartNode(aVm, identity.mName, identity.mZone);
+}
+
+void
+FakeFleet::Pause(VmId aVm)
+{
+  mNodes.at(aVm).mIsPaused = true;
+}
+
+void
+FakeFleet::Resume(VmId aVm)
+{
+  Node& node = mNodes.at(aVm);
+  node.mIsPaused = false;
+  std::vector<Event> held;
+  held.swap(node.mHeld);
+  for (Event& event : held) {
+    Deliver(aVm, std::move(event));
+  }
+  ScheduleTick(aVm);
+}
+
+void
+FakeFleet::Stop(VmId aVm)
+{
+  Deliver(aVm, StopRequested{});
+}
+
+void
+FakeFleet::SetCut(const std::string& aZone,
+                  const std::string& aOther,
+                  bool aIsCut)
+{
+  for (const auto& pair : { std::pair(ZoneName(aZone), ZoneName(aOther)),
+                            std::pair(ZoneName(aOther), ZoneName(aZone)) }) {
+    if (aIsCut) {
+      mCuts.insert(pair);
+    } else {
+      mCuts.erase(pair);
+    }
+  }
+}
+
+void
+FakeFleet::SetPlatformCut(const std::string& aZone, bool aIsCut)
+{
+  if (aIsCut) {
+    mPlatformCuts.insert(ZoneName(aZone));
+  } else {
+    mPlatformCuts.erase(ZoneName(aZone));
+  }
+}
+
+void
+FakeFleet::Deliver(VmId aVm, Event aEvent)
+{
+  Node& node = mNodes.at(aVm);
+  if (!node.mIsAlive) {
+    return;
+  }
+  if (node.mIsPaused) {
+    node.mHeld.push_back(std::move(aEvent));
+    return;
+  }
+  const Effects effects = Reduce(*node.mState, aEvent, mTimeline.Now());
+  for (const Effect& effect : effects) {
+    Perform(aVm, effect);
+  }
+  ScheduleTick(aVm);
+}
+
+void
+FakeFleet::DeliverTo(VmId aVm, std::uint64_t aIncarnation, Event aEvent)
+{
+  if (mNodes.at(aVm).mIncarnation == aIncarnation) {
+    Deliver(aVm, std::move(aEvent));
+  }
+}
+
+void
+FakeFleet::ScheduleTick(VmId aVm)
+{
+  Node& node = mNodes.at(aVm);
+  const TimePoint due = node.mState->NextDue();
+  if (due == TimePoint::max() || node.mTickAt <= due) {
+    return;
+  }
+  node.mTickAt = due;
+  mTimeline.At(due, [this, aVm, due, incarnation = node.mIncarnation] {
+    Node& ticked = mNodes.at(aVm);
+    const bool isCurrent = ticked.mIncarnation == incarnation &&
+                           ticked.mTickAt == due && ticked.mIsAlive;
+    if (!isCurrent) {
+      return;
+    }
+    ticked.mTickAt = TimePoint::max();
+    if (!ticked.mIsPaused) {
+      Deliver(aVm, Tick{});
+    }
+  });
+}
+
+void
+FakeFleet::Perform(VmId aVm, const Effect& aEffect)
+{
+  if (const auto* send = std::get_if<SendToPeer>(&aEffect)) {
+    PerformSend(aVm, *send);
+  } else if (const auto* open = std::get_if<OpenTargetConnection>(&aEffect)) {
+    PerformOpen(aVm, *open);
+  } else if (const auto* close = std::get_if<CloseTargetConnection>(&aEffect)) {
+    PerformClose(aVm, *close);
+  } else if (const auto* request = std::get_if<SendToTarget>(&aEffect)) {
+    PerformTargetSend(aVm, *request);
+  } else if (const auto* answer = std::get_if<AnswerCaller>(&aEffect)) {
+    PerformAnswer(aVm, *answer);
+  } else if (const auto* watch = std::get_if<WatchConfiguration>(&aEffect)) {
+    PerformWatch(aVm, *watch);
+  } else if (std::holds_alternative<ReadVmList>(aEffect)) {
+    PerformReadVms(aVm);
+  } else if (const auto* record = std::get_if<LogDecision>(&aEffect)) {
+    mRecords.push_back(record->mRecord);
+  }
+}
+
+void
+FakeFleet::PerformSend(VmId aVm, const SendToPeer& aEffect)
+{
+  ++mMessagesSent;
+  const Node& sender = mNodes.at(aVm);
+  const auto place = mNodes.find(aEffect.mPeer);
+  const auto report =
+    [this, aVm, peer = aEffect.mPeer, incarnation = sender.mIncarnation] {
+      DeliverTo(aVm, incarnation, PeerLost{ peer });
+    };
+  if (place == mNodes.end() || !place->second.mIsAlive) {
+    mTimeline.After(mNetwork.mBetweenZones, report);
+    return;
+  }
+  const Node& receiver = place->second;
+  const ZoneName& from = sender.mState->mSelf.mZone;
+  const ZoneName& to = receiver.mState->mSelf.mZone;
+  if (IsCut(from, to)) {
+    mTimeline.After(mNetwork.mBreakAfter, report);
+    return;
+  }
+  Duration delay = DelayBetween(from, to);
+  if (mRandom.Fraction() < mNetwork.mLoss) {
+    delay += mNetwork.mRetransmission;
+  }
+  // One connection keeps its messages in order.
+  TimePoint& last = mLastArrival[{ aVm, aEffect.mPeer }];
+  last = std::max(last, mTimeline.Now() + delay);
+  PeerMessageReceived event{ aVm,
+                             sender.mState->mSelf.mPeerAddress,
+                             aEffect.mMessage };
+  mTimeline.At(
+    last,
+    [this,
+     to = aEffect.mPeer,
+     incarnation = receiver.mIncarnation,
+     event = std::move(event)] { DeliverTo(to, incarnation, event); });
+}
+
+void
+FakeFleet::PerformOpen(VmId aVm, const OpenTargetConnection& aEffect)
+{
+  const std::uint64_t incarnation = mNodes.at(aVm).mIncarnation;
+  const ConnectionId connection = aEffect.mConnection;
+  const auto fail = [this, aVm, incarnation, connection] {
+    DeliverTo(aVm, incarnation, TargetConnectFailed{ connection });
+  };
+  const auto place = mTargetsByAddress.find(aEffect.mAddress);
+  if (place == mTargetsByAddress.end()) {
+    mTimeline.After(mNetwork.mWithinZone, fail);
+    return;
+  }
+  const TargetId target = place->second;
+  if (IsCut(mNodes.at(aVm).mState->mSelf.mZone, mTargetZones.at(target))) {
+    mTimeline.After(aEffect.mTimeout, fail);
+    return;
+  }
+  mTimeline.After(DelayToTarget(aVm, target) * 2,
+                  [this, aVm, incarnation, connection, target, fail] {
+                    const Node& node = mNodes.at(aVm);
+                    const bool isCurrent =
+                      node.mIsAlive && node.mIncarnation == incarnation;
+                    if (!isCurrent || !mTargets.at(target)->Connect()) {
+                      fail();
+                      return;
+                    }
+                    mConnections[{ aVm, incarnation, connection }] = target;
+                    DeliverTo(aVm, incarnation, TargetConnected{ connection });
+                  });
+}
+
+void
+FakeFleet::PerformClose(VmId aVm, const CloseTargetConnection& aEffect)
+{
+  const auto connection = mConnections.extract(
+    { aVm, mNodes.at(aVm).mIncarnation, aEffect.mConnection });
+  if (!connection.empty()) {
+    mTargets.at(connection.mapped())->Disconnect();
+  }
+}
+
+void
+FakeFleet::PerformTargetSend(VmId aVm, const SendToTarget& aEffect)
+{
+  const std::uint64_t incarnation = mNodes.at(aVm).mIncarnation;
+  const ConnectionKey key{ aVm, incarnation, aEffect.mConnection };
+  const TargetId target = mConnections.at(key);
+  const auto back = [this, aVm, incarnation, key, target](const Event& aEvent) {
+    if (IsCut(mNodes.at(aVm).mState->mSelf.mZone, mTargetZones.at(target))) {
+      return;
+    }
+    mTimeline.After(DelayToTarget(aVm, target),
+                    [this, aVm, incarnation, key, aEvent] {
+                      if (mConnections.contains(key)) {
+                        DeliverTo(aVm, incarnation, aEvent);
+                      }
+                    });
+  };
+  TargetResponder responder;
+  responder.mReply = [back, id = aEffect.mConnection](TargetReply aReply) {
+    back(TargetReplied{ id, std::move(aReply), true });
+  };
+  responder.mReset = [back, id = aEffect.mConnection](bool aWritten) {
+    back(TargetConnectionLost{ id, aWritten });
+  };
+  if (IsCut(mNodes.at(aVm).mState->mSelf.mZone, mTargetZones.at(target))) {
+    return;
+  }
+  mTimeline.After(DelayToTarget(aVm, target),
+                  [this, target, request = aEffect.mRequest, responder] {
+                    mTargets.at(target)->Serve(request, responder);
+                  });
+}
+
+void
+FakeFleet::PerformAnswer(VmId, const AnswerCaller& aEffect)
+{
+  Exchange& exchange = mExchanges.at(aEffect.mToken.Value());
+  if (exchange.mOutcome) {
+    throw std::logic_error("a caller was answered twice");
+  }
+  exchange.mOutcome = aEffect.mOutcome;
+  exchange.mAnswered = mTimeline.Now();
+}
+
+void
+FakeFleet::PerformWatch(VmId aVm, const WatchConfiguration& aEffect)
+{
+  const std::uint64_t incarnation = mNodes.at(aVm).mIncarnation;
+  const ZoneName zone = mNodes.at(aVm).mState->mSelf.mZone;
+  const auto deliver =
+    [this, aVm, incarnation, zone](Result<StoredConfiguration> aResult) {
+      if (mPlatformCuts.contains(zone)) {
+        aResult = Fail(ErrorKind::kPlatformUnavailable, "cut off", "wait");
+      }
+      DeliverTo(aVm, incarnation, StoreWatched{ std::move(aResult) });
+    };
+  mPlatform.Watch(aEffect, deliver);
+}
+
+void
+FakeFleet::PerformReadVms(VmId aVm)
+{
+  const std::uint64_t incarnation = mNodes.at(aVm).mIncarnation;
+  const ZoneName zone = mNodes.at(aVm).mState->mSelf.mZone;
+  const auto deliver =
+    [this, aVm, incarnation, zone](Result<std::vector<VmRecord>> aResult) {
+      if (mPlatformCuts.contains(zone)) {
+        aResult = Fail(ErrorKind::kPlatformUnavailable, "cut off", "wait");
+      }
+      DeliverTo(aVm, incarnation, VmListReceived{ std::move(aResult) });
+    };
+  mPlatform.ReadVms(deliver);
+}
+
+void
+FakeFleet::DropConnections(VmId aVm)
+{
+  std::erase_if(mConnections, [this, aVm](const auto& aEntry) {
+    if (std::get<VmId>(aEntry.first) != aVm) {
+      return false;
+    }
+    mTargets.at(aEntry.second)->Disconnect();
+    return true;
+  });
+}
+
+bool
+FakeFleet::IsCut(const ZoneName& aZone, const ZoneName& aOther) const
+{
+  return mCuts.contains({ aZone, aOther });
+}
+
+Duration
+FakeFleet::DelayBetween(const ZoneName& aZone, const ZoneName& aOther)
+{
+  const Duration base =
+    aZone == aOther ? mNetwork.mWithinZone : mNetwork.mBetweenZones;
+  const double factor = 1.0 + mNetwork.mJitter * mRandom.Fraction();
+  return Duration(
+    static_cast<std::int64_t>(static_cast<double>(base.count()) * factor));
+}
+
+Duration
+FakeFleet::DelayToTarget(VmId aVm, TargetId aTarget)
+{
+  return DelayBetween(mNodes.at(aVm).mState->mSelf.mZone,
+                      mTargetZones.at(aTarget));
+}
+
+} // namespace wasabispread::testing
--- /dev/null
+++ b/tests/support/FakePlatform.cpp
@@ -0,0 +1,106 @@
+/*
+ * The fake platform's store, watches and VM list.
+ */
+#include "FakePlatform.h"
+
+namespace wasabispread::testing {
+
+namespace {
+
+tl::unexpected<Error>
+Outage()
+{
+  return Fail(ErrorKind::kPlatformUnavailable, "outage", "wait");
+}
+
+} // namespace
+
+Revision
+FakePlatform::Apply(const std::string& aText)
+{
+  ConfigurationRecord record;
+  ++mStored.mStoreVersion;
+  record.mRevision = Revision(mStored.mStoreVersion);
+  record.mChangeId = "change-" + std::to_string(mStored.mStoreVersion);
+  record.mText = aText;
+  mStored.mRecord = record;
+  const auto watchers = mWatchers;
+  for (const auto& [id, watcher] : watchers) {
+    EndWatch(id);
+  }
+  return record.mRevision;
+}
+
+void
+FakePlatform::SetVm(const VmRecord& aVm)
+{
+  mVms[aVm.mId] = aVm;
+  std::vector<VmRecord> edition;
+  for (const auto& [id, vm] : mVms) {
+    edition.push_back(vm);
+  }
+  mEditions.emplace_back(mTimeline.Now() + mListLag, std::move(edition));
+}
+
+void
+FakePlatform::RemoveVm(VmId aVm)
+{
+  mVms.erase(aVm);
+  std::vector<VmRecord> edition;
+  for (const auto& [id, vm] : mVms) {
+    edition.push_back(vm);
+  }
+  mEditions.emplace_back(mTimeline.Now() + mListLag, std::move(edition));
+}
+
+void
+FakePlatform::Watch(const WatchConfiguration& aWatch, WatchDone aDone)
+{
+  ++mCalls;
+  const std::uint64_t id = mNextWatcher++;
+  mWatchers[id] = Watcher{ aWatch.mAfterVersion, std::move(aDone) };
+  const bool isDue = mIsOut || mStored.mStoreVersion > aWatch.mAfterVersion;
+  mTimeline.After(isDue ? mDelay : aWatch.mWait, [this, id] { EndWatch(id); });
+}
+
+void
+FakePlatform::EndWatch(std::uint64_t aWatcher)
+{
+  const auto watcher = mWatchers.extract(aWatcher);
+  if (watcher.empty()) {
+    return;
+  }
+  Result<StoredConfiguration> result = mStored;
+  if (mIsOut) {
+    result = Outage();
+  }
+  mTimeline.After(mDelay,
+                  [done = watcher.mapped().mDone, result] { done(result); });
+}
+
+std::vector<VmRecord>
+FakePlatform::ShownVms() const
+{
+  std::vector<VmRecord> shown;
+  for (const auto& [from, edition] : mEditions) {
+    if (from <= mTimeline.Now()) {
+      shown = edition;
+    }
+  }
+  return shown;
+}
+
+void
+FakePlatform::ReadVms(std::function<void(Result<std::vector<VmRecord>>)> aDone)
+{
+  ++mCalls;
+  mTimeline.After(mDelay, [this, done = std::move(aDone)] {
+    Result<std::vector<VmRecord>> result = ShownVms();
+    if (mIsOut) {
+      result = Outage();
+    }
+    done(result);
+  });
+}
+
+} // namespace wasabispread::testing
--- /dev/null
+++ b/tests/support/FakePlatform.h
@@ -0,0 +1,74 @@
+/*
+ * The platform's store and VM list as tests see them.
+ */
+#pragma once
+
+#include "Timeline.h"
+
+#include <wasabispread_decisions/wasabispread_decisions.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace wasabispread::testing {
+
+/** One platform for all nodes of a test. */
+class FakePlatform
+{
+public:
+  explicit FakePlatform(Timeline& aTimeline)
+    : mTimeline(aTimeline)
+  {
+  }
+
+  /** Every call fails after a short while. */
+  bool mIsOut = false;
+  /** How long a call takes. */
+  Duration mDelay = std::chrono::milliseconds(3);
+  /** How late the VM list shows a change. */
+  Duration mListLag = std::chrono::seconds(1);
+
+  /** Puts a deployment file's text in force as the next revision. */
+  Revision Apply(const std::string& aText);
+
+  /** Adds or changes a VM. */
+  void SetVm(const VmRecord& aVm);
+
+  /** Takes a VM off the list. */
+  void RemoveVm(VmId aVm);
+
+  /** Calls aDone once there is a version above the one given, or the wait is
+      over. */
+  void Watch(const WatchConfiguration& aWatch,
+             std::function<void(Result<StoredConfiguration>)> aDone);
+
+  /** Calls aDone with the list as shown at present. */
+  void ReadVms(std::function<void(Result<std::vector<VmRecord>>)> aDone);
+
+  /** Calls taken, failed ones included. */
+  std::uint64_t Calls() const { return mCalls; }
+
+private:
+  using WatchDone = std::function<void(Result<StoredConfiguration>)>;
+
+  struct Watcher
+  {
+    std::uint64_t mAfterVersion = 0;
+    WatchDone mDone;
+  };
+
+  void EndWatch(std::uint64_t aWatcher);
+  std::vector<VmRecord> ShownVms() const;
+
+  Timeline& mTimeline;
+  StoredConfiguration mStored;
+  std::map<VmId, VmRecord> mVms;
+  std::vector<std::pair<TimePoint, std::vector<VmRecord>>> mEditions;
+  std::map<std::uint64_t, Watcher> mWatchers;
+  std::uint64_t mNextWatcher = 0;
+  std::uint64_t mCalls = 0;
+};
+
+} // namespace wasabispread::testing
