--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -94,6 +94,21 @@
   return identity;
 }
 
+std::vector<VmRecord>
+PeersFrom(const DaemonSettings& aSettings)
+{
+  std::vector<VmRecord> peers;
+  for (const PeerSettings& peer : aSettings.mPeers) {
+    VmRecord record;
+    record.mId = IdFromName<VmId>(peer.mName);
+    record.mName = peer.mName;
+    record.mZone = peer.mZone;
+    record.mPeerAddress = peer.mAddress;
+    peers.push_back(std::move(record));
+  }
+  return peers;
+}
+
 /** Answers callers: a request becomes an event, its outcome the response. */
 class CallerInterface
 {
@@ -159,8 +174,10 @@
   const NodeIdentity identity = IdentityFrom(aSettings);
   const std::uint64_t seed =
     identity.mId.Value() ^ identity.mIncarnation.Value();
-  NodeRunner runner(
-    loop, MakeNodeState(identity, seed), aSettings.mPlatformAddress, log);
+  NodeRunner runner(loop,
+                    MakeNodeState(identity, seed, PeersFrom(aSettings)),
+                    aSettings.mPlatformAddress,
+                    log);
   PeerTransportLimits peerLimits;
   peerLimits.mMostFrameBytes = aSettings.mMostFrameBytes;
   const auto started = runner.Start(peerLimits);
--- a/modules/wasabispread_config/wasabispread_config.h
+++ b/modules/wasabispread_config/wasabispread_config.h
@@ -13,3 +13,4 @@
 #include "DaemonSettings.h"
 #include "Deployment.h"
 #include "DeploymentParser.h"
+#include "DeploymentSections.h"
--- a/modules/wasabispread_decisions/Configuration.cpp
+++ b/modules/wasabispread_decisions/Configuration.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr Duration kWatchWait = std::chrono::seconds(20);
+constexpr std::size_t kWatchersPerZone = 2;
+/** How much text is parsed before other events have their turn. */
+constexpr std::size_t kParseBytes = 16U << 10U;
 
 void
 Reject(NodeState& aState,
@@ -22,6 +25,104 @@
     aRevision, aState.mConfiguration.mRevision, std::move(aReason) } });
 }
 
+std::uint64_t
+WatcherWeight(VmId aVm)
+{
+  constexpr std::uint64_t kWatcherSeed = 0x77617463686572ULL;
+  Random mixer(aVm.Value() ^ kWatcherSeed);
+  return mixer.Next();
+}
+
+/** The part of mParts that belongs to a section under a first section. */
+std::uint64_t
+PartKey(std::uint64_t aFirst, std::uint64_t aSection)
+{
+  Random mixer(aFirst ^ (aSection * 0x9e3779b97f4a7c15ULL));
+  return mixer.Next();
+}
+
+/** Parses the next section, or takes it over when it did not change. */
+tl::expected<DeploymentPart, Faults>
+NextPart(const ConfigurationState& aConfiguration,
+         const StagedConfiguration& aStaged,
+         std::size_t& aBytes)
+{
+  const DeploymentSection& first = aStaged.mSections.front();
+  const bool isOnly = aStaged.mSections.size() == 1;
+  const DeploymentSection section =
+    isOnly ? MakeSection({}) : aStaged.mSections[aStaged.mParts.size() + 1];
+  const auto known =
+    aConfiguration.mParts.find(PartKey(first.mHash, section.mHash));
+  if (known != aConfiguration.mParts.end()) {
+    return known->second;
+  }
+  aBytes += first.mText->size() + section.mText->size();
+  return ParseSection(first, section);
+}
+
+/** Puts a deployment in force with the sections that it came from. */
+void
+Adopt(NodeState& aState,
+      StagedConfiguration aStaged,
+      Deployment aDeployment,
+      Effects& aEffects)
+{
+  ConfigurationState& configuration = aState.mConfiguration;
+  const Revision previous = configuration.mRevision;
+  configuration.mRevision = aStaged.mHead.mRevision;
+  configuration.mChangeId = aStaged.mHead.mChangeId;
+  configuration.mHead = aStaged.mHead;
+  configuration.mContentHash = ContentHash(aStaged.mHashes);
+  configuration.mIsDisputed = false;
+  configuration.mParts.clear();
+  configuration.mSections.clear();
+  const std::uint64_t first = aStaged.mHashes.front();
+  const std::uint64_t empty = MakeSection({}).mHash;
+  for (std::size_t part = 0; part < aStaged.mParts.size(); ++part) {
+    const std::uint64_t section =
+      aStaged.mHashes.size() == 1 ? empty : aStaged.mHashes[part + 1];
+    configuration.mParts[PartKey(first, section)] =
+      std::move(aStaged.mParts[part]);
+  }
+  for (DeploymentSection& section : aStaged.mSections) {
+    configuration.mSections[section.mHash] = std::move(section);
+  }
+  configuration.mHashes = std::move(aStaged.mHashes);
+  configuration.mDeployment =
+    std::make_shared<const Deployment>(std::move(aDeployment));
+  GroupTargets(configuration);
+  ReconcilePools(aState, aEffects);
+  ++aState.mCounters.mConfigurationsAdopted;
+  aEffects.push_back(LogDecision{ ConfigurationAdopted{
+    configuration.mRevision, previous, configuration.mChangeId } });
+}
+
+/** Ends staging with a fault that this release sees in the file. */
+void
+RejectStaged(NodeState& aState, const Faults& aFaults, Effects& aEffects)
+{
+  ConfigurationState& configuration = aState.mConfiguration;
+  const StagedConfiguration staged = std::move(*configuration.mStaged);
+  configuration.mStaged.reset();
+  configuration.mRejected = { staged.mHead.mRevision,
+                              ContentHash(staged.mHashes) };
+  Reject(aState, staged.mHead.mRevision, ToText(aFaults.front()), aEffects);
+}
+
+void
+FinishStaged(NodeState& aState, Effects& aEffects)
+{
+  ConfigurationState& configuration = aState.mConfiguration;
+  auto deployment = AssembleDeployment(configuration.mStaged->mParts);
+  if (!deployment) {
+    RejectStaged(aState, deployment.error(), aEffects);
+    return;
+  }
+  StagedConfiguration staged = std::move(*configuration.mStaged);
+  configuration.mStaged.reset();
+  Adopt(aState, std::move(staged), std::move(*deployment), aEffects);
+}
+
 } // namespace
 
 Duration
@@ -39,12 +140,56 @@
   return half + Duration(jitter);
 }
 
+bool
+IsWatcher(NodeState& aState)
+{
+  MembershipState& membership = aState.mMembership;
+  if (membership.mWatchersEpoch == membership.mEpoch) {
+    return membership.mIsWatcher;
+  }
+  membership.mWatchersEpoch = membership.mEpoch;
+  const std::uint64_t own = WatcherWeight(aState.mSelf.mId);
+  const auto vms = membership.mLiveByZone.find(aState.mSelf.mZone);
+  const bool hasOthers = vms != membership.mLiveByZone.end();
+  std::size_t heavier = 0;
+  if (hasOthers) {
+    for (const VmId vm : vms->second) {
+      heavier += WatcherWeight(vm) > own ? 1U : 0U;
+    }
+  }
+  membership.mIsWatcher = heavier < kWatchersPerZone;
+  return membership.mIsWatcher;
+}
+
 void
-StartConfiguration(NodeState& aState, Effects& aEffects)
+ReviewWatching(NodeState& aState, TimePoint aNow, Effects& aEffects)
 {
+  const ConfigurationState& configuration = aState.mConfiguration;
+  const bool isBusy = configuration.mIsWatching || configuration.mIsWatchArmed;
+  if (!isBusy && aState.mMembership.mIsInformed) {
+    StartConfiguration(aState, aNow, aEffects);
+  }
+}
+
+void
+StartConfiguration(NodeState& aState, TimePoint aNow, Effects& aEffects)
+{
+  ConfigurationState& configuration = aState.mConfiguration;
+  configuration.mIsWatchArmed = false;
+  const bool isWanted = IsWatcher(aState) || configuration.mIsDisputed;
+  if (!isWanted || configuration.mIsWatching) {
+    return;
+  }
+  if (const auto later = TakeCall(aState.mPlatformBudget, aNow)) {
+    configuration.mIsWatchArmed = true;
+    aState.mTimers.Arm(*later, TimerKind::kWatchConfiguration);
+    return;
+  }
   ++aState.mCounters.mPlatformCalls;
-  aEffects.push_back(
-    WatchConfiguration{ aState.mConfiguration.mStoreVersion, kWatchWait });
+  configuration.mIsWatching = true;
+  const std::uint64_t after =
+    configuration.mIsDisputed ? 0 : configuration.mStoreVersion;
+  aEffects.push_back(WatchConfiguration{ after, kWatchWait });
 }
 
 void
@@ -54,51 +199,65 @@
                    Effects& aEffects)
 {
   ConfigurationState& configuration = aState.mConfiguration;
+  configuration.mIsWatching = false;
   if (!aEvent.mResult) {
     ++aState.mCounters.mPlatformFailures;
     ++configuration.mFailures;
     const Duration delay = RetryDelay(configuration.mFailures, aState.mRandom);
+    configuration.mIsWatchArmed = true;
     aState.mTimers.Arm(aNow + delay, TimerKind::kWatchConfiguration);
     return;
   }
   configuration.mFailures = 0;
   configuration.mStoreSeen = aNow;
   const StoredConfiguration& stored = *aEvent.mResult;
-  const bool isNews = stored.mStoreVersion > configuration.mStoreVersion;
+  if (stored.mRecord && stored.mRecord->mRevision < configuration.mRevision) {
+    Reject(aState,
+           stored.mRecord->mRevision,
+           "the store answered with an older revision",
+           aEffects);
+  }
+  configuration.mIsDisputed = false;
+  if (stored.mRecord) {
+    StageRecord(aState, *stored.mRecord, aNow, aEffects);
+  }
+  const bool isCurrent = stored.mStoreVersion >= configuration.mStoreVersion;
   configuration.mStoreVersion =
     std::max(configuration.mStoreVersion, stored.mStoreVersion);
-  if (stored.mRecord && isNews) {
-    AdoptConfiguration(aState, *stored.mRecord, aEffects);
+  if (isCurrent) {
+    StartConfiguration(aState, aNow, aEffects);
+    return;
   }
-  StartConfiguration(aState, aEffects);
+  // A store that answers at once with what is older would be asked at once.
+  const Duration delay = RetryDelay(++configuration.mFailures, aState.mRandom);
+  configuration.mIsWatchArmed = true;
+  aState.mTimers.Arm(aNow + delay, TimerKind::kWatchConfiguration);
 }
 
 void
-AdoptConfiguration(NodeState& aState,
-                   const ConfigurationRecord& aRecord,
-                   Effects& aEffects)
+ContinueParsing(NodeState& aState, TimePoint aNow, Effects& aEffects)
 {
   ConfigurationState& configuration = aState.mConfiguration;
-  if (aRecord.mRevision <= configuration.mRevision) {
-    Reject(aState, aRecord.mRevision, "not newer", aEffects);
+  if (!configuration.mStaged || configuration.mStaged->mMissing != 0) {
     return;
   }
-  auto deployment = ParseDeployment(aRecord.mText, "stored");
-  if (!deployment) {
-    Reject(
-      aState, aRecord.mRevision, ToText(deployment.error().front()), aEffects);
+  StagedConfiguration& staged = *configuration.mStaged;
+  const std::size_t wanted =
+    std::max<std::size_t>(1, staged.mSections.size() - 1);
+  std::size_t bytes = 0;
+  while (staged.mParts.size() < wanted && bytes < kParseBytes) {
+    auto part = NextPart(configuration, staged, bytes);
+    if (!part) {
+      RejectStaged(aState, part.error(), aEffects);
+      return;
+    }
+    staged.mParts.push_back(std::move(*part));
+  }
+  if (staged.mParts.size() == wanted && bytes < kParseBytes) {
+    FinishStaged(aState, aEffects);
     return;
   }
-  const Revision previous = configuration.mRevision;
-  configuration.mRevision = aRecord.mRevision;
-  configuration.mChangeId = aRecord.mChangeId;
-  configuration.mDeployment =
-    std::make_shared<const Deployment>(std::move(*deployment));
-  GroupTargets(configuration);
-  ReconcilePools(aState, aEffects);
-  ++aState.mCounters.mConfigurationsAdopted;
-  aEffects.push_back(LogDecision{
-    ConfigurationAdopted{ aRecord.mRevision, previous, aRecord.mChangeId } });
+  aState.mTimers.Arm(aNow, TimerKind::kParseConfiguration);
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Configuration.h
+++ b/modules/wasabispread_decisions/Configuration.h
@@ -9,23 +9,30 @@
 
 namespace wasabispread {
 
-/** Asks the store for anything newer than what was seen. */
+/** Whether this VM is one of the few of its zone that watch the store. */
+bool
+IsWatcher(NodeState& aState);
+
+/** Begins to watch the store when this VM should and does not. */
+void
+ReviewWatching(NodeState& aState, TimePoint aNow, Effects& aEffects);
+
+/** Asks the store for anything newer than what was seen, unless this VM need
+    not, or the budget of calls puts it off. */
 void
-StartConfiguration(NodeState& aState, Effects& aEffects);
+StartConfiguration(NodeState& aState, TimePoint aNow, Effects& aEffects);
 
-/** Adopts what a watch brought, or waits and asks again. */
+/** Stages what a watch brought, or waits and asks again. */
 void
 HandleStoreWatched(NodeState& aState,
                    const StoreWatched& aEvent,
                    TimePoint aNow,
                    Effects& aEffects);
 
-/** Adopts a configuration when its revision is higher than the one in force
-    and its text is valid; logs either way. */
+/** Parses some of the staged configuration; puts it in force after the last
+    part, or rejects it, and logs either way. */
 void
-AdoptConfiguration(NodeState& aState,
-                   const ConfigurationRecord& aRecord,
-                   Effects& aEffects);
+ContinueParsing(NodeState& aState, TimePoint aNow, Effects& aEffects);
 
 /** How long to wait after aFailures failed calls in a row: doubling from
     200 ms to 10 s, with half of it random. */
--- /dev/null
+++ b/modules/wasabispread_decisions/Confirmation.h
@@ -0,0 +1,45 @@
+/*
+ * Asking the whole fleet, along trees, whether a revision is in force.
+ */
+#pragma once
+
+#include "Effect.h"
+#include "Event.h"
+#include "NodeState.h"
+
+namespace wasabispread {
+
+/** Begins to ask on an operator's behalf; ends in AnswerConfirmation. */
+void
+HandleConfirmationAsked(NodeState& aState,
+                        const ConfirmationAsked& aEvent,
+                        TimePoint aNow,
+                        Effects& aEffects);
+
+/** Answers for this VM and asks those below it in the tree. */
+void
+HandleConfirmationRequest(NodeState& aState,
+                          VmId aPeer,
+                          const Endpoint& aAddress,
+                          const ConfirmationRequest& aRequest,
+                          TimePoint aNow,
+                          Effects& aEffects);
+
+/** Adds what a part of the tree confirms. */
+void
+HandleConfirmationReply(NodeState& aState,
+                        VmId aPeer,
+                        const ConfirmationReply& aReply,
+                        Effects& aEffects);
+
+/** Ends a collection; the VMs under those that did not answer count as
+    unreachable. */
+void
+HandleConfirmationDeadline(NodeState& aState,
+                           std::uint64_t aId,
+                           Effects& aEffects);
+
+/** The most VMs that a report names. */
+inline constexpr std::size_t kMostListedVms = 100;
+
+} // namespace wasabispread
--- a/modules/wasabispread_decisions/Counters.h
+++ b/modules/wasabispread_decisions/Counters.h
@@ -32,6 +32,9 @@
   std::uint64_t mConfigurationsRejected = 0;
   std::uint64_t mPlatformCalls = 0;
   std::uint64_t mPlatformFailures = 0;
+  std::uint64_t mConfigurationsPushed = 0;
+  std::uint64_t mSuspicions = 0;
+  std::uint64_t mDeathsJudged = 0;
 };
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/DecisionRecord.h
+++ b/modules/wasabispread_decisions/DecisionRecord.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "Answer.h"
+#include "ControlMessage.h"
 
 #include <string>
 #include <variant>
@@ -85,12 +86,20 @@
   std::uint32_t mLeaving = 0;
 };
 
+/** A VM was suspected or held dead after unanswered probes. */
+struct MemberJudged
+{
+  VmId mVm;
+  MemberCondition mCondition = MemberCondition::kSuspect;
+};
+
 using DecisionRecord = std::variant<QueryPlanned,
                                     QueryAnswered,
                                     AttemptRetried,
                                     RequestRefused,
                                     ConfigurationAdopted,
                                     ConfigurationRejected,
-                                    MembershipChanged>;
+                                    MembershipChanged,
+                                    MemberJudged>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Effect.h
+++ b/modules/wasabispread_decisions/Effect.h
@@ -68,6 +68,13 @@
   DecisionRecord mRecord;
 };
 
+/** Tells an operator which VMs have a revision in force. */
+struct AnswerConfirmation
+{
+  CallerToken mToken;
+  ConfirmationReport mReport;
+};
+
 using Effect = std::variant<AnswerCaller,
                             SendToPeer,
                             OpenTargetConnection,
@@ -75,7 +82,8 @@
                             SendToTarget,
                             WatchConfiguration,
                             ReadVmList,
-                            LogDecision>;
+                            LogDecision,
+                            AnswerConfirmation>;
 
 using Effects = std::vector<Effect>;
 
--- a/modules/wasabispread_decisions/Event.h
+++ b/modules/wasabispread_decisions/Event.h
@@ -98,6 +98,13 @@
   Result<std::vector<VmRecord>> mResult;
 };
 
+/** An operator asks whether a revision is in force everywhere. */
+struct ConfirmationAsked
+{
+  CallerToken mToken;
+  Revision mRevision;
+};
+
 /** The process was asked to stop. */
 struct StopRequested
 {};
@@ -118,6 +125,7 @@
                            StoreWatched,
                            VmListReceived,
                            StopRequested,
-                           Tick>;
+                           Tick,
+                           ConfirmationAsked>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Membership.cpp
+++ b/modules/wasabispread_decisions/Membership.cpp
@@ -1,53 +1,299 @@
 /*
- * Membership from the platform's VM list.
+ * The table of members, and how news and the VM list change it.
  */
 #include "wasabispread_decisions.h"
 
 #include <algorithm>
+#include <bit>
+#include <cassert>
 
 namespace wasabispread {
 
 namespace {
 
+constexpr std::size_t kMostPendingNews = 256;
+constexpr std::size_t kMostMembersPerReply = 256;
+/** Non-watchers together read the VM list this often. */
+constexpr Duration kListIntervalPerVm = std::chrono::milliseconds(200);
 constexpr Duration kListInterval = std::chrono::seconds(2);
+constexpr Duration kMostListInterval = std::chrono::minutes(10);
+/** Spreads the first reads when all VMs start at once. */
+constexpr Duration kStartSpread = std::chrono::milliseconds(2500);
 
-std::unordered_map<ZoneName, std::vector<VmId>>
-LiveByZone(const MembershipState& aMembership)
+bool
+IsLive(MemberCondition aCondition)
 {
-  std::unordered_map<ZoneName, std::vector<VmId>> live;
-  for (const auto& [id, member] : aMembership.mMembers) {
-    if (!member.mLeaving) {
-      live[member.mZone].push_back(id);
-    }
+  return aCondition == MemberCondition::kAlive ||
+         aCondition == MemberCondition::kSuspect;
+}
+
+/** A member's part of mMembersHash. Suspicion is left out: it comes and goes
+    while the news of it travels. */
+std::uint64_t
+Fingerprint(VmId aVm, const MemberHealth& aHealth)
+{
+  if (aHealth.mCondition == MemberCondition::kDead) {
+    return 0;
+  }
+  const bool isLeaving = aHealth.mCondition == MemberCondition::kLeaving;
+  Random mixer(aVm.Value() ^ (aHealth.mVersion.Value() << 1U) ^
+               (isLeaving ? 1U : 0U));
+  return mixer.Next();
+}
+
+void
+Count(MembershipState& aMembership, MemberCondition aCondition, bool aAdds)
+{
+  const std::uint32_t step = aAdds ? 1U : -1U;
+  if (IsLive(aCondition)) {
+    aMembership.mLiveCount += step;
+  } else if (aCondition == MemberCondition::kLeaving) {
+    aMembership.mLeavingCount += step;
+  }
+}
+
+void
+SetLive(MembershipState& aMembership, const VmRecord& aVm, bool aIsLive)
+{
+  std::vector<VmId>& vms = aMembership.mLiveByZone[aVm.mZone];
+  const auto place = std::lower_bound(vms.begin(), vms.end(), aVm.mId);
+  const bool isThere = place != vms.end() && *place == aVm.mId;
+  if (aIsLive == isThere) {
+    return;
   }
-  for (auto& [zone, vms] : live) {
-    std::sort(vms.begin(), vms.end());
+  if (aIsLive) {
+    vms.insert(place, aVm.mId);
+  } else {
+    vms.erase(place);
   }
-  return live;
+  if (vms.empty()) {
+    aMembership.mLiveByZone.erase(aVm.mZone);
+  }
+  ++aMembership.mEpoch;
+}
+
+/** Puts a member's health in place and keeps all that follows from it. */
+void
+SetHealth(MembershipState& aMembership, VmId aVm, MemberHealth aHealth)
+{
+  MemberHealth& health = aMembership.mHealth.at(aVm);
+  aMembership.mMembersHash -= Fingerprint(aVm, health);
+  Count(aMembership, health.mCondition, false);
+  health = aHealth;
+  aMembership.mMembersHash += Fingerprint(aVm, health);
+  Count(aMembership, health.mCondition, true);
+  VmRecord& member = aMembership.mMembers.at(aVm);
+  member.mLeaving = health.mCondition == MemberCondition::kLeaving;
+  SetLive(aMembership, member, IsLive(health.mCondition));
 }
 
 void
-AdoptMembers(NodeState& aState, Effects& aEffects)
+AddMember(MembershipState& aMembership,
+          const VmRecord& aRecord,
+          MemberHealth aHealth)
+{
+  aMembership.mMembers[aRecord.mId] = aRecord;
+  MemberHealth none;
+  none.mCondition = MemberCondition::kDead;
+  aMembership.mHealth[aRecord.mId] = none;
+  SetHealth(aMembership, aRecord.mId, aHealth);
+}
+
+void
+RemoveMember(MembershipState& aMembership, VmId aVm)
+{
+  MemberHealth health = aMembership.mHealth.at(aVm);
+  health.mCondition = MemberCondition::kDead;
+  SetHealth(aMembership, aVm, health);
+  aMembership.mHealth.erase(aVm);
+  aMembership.mMembers.erase(aVm);
+}
+
+VmRecord
+RecordFrom(const MemberNews& aNews)
+{
+  VmRecord record;
+  record.mId = aNews.mVm;
+  record.mName = aNews.mName;
+  record.mZone = aNews.mZone;
+  record.mPeerAddress = aNews.mPeerAddress;
+  record.mLeaving = aNews.mCondition == MemberCondition::kLeaving;
+  return record;
+}
+
+/** How often each VM repeats a piece of news: enough to reach all with high
+    probability. */
+std::uint32_t
+SendsFor(std::size_t aMembers)
+{
+  constexpr std::uint32_t kSendsPerDoubling = 3;
+  return kSendsPerDoubling *
+         static_cast<std::uint32_t>(std::bit_width(aMembers) + 1);
+}
+
+void
+QueueNews(MembershipState& aMembership, VmId aVm)
+{
+  auto& news = aMembership.mNews;
+  std::erase_if(news,
+                [aVm](const PendingNews& aItem) { return aItem.mVm == aVm; });
+  if (news.size() >= kMostPendingNews) {
+    news.pop_back();
+  }
+  const std::uint32_t sends = SendsFor(aMembership.mMembers.size());
+  news.insert(news.begin(), PendingNews{ aVm, sends });
+}
+
+bool
+Supersedes(const MemberNews& aNews, const MemberHealth& aHealth)
+{
+  return std::pair(aNews.mVersion, aNews.mCondition) >
+         std::pair(aHealth.mVersion, aHealth.mCondition);
+}
+
+/** Whatever others believe, this VM is alive, or leaving if it stops or the
+    platform says so of its present start. */
+void
+AnswerNewsOfSelf(NodeState& aState, const MemberNews& aNews)
 {
   MembershipState& membership = aState.mMembership;
-  auto live = LiveByZone(membership);
-  if (live == membership.mLiveByZone) {
+  MemberHealth own = membership.mHealth.at(aState.mSelf.mId);
+  if (!Supersedes(aNews, own)) {
     return;
   }
-  membership.mLiveByZone = std::move(live);
-  ++membership.mEpoch;
-  MembershipChanged record;
-  for (const auto& [id, member] : membership.mMembers) {
-    (member.mLeaving ? record.mLeaving : record.mLive) += 1;
+  const bool isTold = aNews.mCondition == MemberCondition::kLeaving &&
+                      aNews.mVersion == own.mVersion;
+  if (isTold) {
+    own.mCondition = MemberCondition::kLeaving;
+  } else {
+    own.mVersion = MemberVersion(aNews.mVersion.Value() + 1);
   }
-  aEffects.push_back(LogDecision{ record });
+  SetHealth(membership, aState.mSelf.mId, own);
+  QueueNews(membership, aState.mSelf.mId);
+}
+
+/** Takes in one line of the VM list. */
+void
+ApplyListed(NodeState& aState, const VmRecord& aListed)
+{
+  MembershipState& membership = aState.mMembership;
+  const auto place = membership.mHealth.find(aListed.mId);
+  if (place == membership.mHealth.end()) {
+    MemberHealth health;
+    health.mCondition =
+      aListed.mLeaving ? MemberCondition::kLeaving : MemberCondition::kAlive;
+    health.mIsListed = true;
+    health.mIsListedLeaving = aListed.mLeaving;
+    AddMember(membership, aListed, health);
+    if (membership.mIsListRead) {
+      QueueNews(membership, aListed.mId);
+    }
+    return;
+  }
+  MemberHealth health = place->second;
+  const bool startsLeaving = aListed.mLeaving && !health.mIsListedLeaving;
+  health.mIsListed = true;
+  health.mIsListedLeaving = aListed.mLeaving;
+  if (startsLeaving && health.mCondition < MemberCondition::kLeaving) {
+    health.mCondition = MemberCondition::kLeaving;
+    QueueNews(membership, aListed.mId);
+  }
+  SetHealth(membership, aListed.mId, health);
+}
+
+/** VMs that the list showed before and no longer does are gone. */
+void
+ApplyRemovals(NodeState& aState, const std::vector<VmRecord>& aList)
+{
+  MembershipState& membership = aState.mMembership;
+  std::vector<VmId> listed;
+  for (const VmRecord& vm : aList) {
+    listed.push_back(vm.mId);
+  }
+  std::sort(listed.begin(), listed.end());
+  std::vector<VmId> gone;
+  std::vector<VmId> forgotten;
+  for (const auto& [id, health] : membership.mHealth) {
+    const bool isListed = std::binary_search(listed.begin(), listed.end(), id);
+    if (isListed || id == aState.mSelf.mId) {
+      continue;
+    }
+    if (health.mIsListed) {
+      gone.push_back(id);
+    } else if (health.mCondition == MemberCondition::kDead) {
+      forgotten.push_back(id);
+    }
+  }
+  for (const VmId vm : forgotten) {
+    RemoveMember(membership, vm);
+  }
+  for (const VmId vm : gone) {
+    MemberHealth health = membership.mHealth.at(vm);
+    health.mIsListed = false;
+    health.mCondition = MemberCondition::kDead;
+    SetHealth(membership, vm, health);
+    QueueNews(membership, vm);
+  }
+}
+
+Duration
+ListInterval(NodeState& aState)
+{
+  if (IsWatcher(aState)) {
+    return kListInterval;
+  }
+  const auto members =
+    static_cast<std::int64_t>(aState.mMembership.mMembers.size());
+  const Duration whole =
+    std::clamp(kListIntervalPerVm * members, kListInterval, kMostListInterval);
+  const auto half = static_cast<std::uint64_t>(whole.count()) / 2;
+  return whole / 2 +
+         Duration(static_cast<std::int64_t>(aState.mRandom.Below(half + 1)) *
+                  2);
 }
 
 } // namespace
 
+std::string_view
+ToText(MemberCondition aCondition)
+{
+  switch (aCondition) {
+    case MemberCondition::kAlive:
+      return "live";
+    case MemberCondition::kSuspect:
+      return "suspect";
+    case MemberCondition::kLeaving:
+      return "leaving";
+    case MemberCondition::kDead:
+      return "dead";
+  }
+  return "";
+}
+
 void
-StartMembership(NodeState& aState, Effects& aEffects)
+StartMembership(NodeState& aState, TimePoint aNow, Effects& aEffects)
 {
+  MembershipState& membership = aState.mMembership;
+  membership.mDiffersSince = aNow;
+  membership.mLastAnswer = aNow;
+  QueueNews(membership, aState.mSelf.mId);
+  for (const VmRecord& seed : membership.mSeeds) {
+    SendProbe(aState, seed.mId, seed.mPeerAddress, aNow, aEffects);
+    SendToVm(aState, seed.mId, seed.mPeerAddress, MembersRequest{}, aEffects);
+  }
+  const auto delay = Duration(static_cast<std::int64_t>(
+    aState.mRandom.Below(static_cast<std::uint64_t>(kStartSpread.count()))));
+  aState.mTimers.Arm(aNow + delay, TimerKind::kReadVmList);
+  StartProbing(aState, aNow);
+}
+
+void
+ReadMembers(NodeState& aState, TimePoint aNow, Effects& aEffects)
+{
+  if (const auto later = TakeCall(aState.mPlatformBudget, aNow)) {
+    aState.mTimers.Arm(*later, TimerKind::kReadVmList);
+    return;
+  }
   ++aState.mCounters.mPlatformCalls;
   aEffects.push_back(ReadVmList{});
 }
@@ -67,17 +313,149 @@
     return;
   }
   membership.mFailures = 0;
-  const auto self = membership.mMembers.extract(aState.mSelf.mId);
-  membership.mMembers.clear();
+  membership.mIsInformed = true;
+  const std::uint64_t epoch = membership.mEpoch;
+  ApplyRemovals(aState, *aEvent.mResult);
   for (const VmRecord& vm : *aEvent.mResult) {
-    membership.mMembers[vm.mId] = vm;
-  }
-  // A list that lags may lack this VM or still show an earlier address.
-  VmRecord own = self.mapped();
-  own.mLeaving = own.mLeaving || aState.mStopping;
-  membership.mMembers[own.mId] = std::move(own);
-  AdoptMembers(aState, aEffects);
-  aState.mTimers.Arm(aNow + kListInterval, TimerKind::kReadVmList);
+    ApplyListed(aState, vm);
+  }
+  membership.mIsListRead = true;
+  ReviewMembership(aState, epoch, aNow, aEffects);
+  aState.mTimers.Arm(aNow + ListInterval(aState), TimerKind::kReadVmList);
+}
+
+void
+ApplyNews(NodeState& aState, const MemberNews& aNews, PassOn aPassOn, TimePoint)
+{
+  MembershipState& membership = aState.mMembership;
+  if (aNews.mVm == aState.mSelf.mId) {
+    AnswerNewsOfSelf(aState, aNews);
+    return;
+  }
+  const auto place = membership.mHealth.find(aNews.mVm);
+  if (place == membership.mHealth.end()) {
+    if (aNews.mCondition == MemberCondition::kDead) {
+      return;
+    }
+    MemberHealth health;
+    health.mVersion = aNews.mVersion;
+    health.mCondition = aNews.mCondition;
+    AddMember(membership, RecordFrom(aNews), health);
+  } else {
+    if (!Supersedes(aNews, place->second)) {
+      return;
+    }
+    MemberHealth health = place->second;
+    if (aNews.mVersion > health.mVersion) {
+      // A new start may have a new address; its zone decides its list.
+      const bool isListed = health.mIsListed;
+      const bool isListedLeaving = health.mIsListedLeaving;
+      RemoveMember(membership, aNews.mVm);
+      health = MemberHealth{};
+      health.mIsListed = isListed;
+      health.mIsListedLeaving = isListedLeaving;
+      health.mVersion = aNews.mVersion;
+      health.mCondition = aNews.mCondition;
+      AddMember(membership, RecordFrom(aNews), health);
+    } else {
+      health.mCondition = aNews.mCondition;
+      SetHealth(membership, aNews.mVm, health);
+    }
+  }
+  if (aPassOn == PassOn::kYes) {
+    QueueNews(membership, aNews.mVm);
+  }
+}
+
+MemberNews
+NewsOf(const MembershipState& aMembership, VmId aVm)
+{
+  const VmRecord& record = aMembership.mMembers.at(aVm);
+  const MemberHealth& health = aMembership.mHealth.at(aVm);
+  MemberNews news;
+  news.mVm = aVm;
+  news.mVersion = health.mVersion;
+  news.mCondition = health.mCondition;
+  news.mName = record.mName;
+  news.mZone = record.mZone;
+  news.mPeerAddress = record.mPeerAddress;
+  return news;
+}
+
+std::vector<MemberNews>
+TakeNews(MembershipState& aMembership, VmId aReceiver)
+{
+  std::vector<MemberNews> taken;
+  const auto receiver = aMembership.mHealth.find(aReceiver);
+  const bool isMisjudged =
+    receiver != aMembership.mHealth.end() &&
+    receiver->second.mCondition != MemberCondition::kAlive;
+  if (isMisjudged) {
+    taken.push_back(NewsOf(aMembership, aReceiver));
+  }
+  auto& news = aMembership.mNews;
+  std::erase_if(news, [&aMembership](const PendingNews& aItem) {
+    return !aMembership.mMembers.contains(aItem.mVm);
+  });
+  const std::size_t count =
+    std::min(news.size(), kMostNewsPerProbe - taken.size());
+  for (std::size_t index = 0; index < count; ++index) {
+    taken.push_back(NewsOf(aMembership, news[index].mVm));
+    --news[index].mSendsLeft;
+  }
+  // What was sent less often comes first next time.
+  std::rotate(news.begin(),
+              news.begin() + static_cast<std::ptrdiff_t>(count),
+              news.end());
+  std::erase_if(news,
+                [](const PendingNews& aItem) { return aItem.mSendsLeft == 0; });
+  return taken;
+}
+
+void
+HandleMembersRequest(NodeState& aState,
+                     VmId aPeer,
+                     const Endpoint& aAddress,
+                     Effects& aEffects)
+{
+  MembersReply reply;
+  for (const auto& [id, member] : aState.mMembership.mMembers) {
+    reply.mMembers.push_back(NewsOf(aState.mMembership, id));
+    if (reply.mMembers.size() == kMostMembersPerReply) {
+      SendToVm(aState, aPeer, aAddress, std::move(reply), aEffects);
+      reply = MembersReply{};
+    }
+  }
+  SendToVm(aState, aPeer, aAddress, std::move(reply), aEffects);
+}
+
+void
+HandleMembersReply(NodeState& aState,
+                   const MembersReply& aReply,
+                   TimePoint aNow,
+                   Effects& aEffects)
+{
+  const std::uint64_t epoch = aState.mMembership.mEpoch;
+  aState.mMembership.mIsInformed = true;
+  for (const MemberNews& news : aReply.mMembers) {
+    ApplyNews(aState, news, PassOn::kNo, aNow);
+  }
+  ReviewMembership(aState, epoch, aNow, aEffects);
+}
+
+void
+ReviewMembership(NodeState& aState,
+                 std::uint64_t aEpochBefore,
+                 TimePoint aNow,
+                 Effects& aEffects)
+{
+  MembershipState& membership = aState.mMembership;
+  assert(membership.mMembers.size() == membership.mHealth.size());
+  if (membership.mEpoch != aEpochBefore) {
+    aEffects.push_back(LogDecision{
+      MembershipChanged{ membership.mLiveCount, membership.mLeavingCount } });
+  }
+  ReviewWatching(aState, aNow, aEffects);
 }
 
 const VmRecord*
--- a/modules/wasabispread_decisions/NodeState.cpp
+++ b/modules/wasabispread_decisions/NodeState.cpp
@@ -19,7 +19,9 @@
 }
 
 NodeState
-MakeNodeState(NodeIdentity aSelf, std::uint64_t aSeed)
+MakeNodeState(NodeIdentity aSelf,
+              std::uint64_t aSeed,
+              const std::vector<VmRecord>& aPeers)
 {
   NodeState state;
   state.mSelf = std::move(aSelf);
@@ -30,6 +32,14 @@
   self.mZone = state.mSelf.mZone;
   self.mPeerAddress = state.mSelf.mPeerAddress;
   state.mMembership.mLiveByZone[self.mZone] = { self.mId };
+  MemberHealth health;
+  health.mVersion = MemberVersion(state.mSelf.mIncarnation.Value());
+  state.mMembership.mHealth.emplace(self.mId, health);
+  for (const VmRecord& peer : aPeers) {
+    if (peer.mId != self.mId) {
+      state.mMembership.mSeeds.push_back(peer);
+    }
+  }
   state.mMembership.mMembers.emplace(self.mId, std::move(self));
   return state;
 }
--- a/modules/wasabispread_decisions/NodeState.h
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -4,10 +4,12 @@
 #pragma once
 
 #include "ConfigurationState.h"
+#include "ConfirmationState.h"
 #include "Counters.h"
 #include "EntryState.h"
 #include "MembershipState.h"
 #include "OwnerState.h"
+#include "PlatformBudget.h"
 #include "Random.h"
 #include "TimerQueue.h"
 
@@ -33,6 +35,8 @@
   Random mRandom;
   ConfigurationState mConfiguration;
   MembershipState mMembership;
+  ConfirmationState mConfirmation;
+  PlatformBudget mPlatformBudget;
   EntryState mEntry;
   OwnerState mOwner;
   TimerQueue mTimers;
@@ -51,8 +55,11 @@
   TimePoint NextDue() const { return mTimers.NextDue(); }
 };
 
-/** A state for a node that has not started. */
+/** A state for a node that has not started. aPeers are VMs that it asks for
+    the configuration and the members at its start; it may be among them. */
 NodeState
-MakeNodeState(NodeIdentity aSelf, std::uint64_t aSeed);
+MakeNodeState(NodeIdentity aSelf,
+              std::uint64_t aSeed,
+              const std::vector<VmRecord>& aPeers = {});
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/PeerMessage.h
+++ b/modules/wasabispread_decisions/PeerMessage.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "Answer.h"
+#include "ControlMessage.h"
 
 #include <variant>
 #include <vector>
@@ -72,6 +73,16 @@
   std::vector<AttemptSequence> mSequences;
 };
 
-using PeerMessage = std::variant<BatchRequest, BatchReply, BatchCancel>;
+using PeerMessage = std::variant<BatchRequest,
+                                 BatchReply,
+                                 BatchCancel,
+                                 MemberProbe,
+                                 MembersRequest,
+                                 MembersReply,
+                                 ConfigurationOffer,
+                                 SectionsRequest,
+                                 SectionsReply,
+                                 ConfirmationRequest,
+                                 ConfirmationReply>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/PlatformMessage.h
+++ b/modules/wasabispread_decisions/PlatformMessage.h
@@ -11,6 +11,15 @@
 
 namespace wasabispread {
 
+/** An accepted change, as later ones remember it. */
+struct ChangeRecord
+{
+  std::string mChangeId;
+  Revision mRevision;
+  std::string mAuthor;
+  std::string mTime;
+};
+
 /** A configuration as the store holds it. */
 struct ConfigurationRecord
 {
@@ -21,6 +30,8 @@
   std::string mTime;
   /** The deployment file's text. */
   std::string mText;
+  /** The changes before this one, newest first; bounded. */
+  std::vector<ChangeRecord> mEarlier;
 };
 
 /** A VM as the platform's list shows it. */
--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -16,11 +16,7 @@
   TimePoint mNow;
   Effects& mEffects;
 
-  void operator()(const Started&)
-  {
-    StartConfiguration(mState, mEffects);
-    StartMembership(mState, mEffects);
-  }
+  void operator()(const Started&) { StartMembership(mState, mNow, mEffects); }
 
   void operator()(const CallerRequest& aEvent)
   {
@@ -40,6 +36,7 @@
   void operator()(const PeerLost& aEvent)
   {
     HandleOwnerLost(mState, aEvent.mPeer, mNow, mEffects);
+    HandleMemberLost(mState, aEvent.mPeer, mNow, mEffects);
   }
 
   void operator()(const TargetConnected& aEvent)
@@ -72,7 +69,16 @@
     HandleVmListReceived(mState, aEvent, mNow, mEffects);
   }
 
-  void operator()(const StopRequested&) { mState.mStopping = true; }
+  void operator()(const StopRequested&)
+  {
+    mState.mStopping = true;
+    AnnounceStop(mState, mNow, mEffects);
+  }
+
+  void operator()(const ConfirmationAsked& aEvent)
+  {
+    HandleConfirmationAsked(mState, aEvent, mNow, mEffects);
+  }
 
   void operator()(const Tick&)
   {
@@ -91,6 +97,33 @@
       HandleBatchReply(mState, aPeer, *reply, mNow, mEffects);
     } else if (const auto* cancel = std::get_if<BatchCancel>(&aMessage)) {
       HandleBatchCancel(mState, aPeer, *cancel, mNow, mEffects);
+    } else {
+      HandleControlMessage(aPeer, aAddress, aMessage);
+    }
+  }
+
+  void HandleControlMessage(VmId aPeer,
+                            const Endpoint& aAddress,
+                            const PeerMessage& aMessage)
+  {
+    if (const auto* probe = std::get_if<MemberProbe>(&aMessage)) {
+      HandleProbe(mState, aPeer, aAddress, *probe, mNow, mEffects);
+    } else if (std::holds_alternative<MembersRequest>(aMessage)) {
+      HandleMembersRequest(mState, aPeer, aAddress, mEffects);
+    } else if (const auto* members = std::get_if<MembersReply>(&aMessage)) {
+      HandleMembersReply(mState, *members, mNow, mEffects);
+    } else if (const auto* offer = std::get_if<ConfigurationOffer>(&aMessage)) {
+      HandleOffer(mState, aPeer, aAddress, *offer, mNow, mEffects);
+    } else if (const auto* wanted = std::get_if<SectionsRequest>(&aMessage)) {
+      HandleSectionsRequest(mState, aPeer, aAddress, *wanted, mEffects);
+    } else if (const auto* sections = std::get_if<SectionsReply>(&aMessage)) {
+      HandleSectionsReply(mState, *sections, mNow, mEffects);
+    } else if (const auto* asked =
+                 std::get_if<ConfirmationRequest>(&aMessage)) {
+      HandleConfirmationRequest(
+        mState, aPeer, aAddress, *asked, mNow, mEffects);
+    } else if (const auto* report = std::get_if<ConfirmationReply>(&aMessage)) {
+      HandleConfirmationReply(mState, aPeer, *report, mEffects);
     }
   }
 
@@ -113,10 +146,22 @@
         HandleReconnect(mState, TargetId(aTimer.mKey), mNow, mEffects);
         break;
       case TimerKind::kWatchConfiguration:
-        StartConfiguration(mState, mEffects);
+        StartConfiguration(mState, mNow, mEffects);
         break;
       case TimerKind::kReadVmList:
-        StartMembership(mState, mEffects);
+        ReadMembers(mState, mNow, mEffects);
+        break;
+      case TimerKind::kProbeRound:
+        HandleProbeRound(mState, mNow, mEffects);
+        break;
+      case TimerKind::kSuspicionEnd:
+        HandleSuspicionEnd(mState, VmId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kParseConfiguration:
+        ContinueParsing(mState, mNow, mEffects);
+        break;
+      case TimerKind::kConfirmation:
+        HandleConfirmationDeadline(mState, aTimer.mKey, mEffects);
         break;
     }
   }
--- a/modules/wasabispread_decisions/TimerQueue.h
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -29,6 +29,14 @@
   kWatchConfiguration,
   /** No key. */
   kReadVmList,
+  /** No key. */
+  kProbeRound,
+  /** Key: the VM that is suspected. */
+  kSuspicionEnd,
+  /** No key. */
+  kParseConfiguration,
+  /** Key: the collection of confirmations. */
+  kConfirmation,
 };
 
 /** A timer that came due. */
--- a/modules/wasabispread_decisions/wasabispread_decisions.h
+++ b/modules/wasabispread_decisions/wasabispread_decisions.h
@@ -12,6 +12,7 @@
 #include <wasabispread_units/wasabispread_units.h>
 
 #include "Answer.h"
+#include "ControlMessage.h"
 #include "PeerMessage.h"
 #include "PlatformMessage.h"
 #include "TargetMessage.h"
@@ -21,10 +22,12 @@
 #include "Event.h"
 
 #include "Counters.h"
+#include "PlatformBudget.h"
 #include "Random.h"
 #include "TimerQueue.h"
 
 #include "ConfigurationState.h"
+#include "ConfirmationState.h"
 #include "EntryState.h"
 #include "MembershipState.h"
 #include "OwnerState.h"
@@ -32,7 +35,10 @@
 #include "NodeState.h"
 
 #include "Configuration.h"
+#include "ConfigurationSpread.h"
+#include "Confirmation.h"
 #include "Entry.h"
+#include "MemberProbing.h"
 #include "Membership.h"
 #include "Owner.h"
 #include "Placement.h"
--- a/modules/wasabispread_runtime/NodeRunner.cpp
+++ b/modules/wasabispread_runtime/NodeRunner.cpp
@@ -101,6 +101,17 @@
   return outcome;
 }
 
+ConfirmationReport
+NodeRunner::Confirm(Revision aRevision)
+{
+  const CallerToken token(mNextToken++);
+  auto future = mOperators[token].get_future();
+  Deliver(ConfirmationAsked{ token, aRevision });
+  ConfirmationReport report = future.get();
+  mOperators.erase(token);
+  return report;
+}
+
 void
 NodeRunner::Perform(Effect& aEffect)
 {
@@ -184,6 +195,15 @@
   }
 }
 
+void
+NodeRunner::Perform(AnswerConfirmation& aEffect)
+{
+  const auto place = mOperators.find(aEffect.mToken);
+  if (place != mOperators.end()) {
+    place->second.set_value(std::move(aEffect.mReport));
+  }
+}
+
 void
 NodeRunner::RunTimers()
 {
--- a/modules/wasabispread_runtime/NodeRunner.h
+++ b/modules/wasabispread_runtime/NodeRunner.h
@@ -43,6 +43,10 @@
       request's token is set here. */
   Outcome Ask(CallerRequest aRequest);
 
+  /** Asks the fleet on an operator's behalf whether a revision is in force,
+      and blocks its fiber until the report. */
+  ConfirmationReport Confirm(Revision aRevision);
+
   /** The node's present state. */
   const NodeState& State() const { return mState; }
 
@@ -61,6 +65,7 @@
   void Perform(WatchConfiguration& aEffect);
   void Perform(ReadVmList& aEffect);
   void Perform(LogDecision& aEffect);
+  void Perform(AnswerConfirmation& aEffect);
 
   void RunTimers();
   void RunTargetLink(ConnectionId aConnection,
@@ -80,6 +85,8 @@
   TimePoint mTimerDue = TimePoint::max();
   std::uint64_t mNextToken = 1;
   std::unordered_map<CallerToken, boost::fibers::promise<Outcome>> mCallers;
+  std::unordered_map<CallerToken, boost::fibers::promise<ConfirmationReport>>
+    mOperators;
   std::unordered_map<ConnectionId, std::shared_ptr<TargetLink>> mTargetLinks;
 };
 
--- a/modules/wasabispread_runtime/OperatorInterface.cpp
+++ b/modules/wasabispread_runtime/OperatorInterface.cpp
@@ -20,7 +20,29 @@
   if (aState.mStopping) {
     return "stopping";
   }
-  return aState.mConfiguration.mDeployment == nullptr ? "no configuration" : "";
+  if (aState.mConfiguration.mDeployment != nullptr) {
+    return "";
+  }
+  if (aState.mConfiguration.mStaged) {
+    return "the configuration is being fetched or parsed";
+  }
+  if (aState.mConfiguration.mRejected.mRevision != Revision{}) {
+    return "no configuration: this release cannot use the stored one; see "
+           "the log";
+  }
+  const bool isCutOff =
+    aState.mMembership.mFailures + aState.mConfiguration.mFailures > 0;
+  return isCutOff ? "no configuration: the platform does not answer, nor did "
+                    "another VM offer one"
+                  : "no configuration: none is stored, or it is on its way";
+}
+
+std::int64_t
+MillisecondsSince(TimePoint aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           NodeRunner::Now() - aTime)
+    .count();
 }
 
 HttpResponse
@@ -40,13 +62,46 @@
   json["zone"] = aState.mSelf.mZone.Value();
   json["revision"] = aState.mConfiguration.mRevision.Value();
   json["change_id"] = aState.mConfiguration.mChangeId;
+  json["author"] = aState.mConfiguration.mHead.mAuthor;
+  json["time"] = aState.mConfiguration.mHead.mTime;
+  json["store_silence_ms"] =
+    MillisecondsSince(aState.mConfiguration.mStoreSeen);
   json["ready"] = aState.IsReady();
   json["members"] = Json::array();
   for (const auto& [id, member] : aState.mMembership.mMembers) {
     json["members"].push_back(
       { { "vm", member.mName },
         { "zone", member.mZone.Value() },
-        { "state", member.mLeaving ? "leaving" : "live" } });
+        { "state", ToText(aState.mMembership.mHealth.at(id).mCondition) } });
+  }
+  return JsonResponse(kOk, json.dump());
+}
+
+HttpResponse
+FormatConfirmation(NodeRunner& aRunner, const HttpPath& aPath)
+{
+  const std::string text(FindHeader(aPath.mParameters, "revision"));
+  const Revision revision(std::strtoull(text.c_str(), nullptr, 10));
+  if (revision == Revision{}) {
+    return FormatProblem(Error{ ErrorKind::kMalformedRequest,
+                                "no revision is named",
+                                "add ?revision=NUMBER" },
+                         "");
+  }
+  const ConfirmationReport report = aRunner.Confirm(revision);
+  const MembershipState& membership = aRunner.State().mMembership;
+  Json json;
+  json["revision"] = revision.Value();
+  json["confirmed"] = report.mConfirmed;
+  json["unconfirmed"] = report.mUnconfirmed;
+  json["vms"] = Json::array();
+  for (const UnconfirmedVm& vm : report.mListed) {
+    const VmRecord* member = FindMember(membership, vm.mVm);
+    json["vms"].push_back(
+      { { "vm", member == nullptr ? "" : member->mName },
+        { "zone", member == nullptr ? "" : member->mZone.Value() },
+        { "reason", ToText(vm.mReason) },
+        { "revision", vm.mRevision.Value() } });
   }
   return JsonResponse(kOk, json.dump());
 }
@@ -54,7 +109,7 @@
 } // namespace
 
 HttpResponse
-HandleOperatorRequest(const NodeRunner& aRunner, const HttpRequest& aRequest)
+HandleOperatorRequest(NodeRunner& aRunner, const HttpRequest& aRequest)
 {
   const NodeState& state = aRunner.State();
   const HttpPath path = ParsePath(aRequest.mTarget);
@@ -69,6 +124,9 @@
   if (name == "status") {
     return FormatStatus(state);
   }
+  if (name == "confirmation") {
+    return FormatConfirmation(aRunner, path);
+  }
   if (name == "metrics") {
     HttpResponse response;
     response.mHeaders.push_back(
--- a/modules/wasabispread_runtime/OperatorInterface.h
+++ b/modules/wasabispread_runtime/OperatorInterface.h
@@ -11,6 +11,6 @@
 
 /** Answers GET /healthz, /readyz, /metrics and /v1/status. */
 HttpResponse
-HandleOperatorRequest(const NodeRunner& aRunner, const HttpRequest& aRequest);
+HandleOperatorRequest(NodeRunner& aRunner, const HttpRequest& aRequest);
 
 } // namespace wasabispread
--- a/modules/wasabispread_telemetry/LogFormat.cpp
+++ b/modules/wasabispread_telemetry/LogFormat.cpp
@@ -118,6 +118,13 @@
     mLine["live"] = aRecord.mLive;
     mLine["leaving"] = aRecord.mLeaving;
   }
+
+  void operator()(const MemberJudged& aRecord)
+  {
+    mLine["event"] = "member-judged";
+    mLine["member"] = VmName(aRecord.mVm);
+    mLine["condition"] = ToText(aRecord.mCondition);
+  }
 };
 
 std::string_view
--- a/modules/wasabispread_telemetry/MetricsText.cpp
+++ b/modules/wasabispread_telemetry/MetricsText.cpp
@@ -128,6 +128,15 @@
   aList.AddCounter("platform_failures_total",
                    "Calls to the platform that failed.",
                    counters.mPlatformFailures);
+  aList.AddCounter("configurations_pushed_total",
+                   "Configurations passed on along the tree.",
+                   counters.mConfigurationsPushed);
+  aList.AddCounter("suspicions_total",
+                   "Times that this VM suspected another one.",
+                   counters.mSuspicions);
+  aList.AddCounter("deaths_judged_total",
+                   "Times that this VM held a suspect dead.",
+                   counters.mDeathsJudged);
   aList.AddGauge("configuration_revision",
                  "The revision in force; 0 is none.",
                  static_cast<double>(aState.mConfiguration.mRevision.Value()));
--- /dev/null
+++ b/modules/wasabispread_wire/ControlFrames.cpp
@@ -0,0 +1,394 @@
+/*
+ * Encoding and decoding of configuration and membership messages.
+ */
+#include "wasabispread_wire.h"
+
+#include "ControlFrames.h"
+
+#include <algorithm>
+
+namespace wasabispread {
+
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+/** Shorter text is not worth compressing. */
+constexpr std::size_t kLeastCompressed = 256;
+constexpr std::uint32_t kMostSectionBytes = 16U << 20U;
+constexpr std::size_t kMostNews = 64;
+
+tl::unexpected<Error>
+Invalid(std::string aMessage)
+{
+  return Fail(ErrorKind::kInvalidFrame,
+              std::move(aMessage),
+              "close the connection; compare the releases of both VMs");
+}
+
+std::uint64_t
+Milliseconds(Duration aDuration)
+{
+  const auto span = std::max(Duration::zero(), aDuration);
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+/** A span from a frame, at most a day: longer ones mean the same. */
+Duration
+SpanFrom(std::uint64_t aMilliseconds)
+{
+  constexpr std::uint64_t kMost = 86'400'000;
+  return std::chrono::milliseconds(std::min(aMilliseconds, kMost));
+}
+
+flatbuffers::Offset<frame::MemberNews>
+Encode(Builder& aBuilder, const MemberNews& aNews)
+{
+  const auto name = aBuilder.CreateString(aNews.mName);
+  const auto zone = aBuilder.CreateSharedString(aNews.mZone.Value());
+  const auto host = aBuilder.CreateString(aNews.mPeerAddress.mHost);
+  return frame::CreateMemberNews(aBuilder,
+                                 aNews.mVm.Value(),
+                                 aNews.mVersion.Value(),
+                                 static_cast<std::uint8_t>(aNews.mCondition),
+                                 name,
+                                 zone,
+                                 host,
+                                 aNews.mPeerAddress.mPort);
+}
+
+flatbuffers::Offset<frame::Section>
+Encode(Builder& aBuilder, const DeploymentSection& aSection)
+{
+  const std::string& text = *aSection.mText;
+  const bool isCompressed = text.size() >= kLeastCompressed;
+  const std::string compressed =
+    isCompressed ? Compress(text, CompressionEffort::kQuick) : std::string();
+  const std::string& sent = isCompressed ? compressed : text;
+  const auto bytes = aBuilder.CreateVector(
+    reinterpret_cast<const std::uint8_t*>(sent.data()), sent.size());
+  return frame::CreateSection(
+    aBuilder,
+    aSection.mHash,
+    isCompressed ? static_cast<std::uint32_t>(text.size()) : 0U,
+    bytes);
+}
+
+template<class Part, class Table>
+flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Table>>>
+EncodeAll(Builder& aBuilder, const std::vector<Part>& aParts)
+{
+  std::vector<flatbuffers::Offset<Table>> offsets;
+  offsets.reserve(aParts.size());
+  for (const Part& part : aParts) {
+    offsets.push_back(Encode(aBuilder, part));
+  }
+  return aBuilder.CreateVector(offsets);
+}
+
+Result<MemberNews>
+Decode(const frame::MemberNews& aNews)
+{
+  if (aNews.condition() > static_cast<std::uint8_t>(MemberCondition::kDead)) {
+    return Invalid("news names an unknown condition");
+  }
+  MemberNews news;
+  news.mVm = VmId(aNews.vm());
+  news.mVersion = MemberVersion(aNews.version());
+  news.mCondition = static_cast<MemberCondition>(aNews.condition());
+  news.mName = aNews.name()->str();
+  news.mZone = ZoneName(aNews.zone()->str());
+  news.mPeerAddress = Endpoint{ aNews.host()->str(), aNews.port() };
+  return news;
+}
+
+Result<DeploymentSection>
+Decode(const frame::Section& aSection)
+{
+  const std::string_view sent(
+    reinterpret_cast<const char*>(aSection.text()->data()),
+    aSection.text()->size());
+  if (aSection.text_bytes() > kMostSectionBytes) {
+    return Invalid("a section is above 16 MiB");
+  }
+  Result<std::string> text = std::string(sent);
+  if (aSection.text_bytes() != 0) {
+    text = Decompress(sent, aSection.text_bytes());
+  }
+  if (!text) {
+    return tl::unexpected<Error>(text.error());
+  }
+  DeploymentSection section = MakeSection(std::move(*text));
+  if (section.mHash != aSection.hash()) {
+    return Invalid("a section does not have the hash that it is sent under");
+  }
+  return section;
+}
+
+template<class Part, class Table>
+Result<std::vector<Part>>
+DecodeAll(const flatbuffers::Vector<flatbuffers::Offset<Table>>* aTables)
+{
+  std::vector<Part> parts;
+  if (aTables == nullptr) {
+    return parts;
+  }
+  parts.reserve(aTables->size());
+  for (const Table* table : *aTables) {
+    auto part = Decode(*table);
+    if (!part) {
+      return tl::unexpected<Error>(part.error());
+    }
+    parts.push_back(std::move(*part));
+  }
+  return parts;
+}
+
+std::vector<std::uint64_t>
+NumbersFrom(const flatbuffers::Vector<std::uint64_t>& aNumbers)
+{
+  return { aNumbers.begin(), aNumbers.end() };
+}
+
+Result<PeerFrame>
+DecodeProbe(const frame::MemberProbe& aMessage)
+{
+  const bool isKnown =
+    aMessage.condition() <= static_cast<std::uint8_t>(MemberCondition::kDead);
+  const bool isBounded =
+    aMessage.news() == nullptr || aMessage.news()->size() <= kMostNews;
+  if (!isKnown || !isBounded) {
+    return Invalid("a probe names an unknown condition or too much news");
+  }
+  auto news = DecodeAll<MemberNews>(aMessage.news());
+  if (!news) {
+    return tl::unexpected<Error>(news.error());
+  }
+  MemberProbe probe;
+  probe.mSequence = aMessage.sequence();
+  probe.mIsReply = aMessage.is_reply();
+  probe.mVersion = MemberVersion(aMessage.version());
+  probe.mCondition = static_cast<MemberCondition>(aMessage.condition());
+  probe.mConfiguration = { Revision(aMessage.revision()),
+                           aMessage.content_hash() };
+  probe.mStoreAge = SpanFrom(aMessage.store_age_ms());
+  probe.mMembersHash = aMessage.members_hash();
+  probe.mNews = std::move(*news);
+  return PeerFrame(PeerMessage(std::move(probe)));
+}
+
+Result<PeerFrame>
+DecodeOffer(const frame::ConfigurationOffer& aMessage)
+{
+  auto sections = DecodeAll<DeploymentSection>(aMessage.sections());
+  if (!sections) {
+    return tl::unexpected<Error>(sections.error());
+  }
+  ConfigurationOffer offer;
+  offer.mHead = { Revision(aMessage.revision()),
+                  aMessage.change_id()->str(),
+                  aMessage.author()->str(),
+                  aMessage.time()->str() };
+  offer.mSectionHashes = NumbersFrom(*aMessage.section_hashes());
+  offer.mSections = std::move(*sections);
+  offer.mIsPush = aMessage.is_push();
+  offer.mRoot = VmId(aMessage.root());
+  return PeerFrame(PeerMessage(std::move(offer)));
+}
+
+Result<PeerFrame>
+DecodeSections(const frame::SectionsReply& aMessage)
+{
+  auto sections = DecodeAll<DeploymentSection>(aMessage.sections());
+  if (!sections) {
+    return tl::unexpected<Error>(sections.error());
+  }
+  return PeerFrame(PeerMessage(
+    SectionsReply{ Revision(aMessage.revision()), std::move(*sections) }));
+}
+
+Result<PeerFrame>
+DecodeMembers(const frame::MembersReply& aMessage)
+{
+  auto members = DecodeAll<MemberNews>(aMessage.members());
+  if (!members) {
+    return tl::unexpected<Error>(members.error());
+  }
+  return PeerFrame(PeerMessage(MembersReply{ std::move(*members) }));
+}
+
+Result<PeerFrame>
+DecodeConfirmation(const frame::ConfirmationReply& aMessage)
+{
+  ConfirmationReply reply;
+  reply.mId = aMessage.id();
+  reply.mReport.mConfirmed = aMessage.confirmed();
+  reply.mReport.mUnconfirmed = aMessage.unconfirmed();
+  if (aMessage.listed() != nullptr) {
+    for (const frame::UnconfirmedVm* vm : *aMessage.listed()) {
+      if (vm->reason() >
+          static_cast<std::uint8_t>(UnconfirmedReason::kUnreachable)) {
+        return Invalid("a confirmation names an unknown reason");
+      }
+      reply.mReport.mListed.push_back(
+        { VmId(vm->vm()),
+          static_cast<UnconfirmedReason>(vm->reason()),
+          Revision(vm->revision()) });
+    }
+  }
+  return PeerFrame(PeerMessage(std::move(reply)));
+}
+
+Result<PeerFrame>
+DecodeConfirmationRequest(const frame::ConfirmationRequest& aMessage)
+{
+  constexpr std::uint64_t kMostBudget = 60'000;
+  const std::uint64_t budget =
+    std::min<std::uint64_t>(aMessage.budget_ms(), kMostBudget);
+  return PeerFrame(
+    PeerMessage(ConfirmationRequest{ aMessage.id(),
+                                     Revision(aMessage.revision()),
+                                     VmId(aMessage.root()),
+                                     SpanFrom(budget) }));
+}
+
+} // namespace
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const MemberProbe& aMessage)
+{
+  const auto news =
+    EncodeAll<MemberNews, frame::MemberNews>(aBuilder, aMessage.mNews);
+  const auto message =
+    frame::CreateMemberProbe(aBuilder,
+                             aMessage.mSequence,
+                             aMessage.mIsReply,
+                             aMessage.mVersion.Value(),
+                             static_cast<std::uint8_t>(aMessage.mCondition),
+                             aMessage.mConfiguration.mRevision.Value(),
+                             aMessage.mConfiguration.mContentHash,
+                             Milliseconds(aMessage.mStoreAge),
+                             aMessage.mMembersHash,
+                             news);
+  return { frame::Message::MemberProbe, message.Union() };
+}
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const MembersRequest&)
+{
+  return { frame::Message::MembersRequest,
+           frame::CreateMembersRequest(aBuilder).Union() };
+}
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const MembersReply& aMessage)
+{
+  const auto members =
+    EncodeAll<MemberNews, frame::MemberNews>(aBuilder, aMessage.mMembers);
+  return { frame::Message::MembersReply,
+           frame::CreateMembersReply(aBuilder, members).Union() };
+}
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const ConfigurationOffer& aMessage)
+{
+  const auto changeId = aBuilder.CreateString(aMessage.mHead.mChangeId);
+  const auto author = aBuilder.CreateString(aMessage.mHead.mAuthor);
+  const auto time = aBuilder.CreateString(aMessage.mHead.mTime);
+  const auto hashes = aBuilder.CreateVector(aMessage.mSectionHashes);
+  const auto sections =
+    EncodeAll<DeploymentSection, frame::Section>(aBuilder, aMessage.mSections);
+  const auto message =
+    frame::CreateConfigurationOffer(aBuilder,
+                                    aMessage.mHead.mRevision.Value(),
+                                    changeId,
+                                    author,
+                                    time,
+                                    hashes,
+                                    sections,
+                                    aMessage.mIsPush,
+                                    aMessage.mRoot.Value());
+  return { frame::Message::ConfigurationOffer, message.Union() };
+}
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const SectionsRequest& aMessage)
+{
+  const auto hashes = aBuilder.CreateVector(aMessage.mHashes);
+  const auto message =
+    frame::CreateSectionsRequest(aBuilder, aMessage.mRevision.Value(), hashes);
+  return { frame::Message::SectionsRequest, message.Union() };
+}
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const SectionsReply& aMessage)
+{
+  const auto sections =
+    EncodeAll<DeploymentSection, frame::Section>(aBuilder, aMessage.mSections);
+  const auto message =
+    frame::CreateSectionsReply(aBuilder, aMessage.mRevision.Value(), sections);
+  return { frame::Message::SectionsReply, message.Union() };
+}
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const ConfirmationRequest& aMessage)
+{
+  const auto message = frame::CreateConfirmationRequest(
+    aBuilder,
+    aMessage.mId,
+    aMessage.mRevision.Value(),
+    aMessage.mRoot.Value(),
+    static_cast<std::uint32_t>(Milliseconds(aMessage.mBudget)));
+  return { frame::Message::ConfirmationRequest, message.Union() };
+}
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const ConfirmationReply& aMessage)
+{
+  std::vector<frame::UnconfirmedVm> listed;
+  for (const UnconfirmedVm& vm : aMessage.mReport.mListed) {
+    listed.emplace_back(vm.mVm.Value(),
+                        vm.mRevision.Value(),
+                        static_cast<std::uint8_t>(vm.mReason));
+  }
+  const auto vector = aBuilder.CreateVectorOfStructs(listed);
+  const auto message =
+    frame::CreateConfirmationReply(aBuilder,
+                                   aMessage.mId,
+                                   aMessage.mReport.mConfirmed,
+                                   aMessage.mReport.mUnconfirmed,
+                                   vector);
+  return { frame::Message::ConfirmationReply, message.Union() };
+}
+
+Result<PeerFrame>
+DecodeControl(const frame::Frame& aFrame)
+{
+  switch (aFrame.message_type()) {
+    case frame::Message::MemberProbe:
+      return DecodeProbe(*aFrame.message_as_MemberProbe());
+    case frame::Message::MembersRequest:
+      return PeerFrame(PeerMessage(MembersRequest{}));
+    case frame::Message::MembersReply:
+      return DecodeMembers(*aFrame.message_as_MembersReply());
+    case frame::Message::ConfigurationOffer:
+      return DecodeOffer(*aFrame.message_as_ConfigurationOffer());
+    case frame::Message::SectionsRequest: {
+      const auto* request = aFrame.message_as_SectionsRequest();
+      return PeerFrame(PeerMessage(SectionsRequest{
+        Revision(request->revision()), NumbersFrom(*request->hashes()) }));
+    }
+    case frame::Message::SectionsReply:
+      return DecodeSections(*aFrame.message_as_SectionsReply());
+    case frame::Message::ConfirmationRequest:
+      return DecodeConfirmationRequest(
+        *aFrame.message_as_ConfirmationRequest());
+    case frame::Message::ConfirmationReply:
+      return DecodeConfirmation(*aFrame.message_as_ConfirmationReply());
+    default:
+      return Invalid("a frame holds a message unknown to this release");
+  }
+}
+
+} // namespace wasabispread
--- a/modules/wasabispread_wire/PeerProtocol.cpp
+++ b/modules/wasabispread_wire/PeerProtocol.cpp
@@ -3,7 +3,7 @@
  */
 #include "wasabispread_wire.h"
 
-#include "generated/frame_generated.h"
+#include "ControlFrames.h"
 
 #include <algorithm>
 
@@ -133,6 +133,15 @@
   return FinishFrame(builder, frame::Message::BatchCancel, message.Union());
 }
 
+template<class Control>
+std::string
+Encode(const Control& aMessage)
+{
+  Builder builder;
+  const EncodedMessage encoded = EncodeControl(builder, aMessage);
+  return FinishFrame(builder, encoded.mType, encoded.mOffset);
+}
+
 Result<PeerFrame>
 Decode(const frame::Hello& aHello)
 {
@@ -284,10 +293,9 @@
       return Decode(*root->message_as_BatchReply());
     case frame::Message::BatchCancel:
       return Decode(*root->message_as_BatchCancel());
-    case frame::Message::NONE:
-      break;
+    default:
+      return DecodeControl(*root);
   }
-  return Invalid("a frame holds a message unknown to this release");
 }
 
 Result<std::uint32_t>
--- a/modules/wasabispread_wire/wasabispread_wire.h
+++ b/modules/wasabispread_wire/wasabispread_wire.h
@@ -12,5 +12,6 @@
 #include "HttpMessage.h"
 
 #include "CallerProtocol.h"
+#include "Compression.h"
 #include "PeerProtocol.h"
 #include "TargetProtocol.h"
