--- /dev/null
+++ b/modules/wasabispread_decisions/Candidates.cpp
@@ -0,0 +1,205 @@
+/*
+ * Upkeep of the candidates of each zone.
+ */
+#include "wasabispread_decisions.h"
+
+#include <algorithm>
+
+namespace wasabispread {
+
+namespace {
+
+constexpr std::size_t kMostChangesKept = 64;
+
+ZoneCandidates&
+ZoneNamed(PlacementState& aPlacement, const ZoneName& aZone)
+{
+  const auto [place, isNew] = aPlacement.mZoneIndex.emplace(
+    aZone, static_cast<std::uint32_t>(aPlacement.mZones.size()));
+  if (isNew) {
+    aPlacement.mZones.emplace_back().mZone = aZone;
+  }
+  return aPlacement.mZones[place->second];
+}
+
+std::vector<Candidate>::iterator
+LowerBound(ZoneCandidates& aZone, VmId aVm)
+{
+  return std::lower_bound(
+    aZone.mCandidates.begin(),
+    aZone.mCandidates.end(),
+    aVm,
+    [](const Candidate& aLeft, VmId aRight) { return aLeft.mVm < aRight; });
+}
+
+void
+NoteChange(ZoneCandidates& aZone, VmId aVm, bool aIsAdded)
+{
+  ++aZone.mVersion;
+  aZone.mChanges.push_back(CandidateChange{ aVm, aIsAdded });
+  if (aZone.mChanges.size() > kMostChangesKept) {
+    aZone.mChanges.erase(aZone.mChanges.begin());
+  }
+}
+
+Candidate&
+AddCandidate(PlacementState& aPlacement,
+             const ZoneName& aZoneName,
+             VmId aVm,
+             TimePoint aNow)
+{
+  ZoneCandidates& zone = ZoneNamed(aPlacement, aZoneName);
+  const auto place = LowerBound(zone, aVm);
+  if (place != zone.mCandidates.end() && place->mVm == aVm) {
+    return *place;
+  }
+  if (zone.mCandidates.empty()) {
+    ++aPlacement.mHomes;
+  }
+  Candidate added;
+  added.mVm = aVm;
+  added.mListedAt = aNow;
+  NoteChange(zone, aVm, true);
+  auto& fleet = aPlacement.mFleet;
+  fleet.insert(std::lower_bound(fleet.begin(), fleet.end(), aVm), aVm);
+  return *zone.mCandidates.insert(place, added);
+}
+
+void
+MarkAllUnlisted(NodeState& aState)
+{
+  for (ZoneCandidates& zone : aState.mPlacement.mZones) {
+    for (Candidate& candidate : zone.mCandidates) {
+      candidate.mIsListed = candidate.mVm == aState.mSelf.mId;
+    }
+  }
+}
+
+/** Whether a candidate is among the members that may be given work, or is
+    finishing what it holds. */
+bool
+IsAlive(const MembershipState& aMembership, const ZoneName& aZone, VmId aVm)
+{
+  const VmRecord* member = FindMember(aMembership, aVm);
+  if (member == nullptr) {
+    return false;
+  }
+  if (member->mLeaving) {
+    return true;
+  }
+  const auto live = aMembership.mLiveByZone.find(aZone);
+  return live != aMembership.mLiveByZone.end() &&
+         std::binary_search(live->second.begin(), live->second.end(), aVm);
+}
+
+void
+ObserveLiveness(NodeState& aState, TimePoint aNow)
+{
+  for (ZoneCandidates& zone : aState.mPlacement.mZones) {
+    for (Candidate& candidate : zone.mCandidates) {
+      candidate.mIsAlive =
+        candidate.mVm == aState.mSelf.mId ||
+        IsAlive(aState.mMembership, zone.mZone, candidate.mVm);
+      const bool isGone = !candidate.mIsListed || !candidate.mIsAlive;
+      candidate.mGoneSince =
+        !isGone ? TimePoint::max() : std::min(candidate.mGoneSince, aNow);
+    }
+  }
+}
+
+/** When others may take a candidate's share. */
+TimePoint
+ExpiryOf(const NodeState& aState,
+         const ZoneCandidates& aZone,
+         const Candidate& aCandidate)
+{
+  if (aCandidate.mGoneSince == TimePoint::max()) {
+    return TimePoint::max();
+  }
+  if (!aCandidate.mIsListed) {
+    return aCandidate.mGoneSince + kHoldDelay;
+  }
+  // A zone that cannot be reached may be alive and cut off.
+  return aZone.mZone == aState.mSelf.mZone ? aCandidate.mGoneSince + kDeathDelay
+                                           : TimePoint::max();
+}
+
+void
+DropCandidate(PlacementState& aPlacement, ZoneCandidates& aZone, VmId aVm)
+{
+  aZone.mCandidates.erase(LowerBound(aZone, aVm));
+  NoteChange(aZone, aVm, false);
+  if (aZone.mCandidates.empty()) {
+    ++aPlacement.mHomes;
+  }
+  auto& fleet = aPlacement.mFleet;
+  fleet.erase(std::lower_bound(fleet.begin(), fleet.end(), aVm));
+}
+
+} // namespace
+
+void
+StartCandidates(NodeState& aState, TimePoint aNow)
+{
+  AddCandidate(
+    aState.mPlacement, aState.mSelf.mZone, aState.mSelf.mId, aNow);
+  aState.mPlacement.mHoldsFrom = aNow + kUnlistedDelay;
+}
+
+void
+ObserveVmList(NodeState& aState,
+              const VmListReceived& aEvent,
+              TimePoint aNow,
+              Effects& aEffects)
+{
+  PlacementState& placement = aState.mPlacement;
+  if (aEvent.mResult) {
+    MarkAllUnlisted(aState);
+    for (const VmRecord& vm : *aEvent.mResult) {
+      AddCandidate(placement, vm.mZone, vm.mId, aNow).mIsListed = true;
+      if (vm.mId == aState.mSelf.mId) {
+        placement.mHoldsFrom =
+          std::min(placement.mHoldsFrom, aNow + kHoldDelay);
+      }
+    }
+  }
+  ObserveLiveness(aState, aNow);
+  RefreshCandidates(aState, aNow, aEffects);
+}
+
+void
+RefreshCandidates(NodeState& aState, TimePoint aNow, Effects& aEffects)
+{
+  PlacementState& placement = aState.mPlacement;
+  TimePoint next = TimePoint::max();
+  for (ZoneCandidates& zone : placement.mZones) {
+    std::vector<VmId> expired;
+    for (const Candidate& candidate : zone.mCandidates) {
+      const TimePoint expiry = ExpiryOf(aState, zone, candidate);
+      if (expiry <= aNow) {
+        expired.push_back(candidate.mVm);
+      } else {
+        next = std::min(next, expiry);
+      }
+    }
+    for (const VmId vm : expired) {
+      DropCandidate(placement, zone, vm);
+    }
+  }
+  const bool isArmed =
+    placement.mRefreshAt > aNow && placement.mRefreshAt <= next;
+  if (next != TimePoint::max() && !isArmed) {
+    placement.mRefreshAt = next;
+    aState.mTimers.Arm(next, TimerKind::kRefreshCandidates);
+  }
+  ApplyShares(aState, aNow, aEffects);
+}
+
+void
+ReleaseShares(NodeState& aState, TimePoint aNow, Effects& aEffects)
+{
+  aState.mPlacement.mHoldsFrom = aNow + kUnlistedDelay;
+  ApplyShares(aState, aNow, aEffects);
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/Candidates.h
@@ -0,0 +1,48 @@
+/*
+ * Which VMs may hold connections, from the platform's list and from liveness.
+ *
+ * A VM's connections may outlive what others believe of it. So a VM counts as
+ * a candidate as soon as it is listed, holds connections itself only after it
+ * has been listed for kHoldDelay, and goes on counting for others until
+ * kHoldDelay after it left the list, or kDeathDelay after it was found dead.
+ * Shares therefore shrink at once and grow late.
+ */
+#pragma once
+
+#include "Effect.h"
+#include "Event.h"
+#include "NodeState.h"
+
+namespace wasabispread {
+
+/** How long every VM is given to learn of a change of the list. */
+inline constexpr Duration kHoldDelay = std::chrono::milliseconds(2500);
+
+/** How long a listed VM must be dead before others take its share. */
+inline constexpr Duration kDeathDelay = std::chrono::seconds(10);
+
+/** How long a VM that no list ever showed waits before it holds connections. */
+inline constexpr Duration kUnlistedDelay = std::chrono::seconds(10);
+
+/** Makes this VM the one candidate known. */
+void
+StartCandidates(NodeState& aState, TimePoint aNow);
+
+/** Takes in a reading of the VM list, also a failed one: that still brings
+    liveness up to date. */
+void
+ObserveVmList(NodeState& aState,
+              const VmListReceived& aEvent,
+              TimePoint aNow,
+              Effects& aEffects);
+
+/** Drops the candidates whose time is over, and applies changed shares. */
+void
+RefreshCandidates(NodeState& aState, TimePoint aNow, Effects& aEffects);
+
+/** Takes this VM's shares away until a list shows it again; for use after a
+    pause in which others may have taken them. */
+void
+ReleaseShares(NodeState& aState, TimePoint aNow, Effects& aEffects);
+
+} // namespace wasabispread
--- a/modules/wasabispread_decisions/Configuration.cpp
+++ b/modules/wasabispread_decisions/Configuration.cpp
@@ -68,7 +68,7 @@
   configuration.mStoreVersion =
     std::max(configuration.mStoreVersion, stored.mStoreVersion);
   if (stored.mRecord && isNews) {
-    AdoptConfiguration(aState, *stored.mRecord, aEffects);
+    AdoptConfiguration(aState, *stored.mRecord, aNow, aEffects);
   }
   StartConfiguration(aState, aEffects);
 }
@@ -76,6 +76,7 @@
 void
 AdoptConfiguration(NodeState& aState,
                    const ConfigurationRecord& aRecord,
+                   TimePoint aNow,
                    Effects& aEffects)
 {
   ConfigurationState& configuration = aState.mConfiguration;
@@ -95,7 +96,7 @@
   configuration.mDeployment =
     std::make_shared<const Deployment>(std::move(*deployment));
   GroupTargets(configuration);
-  ReconcilePools(aState, aEffects);
+  ReconcilePools(aState, aNow, aEffects);
   ++aState.mCounters.mConfigurationsAdopted;
   aEffects.push_back(LogDecision{
     ConfigurationAdopted{ aRecord.mRevision, previous, aRecord.mChangeId } });
--- a/modules/wasabispread_decisions/Configuration.h
+++ b/modules/wasabispread_decisions/Configuration.h
@@ -25,6 +25,7 @@
 void
 AdoptConfiguration(NodeState& aState,
                    const ConfigurationRecord& aRecord,
+                   TimePoint aNow,
                    Effects& aEffects);
 
 /** How long to wait after aFailures failed calls in a row: doubling from
--- a/modules/wasabispread_decisions/ConfigurationState.h
+++ b/modules/wasabispread_decisions/ConfigurationState.h
@@ -18,6 +18,9 @@
 {
   std::uint64_t mId = 0;
   ZoneName mZone;
+  /** The most connections that each target of the group accepts. */
+  std::uint32_t mConnectionCap = 0;
+  ServiceId mService;
 };
 
 /** Invariant: mRevision only rises; mDeployment belongs to mRevision. */
--- /dev/null
+++ b/modules/wasabispread_decisions/ConnectionPolicy.cpp
@@ -0,0 +1,62 @@
+/*
+ * Division of connection caps.
+ */
+#include "wasabispread_decisions.h"
+
+#include <algorithm>
+
+namespace wasabispread {
+
+namespace {
+
+/** The part of a cap that owners share when every VM holds some of the rest. */
+std::uint32_t
+OwnersPart(std::uint32_t aCap)
+{
+  return aCap - aCap / 2;
+}
+
+std::uint32_t
+OwnerShare(const ConnectionPolicy& aPolicy,
+           std::uint32_t aCap,
+           const ConnectionStanding& aStanding)
+{
+  const std::size_t owners =
+    std::min<std::size_t>(aPolicy.mOwners, aStanding.mRanked);
+  return aStanding.mRank < owners
+           ? EvenShare(aCap, aStanding.mRank, owners)
+           : 0;
+}
+
+} // namespace
+
+std::uint32_t
+EvenShare(std::uint32_t aCap, std::size_t aPosition, std::size_t aParts)
+{
+  if (aPosition >= aParts) {
+    return 0;
+  }
+  const auto parts = static_cast<std::uint32_t>(aParts);
+  const std::uint32_t remainder = aCap % parts;
+  return aCap / parts + (aPosition < remainder ? 1 : 0);
+}
+
+std::uint32_t
+ConnectionShare(const ConnectionPolicy& aPolicy,
+                std::uint32_t aCap,
+                const ConnectionStanding& aStanding)
+{
+  switch (aPolicy.mSharing) {
+    case ConnectionSharing::kSplit:
+      return EvenShare(aCap, aStanding.mPosition, aStanding.mVms);
+    case ConnectionSharing::kOwners:
+      return OwnerShare(aPolicy, aCap, aStanding);
+    case ConnectionSharing::kBorrowing:
+      break;
+  }
+  const auto vms = static_cast<std::uint32_t>(aStanding.mVms);
+  const std::uint32_t own = vms == 0 ? 0 : (aCap - OwnersPart(aCap)) / vms;
+  return own + OwnerShare(aPolicy, OwnersPart(aCap), aStanding);
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/ConnectionPolicy.h
@@ -0,0 +1,58 @@
+/*
+ * The rules that divide a target's connections among VMs.
+ */
+#pragma once
+
+#include <wasabispread_units/wasabispread_units.h>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace wasabispread {
+
+/** Which VMs may open connections to a target. */
+enum class ConnectionSharing : std::uint8_t
+{
+  /** Every VM, with an equal part of the cap. */
+  kSplit,
+  /** The first few VMs in the group's rendezvous order. */
+  kOwners,
+  /** Every VM a small part; the owners share the rest. */
+  kBorrowing,
+};
+
+/** How connections are shared and replies are sent back. */
+struct ConnectionPolicy
+{
+  ConnectionSharing mSharing = ConnectionSharing::kOwners;
+  /** How many VMs of the order own a group; at least 1. */
+  std::uint32_t mOwners = 2;
+  /** How long a reply may wait for others to the same entry. */
+  Duration mFlushDelay = std::chrono::microseconds(500);
+};
+
+/** Where a VM stands among those that may hold connections. */
+struct ConnectionStanding
+{
+  /** Position in the group's order, and how many VMs that order has. */
+  std::size_t mRank = 0;
+  std::size_t mRanked = 0;
+  /** Position among all VMs, and how many there are. */
+  std::size_t mPosition = 0;
+  std::size_t mVms = 0;
+};
+
+/** One part of a cap divided as evenly as whole numbers allow. The parts add
+    up to the cap. A part never grows when aPosition or aParts grows. */
+std::uint32_t
+EvenShare(std::uint32_t aCap, std::size_t aPosition, std::size_t aParts);
+
+/** How many of a target's aCap connections a VM may hold. Over VMs that agree
+    on the order the shares add up to at most the cap, and a share never grows
+    when the VM's position or the number of VMs grows. */
+std::uint32_t
+ConnectionShare(const ConnectionPolicy& aPolicy,
+                std::uint32_t aCap,
+                const ConnectionStanding& aStanding);
+
+} // namespace wasabispread
--- a/modules/wasabispread_decisions/Counters.h
+++ b/modules/wasabispread_decisions/Counters.h
@@ -32,6 +32,16 @@
   std::uint64_t mConfigurationsRejected = 0;
   std::uint64_t mPlatformCalls = 0;
   std::uint64_t mPlatformFailures = 0;
+  std::uint64_t mItemsOverloaded = 0;
+  std::uint64_t mItemsStopping = 0;
+  std::uint64_t mItemsWithoutShare = 0;
+  std::uint64_t mItemsOutOfTime = 0;
+  std::uint64_t mItemsHeldBack = 0;
+  std::uint64_t mTargetSheds = 0;
+  std::uint64_t mTargetCancels = 0;
+  std::uint64_t mTargetConnectionsClosedIdle = 0;
+  std::uint64_t mOwnersAvoided = 0;
+  std::uint64_t mPauses = 0;
 };
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/DecisionRecord.h
+++ b/modules/wasabispread_decisions/DecisionRecord.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "Answer.h"
+#include "PlacementState.h"
 
 #include <string>
 #include <variant>
@@ -85,12 +86,48 @@
   std::uint32_t mLeaving = 0;
 };
 
+/** An owner is passed over. */
+struct OwnerAvoided
+{
+  VmId mOwner;
+  AvoidanceReason mReason = AvoidanceReason::kLost;
+};
+
+/** This VM's share of a group's connections changed. */
+struct ShareChanged
+{
+  ServiceId mService;
+  ZoneName mZone;
+  std::uint64_t mGroup = 0;
+  /** Connections to each target of the group. */
+  std::uint32_t mPrevious = 0;
+  std::uint32_t mShare = 0;
+};
+
+/** A target gets no new work from this VM, or gets it again. */
+struct TargetHeldBack
+{
+  TargetId mTarget;
+  /** False when it is used again. */
+  bool mIsHeldBack = true;
+};
+
+/** The process stood still, so that what it knew may be out of date. */
+struct PauseNoticed
+{
+  Duration mLength{};
+};
+
 using DecisionRecord = std::variant<QueryPlanned,
                                     QueryAnswered,
                                     AttemptRetried,
                                     RequestRefused,
                                     ConfigurationAdopted,
                                     ConfigurationRejected,
-                                    MembershipChanged>;
+                                    MembershipChanged,
+                                    OwnerAvoided,
+                                    ShareChanged,
+                                    TargetHeldBack,
+                                    PauseNoticed>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Effect.h
+++ b/modules/wasabispread_decisions/Effect.h
@@ -50,6 +50,14 @@
   TargetRequest mRequest;
 };
 
+/** Tell a target, on an idle connection, that an attempt sent on another one
+    is no longer wanted; answered by TargetReplied or TargetConnectionLost. */
+struct SendCancelToTarget
+{
+  ConnectionId mConnection;
+  AttemptId mAttempt;
+};
+
 /** Wait until the configuration's store version exceeds one; answered by
     StoreWatched. */
 struct WatchConfiguration
@@ -75,7 +83,8 @@
                             SendToTarget,
                             WatchConfiguration,
                             ReadVmList,
-                            LogDecision>;
+                            LogDecision,
+                            SendCancelToTarget>;
 
 using Effects = std::vector<Effect>;
 
--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -97,11 +97,9 @@
     shard.mReason = MissingReason::kUnknownTarget;
     return false;
   }
-  const OwnerGroup& group =
-    aState.mConfiguration
-      .mGroups[aState.mConfiguration.mGroupOfTarget[place->second]];
-  const std::vector<VmId>& owners = OwnersOf(aState.mMembership, group);
-  if (owners.empty()) {
+  const auto owner =
+    ChooseOwner(aState, place->second, aQueryId.Value(), aNow);
+  if (!owner) {
     shard.mReason = MissingReason::kNoOwner;
     return false;
   }
@@ -114,8 +112,8 @@
   aQuery.mSequences.push_back(sequence);
   aState.mEntry.mAttempts.emplace(
     sequence,
-    AttemptPlace{ aQueryId, aShardPosition, owners.front(), target.mId, aNow });
-  aBatches[owners.front()].push_back(
+    AttemptPlace{ aQueryId, aShardPosition, *owner, target.mId, aNow });
+  aBatches[*owner].push_back(
     BatchItem{ sequence, target.mId, shard.mShard });
   return true;
 }
--- a/modules/wasabispread_decisions/MembershipState.h
+++ b/modules/wasabispread_decisions/MembershipState.h
@@ -10,13 +10,6 @@
 
 namespace wasabispread {
 
-/** The owners of one group, best first, as of one epoch. */
-struct RankedOwners
-{
-  std::uint64_t mEpoch = 0;
-  std::vector<VmId> mVms;
-};
-
 /** Invariant: mLiveByZone holds just the members that may be given work, each
     list sorted by id. */
 struct MembershipState
@@ -25,8 +18,6 @@
   std::unordered_map<ZoneName, std::vector<VmId>> mLiveByZone;
   /** Rises with each change of mLiveByZone; caches are keyed by it. */
   std::uint64_t mEpoch = 1;
-  /** Owners by group; an entry of an older epoch is worked out again. */
-  std::unordered_map<std::uint64_t, RankedOwners> mOwners;
   /** Failed reads of the VM list in a row. */
   std::uint32_t mFailures = 0;
 };
--- a/modules/wasabispread_decisions/NodeState.h
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -8,6 +8,8 @@
 #include "EntryState.h"
 #include "MembershipState.h"
 #include "OwnerState.h"
+#include "PauseState.h"
+#include "PlacementState.h"
 #include "Random.h"
 #include "TimerQueue.h"
 
@@ -34,7 +36,9 @@
   ConfigurationState mConfiguration;
   MembershipState mMembership;
   EntryState mEntry;
+  PlacementState mPlacement;
   OwnerState mOwner;
+  PauseState mPause;
   TimerQueue mTimers;
   Counters mCounters;
   /** Messages from this node to itself, handled before Reduce() returns. */
--- a/modules/wasabispread_decisions/Owner.h
+++ b/modules/wasabispread_decisions/Owner.h
@@ -18,8 +18,8 @@
                    TimePoint aNow,
                    Effects& aEffects);
 
-/** Drops attempts that the entry no longer wants. What was sent already runs
-    on at its target; its reply is dropped. */
+/** Ends attempts that the entry no longer wants. Of what was sent already the
+    target is told, and its reply is dropped. */
 void
 HandleBatchCancel(NodeState& aState,
                   VmId aEntry,
@@ -62,6 +62,13 @@
                     TimePoint aNow,
                     Effects& aEffects);
 
+/** Closes connections that were idle for long; drops a pool without any. */
+void
+HandleIdleConnections(NodeState& aState,
+                      TargetId aTarget,
+                      TimePoint aNow,
+                      Effects& aEffects);
+
 /** Closes a connection whose late reply did not come in time. */
 void
 HandleReplyOwed(NodeState& aState,
@@ -80,8 +87,18 @@
 void
 FlushReplies(NodeState& aState, VmId aEntry, Effects& aEffects);
 
+/** Brings every pool in line with this VM's present shares and the targets in
+    force: idle connections past the share are closed at once, busy ones as
+    soon as they are idle. */
+void
+ApplyShares(NodeState& aState, TimePoint aNow, Effects& aEffects);
+
+/** Closes every idle connection; for use when the node stops. */
+void
+ReleaseIdleConnections(NodeState& aState, Effects& aEffects);
+
 /** Brings connection pools in line with a newly adopted configuration. */
 void
-ReconcilePools(NodeState& aState, Effects& aEffects);
+ReconcilePools(NodeState& aState, TimePoint aNow, Effects& aEffects);
 
 } // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/OwnerConnections.cpp
@@ -0,0 +1,398 @@
+/*
+ * The owner's connections: opened when wanted, kept within the share, closed
+ * when idle, lost or owed a reply for too long.
+ */
+#include "OwnerParts.h"
+#include "wasabispread_decisions.h"
+
+#include <algorithm>
+#include <cassert>
+#include <map>
+
+namespace wasabispread {
+
+namespace {
+
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+constexpr Duration kIdleTimeout = std::chrono::seconds(30);
+constexpr Duration kEntryMemory = std::chrono::minutes(5);
+
+void
+ArmIdleTimer(NodeState& aState,
+             TargetId aTarget,
+             TargetPool& aPool,
+             TimePoint aNow)
+{
+  if (!aPool.mHasIdleTimer) {
+    aPool.mHasIdleTimer = true;
+    aState.mTimers.Arm(
+      aNow + kIdleTimeout, TimerKind::kIdleConnections, aTarget.Value());
+  }
+}
+
+void
+RemoveIdle(TargetPool& aPool, ConnectionId aConnection)
+{
+  std::erase_if(aPool.mIdle, [aConnection](const IdleConnection& aIdle) {
+    return aIdle.mConnection == aConnection;
+  });
+}
+
+/** Closes idle connections until the pool is within its share. */
+void
+TrimPool(NodeState& aState, TargetPool& aPool, Effects& aEffects)
+{
+  while (aPool.Connections() > aPool.mShare && !aPool.mIdle.empty()) {
+    CloseConnection(aState, aPool.mIdle.front().mConnection, aEffects);
+  }
+}
+
+bool
+IsUnused(const TargetPool& aPool)
+{
+  return aPool.Connections() == 0 && aPool.mWaiting == 0;
+}
+
+/** A target's pool after a change of the shares or the configuration. */
+void
+UpdateShare(NodeState& aState, TargetId aTarget, TargetPool& aPool, TimePoint aNow)
+{
+  const Deployment& deployment = *aState.mConfiguration.mDeployment;
+  const Target* target = deployment.FindTarget(aTarget);
+  if (target == nullptr || target->mAddress != aPool.mAddress) {
+    aPool.mShare = 0;
+    return;
+  }
+  FindPool(aState, aTarget, aNow);
+}
+
+/** Logs a change of share once for each group. */
+void
+LogShares(const NodeState& aState,
+          const std::map<std::uint32_t, ShareChanged>& aChanges,
+          Effects& aEffects)
+{
+  for (const auto& [position, change] : aChanges) {
+    ShareChanged record = change;
+    const OwnerGroup& group = aState.mConfiguration.mGroups[position];
+    record.mService = group.mService;
+    record.mZone = group.mZone;
+    record.mGroup = group.mId;
+    aEffects.push_back(LogDecision{ std::move(record) });
+  }
+}
+
+void
+ForgetEntries(NodeState& aState, TimePoint aNow)
+{
+  std::erase_if(aState.mOwner.mEntries, [&](const auto& aEntry) {
+    return aEntry.second.mLastHeard + kEntryMemory < aNow &&
+           FindMember(aState.mMembership, aEntry.first) == nullptr;
+  });
+}
+
+} // namespace
+
+TargetPool*
+FindPool(NodeState& aState, TargetId aTarget, TimePoint aNow)
+{
+  const ConfigurationState& configuration = aState.mConfiguration;
+  if (configuration.mDeployment == nullptr) {
+    return nullptr;
+  }
+  const auto place = configuration.mDeployment->mTargetIndex.find(aTarget);
+  if (place == configuration.mDeployment->mTargetIndex.end()) {
+    return nullptr;
+  }
+  const Target& target = configuration.mDeployment->mTargets[place->second];
+  const std::uint32_t group = configuration.mGroupOfTarget[place->second];
+  TargetPool& pool = aState.mOwner.mPools[aTarget];
+  if (pool.mAddress != target.mAddress) {
+    pool.mAddress = target.mAddress;
+  }
+  pool.mShare = OwnShare(
+    aState, group, configuration.mGroups[group].mConnectionCap, aNow);
+  return &pool;
+}
+
+void
+CloseConnection(NodeState& aState, ConnectionId aConnection, Effects& aEffects)
+{
+  const auto place = aState.mOwner.mConnections.find(aConnection);
+  assert(place != aState.mOwner.mConnections.end());
+  TargetPool& pool = aState.mOwner.mPools.at(place->second.mTarget);
+  const ConnectionUse use = place->second.mUse;
+  --(use == ConnectionUse::kOpening ? pool.mOpening : pool.mOpened);
+  if (use == ConnectionUse::kRequest) {
+    --pool.mBusy;
+  }
+  if (use == ConnectionUse::kIdle) {
+    RemoveIdle(pool, aConnection);
+  }
+  aState.mOwner.mConnections.erase(place);
+  aEffects.push_back(CloseTargetConnection{ aConnection });
+}
+
+void
+ReturnConnection(NodeState& aState,
+                 ConnectionId aConnection,
+                 TimePoint aNow,
+                 Effects& aEffects)
+{
+  TargetConnection& connection = aState.mOwner.mConnections.at(aConnection);
+  const TargetId target = connection.mTarget;
+  TargetPool& pool = aState.mOwner.mPools.at(target);
+  if (connection.mUse == ConnectionUse::kRequest) {
+    --pool.mBusy;
+  }
+  connection.mUse = ConnectionUse::kIdle;
+  connection.mOwedUntil = TimePoint::max();
+  pool.mIdle.push_back(IdleConnection{ aConnection, aNow });
+  ArmIdleTimer(aState, target, pool, aNow);
+  const bool isStopping = aState.mStopping && pool.mWaiting == 0;
+  if (isStopping || pool.Connections() > pool.mShare) {
+    CloseConnection(aState, aConnection, aEffects);
+  }
+}
+
+void
+OpenConnection(NodeState& aState,
+               TargetId aTarget,
+               TargetPool& aPool,
+               Effects& aEffects)
+{
+  const ConnectionId connection(aState.mOwner.mNextConnection++);
+  TargetConnection opening;
+  opening.mTarget = aTarget;
+  aState.mOwner.mConnections.emplace(connection, opening);
+  ++aPool.mOpening;
+  ++aState.mCounters.mTargetConnectionsOpened;
+  aEffects.push_back(
+    OpenTargetConnection{ connection, aPool.mAddress, kConnectTimeout });
+}
+
+void
+AwaitLateReply(NodeState& aState, const HeldItem& aItem, TimePoint aNow)
+{
+  if (!aItem.mSent) {
+    return;
+  }
+  const auto place = aState.mOwner.mConnections.find(aItem.mConnection);
+  if (place != aState.mOwner.mConnections.end()) {
+    place->second.mOwedUntil = aNow + kLateReplyWait;
+    aState.mTimers.Arm(place->second.mOwedUntil,
+                       TimerKind::kReplyOwed,
+                       aItem.mConnection.Value());
+  }
+}
+
+void
+CancelAtTarget(NodeState& aState,
+               const AttemptId& aAttempt,
+               TargetId aTarget,
+               TimePoint aNow,
+               Effects& aEffects)
+{
+  TargetPool& pool = aState.mOwner.mPools.at(aTarget);
+  if (pool.mIdle.empty() || pool.mWaiting != 0) {
+    return;
+  }
+  const ConnectionId id = pool.mIdle.back().mConnection;
+  pool.mIdle.pop_back();
+  TargetConnection& connection = aState.mOwner.mConnections.at(id);
+  connection.mUse = ConnectionUse::kCancel;
+  connection.mAttempt = aAttempt;
+  connection.mOwedUntil = aNow + kLateReplyWait;
+  aState.mTimers.Arm(
+    connection.mOwedUntil, TimerKind::kReplyOwed, id.Value());
+  ++aState.mCounters.mTargetCancels;
+  aEffects.push_back(SendCancelToTarget{ id, aAttempt });
+}
+
+void
+HandleTargetConnected(NodeState& aState,
+                      const TargetConnected& aEvent,
+                      TimePoint aNow,
+                      Effects& aEffects)
+{
+  const auto place = aState.mOwner.mConnections.find(aEvent.mConnection);
+  if (place == aState.mOwner.mConnections.end()) {
+    return;
+  }
+  assert(place->second.mUse == ConnectionUse::kOpening);
+  const TargetId target = place->second.mTarget;
+  TargetPool& pool = aState.mOwner.mPools.at(target);
+  --pool.mOpening;
+  ++pool.mOpened;
+  pool.mConnectFailures = 0;
+  ReturnConnection(aState, aEvent.mConnection, aNow, aEffects);
+  ServePool(aState, target, aNow, aEffects);
+}
+
+void
+HandleTargetConnectFailed(NodeState& aState,
+                          const TargetConnectFailed& aEvent,
+                          TimePoint aNow,
+                          Effects& aEffects)
+{
+  const auto place = aState.mOwner.mConnections.find(aEvent.mConnection);
+  if (place == aState.mOwner.mConnections.end()) {
+    return;
+  }
+  ++aState.mCounters.mTargetConnectionsFailed;
+  const TargetId target = place->second.mTarget;
+  TargetPool& pool = aState.mOwner.mPools.at(target);
+  --pool.mOpening;
+  aState.mOwner.mConnections.erase(place);
+  if (pool.mConnectAfter <= aNow) {
+    ++pool.mConnectFailures;
+    pool.mConnectAfter =
+      aNow + RetryDelay(pool.mConnectFailures, aState.mRandom);
+    aState.mTimers.Arm(
+      pool.mConnectAfter, TimerKind::kReconnect, target.Value());
+  }
+  if (pool.mOpened != 0) {
+    return;
+  }
+  pool.mLimit = ConcurrencyLimit{};
+  RefuseQueue(
+    aState, pool, MissingReason::kTargetUnreachable, aNow, aEffects);
+}
+
+void
+HandleTargetConnectionLost(NodeState& aState,
+                           const TargetConnectionLost& aEvent,
+                           TimePoint aNow,
+                           Effects& aEffects)
+{
+  const auto place = aState.mOwner.mConnections.find(aEvent.mConnection);
+  if (place == aState.mOwner.mConnections.end()) {
+    return;
+  }
+  ++aState.mCounters.mTargetConnectionsLost;
+  const TargetConnection connection = place->second;
+  CloseConnection(aState, aEvent.mConnection, aEffects);
+  const bool hasItem = connection.mUse == ConnectionUse::kRequest &&
+                       aState.mOwner.mItems.contains(connection.mAttempt);
+  if (hasItem) {
+    ItemReply reply;
+    reply.mOutcome = aEvent.mRequestWritten ? AttemptOutcome::kUnknown
+                                            : AttemptOutcome::kNotRun;
+    reply.mReason = MissingReason::kTargetUnreachable;
+    EndItem(aState, connection.mAttempt, std::move(reply), aNow, aEffects);
+  }
+  ServePool(aState, connection.mTarget, aNow, aEffects);
+}
+
+void
+HandleReplyOwed(NodeState& aState,
+                ConnectionId aConnection,
+                TimePoint aNow,
+                Effects& aEffects)
+{
+  const auto place = aState.mOwner.mConnections.find(aConnection);
+  if (place == aState.mOwner.mConnections.end() ||
+      place->second.mOwedUntil > aNow) {
+    return;
+  }
+  const TargetId target = place->second.mTarget;
+  CloseConnection(aState, aConnection, aEffects);
+  ServePool(aState, target, aNow, aEffects);
+}
+
+void
+HandleReconnect(NodeState& aState,
+                TargetId aTarget,
+                TimePoint aNow,
+                Effects& aEffects)
+{
+  if (aState.mOwner.mPools.contains(aTarget)) {
+    ServePool(aState, aTarget, aNow, aEffects);
+  }
+}
+
+void
+HandleIdleConnections(NodeState& aState,
+                      TargetId aTarget,
+                      TimePoint aNow,
+                      Effects& aEffects)
+{
+  const auto place = aState.mOwner.mPools.find(aTarget);
+  if (place == aState.mOwner.mPools.end()) {
+    return;
+  }
+  TargetPool& pool = place->second;
+  pool.mHasIdleTimer = false;
+  while (!pool.mIdle.empty() &&
+         pool.mIdle.front().mSince + kIdleTimeout <= aNow) {
+    ++aState.mCounters.mTargetConnectionsClosedIdle;
+    CloseConnection(aState, pool.mIdle.front().mConnection, aEffects);
+  }
+  if (IsUnused(pool)) {
+    aState.mOwner.mPools.erase(place);
+    return;
+  }
+  ArmIdleTimer(aState, aTarget, pool, aNow);
+}
+
+void
+ApplyShares(NodeState& aState, TimePoint aNow, Effects& aEffects)
+{
+  if (aState.mConfiguration.mDeployment == nullptr) {
+    return;
+  }
+  const ConfigurationState& configuration = aState.mConfiguration;
+  std::map<std::uint32_t, ShareChanged> changes;
+  std::vector<TargetId> targets;
+  for (const auto& [id, pool] : aState.mOwner.mPools) {
+    targets.push_back(id);
+  }
+  // The table's order depends on its history.
+  std::sort(targets.begin(), targets.end());
+  for (const TargetId id : targets) {
+    TargetPool& pool = aState.mOwner.mPools.at(id);
+    const std::uint32_t previous = pool.mShare;
+    UpdateShare(aState, id, pool, aNow);
+    TrimPool(aState, pool, aEffects);
+    const auto place = configuration.mDeployment->mTargetIndex.find(id);
+    if (place == configuration.mDeployment->mTargetIndex.end()) {
+      RefuseQueue(
+        aState, pool, MissingReason::kUnknownTarget, aNow, aEffects);
+      if (IsUnused(pool)) {
+        aState.mOwner.mPools.erase(id);
+      }
+      continue;
+    }
+    if (previous != pool.mShare) {
+      changes[configuration.mGroupOfTarget[place->second]] =
+        ShareChanged{ {}, {}, 0, previous, pool.mShare };
+      ServePool(aState, id, aNow, aEffects);
+    }
+  }
+  LogShares(aState, changes, aEffects);
+  ForgetEntries(aState, aNow);
+}
+
+void
+ReleaseIdleConnections(NodeState& aState, Effects& aEffects)
+{
+  std::vector<ConnectionId> idle;
+  for (const auto& [id, connection] : aState.mOwner.mConnections) {
+    if (connection.mUse == ConnectionUse::kIdle) {
+      idle.push_back(id);
+    }
+  }
+  std::sort(idle.begin(), idle.end());
+  for (const ConnectionId connection : idle) {
+    CloseConnection(aState, connection, aEffects);
+  }
+}
+
+void
+ReconcilePools(NodeState& aState, TimePoint aNow, Effects& aEffects)
+{
+  ResetRankings(aState);
+  ApplyShares(aState, aNow, aEffects);
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/Pause.cpp
@@ -0,0 +1,53 @@
+/*
+ * The heartbeat, and what follows a pause.
+ */
+#include "wasabispread_decisions.h"
+
+namespace wasabispread {
+
+namespace {
+
+constexpr Duration kHeartbeat = std::chrono::milliseconds(250);
+/** A gap this much longer than the heartbeat is a pause. */
+constexpr Duration kTolerance = std::chrono::milliseconds(250);
+/** How long after a pause messages may still be from before its end. */
+constexpr Duration kBacklogTime = std::chrono::milliseconds(100);
+
+} // namespace
+
+void
+StartHeartbeat(NodeState& aState, TimePoint aNow)
+{
+  aState.mTimers.Arm(aNow + kHeartbeat, TimerKind::kHeartbeat);
+}
+
+void
+ObservePresent(NodeState& aState, TimePoint aNow, Effects& aEffects)
+{
+  PauseState& pause = aState.mPause;
+  const Duration gap = aNow - pause.mLastSeen;
+  const bool isFirst = pause.mLastSeen == TimePoint{};
+  pause.mLastSeen = aNow;
+  if (isFirst || gap <= kHeartbeat + kTolerance) {
+    return;
+  }
+  pause.mResumedAt = aNow;
+  pause.mLength = gap;
+  ++aState.mCounters.mPauses;
+  aEffects.push_back(LogDecision{ PauseNoticed{ gap } });
+  aState.mPlacement.mAwaited.clear();
+  if (gap >= kHoldDelay) {
+    ReleaseShares(aState, aNow, aEffects);
+  }
+}
+
+Duration
+UnreadTime(const PauseState& aPause, TimePoint aNow)
+{
+  const bool isBacklog =
+    aPause.mLength != Duration::zero() &&
+    aNow - aPause.mResumedAt <= kBacklogTime;
+  return isBacklog ? aPause.mLength : Duration::zero();
+}
+
+} // namespace wasabispread
--- a/modules/wasabispread_decisions/Placement.cpp
+++ b/modules/wasabispread_decisions/Placement.cpp
@@ -1,15 +1,22 @@
 /*
- * Rendezvous hashing over live VMs, and the division of connection caps.
+ * Rendezvous order of each group's candidates, and the choice among them.
  */
 #include "wasabispread_decisions.h"
 
 #include <algorithm>
+#include <cassert>
 #include <map>
 
 namespace wasabispread {
 
 namespace {
 
+/** How many of a group's best candidates are kept, so that one that leaves is
+    replaced without ranking all of them. */
+constexpr std::size_t kRankedKept = 6;
+/** How often it is looked whether a new candidate has settled. */
+constexpr Duration kSettledCheck = std::chrono::milliseconds(100);
+
 /** The weight of a VM for a group. */
 std::uint64_t
 RendezvousWeight(std::uint64_t aGroup, VmId aVm)
@@ -18,37 +25,184 @@
   return mixer.Next();
 }
 
-/** The live VMs of the group's zone, or of the best other zone. */
-const std::vector<VmId>*
-CandidatesFor(const MembershipState& aMembership, const OwnerGroup& aGroup)
+bool
+ComesBefore(const RankedVm& aLeft, const RankedVm& aRight)
+{
+  return aLeft.mWeight != aRight.mWeight ? aLeft.mWeight > aRight.mWeight
+                                         : aLeft.mVm < aRight.mVm;
+}
+
+/** The zone whose candidates a group takes; the number of zones when no zone
+    has any. */
+std::uint32_t
+HomeOf(const PlacementState& aPlacement, const OwnerGroup& aGroup)
 {
-  const auto own = aMembership.mLiveByZone.find(aGroup.mZone);
-  if (own != aMembership.mLiveByZone.end() && !own->second.empty()) {
-    return &own->second;
+  const auto own = aPlacement.mZoneIndex.find(aGroup.mZone);
+  if (own != aPlacement.mZoneIndex.end() &&
+      !aPlacement.mZones[own->second].mCandidates.empty()) {
+    return own->second;
   }
-  const std::vector<VmId>* best = nullptr;
+  auto best = static_cast<std::uint32_t>(aPlacement.mZones.size());
   std::uint64_t bestWeight = 0;
-  for (const auto& [zone, vms] : aMembership.mLiveByZone) {
-    const std::uint64_t weight = StableHash(zone.Value(), aGroup.mId);
-    if (!vms.empty() && (best == nullptr || weight > bestWeight)) {
-      best = &vms;
+  for (std::uint32_t zone = 0; zone < aPlacement.mZones.size(); ++zone) {
+    const std::uint64_t weight =
+      StableHash(aPlacement.mZones[zone].mZone.Value(), aGroup.mId);
+    const bool isEmpty = aPlacement.mZones[zone].mCandidates.empty();
+    if (!isEmpty && (best == aPlacement.mZones.size() || weight > bestWeight)) {
+      best = zone;
       bestWeight = weight;
     }
   }
   return best;
 }
 
-std::vector<VmId>
-RankByWeight(std::vector<VmId> aVms, std::uint64_t aGroup)
+void
+RankAll(const ZoneCandidates& aZone, std::uint64_t aGroup, GroupRanking& aOrder)
+{
+  std::vector<RankedVm>& best = aOrder.mBest;
+  best.clear();
+  for (const Candidate& candidate : aZone.mCandidates) {
+    best.push_back(
+      RankedVm{ RendezvousWeight(aGroup, candidate.mVm), candidate.mVm });
+  }
+  const std::size_t kept = std::min(kRankedKept, best.size());
+  std::partial_sort(best.begin(),
+                    best.begin() + static_cast<std::ptrdiff_t>(kept),
+                    best.end(),
+                    ComesBefore);
+  best.resize(kept);
+  aOrder.mVersion = aZone.mVersion;
+}
+
+void
+ApplyChange(std::uint64_t aGroup,
+            const CandidateChange& aChange,
+            std::vector<RankedVm>& aBest)
+{
+  const RankedVm ranked{ RendezvousWeight(aGroup, aChange.mVm), aChange.mVm };
+  const auto place =
+    std::lower_bound(aBest.begin(), aBest.end(), ranked, ComesBefore);
+  if (!aChange.mIsAdded) {
+    if (place != aBest.end() && place->mVm == aChange.mVm) {
+      aBest.erase(place);
+    }
+    return;
+  }
+  // Behind the last one kept there may be others that come before it.
+  if (place != aBest.end()) {
+    aBest.insert(place, ranked);
+    aBest.resize(std::min(aBest.size(), kRankedKept));
+  }
+}
+
+/** Brings an order up to date with its zone. */
+void
+UpdateOrder(const ZoneCandidates& aZone,
+            std::uint64_t aGroup,
+            std::size_t aWanted,
+            GroupRanking& aOrder)
+{
+  const std::uint64_t behind = aZone.mVersion - aOrder.mVersion;
+  if (behind > aZone.mChanges.size()) {
+    RankAll(aZone, aGroup, aOrder);
+    return;
+  }
+  const auto first =
+    aZone.mChanges.end() - static_cast<std::ptrdiff_t>(behind);
+  for (auto change = first; change != aZone.mChanges.end(); ++change) {
+    ApplyChange(aGroup, *change, aOrder.mBest);
+  }
+  aOrder.mVersion = aZone.mVersion;
+  if (aOrder.mBest.size() < std::min(aWanted, aZone.mCandidates.size())) {
+    RankAll(aZone, aGroup, aOrder);
+  }
+}
+
+bool
+IsLive(const MembershipState& aMembership, const ZoneName& aZone, VmId aVm)
+{
+  const auto live = aMembership.mLiveByZone.find(aZone);
+  return live != aMembership.mLiveByZone.end() &&
+         std::binary_search(live->second.begin(), live->second.end(), aVm);
+}
+
+/** Whether others have surely learned of a candidate by now. */
+bool
+IsSettled(const ZoneCandidates& aZone, VmId aVm, TimePoint aNow)
+{
+  const auto place = std::lower_bound(
+    aZone.mCandidates.begin(),
+    aZone.mCandidates.end(),
+    aVm,
+    [](const Candidate& aLeft, VmId aRight) { return aLeft.mVm < aRight; });
+  return place != aZone.mCandidates.end() && place->mVm == aVm &&
+         place->mListedAt + kHoldDelay <= aNow;
+}
+
+/** Works out which owners of a group can be given work, best first. */
+void
+UpdateUsable(NodeState& aState, std::uint32_t aGroup, TimePoint aNow)
 {
-  const std::size_t wanted = std::min(kOwnersPerGroup, aVms.size());
-  const auto heavier = [aGroup](VmId aLeft, VmId aRight) {
-    return RendezvousWeight(aGroup, aLeft) > RendezvousWeight(aGroup, aRight);
-  };
-  const auto middle = aVms.begin() + static_cast<std::ptrdiff_t>(wanted);
-  std::partial_sort(aVms.begin(), middle, aVms.end(), heavier);
-  aVms.resize(wanted);
-  return aVms;
+  PlacementState& placement = aState.mPlacement;
+  GroupRanking& order = placement.mRankings[aGroup];
+  const ZoneCandidates& zone = placement.mZones[order.mZone];
+  const std::size_t owners =
+    std::min<std::size_t>({ placement.mPolicy.mOwners,
+                            aState.mConfiguration.mGroups[aGroup].mConnectionCap,
+                            order.mBest.size() });
+  std::vector<VmId> settled;
+  std::vector<VmId> unsettled;
+  for (std::size_t rank = 0; rank < owners; ++rank) {
+    const VmId vm = order.mBest[rank].mVm;
+    if (IsLive(aState.mMembership, zone.mZone, vm) &&
+        !placement.mAvoided.contains(vm)) {
+      (IsSettled(zone, vm, aNow) ? settled : unsettled).push_back(vm);
+    }
+  }
+  order.mUsableUntil =
+    unsettled.empty() ? TimePoint::max() : aNow + kSettledCheck;
+  order.mUsable = settled.empty() ? std::move(unsettled) : std::move(settled);
+  order.mUsableVersion = order.mVersion;
+  order.mUsableEpoch = aState.mMembership.mEpoch;
+  order.mUsableRoutes = placement.mRoutes;
+}
+
+/** The owners of a group that can be given work, best first. */
+const std::vector<VmId>&
+UsableOwners(NodeState& aState, std::uint32_t aGroup, TimePoint aNow)
+{
+  static const std::vector<VmId> kNone;
+  if (RankedCandidates(aState, aGroup).empty()) {
+    return kNone;
+  }
+  const GroupRanking& order = aState.mPlacement.mRankings[aGroup];
+  const bool isCurrent =
+    order.mUsableVersion == order.mVersion &&
+    order.mUsableEpoch == aState.mMembership.mEpoch &&
+    order.mUsableRoutes == aState.mPlacement.mRoutes &&
+    aNow < order.mUsableUntil;
+  if (!isCurrent) {
+    UpdateUsable(aState, aGroup, aNow);
+  }
+  return order.mUsable;
+}
+
+/** Whether this VM can send on its own connection to a target at once. */
+bool
+HasRoom(const OwnerState& aOwner, TargetId aTarget)
+{
+  const auto pool = aOwner.mPools.find(aTarget);
+  return pool == aOwner.mPools.end() || pool->second.mWaiting == 0;
+}
+
+/** Whether this VM has a connection of its own to spare. */
+bool
+CanSendNow(const OwnerState& aOwner, TargetId aTarget)
+{
+  const auto pool = aOwner.mPools.find(aTarget);
+  return pool == aOwner.mPools.end() ||
+         (pool->second.mWaiting == 0 &&
+          pool->second.mBusy < pool->second.mShare);
 }
 
 } // namespace
@@ -70,49 +224,106 @@
                                  std::to_string(ordinal / kTargetsPerGroup);
         openGroup[zone] =
           static_cast<std::uint32_t>(aConfiguration.mGroups.size());
-        aConfiguration.mGroups.push_back(OwnerGroup{ StableHash(name), zone });
+        aConfiguration.mGroups.push_back(
+          OwnerGroup{
+            StableHash(name), zone, service.mConnectionCap, service.mId });
       }
       aConfiguration.mGroupOfTarget[position] = openGroup[zone];
     }
   }
 }
 
-const std::vector<VmId>&
-OwnersOf(MembershipState& aMembership, const OwnerGroup& aGroup)
+void
+ResetRankings(NodeState& aState)
 {
-  RankedOwners& owners = aMembership.mOwners[aGroup.mId];
-  if (owners.mEpoch != aMembership.mEpoch) {
-    const std::vector<VmId>* candidates = CandidatesFor(aMembership, aGroup);
-    owners.mEpoch = aMembership.mEpoch;
-    owners.mVms = candidates == nullptr ? std::vector<VmId>{}
-                                        : RankByWeight(*candidates, aGroup.mId);
+  aState.mPlacement.mRankings.assign(aState.mConfiguration.mGroups.size(),
+                                     GroupRanking{});
+}
+
+const std::vector<RankedVm>&
+RankedCandidates(NodeState& aState, std::uint32_t aGroup)
+{
+  PlacementState& placement = aState.mPlacement;
+  assert(aGroup < placement.mRankings.size());
+  GroupRanking& order = placement.mRankings[aGroup];
+  const OwnerGroup& group = aState.mConfiguration.mGroups[aGroup];
+  if (order.mHomes != placement.mHomes) {
+    const std::uint32_t home = HomeOf(placement, group);
+    const bool isNewHome = order.mHomes == 0 || home != order.mZone;
+    order.mHomes = placement.mHomes;
+    order.mZone = home;
+    if (home == placement.mZones.size()) {
+      order.mBest.clear();
+      order.mHomes = 0;
+      return order.mBest;
+    }
+    if (isNewHome) {
+      RankAll(placement.mZones[home], group.mId, order);
+    }
+  }
+  const ZoneCandidates& zone = placement.mZones[order.mZone];
+  if (order.mVersion != zone.mVersion) {
+    UpdateOrder(zone, group.mId, placement.mPolicy.mOwners, order);
   }
-  return owners.mVms;
+  return order.mBest;
 }
 
-std::uint32_t
-ConnectionShare(std::uint32_t aCap, std::size_t aRank)
+std::optional<VmId>
+ChooseOwner(NodeState& aState,
+            std::uint32_t aTargetPosition,
+            std::uint64_t aSpread,
+            TimePoint aNow)
 {
-  constexpr std::uint32_t kFirstSharePercent = 60;
-  constexpr std::uint32_t kSecondSharePercent = 30;
-  constexpr std::uint32_t kPercent = 100;
-  if (aRank == 0) {
-    return std::max(1U, aCap * kFirstSharePercent / kPercent);
+  const ConnectionPolicy& policy = aState.mPlacement.mPolicy;
+  const VmId self = aState.mSelf.mId;
+  const TargetId target =
+    aState.mConfiguration.mDeployment->mTargets[aTargetPosition].mId;
+  if (policy.mSharing == ConnectionSharing::kSplit) {
+    return self;
+  }
+  if (policy.mSharing == ConnectionSharing::kBorrowing &&
+      CanSendNow(aState.mOwner, target)) {
+    return self;
   }
-  if (aRank == 1) {
-    return aCap * kSecondSharePercent / kPercent;
+  const std::uint32_t group =
+    aState.mConfiguration.mGroupOfTarget[aTargetPosition];
+  const std::vector<VmId>& usable = UsableOwners(aState, group, aNow);
+  if (usable.empty()) {
+    return std::nullopt;
   }
-  return 0;
+  const bool isOwner =
+    std::find(usable.begin(), usable.end(), self) != usable.end();
+  if (isOwner && HasRoom(aState.mOwner, target)) {
+    return self;
+  }
+  return usable[aSpread % usable.size()];
 }
 
-std::size_t
-RankOf(MembershipState& aMembership, const OwnerGroup& aGroup, VmId aVm)
+std::uint32_t
+OwnShare(NodeState& aState,
+         std::uint32_t aGroup,
+         std::uint32_t aCap,
+         TimePoint aNow)
 {
-  const std::vector<VmId>& owners = OwnersOf(aMembership, aGroup);
-  const auto place = std::find(owners.begin(), owners.end(), aVm);
-  return place == owners.end()
-           ? kOwnersPerGroup
-           : static_cast<std::size_t>(place - owners.begin());
+  PlacementState& placement = aState.mPlacement;
+  if (aNow < placement.mHoldsFrom) {
+    return 0;
+  }
+  const VmId self = aState.mSelf.mId;
+  const std::vector<RankedVm>& ranked = RankedCandidates(aState, aGroup);
+  const auto rank =
+    std::find_if(ranked.begin(), ranked.end(), [self](const RankedVm& aVm) {
+      return aVm.mVm == self;
+    });
+  const auto position = std::lower_bound(
+    placement.mFleet.begin(), placement.mFleet.end(), self);
+  ConnectionStanding standing;
+  standing.mRank = static_cast<std::size_t>(rank - ranked.begin());
+  standing.mRanked = ranked.size();
+  standing.mPosition =
+    static_cast<std::size_t>(position - placement.mFleet.begin());
+  standing.mVms = placement.mFleet.size();
+  return ConnectionShare(placement.mPolicy, aCap, standing);
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Placement.h
+++ b/modules/wasabispread_decisions/Placement.h
@@ -1,12 +1,14 @@
 /*
- * Which VMs own which targets, and how many connections each may hold.
+ * Which VMs own which targets, which of them an entry asks, and how many
+ * connections each may hold.
  */
 #pragma once
 
 #include "ConfigurationState.h"
-#include "MembershipState.h"
+#include "NodeState.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace wasabispread {
@@ -14,28 +16,37 @@
 /** The most targets that share their owners. */
 inline constexpr std::uint32_t kTargetsPerGroup = 24;
 
-/** How many owners a group has: the first serves, the next stand by. */
-inline constexpr std::size_t kOwnersPerGroup = 2;
-
 /** Sorts a deployment's targets into groups of one service and one zone. */
 void
 GroupTargets(ConfigurationState& aConfiguration);
 
-/** The live VMs that own a group, best first, by rendezvous hashing: when one
-    VM comes or goes, only the groups it ranks for change. They are in the
-    group's own zone while that has a live VM, else in the next zone that has
-    one. Empty when no VM is live. */
-const std::vector<VmId>&
-OwnersOf(MembershipState& aMembership, const OwnerGroup& aGroup);
-
-/** How many of a target's aCap connections the owner at a rank may open.
-    The shares of all ranks add up to no more than the cap. A rank past the
-    last stands for a VM that does not see itself as an owner. */
+/** Forgets the order of every group; for use when the groups change. */
+void
+ResetRankings(NodeState& aState);
+
+/** The candidates for a group in rendezvous order, best first, at least as
+    many as the policy's owners while the zone has so many. They are of the
+    group's own zone while that has a candidate, else of the next zone in the
+    group's order of zones. The order is kept and brought up to date by what
+    changed: one candidate's coming or going costs one hash a group, and a full
+    ranking only where it was among the best. */
+const std::vector<RankedVm>&
+RankedCandidates(NodeState& aState, std::uint32_t aGroup);
+
+/** The owner to send an attempt at a target to, or nothing when none can be
+    reached. aSpread selects one of several equals; attempts with the same one
+    go to the same owner. */
+std::optional<VmId>
+ChooseOwner(NodeState& aState,
+            std::uint32_t aTargetPosition,
+            std::uint64_t aSpread,
+            TimePoint aNow);
+
+/** How many connections this VM may hold to each target of a group. */
 std::uint32_t
-ConnectionShare(std::uint32_t aCap, std::size_t aRank);
-
-/** The rank at which a VM owns a group; kOwnersPerGroup when it does not. */
-std::size_t
-RankOf(MembershipState& aMembership, const OwnerGroup& aGroup, VmId aVm);
+OwnShare(NodeState& aState,
+         std::uint32_t aGroup,
+         std::uint32_t aCap,
+         TimePoint aNow);
 
 } // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/PlacementState.h
@@ -0,0 +1,123 @@
+/*
+ * The VMs that may hold connections, their order for each group of targets,
+ * and the owners that an entry passes over at present.
+ */
+#pragma once
+
+#include "Answer.h"
+#include "ConnectionPolicy.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace wasabispread {
+
+/** A VM that may hold connections to its zone's targets. It stays a candidate
+    for a while after it has gone, since its connections may live on. */
+struct Candidate
+{
+  VmId mVm;
+  /** When the platform's list first showed it. */
+  TimePoint mListedAt{};
+  bool mIsListed = true;
+  bool mIsAlive = true;
+  /** Since when it is not listed, or not alive; max() while it is both. */
+  TimePoint mGoneSince = TimePoint::max();
+};
+
+/** One VM that came to or left the candidates of a zone. */
+struct CandidateChange
+{
+  VmId mVm;
+  bool mIsAdded = true;
+};
+
+/** The candidates of one zone. Invariant: mCandidates is sorted by VM;
+    mChanges holds the steps that led up to mVersion, newest last. */
+struct ZoneCandidates
+{
+  ZoneName mZone;
+  std::vector<Candidate> mCandidates;
+  std::vector<CandidateChange> mChanges;
+  std::uint64_t mVersion = 0;
+};
+
+/** A VM in a group's order; a higher weight comes first. */
+struct RankedVm
+{
+  std::uint64_t mWeight = 0;
+  VmId mVm;
+};
+
+/** The head of one group's order as of one version of its zone. */
+struct GroupRanking
+{
+  /** The position in PlacementState::mZones of the candidates' zone. */
+  std::uint32_t mZone = 0;
+  std::uint64_t mHomes = 0;
+  std::uint64_t mVersion = 0;
+  std::vector<RankedVm> mBest;
+  /** The owners that can be given work, best first; worked out again when one
+      of the four below has changed or passed. */
+  std::vector<VmId> mUsable;
+  std::uint64_t mUsableVersion = 0;
+  std::uint64_t mUsableEpoch = 0;
+  std::uint64_t mUsableRoutes = 0;
+  TimePoint mUsableUntil{};
+};
+
+/** Why an entry passes over an owner. */
+enum class AvoidanceReason : std::uint8_t
+{
+  /** The connection to it broke. */
+  kLost,
+  /** It did not answer in time. */
+  kSilent,
+  /** It said that it stops. */
+  kStopping,
+  /** It said that it may not hold connections. */
+  kNotOwner,
+};
+
+/** The name used in logs. */
+std::string_view
+ToText(AvoidanceReason aReason);
+
+/** An owner that is passed over. */
+struct AvoidedOwner
+{
+  AvoidanceReason mReason = AvoidanceReason::kLost;
+  std::uint32_t mProbes = 0;
+};
+
+/** When an owner was last heard from, kept while an answer is due. */
+struct AwaitedOwner
+{
+  TimePoint mSince{};
+};
+
+/** All that a node remembers of placement. */
+struct PlacementState
+{
+  ConnectionPolicy mPolicy;
+  std::vector<ZoneCandidates> mZones;
+  std::unordered_map<ZoneName, std::uint32_t> mZoneIndex;
+  /** All candidates, sorted. */
+  std::vector<VmId> mFleet;
+  /** Rises when a zone gains its first candidate or loses its last. */
+  std::uint64_t mHomes = 1;
+  /** By position in ConfigurationState::mGroups. */
+  std::vector<GroupRanking> mRankings;
+  /** From when this VM may hold connections; max() until the list has shown
+      it. */
+  TimePoint mHoldsFrom = TimePoint::max();
+  /** When the next candidate's time is over, as far as a timer is set. */
+  TimePoint mRefreshAt = TimePoint::max();
+  std::unordered_map<VmId, AvoidedOwner> mAvoided;
+  /** Rises with each change of mAvoided. */
+  std::uint64_t mRoutes = 1;
+  std::unordered_map<VmId, AwaitedOwner> mAwaited;
+};
+
+} // namespace wasabispread
--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -18,6 +18,8 @@
 
   void operator()(const Started&)
   {
+    StartHeartbeat(mState, mNow);
+    StartCandidates(mState, mNow);
     StartConfiguration(mState, mEffects);
     StartMembership(mState, mEffects);
   }
@@ -34,11 +36,14 @@
 
   void operator()(const PeerMessageReceived& aEvent)
   {
+    ObserveHeard(mState, aEvent.mPeer);
     HandleMessage(aEvent.mPeer, aEvent.mAddress, aEvent.mMessage);
   }
 
   void operator()(const PeerLost& aEvent)
   {
+    AvoidOwner(
+      mState, aEvent.mPeer, AvoidanceReason::kLost, mNow, mEffects);
     HandleOwnerLost(mState, aEvent.mPeer, mNow, mEffects);
   }
 
@@ -70,9 +75,14 @@
   void operator()(const VmListReceived& aEvent)
   {
     HandleVmListReceived(mState, aEvent, mNow, mEffects);
+    ObserveVmList(mState, aEvent, mNow, mEffects);
   }
 
-  void operator()(const StopRequested&) { mState.mStopping = true; }
+  void operator()(const StopRequested&)
+  {
+    mState.mStopping = true;
+    ReleaseIdleConnections(mState, mEffects);
+  }
 
   void operator()(const Tick&)
   {
@@ -88,6 +98,7 @@
     if (const auto* request = std::get_if<BatchRequest>(&aMessage)) {
       HandleBatchRequest(mState, aPeer, aAddress, *request, mNow, mEffects);
     } else if (const auto* reply = std::get_if<BatchReply>(&aMessage)) {
+      ObserveOwnerReply(mState, aPeer, *reply, mNow, mEffects);
       HandleBatchReply(mState, aPeer, *reply, mNow, mEffects);
     } else if (const auto* cancel = std::get_if<BatchCancel>(&aMessage)) {
       HandleBatchCancel(mState, aPeer, *cancel, mNow, mEffects);
@@ -118,10 +129,39 @@
       case TimerKind::kReadVmList:
         StartMembership(mState, mEffects);
         break;
+      case TimerKind::kRefreshCandidates:
+        RefreshCandidates(mState, mNow, mEffects);
+        break;
+      case TimerKind::kProbeOwner:
+        HandleProbeOwner(mState, VmId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kOwnerSilence:
+        HandleOwnerSilence(mState, VmId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kIdleConnections:
+        HandleIdleConnections(mState, TargetId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kHeartbeat:
+        StartHeartbeat(mState, mNow);
+        break;
     }
   }
 };
 
+/** Whoever is sent a cancellation has attempts to answer for. */
+void
+AwaitCancelled(NodeState& aState, const Effects& aEffects, TimePoint aNow)
+{
+  for (const Effect& effect : aEffects) {
+    const auto* send = std::get_if<SendToPeer>(&effect);
+    const bool isCancel = send != nullptr &&
+                          std::holds_alternative<BatchCancel>(send->mMessage);
+    if (isCancel) {
+      AwaitOwner(aState, send->mPeer, aNow);
+    }
+  }
+}
+
 } // namespace
 
 Effects
@@ -129,6 +169,7 @@
 {
   assert(aState.mLoopback.empty());
   Effects effects;
+  ObservePresent(aState, aNow, effects);
   EventHandler handler{ aState, aNow, effects };
   std::visit(handler, aEvent);
   while (!aState.mLoopback.empty()) {
@@ -136,6 +177,7 @@
     aState.mLoopback.pop_front();
     handler.HandleMessage(aState.mSelf.mId, aState.mSelf.mPeerAddress, message);
   }
+  AwaitCancelled(aState, effects, aNow);
   return effects;
 }
 
--- a/modules/wasabispread_decisions/TargetMessage.h
+++ b/modules/wasabispread_decisions/TargetMessage.h
@@ -38,6 +38,15 @@
   kFailed,
 };
 
+/** What a target says of itself. */
+enum class TargetHealth : std::uint8_t
+{
+  kUnknown,
+  kGood,
+  /** It is about to leave. */
+  kLeaving,
+};
+
 /** A target's reply. */
 struct TargetReply
 {
@@ -47,6 +56,7 @@
   SnapshotVersion mSnapshot;
   std::vector<SnapshotVersion> mHeldSnapshots;
   SharedBytes mBody;
+  TargetHealth mHealth = TargetHealth::kUnknown;
 };
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/TimerQueue.h
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -29,6 +29,16 @@
   kWatchConfiguration,
   /** No key. */
   kReadVmList,
+  /** No key: candidates whose time is over. */
+  kRefreshCandidates,
+  /** Key: the owner that is passed over. */
+  kProbeOwner,
+  /** Key: the owner that has to answer. */
+  kOwnerSilence,
+  /** Key: the target whose idle connections may be closed. */
+  kIdleConnections,
+  /** No key: shows that the process runs. */
+  kHeartbeat,
 };
 
 /** A timer that came due. */
--- a/modules/wasabispread_decisions/wasabispread_decisions.h
+++ b/modules/wasabispread_decisions/wasabispread_decisions.h
@@ -26,15 +26,23 @@
 
 #include "ConfigurationState.h"
 #include "EntryState.h"
+#include "ConcurrencyLimit.h"
+#include "ConnectionPolicy.h"
 #include "MembershipState.h"
 #include "OwnerState.h"
+#include "PauseState.h"
+#include "PlacementState.h"
+#include "ReplayWindow.h"
 
 #include "NodeState.h"
 
+#include "Candidates.h"
 #include "Configuration.h"
 #include "Entry.h"
 #include "Membership.h"
 #include "Owner.h"
+#include "OwnerRoutes.h"
+#include "Pause.h"
 #include "Placement.h"
 #include "QueryPlan.h"
 #include "Reducer.h"
--- a/modules/wasabispread_runtime/NodeRunner.cpp
+++ b/modules/wasabispread_runtime/NodeRunner.cpp
@@ -14,6 +14,13 @@
     the connection can be used again. */
 constexpr Duration kLateReplyTimeout = std::chrono::seconds(2);
 
+/** What to send on a connection to a target, and how long to wait. */
+struct TargetExchange
+{
+  HttpRequest mRequest;
+  Duration mTimeout{};
+};
+
 } // namespace
 
 /** A connection to a target and the request to send on it next. */
@@ -25,7 +32,7 @@
   }
 
   HttpConnection mConnection;
-  std::optional<TargetRequest> mNext;
+  std::optional<TargetExchange> mNext;
   FiberEvent mWake;
   bool mIsClosed = false;
 };
@@ -150,7 +157,18 @@
 NodeRunner::Perform(SendToTarget& aEffect)
 {
   TargetLink& link = *mTargetLinks.at(aEffect.mConnection);
-  link.mNext = std::move(aEffect.mRequest);
+  link.mNext =
+    TargetExchange{ FormatTargetRequest(aEffect.mRequest),
+                    aEffect.mRequest.mBudget + kLateReplyTimeout };
+  link.mWake.Notify();
+}
+
+void
+NodeRunner::Perform(SendCancelToTarget& aEffect)
+{
+  TargetLink& link = *mTargetLinks.at(aEffect.mConnection);
+  link.mNext =
+    TargetExchange{ FormatTargetCancel(aEffect.mAttempt), kLateReplyTimeout };
   link.mWake.Notify();
 }
 
@@ -217,10 +235,10 @@
       aLink.mWake.Wait();
       continue;
     }
-    const TargetRequest request = std::move(*aLink.mNext);
+    const TargetExchange exchange = std::move(*aLink.mNext);
     aLink.mNext.reset();
-    const auto response = aLink.mConnection.Exchange(
-      FormatTargetRequest(request), request.mBudget + kLateReplyTimeout);
+    const auto response =
+      aLink.mConnection.Exchange(exchange.mRequest, exchange.mTimeout);
     if (!aLink.mIsClosed) {
       DeliverTargetResult(aConnection, response);
     }
--- a/modules/wasabispread_runtime/NodeRunner.h
+++ b/modules/wasabispread_runtime/NodeRunner.h
@@ -58,6 +58,7 @@
   void Perform(OpenTargetConnection& aEffect);
   void Perform(CloseTargetConnection& aEffect);
   void Perform(SendToTarget& aEffect);
+  void Perform(SendCancelToTarget& aEffect);
   void Perform(WatchConfiguration& aEffect);
   void Perform(ReadVmList& aEffect);
   void Perform(LogDecision& aEffect);
--- a/modules/wasabispread_telemetry/LogFormat.cpp
+++ b/modules/wasabispread_telemetry/LogFormat.cpp
@@ -118,6 +118,35 @@
     mLine["live"] = aRecord.mLive;
     mLine["leaving"] = aRecord.mLeaving;
   }
+
+  void operator()(const OwnerAvoided& aRecord)
+  {
+    mLine["event"] = "owner-avoided";
+    mLine["owner"] = VmName(aRecord.mOwner);
+    mLine["reason"] = ToText(aRecord.mReason);
+  }
+
+  void operator()(const ShareChanged& aRecord)
+  {
+    mLine["event"] = "share-changed";
+    mLine["service"] = ServiceName(aRecord.mService);
+    mLine["zone"] = aRecord.mZone.Value();
+    mLine["group"] = std::to_string(aRecord.mGroup);
+    mLine["previous"] = aRecord.mPrevious;
+    mLine["share"] = aRecord.mShare;
+  }
+
+  void operator()(const TargetHeldBack& aRecord)
+  {
+    mLine["event"] = aRecord.mIsHeldBack ? "target-held-back" : "target-back";
+    mLine["target"] = TargetName(aRecord.mTarget);
+  }
+
+  void operator()(const PauseNoticed& aRecord)
+  {
+    mLine["event"] = "pause-noticed";
+    mLine["length_ms"] = ToMilliseconds(aRecord.mLength);
+  }
 };
 
 std::string_view
--- a/modules/wasabispread_telemetry/MetricsText.cpp
+++ b/modules/wasabispread_telemetry/MetricsText.cpp
@@ -110,6 +110,35 @@
   aList.AddCounter("items_refused_total",
                    "Attempts refused as not run.",
                    aCounters.mItemsRefused);
+  aList.AddCounter("items_overloaded_total",
+                   "Attempts refused because the wait would be too long.",
+                   aCounters.mItemsOverloaded);
+  aList.AddCounter("items_stopping_total",
+                   "Attempts refused because this VM stops.",
+                   aCounters.mItemsStopping);
+  aList.AddCounter("items_without_share_total",
+                   "Attempts refused because this VM has no share.",
+                   aCounters.mItemsWithoutShare);
+  aList.AddCounter("items_out_of_time_total",
+                   "Attempts refused because their time was up.",
+                   aCounters.mItemsOutOfTime);
+  aList.AddCounter("items_held_back_total",
+                   "Attempts refused because the target is leaving.",
+                   aCounters.mItemsHeldBack);
+  aList.AddCounter("target_sheds_total",
+                   "Sub-requests that a target shed.",
+                   aCounters.mTargetSheds);
+  aList.AddCounter("target_cancels_total",
+                   "Cancellations sent to targets.",
+                   aCounters.mTargetCancels);
+  aList.AddCounter("target_connections_closed_idle_total",
+                   "Connections closed after being idle.",
+                   aCounters.mTargetConnectionsClosedIdle);
+  aList.AddCounter("owners_avoided_total",
+                   "Times that an owner was passed over.",
+                   aCounters.mOwnersAvoided);
+  aList.AddCounter(
+    "pauses_total", "Pauses of this process noticed.", aCounters.mPauses);
 }
 
 void
@@ -152,6 +181,12 @@
   aList.AddGauge("target_connections",
                  "Connections to targets, open or opening.",
                  static_cast<double>(aState.mOwner.mConnections.size()));
+  aList.AddGauge("target_pools",
+                 "Targets that this VM has a connection pool for.",
+                 static_cast<double>(aState.mOwner.mPools.size()));
+  aList.AddGauge("owners_avoided",
+                 "Owners passed over at present.",
+                 static_cast<double>(aState.mPlacement.mAvoided.size()));
   aList.AddGauge(
     "ready", "1 while this VM takes requests.", aState.IsReady() ? 1.0 : 0.0);
 }
--- a/modules/wasabispread_wire/TargetProtocol.cpp
+++ b/modules/wasabispread_wire/TargetProtocol.cpp
@@ -53,6 +53,15 @@
   }
 }
 
+TargetHealth
+ParseHealth(std::string_view aText)
+{
+  if (aText == "leaving") {
+    return TargetHealth::kLeaving;
+  }
+  return aText == "good" ? TargetHealth::kGood : TargetHealth::kUnknown;
+}
+
 } // namespace
 
 HttpRequest
@@ -77,6 +86,16 @@
   return request;
 }
 
+HttpRequest
+FormatTargetCancel(const AttemptId& aAttempt)
+{
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget =
+    "/v1/attempts/" + PercentEncode(ToText(aAttempt)) + "/cancel";
+  return request;
+}
+
 TargetReply
 ParseTargetReply(const HttpResponse& aResponse)
 {
@@ -88,6 +107,7 @@
   reply.mHeldSnapshots =
     ParseVersions(FindHeader(aResponse.mHeaders, "X-Snapshots"));
   reply.mBody = std::make_shared<const std::string>(aResponse.mBody);
+  reply.mHealth = ParseHealth(FindHeader(aResponse.mHeaders, "X-Health"));
   return reply;
 }
 
--- a/modules/wasabispread_wire/TargetProtocol.h
+++ b/modules/wasabispread_wire/TargetProtocol.h
@@ -14,9 +14,15 @@
 HttpRequest
 FormatTargetRequest(const TargetRequest& aRequest);
 
+/** A cancellation as HTTP: POST /v1/attempts/ATTEMPT/cancel. Any response ends
+    it. */
+HttpRequest
+FormatTargetCancel(const AttemptId& aAttempt);
+
 /** Reads a target's response. 200 is an answer, 503 a shed request, 410 a
     draining target, 409 a version not held; each of these three did not run.
-    Anything else leaves open whether it ran. */
+    Anything else leaves open whether it ran. X-Health, "good" or "leaving", is
+    what the target says of itself. */
 TargetReply
 ParseTargetReply(const HttpResponse& aResponse);
 
--- a/tests/standins/target/main.cpp
+++ b/tests/standins/target/main.cpp
@@ -36,6 +36,8 @@
   /** The share of requests, 0 to 1, that are shed. */
   double mShed = 0;
   bool mDraining = false;
+  /** What the target says of itself; it need not be true. */
+  std::string mHealth = "good";
   std::vector<std::uint64_t> mSnapshots{ 1 };
 };
 
@@ -118,6 +120,7 @@
     aBehaviour.mStragglers = aBody.value("stragglers", aBehaviour.mStragglers);
     aBehaviour.mShed = aBody.value("shed", aBehaviour.mShed);
     aBehaviour.mDraining = aBody.value("draining", aBehaviour.mDraining);
+    aBehaviour.mHealth = aBody.value("health", aBehaviour.mHealth);
     aBehaviour.mSnapshots = aBody.value("snapshots", aBehaviour.mSnapshots);
   }
 
@@ -134,6 +137,11 @@
   {
     const TargetBehaviour& behaviour = mBehaviours.at(aTarget.mName);
     const HttpPath path = ParsePath(aRequest.mTarget);
+    const bool isCancel =
+      path.mSegments.size() == 4 && path.mSegments[1] == "attempts";
+    if (isCancel) {
+      return Cancel(path.mSegments[2]);
+    }
     const std::string shard =
       path.mSegments.size() > 2 ? path.mSegments[2] : "";
     const std::string attempt(FindHeader(aRequest.mHeaders, "X-Attempt-Id"));
@@ -157,17 +165,33 @@
         FindHeader(aRequest.mHeaders, "X-Request-Id"));
       mExecutions[requestId].push_back({ aTarget.mName, shard, attempt });
       const bool isStraggler = mRandom.Fraction() < behaviour.mStragglers;
-      boost::this_fiber::sleep_for(isStraggler ? behaviour.mStragglerTime
-                                               : behaviour.mServiceTime);
+      FiberEvent& cancelled = mRunning[attempt];
+      cancelled.WaitUntil(std::chrono::steady_clock::now() +
+                          (isStraggler ? behaviour.mStragglerTime
+                                       : behaviour.mServiceTime));
+      mRunning.erase(attempt);
       response.mBody = "shard " + shard + " of " + aTarget.mName +
                        " at snapshot " + std::to_string(version);
     }
     response.mHeaders = { { "X-Attempt-Id", attempt },
                           { "X-Snapshot", std::to_string(version) },
-                          { "X-Snapshots", HeldSnapshots(behaviour) } };
+                          { "X-Snapshots", HeldSnapshots(behaviour) },
+                          { "X-Health", behaviour.mHealth } };
     return response;
   }
 
+  /** Cuts the service time of a running attempt short. */
+  HttpResponse Cancel(const std::string& aAttempt)
+  {
+    ++mCancels;
+    const auto place = mRunning.find(aAttempt);
+    if (place == mRunning.end()) {
+      return JsonResponse(kNotFound, "{}");
+    }
+    place->second.Notify();
+    return JsonResponse(kOk, "{}");
+  }
+
   HttpResponse DescribeExecutions(std::string_view aRequestId) const
   {
     Json json = Json::object();
@@ -203,6 +227,8 @@
   std::map<std::string, TargetBehaviour> mBehaviours;
   std::map<std::string, std::unique_ptr<HttpServer>> mServers;
   std::map<std::string, std::vector<Execution>> mExecutions;
+  std::map<std::string, FiberEvent> mRunning;
+  std::uint64_t mCancels = 0;
 };
 
 int
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -61,6 +61,7 @@
     if (!mTargets.contains(target.mId)) {
       mTargets[target.mId] = std::make_unique<FakeTarget>(
         target, service->mConnectionCap, mTimeline, mRandom, mExecutions);
+      mTargets[target.mId]->mBehaviour.mConnectTime = service->mConnectTime;
     }
   }
   return mPlatform.Apply(aText);
@@ -245,6 +246,8 @@
     PerformClose(aVm, *close);
   } else if (const auto* request = std::get_if<SendToTarget>(&aEffect)) {
     PerformTargetSend(aVm, *request);
+  } else if (const auto* cancel = std::get_if<SendCancelToTarget>(&aEffect)) {
+    PerformTargetCancel(aVm, *cancel);
   } else if (const auto* answer = std::get_if<AnswerCaller>(&aEffect)) {
     PerformAnswer(aVm, *answer);
   } else if (const auto* watch = std::get_if<WatchConfiguration>(&aEffect)) {
@@ -287,12 +290,14 @@
   PeerMessageReceived event{ aVm,
                              sender.mState->mSelf.mPeerAddress,
                              aEffect.mMessage };
-  mTimeline.At(
-    last,
-    [this,
-     to = aEffect.mPeer,
-     incarnation = receiver.mIncarnation,
-     event = std::move(event)] { DeliverTo(to, incarnation, event); });
+  const int copies = mRandom.Fraction() < mNetwork.mDuplication ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    mTimeline.At(last + delay * copy,
+                 [this,
+                  to = aEffect.mPeer,
+                  incarnation = receiver.mIncarnation,
+                  event] { DeliverTo(to, incarnation, event); });
+  }
 }
 
 void
@@ -313,7 +318,8 @@
     mTimeline.After(aEffect.mTimeout, fail);
     return;
   }
-  mTimeline.After(DelayToTarget(aVm, target) * 2,
+  mTimeline.After(DelayToTarget(aVm, target) * 2 +
+                    mTargets.at(target)->mBehaviour.mConnectTime,
                   [this, aVm, incarnation, connection, target, fail] {
                     const Node& node = mNodes.at(aVm);
                     const bool isCurrent =
@@ -370,6 +376,28 @@
                   });
 }
 
+void
+FakeFleet::PerformTargetCancel(VmId aVm, const SendCancelToTarget& aEffect)
+{
+  const std::uint64_t incarnation = mNodes.at(aVm).mIncarnation;
+  const ConnectionKey key{ aVm, incarnation, aEffect.mConnection };
+  const TargetId target = mConnections.at(key);
+  if (IsCut(mNodes.at(aVm).mState->mSelf.mZone, mTargetZones.at(target))) {
+    return;
+  }
+  const Duration delay = DelayToTarget(aVm, target);
+  mTimeline.After(delay, [this, target, text = ToText(aEffect.mAttempt)] {
+    mTargets.at(target)->Cancel(text);
+  });
+  mTimeline.After(delay * 2,
+                  [this, aVm, incarnation, key, id = aEffect.mConnection] {
+                    if (mConnections.contains(key)) {
+                      DeliverTo(
+                        aVm, incarnation, TargetReplied{ id, {}, true });
+                    }
+                  });
+}
+
 void
 FakeFleet::PerformAnswer(VmId, const AnswerCaller& aEffect)
 {
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -29,6 +29,8 @@
   /** The share of messages, 0 to 1, that arrive mRetransmission later. */
   double mLoss = 0;
   Duration mRetransmission = std::chrono::milliseconds(200);
+  /** The share of messages, 0 to 1, that arrive twice. */
+  double mDuplication = 0;
   /** How long a cut link takes to break. */
   Duration mBreakAfter = std::chrono::seconds(5);
 };
@@ -157,6 +159,7 @@
   void PerformOpen(VmId aVm, const OpenTargetConnection& aEffect);
   void PerformClose(VmId aVm, const CloseTargetConnection& aEffect);
   void PerformTargetSend(VmId aVm, const SendToTarget& aEffect);
+  void PerformTargetCancel(VmId aVm, const SendCancelToTarget& aEffect);
   void PerformAnswer(VmId aVm, const AnswerCaller& aEffect);
   void PerformWatch(VmId aVm, const WatchConfiguration& aEffect);
   void PerformReadVms(VmId aVm);
--- a/tests/support/FakeTarget.cpp
+++ b/tests/support/FakeTarget.cpp
@@ -24,10 +24,15 @@
 bool
 FakeTarget::Connect()
 {
-  if (!mBehaviour.mIsAlive || mConnections >= mConnectionCap) {
+  if (!mBehaviour.mIsAlive) {
+    return false;
+  }
+  if (mConnections >= mConnectionCap) {
+    ++mRefusedConnections;
     return false;
   }
   ++mConnections;
+  ++mAcceptedConnections;
   mPeakConnections = std::max(mPeakConnections, mConnections);
   return true;
 }
@@ -48,6 +53,7 @@
   reply.mStatus = aStatus;
   reply.mHeldSnapshots = mBehaviour.mSnapshots;
   reply.mBody = std::make_shared<const std::string>();
+  reply.mHealth = mBehaviour.mHealth;
   return reply;
 }
 
@@ -95,6 +101,22 @@
   Execute(std::move(waiting));
 }
 
+void
+FakeTarget::Cancel(const std::string& aAttempt)
+{
+  ++mCancels;
+  const auto place = std::find_if(
+    mWaiting.begin(), mWaiting.end(), [&aAttempt](const Waiting& aWaiting) {
+      return ToText(aWaiting.mRequest.mAttempt) == aAttempt;
+    });
+  if (place == mWaiting.end()) {
+    return;
+  }
+  const Waiting waiting = std::move(*place);
+  mWaiting.erase(place);
+  Respond(waiting, Refusal(waiting.mRequest, TargetStatus::kFailed));
+}
+
 void
 FakeTarget::Thaw()
 {
--- a/tests/support/FakeTarget.h
+++ b/tests/support/FakeTarget.h
@@ -35,6 +35,10 @@
   /** Takes requests but neither runs nor answers them until thawed. */
   bool mIsFrozen = false;
   bool mIsDraining = false;
+  /** What it says of itself; it need not be true. */
+  TargetHealth mHealth = TargetHealth::kUnknown;
+  /** How long a new connection takes, beyond the network's delay. */
+  Duration mConnectTime{};
   Duration mServiceTime = std::chrono::milliseconds(1);
   /** Draws the service time from an exponential distribution. */
   bool mIsExponential = false;
@@ -90,12 +94,27 @@
   /** Takes a request that has arrived. */
   void Serve(const TargetRequest& aRequest, TargetResponder aResponder);
 
+  /** Drops a request that waits; one that runs goes on. */
+  void Cancel(const std::string& aAttempt);
+
   /** Runs what a frozen target was given. */
   void Thaw();
 
   /** The most connections that were open at a time. */
   std::uint32_t PeakConnections() const { return mPeakConnections; }
 
+  /** Connections refused because the cap was reached. */
+  std::uint64_t RefusedConnections() const { return mRefusedConnections; }
+
+  /** Connections taken. */
+  std::uint64_t AcceptedConnections() const { return mAcceptedConnections; }
+
+  /** Connections open at present. */
+  std::uint32_t Connections() const { return mConnections; }
+
+  /** Cancellations that arrived. */
+  std::uint64_t Cancels() const { return mCancels; }
+
   /** Sub-requests that arrived, run or not. */
   std::uint64_t Arrivals() const { return mArrivals; }
 
@@ -122,6 +141,9 @@
   std::uint32_t mPeakConnections = 0;
   std::uint32_t mRunning = 0;
   std::uint64_t mArrivals = 0;
+  std::uint64_t mRefusedConnections = 0;
+  std::uint64_t mAcceptedConnections = 0;
+  std::uint64_t mCancels = 0;
   std::deque<Waiting> mWaiting;
 };
 
