--- a/modules/wasabispread_decisions/Configuration.cpp
+++ b/modules/wasabispread_decisions/Configuration.cpp
@@ -65,6 +65,7 @@
 Adopt(NodeState& aState,
       StagedConfiguration aStaged,
       Deployment aDeployment,
+      TimePoint aNow,
       Effects& aEffects)
 {
   ConfigurationState& configuration = aState.mConfiguration;
@@ -91,7 +92,7 @@
   configuration.mDeployment =
     std::make_shared<const Deployment>(std::move(aDeployment));
   GroupTargets(configuration);
-  ReconcilePools(aState, aEffects);
+  ReconcilePools(aState, aNow, aEffects);
   ++aState.mCounters.mConfigurationsAdopted;
   aEffects.push_back(LogDecision{ ConfigurationAdopted{
     configuration.mRevision, previous, configuration.mChangeId } });
@@ -110,7 +111,7 @@
 }
 
 void
-FinishStaged(NodeState& aState, Effects& aEffects)
+FinishStaged(NodeState& aState, TimePoint aNow, Effects& aEffects)
 {
   ConfigurationState& configuration = aState.mConfiguration;
   auto deployment = AssembleDeployment(configuration.mStaged->mParts);
@@ -120,7 +121,7 @@
   }
   StagedConfiguration staged = std::move(*configuration.mStaged);
   configuration.mStaged.reset();
-  Adopt(aState, std::move(staged), std::move(*deployment), aEffects);
+  Adopt(aState, std::move(staged), std::move(*deployment), aNow, aEffects);
 }
 
 } // namespace
@@ -254,7 +255,7 @@
     staged.mParts.push_back(std::move(*part));
   }
   if (staged.mParts.size() == wanted && bytes < kParseBytes) {
-    FinishStaged(aState, aEffects);
+    FinishStaged(aState, aNow, aEffects);
     return;
   }
   aState.mTimers.Arm(aNow, TimerKind::kParseConfiguration);
--- a/modules/wasabispread_decisions/ConfigurationState.h
+++ b/modules/wasabispread_decisions/ConfigurationState.h
@@ -20,6 +20,9 @@
 {
   std::uint64_t mId = 0;
   ZoneName mZone;
+  /** The most connections that each target of the group accepts. */
+  std::uint32_t mConnectionCap = 0;
+  ServiceId mService;
 };
 
 /** A configuration that is being fetched or parsed. */
--- a/modules/wasabispread_decisions/DecisionRecord.h
+++ b/modules/wasabispread_decisions/DecisionRecord.h
@@ -5,6 +5,7 @@
 
 #include "Answer.h"
 #include "ControlMessage.h"
+#include "PlacementState.h"
 
 #include <string>
 #include <variant>
@@ -93,6 +94,38 @@
   MemberCondition mCondition = MemberCondition::kSuspect;
 };
 
+/** An owner is passed over. */
+struct OwnerAvoided
+{
+  VmId mOwner;
+  AvoidanceReason mReason = AvoidanceReason::kLost;
+};
+
+/** This VM's share of a group's connections changed. */
+struct ShareChanged
+{
+  ServiceId mService;
+  ZoneName mZone;
+  std::uint64_t mGroup = 0;
+  /** Connections to each target of the group. */
+  std::uint32_t mPrevious = 0;
+  std::uint32_t mShare = 0;
+};
+
+/** A target gets no new work from this VM, or gets it again. */
+struct TargetHeldBack
+{
+  TargetId mTarget;
+  /** False when it is used again. */
+  bool mIsHeldBack = true;
+};
+
+/** The process stood still, so that what it knew may be out of date. */
+struct PauseNoticed
+{
+  Duration mLength{};
+};
+
 using DecisionRecord = std::variant<QueryPlanned,
                                     QueryAnswered,
                                     AttemptRetried,
@@ -100,6 +133,10 @@
                                     ConfigurationAdopted,
                                     ConfigurationRejected,
                                     MembershipChanged,
-                                    MemberJudged>;
+                                    MemberJudged,
+                                    OwnerAvoided,
+                                    ShareChanged,
+                                    TargetHeldBack,
+                                    PauseNoticed>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/NodeState.h
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -9,6 +9,8 @@
 #include "EntryState.h"
 #include "MembershipState.h"
 #include "OwnerState.h"
+#include "PauseState.h"
+#include "PlacementState.h"
 #include "PlatformBudget.h"
 #include "Random.h"
 #include "TimerQueue.h"
@@ -38,7 +40,9 @@
   ConfirmationState mConfirmation;
   PlatformBudget mPlatformBudget;
   EntryState mEntry;
+  PlacementState mPlacement;
   OwnerState mOwner;
+  PauseState mPause;
   TimerQueue mTimers;
   Counters mCounters;
   /** Messages from this node to itself, handled before Reduce() returns. */
