--- /dev/null
+++ b/modules/wasabispread_decisions/Admission.cpp
@@ -0,0 +1,149 @@
+/*
+ * Checks of callers' requests, and adaptive refusal under overload.
+ */
+#include "wasabispread_decisions.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wasabispread {
+
+namespace {
+
+constexpr Duration kMostPatience = std::chrono::minutes(10);
+
+/** Halves both counts every half-life. */
+void
+Age(AdmissionState& aAdmission, TimePoint aNow)
+{
+  constexpr double kHalfLifeMs = 250;
+  const double elapsed = ToMilliseconds(aNow - aAdmission.mUpdated);
+  const double factor = std::exp2(-elapsed / kHalfLifeMs);
+  aAdmission.mOffered *= factor;
+  aAdmission.mAccepted *= factor;
+  aAdmission.mUpdated = aNow;
+}
+
+/** The share of requests to refuse, so that those taken are little more than
+    the targets accept. */
+double
+RefusalShare(const AdmissionState& aAdmission)
+{
+  constexpr double kLeastOffered = 20;
+  constexpr double kAcceptedMultiple = 1.25;
+  constexpr double kMostRefused = 0.9;
+  if (aAdmission.mOffered < kLeastOffered) {
+    return 0;
+  }
+  const double wanted =
+    1 - kAcceptedMultiple * aAdmission.mAccepted / aAdmission.mOffered;
+  return std::clamp(wanted, 0.0, kMostRefused);
+}
+
+/** Whether the budget is below what the service's fastest replies take. */
+bool
+IsBudgetTooShort(ServiceObservation& aService, Duration aBudget, TimePoint aNow)
+{
+  constexpr double kFastestShare = 0.1;
+  constexpr Duration kTrialInterval = std::chrono::milliseconds(100);
+  if (aBudget >= aService.mLatency.Quantile(kFastestShare)) {
+    return false;
+  }
+  if (aNow < aService.mAdmission.mNextTrial) {
+    return true;
+  }
+  aService.mAdmission.mNextTrial = aNow + kTrialInterval;
+  return false;
+}
+
+} // namespace
+
+Result<const Service*>
+CheckRequest(const NodeState& aState, const CallerRequest& aRequest)
+{
+  if (aState.mStopping) {
+    return Fail(ErrorKind::kNotReady,
+                "this VM is stopping",
+                "ask another VM of the deployment");
+  }
+  if (aState.mConfiguration.mDeployment == nullptr) {
+    return Fail(ErrorKind::kNotReady,
+                "this VM has no configuration yet",
+                "ask another VM, or apply a deployment file");
+  }
+  const Service* service = aState.mConfiguration.mDeployment->FindService(
+    IdFromName<ServiceId>(aRequest.mService));
+  if (service == nullptr) {
+    return Fail(ErrorKind::kUnknownService,
+                "no service '" + aRequest.mService + "' is declared",
+                "correct the name, or declare it in the deployment file");
+  }
+  if (!service->Offers(aRequest.mOperation)) {
+    return Fail(ErrorKind::kOperationNotOffered,
+                "the service does not offer '" +
+                  std::string(ToText(aRequest.mOperation)) + "'",
+                "use one of its declared operations");
+  }
+  if (aRequest.mPatience <= Duration::zero() ||
+      aRequest.mPatience > kMostPatience) {
+    return Fail(ErrorKind::kInvalidPatience,
+                "the patience must be above 0 and at most 10 min",
+                "send a patience within that range");
+  }
+  return service;
+}
+
+Duration
+AnswerMargin(Duration aBudget)
+{
+  constexpr Duration kMostMargin = std::chrono::milliseconds(10);
+  constexpr std::int64_t kBudgetDivisor = 20;
+  return std::min(kMostMargin, aBudget / kBudgetDivisor);
+}
+
+std::optional<Error>
+CheckAdmission(NodeState& aState,
+               const Service& aService,
+               const CallerRequest& aRequest,
+               TimePoint aNow)
+{
+  ServiceObservation& service = ObservedService(aState, aService);
+  if (!aState.mEntry.mPolicy.mIsAdmissionChecked) {
+    return std::nullopt;
+  }
+  Age(service.mAdmission, aNow);
+  const double refused = RefusalShare(service.mAdmission);
+  if (refused > 0 && aState.mRandom.Fraction() < refused) {
+    ++aState.mCounters.mRefusedOverloaded;
+    service.mAdmission.mOffered += 1;
+    return Error{ ErrorKind::kOverloaded,
+                  "the service's targets refuse work under load",
+                  "wait a second and ask again, or add targets" };
+  }
+  const Duration budget = std::min(aRequest.mPatience, aService.mMaximumWait);
+  if (IsBudgetTooShort(service, budget - AnswerMargin(budget), aNow)) {
+    ++aState.mCounters.mRefusedBudget;
+    return Error{ ErrorKind::kTimeout,
+                  "the time allowed is below the service's fastest replies",
+                  "ask with more patience, or raise max_wait" };
+  }
+  return std::nullopt;
+}
+
+void
+RecordAccepted(NodeState& aState,
+               ServiceId aService,
+               double aShare,
+               TimePoint aNow)
+{
+  const auto place = aState.mEntry.mServices.find(aService);
+  if (place == aState.mEntry.mServices.end()) {
+    return;
+  }
+  AdmissionState& admission = place->second.mAdmission;
+  Age(admission, aNow);
+  admission.mOffered += 1;
+  admission.mAccepted += aShare;
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/Answering.h
@@ -0,0 +1,43 @@
+/*
+ * When a request ends, and with what.
+ */
+#pragma once
+
+#include "Effect.h"
+#include "EntryState.h"
+#include "NodeState.h"
+
+namespace wasabispread {
+
+/** Gives up on a shard. */
+void
+MarkMissing(Query& aQuery, ShardProgress& aShard, MissingReason aReason);
+
+/** Whether enough shards have answered for the service's declared preference
+    to let the answer go early. */
+bool
+HasLeastCoverage(const Query& aQuery);
+
+/** How long after its start an early answer is held back, so that shards of
+    ordinary speed are still taken in. */
+Duration
+EarlyAnswerGrace(const EntryPolicy& aPolicy, Duration aLearnedDelay);
+
+/** Answers when nothing is pending, or when the answer may go early; arms a
+    timer when it may go later. */
+void
+FinishIfDone(NodeState& aState,
+             QueryId aQueryId,
+             TimePoint aNow,
+             Effects& aEffects);
+
+/** Answers a request and forgets it. Shards still pending become missing for
+    the reason given. */
+void
+FinishQuery(NodeState& aState,
+            QueryId aQueryId,
+            MissingReason aReason,
+            TimePoint aNow,
+            Effects& aEffects);
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/Attempts.cpp
@@ -0,0 +1,219 @@
+/*
+ * Planning, sending, cancelling and matching of attempts.
+ */
+#include "wasabispread_decisions.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace wasabispread {
+
+namespace {
+
+std::vector<BatchItem>&
+ItemsFor(Outgoing& aOutgoing, VmId aOwner)
+{
+  auto& batches = aOutgoing.mBatches;
+  const auto place = std::find_if(
+    batches.rbegin(), batches.rend(), [aOwner](const OwnerBatch& aBatch) {
+      return aBatch.mOwner == aOwner;
+    });
+  if (place != batches.rend()) {
+    return place->mItems;
+  }
+  batches.push_back(OwnerBatch{ aOwner, {} });
+  return batches.back().mItems;
+}
+
+std::vector<AttemptSequence>&
+CancelsFor(Outgoing& aOutgoing, VmId aOwner)
+{
+  auto& cancels = aOutgoing.mCancels;
+  const auto place = std::find_if(
+    cancels.rbegin(), cancels.rend(), [aOwner](const OwnerCancel& aCancel) {
+      return aCancel.mOwner == aOwner;
+    });
+  if (place != cancels.rend()) {
+    return place->mSequences;
+  }
+  cancels.push_back(OwnerCancel{ aOwner, {} });
+  return cancels.back().mSequences;
+}
+
+BatchRequest
+MakeBatchRequest(const NodeState& aState, const Query& aQuery, TimePoint aNow)
+{
+  BatchRequest request;
+  request.mIncarnation = aState.mSelf.mIncarnation;
+  request.mRequestId = aQuery.mRequest.mRequestId;
+  request.mService = aQuery.mService;
+  request.mRevision = aQuery.mRevision;
+  request.mOperation = aQuery.mRequest.mOperation;
+  request.mSnapshot = aQuery.mSnapshot;
+  request.mKey = aQuery.mRequest.mKey;
+  request.mBody = aQuery.mRequest.mBody;
+  request.mBudget = aQuery.mDeadline - aNow;
+  return request;
+}
+
+} // namespace
+
+tl::expected<TargetId, MissingReason>
+PlanAttempt(NodeState& aState,
+            QueryId aQueryId,
+            Query& aQuery,
+            std::uint32_t aShardPosition,
+            bool aIsHedge,
+            TimePoint aNow,
+            Outgoing& aOutgoing)
+{
+  ShardProgress& shard = aQuery.mShards[aShardPosition];
+  assert(shard.mAttempts < kMostAttempts);
+  const auto position = ChooseReplica(aState, aQuery, shard, aNow);
+  if (!position) {
+    return tl::unexpected(position.error());
+  }
+  const auto owner = ChooseOwner(aState, aQuery, shard, *position, aNow);
+  if (!owner) {
+    return tl::unexpected(owner.error());
+  }
+  const TargetId target = aQuery.mDeployment->mTargets[*position].mId;
+  const AttemptSequence sequence(aState.mEntry.mNextAttempt++);
+  shard.mTried[shard.mAttempts++] =
+    ShardAttempt{ sequence, target, *owner, aNow };
+  ++shard.mAttemptsInFlight;
+  ++aState.mCounters.mAttempts;
+  const AttemptPlace place{ aQueryId, aShardPosition, *owner,
+                            target,   aNow,           aIsHedge };
+  ObserveSent(aState, aQuery.mService, place, aNow);
+  aState.mEntry.mAttempts.emplace(sequence, place);
+  ItemsFor(aOutgoing, *owner)
+    .push_back(BatchItem{ sequence, target, shard.mShard });
+  return target;
+}
+
+bool
+PayForExtraAttempt(NodeState& aState,
+                   const Query& aQuery,
+                   TimePoint aNow,
+                   Effects& aEffects)
+{
+  constexpr Duration kLogInterval = std::chrono::seconds(1);
+  if (!aState.mEntry.mPolicy.mIsBudgeted) {
+    return true;
+  }
+  ServiceObservation& service = aState.mEntry.mServices[aQuery.mService];
+  if (SpendExtraLoad(service.mBudget)) {
+    return true;
+  }
+  ++aState.mCounters.mExtraLoadDenied;
+  if (service.mExhaustionLogged + kLogInterval <= aNow) {
+    service.mExhaustionLogged = aNow;
+    aEffects.push_back(
+      LogDecision{ ExtraLoadExhausted{ aQuery.mRequest.mRequestId,
+                                       aQuery.mService,
+                                       aQuery.mServiceRecord->mExtraLoad } });
+  }
+  return false;
+}
+
+void
+RefundExtraAttempt(NodeState& aState, const Query& aQuery)
+{
+  if (aState.mEntry.mPolicy.mIsBudgeted) {
+    aState.mEntry.mServices[aQuery.mService].mBudget.mTokens += 1;
+  }
+}
+
+void
+AbandonAttempts(NodeState& aState,
+                ShardProgress& aShard,
+                bool aIsTimeout,
+                TimePoint aNow,
+                Outgoing& aOutgoing,
+                Effects& aEffects)
+{
+  for (std::uint8_t index = 0;
+       index < aShard.mAttempts && aShard.mAttemptsInFlight != 0;
+       ++index) {
+    const auto attempt =
+      aState.mEntry.mAttempts.extract(aShard.mTried[index].mSequence);
+    if (attempt.empty()) {
+      continue;
+    }
+    --aShard.mAttemptsInFlight;
+    const AttemptPlace& place = attempt.mapped();
+    ObserveAbandoned(aState, place, aIsTimeout, aNow, aEffects);
+    CancelsFor(aOutgoing, place.mOwner).push_back(attempt.key());
+  }
+}
+
+void
+SendOutgoing(NodeState& aState,
+             const Query& aQuery,
+             Outgoing& aOutgoing,
+             TimePoint aNow,
+             Effects& aEffects)
+{
+  for (OwnerCancel& cancel : aOutgoing.mCancels) {
+    const VmRecord* member = FindMember(aState.mMembership, cancel.mOwner);
+    if (member != nullptr) {
+      SendToVm(
+        aState,
+        cancel.mOwner,
+        member->mPeerAddress,
+        BatchCancel{ aState.mSelf.mIncarnation, std::move(cancel.mSequences) },
+        aEffects);
+    }
+  }
+  for (OwnerBatch& batch : aOutgoing.mBatches) {
+    const VmRecord* member = FindMember(aState.mMembership, batch.mOwner);
+    assert(member != nullptr);
+    BatchRequest request = MakeBatchRequest(aState, aQuery, aNow);
+    request.mItems = std::move(batch.mItems);
+    ++aState.mCounters.mBatchesSent;
+    SendToVm(
+      aState, batch.mOwner, member->mPeerAddress, std::move(request), aEffects);
+  }
+  aOutgoing = Outgoing{};
+}
+
+std::optional<AttemptPlace>
+TakeEndedAttempt(NodeState& aState,
+                 VmId aOwner,
+                 const ItemReply& aReply,
+                 TimePoint aNow,
+                 Effects& aEffects)
+{
+  const auto found = aState.mEntry.mAttempts.find(aReply.mSequence);
+  if (found == aState.mEntry.mAttempts.end()) {
+    ++aState.mCounters.mLateReplies;
+    return std::nullopt;
+  }
+  if (found->second.mOwner != aOwner) {
+    ++aState.mCounters.mForeignReplies;
+    return std::nullopt;
+  }
+  const AttemptPlace place = found->second;
+  aState.mEntry.mAttempts.erase(found);
+  ObserveReply(aState, place, aReply, aNow, aEffects);
+  Query& query = aState.mEntry.mQueries.at(place.mQuery);
+  --query.mShards[place.mShardPosition].mAttemptsInFlight;
+  return place;
+}
+
+std::vector<AttemptSequence>
+AttemptsAt(const EntryState& aEntry, VmId aOwner)
+{
+  std::vector<AttemptSequence> sequences;
+  for (const auto& [sequence, place] : aEntry.mAttempts) {
+    if (place.mOwner == aOwner) {
+      sequences.push_back(sequence);
+    }
+  }
+  // The table's order depends on its history; the attempts' order does not.
+  std::sort(sequences.begin(), sequences.end());
+  return sequences;
+}
+
+} // namespace wasabispread
--- a/modules/wasabispread_decisions/Counters.h
+++ b/modules/wasabispread_decisions/Counters.h
@@ -32,6 +32,17 @@
   std::uint64_t mConfigurationsRejected = 0;
   std::uint64_t mPlatformCalls = 0;
   std::uint64_t mPlatformFailures = 0;
+  std::uint64_t mHedges = 0;
+  std::uint64_t mHedgesWon = 0;
+  std::uint64_t mExtraLoadDenied = 0;
+  std::uint64_t mEarlyAnswers = 0;
+  std::uint64_t mRefusedOverloaded = 0;
+  std::uint64_t mRefusedBudget = 0;
+  std::uint64_t mTargetsEjected = 0;
+  std::uint64_t mTargetsRestored = 0;
+  std::uint64_t mProbes = 0;
+  std::uint64_t mSnapshotRestarts = 0;
+  std::uint64_t mCallersGone = 0;
 };
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/DecisionRecord.h
+++ b/modules/wasabispread_decisions/DecisionRecord.h
@@ -85,12 +85,65 @@
   std::uint32_t mLeaving = 0;
 };
 
+/** A slow shard's second attempt. */
+struct HedgedShard
+{
+  ShardIndex mShard;
+  TargetId mFrom;
+  TargetId mTo;
+};
+
+/** Slow shards of a request were asked once more. */
+struct AttemptsHedged
+{
+  RequestId mRequestId;
+  Duration mDelay{};
+  std::vector<HedgedShard> mHedges;
+};
+
+/** A hedge or retry was not sent because the service's budget is spent. */
+struct ExtraLoadExhausted
+{
+  RequestId mRequestId;
+  ServiceId mService;
+  double mExtraLoad = 0;
+};
+
+/** A target gets no more work, but for probes. */
+struct TargetEjected
+{
+  TargetId mTarget;
+  MissingReason mReason = MissingReason::kTimeout;
+  std::uint32_t mFailures = 0;
+};
+
+/** A target answered again and gets work. */
+struct TargetRestored
+{
+  TargetId mTarget;
+};
+
+/** A request changed to another version of the index. */
+struct SnapshotChanged
+{
+  RequestId mRequestId;
+  SnapshotVersion mFrom;
+  SnapshotVersion mTo;
+  /** Shards asked again. */
+  std::uint32_t mAskedAgain = 0;
+};
+
 using DecisionRecord = std::variant<QueryPlanned,
                                     QueryAnswered,
                                     AttemptRetried,
                                     RequestRefused,
                                     ConfigurationAdopted,
                                     ConfigurationRejected,
-                                    MembershipChanged>;
+                                    MembershipChanged,
+                                    AttemptsHedged,
+                                    ExtraLoadExhausted,
+                                    TargetEjected,
+                                    TargetRestored,
+                                    SnapshotChanged>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -4,23 +4,30 @@
 #include "wasabispread_decisions.h"
 
 #include <algorithm>
-#include <cassert>
-#include <map>
 
 namespace wasabispread {
 
 namespace {
 
-constexpr Duration kMostPatience = std::chrono::minutes(10);
-constexpr std::uint8_t kMostAttempts = 3;
+/** Requests that an event touched, with what is to be sent for each. */
+struct Touched
+{
+  QueryId mQuery;
+  Outgoing mOutgoing;
+};
 
-/** The time kept back so that the answer arrives within the caller's wait. */
-Duration
-AnswerMargin(Duration aBudget)
+Outgoing&
+OutgoingFor(std::vector<Touched>& aTouched, QueryId aQuery)
 {
-  constexpr Duration kMostMargin = std::chrono::milliseconds(10);
-  constexpr std::int64_t kBudgetDivisor = 20;
-  return std::min(kMostMargin, aBudget / kBudgetDivisor);
+  const auto place = std::find_if(
+    aTouched.rbegin(), aTouched.rend(), [aQuery](const Touched& aEntry) {
+      return aEntry.mQuery == aQuery;
+    });
+  if (place != aTouched.rend()) {
+    return place->mOutgoing;
+  }
+  aTouched.push_back(Touched{ aQuery, {} });
+  return aTouched.back().mOutgoing;
 }
 
 void
@@ -38,279 +45,51 @@
     AnswerCaller{ aRequest.mToken, aRequest.mRequestId, std::move(aError) });
 }
 
-/** The service a request may use, or why it may not. */
-Result<const Service*>
-CheckRequest(const NodeState& aState, const CallerRequest& aRequest)
+/** Whether a failed attempt may be followed by another one. */
+bool
+MayRetry(const Query& aQuery, const ShardProgress& aShard, bool aMayHaveRun)
 {
-  if (aState.mStopping) {
-    return Fail(ErrorKind::kNotReady,
-                "this VM is stopping",
-                "ask another VM of the deployment");
-  }
-  if (aState.mConfiguration.mDeployment == nullptr) {
-    return Fail(ErrorKind::kNotReady,
-                "this VM has no configuration yet",
-                "ask another VM, or apply a deployment file");
-  }
-  const Service* service = aState.mConfiguration.mDeployment->FindService(
-    IdFromName<ServiceId>(aRequest.mService));
-  if (service == nullptr) {
-    return Fail(ErrorKind::kUnknownService,
-                "no service '" + aRequest.mService + "' is declared",
-                "correct the name, or declare it in the deployment file");
-  }
-  if (!service->Offers(aRequest.mOperation)) {
-    return Fail(ErrorKind::kOperationNotOffered,
-                "the service does not offer '" +
-                  std::string(ToText(aRequest.mOperation)) + "'",
-                "use one of its declared operations");
-  }
-  if (aRequest.mPatience <= Duration::zero() ||
-      aRequest.mPatience > kMostPatience) {
-    return Fail(ErrorKind::kInvalidPatience,
-                "the patience must be above 0 and at most 10 min",
-                "send a patience within that range");
-  }
-  return service;
+  constexpr int kMostUnhedged = 3;
+  const bool isHarmless =
+    !aMayHaveRun || IsIdempotent(aQuery.mRequest.mOperation);
+  return isHarmless && aShard.mAttempts < kMostAttempts &&
+         aShard.mAttempts - aShard.mHedges < kMostUnhedged;
 }
 
-/** Attempts to be sent, by owner. */
-using Batches = std::map<VmId, std::vector<BatchItem>>;
-
-/** Plans one more attempt at a shard; false when there is no owner. */
+/** Sends another attempt after a failed one, if there is one to send. */
 bool
-PlanAttempt(NodeState& aState,
-            QueryId aQueryId,
-            Query& aQuery,
-            std::uint32_t aShardPosition,
-            std::optional<TargetId> aExclude,
-            TimePoint aNow,
-            Batches& aBatches)
+Retry(NodeState& aState,
+      const AttemptPlace& aPlace,
+      MissingReason aReason,
+      TimePoint aNow,
+      Outgoing& aOutgoing,
+      Effects& aEffects)
 {
-  ShardProgress& shard = aQuery.mShards[aShardPosition];
-  const std::uint32_t position =
-    ChooseReplica(aState, aQuery, shard.mShard, aExclude, aNow);
-  const Target& target = aQuery.mDeployment->mTargets[position];
-  const Deployment* current = aState.mConfiguration.mDeployment.get();
-  const auto place = current->mTargetIndex.find(target.mId);
-  if (place == current->mTargetIndex.end()) {
-    shard.mReason = MissingReason::kUnknownTarget;
+  Query& query = aState.mEntry.mQueries.at(aPlace.mQuery);
+  if (!PayForExtraAttempt(aState, query, aNow, aEffects)) {
     return false;
   }
-  const OwnerGroup& group =
-    aState.mConfiguration
-      .mGroups[aState.mConfiguration.mGroupOfTarget[place->second]];
-  const std::vector<VmId>& owners = OwnersOf(aState.mMembership, group);
-  if (owners.empty()) {
-    shard.mReason = MissingReason::kNoOwner;
+  const auto target = PlanAttempt(aState,
+                                  aPlace.mQuery,
+                                  query,
+                                  aPlace.mShardPosition,
+                                  false,
+                                  aNow,
+                                  aOutgoing);
+  if (!target) {
+    RefundExtraAttempt(aState, query);
     return false;
   }
-  const AttemptSequence sequence(aState.mEntry.mNextAttempt++);
-  shard.mTarget = target.mId;
-  ++shard.mAttempts;
-  ++shard.mAttemptsInFlight;
-  ++aState.mEntry.mTargets[target.mId].mInFlight;
-  ++aState.mCounters.mAttempts;
-  aQuery.mSequences.push_back(sequence);
-  aState.mEntry.mAttempts.emplace(
-    sequence,
-    AttemptPlace{ aQueryId, aShardPosition, owners.front(), target.mId, aNow });
-  aBatches[owners.front()].push_back(
-    BatchItem{ sequence, target.mId, shard.mShard });
+  ++aState.mCounters.mRetries;
+  aEffects.push_back(
+    LogDecision{ AttemptRetried{ query.mRequest.mRequestId,
+                                 query.mShards[aPlace.mShardPosition].mShard,
+                                 aPlace.mTarget,
+                                 *target,
+                                 aReason } });
   return true;
 }
 
-void
-SendBatches(NodeState& aState,
-            const Query& aQuery,
-            Batches& aBatches,
-            TimePoint aNow,
-            Effects& aEffects)
-{
-  for (auto& [owner, items] : aBatches) {
-    const VmRecord* member = FindMember(aState.mMembership, owner);
-    assert(member != nullptr);
-    BatchRequest request;
-    request.mIncarnation = aState.mSelf.mIncarnation;
-    request.mRequestId = aQuery.mRequest.mRequestId;
-    request.mService = aQuery.mService;
-    request.mRevision = aQuery.mRevision;
-    request.mOperation = aQuery.mRequest.mOperation;
-    request.mSnapshot = aQuery.mSnapshot;
-    request.mKey = aQuery.mRequest.mKey;
-    request.mBody = aQuery.mRequest.mBody;
-    request.mBudget = aQuery.mDeadline - aNow;
-    request.mItems = std::move(items);
-    ++aState.mCounters.mBatchesSent;
-    SendToVm(aState, owner, member->mPeerAddress, std::move(request), aEffects);
-  }
-}
-
-/** Gives up on a shard. */
-void
-MarkMissing(Query& aQuery, ShardProgress& aShard, MissingReason aReason)
-{
-  assert(aShard.mStatus == ShardStatus::kPending);
-  aShard.mStatus = ShardStatus::kMissing;
-  aShard.mReason = aReason;
-  --aQuery.mPending;
-}
-
-/** Forgets the attempts of a request and tells their owners. */
-void
-CancelAttempts(NodeState& aState, QueryId aQueryId, Effects& aEffects)
-{
-  std::map<VmId, std::vector<AttemptSequence>> cancelled;
-  auto& attempts = aState.mEntry.mAttempts;
-  const Query& query = aState.mEntry.mQueries.at(aQueryId);
-  const bool hasInFlight = std::any_of(
-    query.mShards.begin(),
-    query.mShards.end(),
-    [](const ShardProgress& aShard) { return aShard.mAttemptsInFlight != 0; });
-  if (!hasInFlight) {
-    return;
-  }
-  for (const AttemptSequence sequence : query.mSequences) {
-    const auto place = attempts.find(sequence);
-    if (place == attempts.end()) {
-      continue;
-    }
-    cancelled[place->second.mOwner].push_back(sequence);
-    --aState.mEntry.mTargets[place->second.mTarget].mInFlight;
-    attempts.erase(place);
-  }
-  for (auto& [owner, sequences] : cancelled) {
-    const VmRecord* member = FindMember(aState.mMembership, owner);
-    if (member != nullptr) {
-      SendToVm(aState,
-               owner,
-               member->mPeerAddress,
-               BatchCancel{ aState.mSelf.mIncarnation, std::move(sequences) },
-               aEffects);
-    }
-  }
-}
-
-Answer
-BuildAnswer(const Query& aQuery)
-{
-  Answer answer;
-  answer.mService = aQuery.mService;
-  answer.mRevision = aQuery.mRevision;
-  answer.mSnapshot = aQuery.mSnapshot;
-  answer.mShardsAsked = static_cast<std::uint32_t>(aQuery.mShards.size());
-  for (const ShardProgress& shard : aQuery.mShards) {
-    if (shard.mStatus == ShardStatus::kAnswered) {
-      answer.mResults.push_back(
-        ShardResult{ shard.mShard, shard.mTarget, shard.mBody });
-    } else {
-      answer.mMissing.push_back(MissingShard{ shard.mShard, shard.mReason });
-    }
-  }
-  return answer;
-}
-
-/** The outcome to report: an answer, unless a keyed request has no result. */
-Outcome
-BuildOutcome(const Query& aQuery)
-{
-  if (aQuery.mRequest.mOperation == Operation::kSearch ||
-      aQuery.mAnswered != 0) {
-    return BuildAnswer(aQuery);
-  }
-  const MissingReason reason = aQuery.mShards.front().mReason;
-  const std::string cause(ToText(reason));
-  if (aQuery.mMayHaveRun) {
-    return Error{ ErrorKind::kOutcomeUnknown,
-                  "the request may have run, but its result is lost (" + cause +
-                    ")",
-                  "look up whether it ran before asking again",
-                  Execution::kUnknown };
-  }
-  const ErrorKind kind = reason == MissingReason::kTimeout ? ErrorKind::kTimeout
-                         : reason == MissingReason::kOverloaded
-                           ? ErrorKind::kOverloaded
-                           : ErrorKind::kTargetUnavailable;
-  return Error{ kind,
-                "no target answered (" + cause + ")",
-                "ask again, with more patience if this lasts",
-                Execution::kNotRun };
-}
-
-void
-CountOutcome(Counters& aCounters, const Outcome& aOutcome)
-{
-  const Answer* answer = std::get_if<Answer>(&aOutcome);
-  if (answer == nullptr) {
-    ++aCounters.mAnswersFailed;
-  } else if (answer->IsComplete()) {
-    ++aCounters.mAnswersComplete;
-  } else {
-    ++aCounters.mAnswersPartial;
-  }
-}
-
-/** Answers a request and forgets it. Shards still pending become missing for
-    the reason given. */
-void
-FinishQuery(NodeState& aState,
-            QueryId aQueryId,
-            MissingReason aReason,
-            TimePoint aNow,
-            Effects& aEffects)
-{
-  Query& query = aState.mEntry.mQueries.at(aQueryId);
-  for (ShardProgress& shard : query.mShards) {
-    if (shard.mStatus == ShardStatus::kPending) {
-      MarkMissing(query, shard, aReason);
-      query.mMayHaveRun = query.mMayHaveRun || shard.mAttemptsInFlight != 0;
-    }
-  }
-  CancelAttempts(aState, aQueryId, aEffects);
-  Outcome outcome = BuildOutcome(query);
-  CountOutcome(aState.mCounters, outcome);
-  const Error* error = std::get_if<Error>(&outcome);
-  aEffects.push_back(LogDecision{ QueryAnswered{
-    query.mRequest.mRequestId,
-    query.mSnapshot,
-    static_cast<std::uint32_t>(query.mShards.size()),
-    query.mAnswered,
-    aNow - query.mStarted,
-    error == nullptr ? std::string() : std::string(ToText(error->mKind)) } });
-  aEffects.push_back(AnswerCaller{
-    query.mRequest.mToken, query.mRequest.mRequestId, std::move(outcome) });
-  aState.mEntry.mQueryOfCaller.erase(query.mRequest.mToken);
-  aState.mEntry.mQueries.erase(aQueryId);
-}
-
-/** Answers when nothing is pending, or when the service would rather be early
-    and has the coverage it declared. */
-void
-FinishIfDone(NodeState& aState,
-             QueryId aQueryId,
-             TimePoint aNow,
-             Effects& aEffects)
-{
-  const Query& query = aState.mEntry.mQueries.at(aQueryId);
-  const double needed = query.mServiceRecord->mLeastCoverage *
-                        static_cast<double>(query.mShards.size());
-  const bool isEarly =
-    query.mServiceRecord->mPreference == Preference::kLatency &&
-    query.mAnswered != 0 && static_cast<double>(query.mAnswered) >= needed;
-  if (query.mPending == 0 || isEarly) {
-    FinishQuery(aState, aQueryId, MissingReason::kEarlyAnswer, aNow, aEffects);
-  }
-}
-
-/** Whether a failed attempt may be followed by another one. */
-bool
-MayRetry(const Query& aQuery, const ShardProgress& aShard, bool aMayHaveRun)
-{
-  const bool harmless =
-    !aMayHaveRun || IsIdempotent(aQuery.mRequest.mOperation);
-  return harmless && aShard.mAttempts < kMostAttempts;
-}
-
 /** Follows up an attempt that brought no result. */
 void
 HandleAttemptFailed(NodeState& aState,
@@ -318,7 +97,7 @@
                     MissingReason aReason,
                     bool aMayHaveRun,
                     TimePoint aNow,
-                    Batches& aBatches,
+                    Outgoing& aOutgoing,
                     Effects& aEffects)
 {
   Query& query = aState.mEntry.mQueries.at(aPlace.mQuery);
@@ -328,126 +107,102 @@
     return;
   }
   shard.mReason = aReason;
-  const bool retried =
-    MayRetry(query, shard, aMayHaveRun) && PlanAttempt(aState,
-                                                       aPlace.mQuery,
-                                                       query,
-                                                       aPlace.mShardPosition,
-                                                       aPlace.mTarget,
-                                                       aNow,
-                                                       aBatches);
-  if (!retried) {
+  const bool isRetried =
+    MayRetry(query, shard, aMayHaveRun) &&
+    Retry(aState, aPlace, aReason, aNow, aOutgoing, aEffects);
+  if (!isRetried) {
     MarkMissing(query, shard, aReason);
-    return;
+    query.mLacksSnapshot =
+      query.mLacksSnapshot || aReason == MissingReason::kSnapshotUnavailable;
   }
-  ++aState.mCounters.mRetries;
-  aEffects.push_back(LogDecision{ AttemptRetried{ query.mRequest.mRequestId,
-                                                  shard.mShard,
-                                                  aPlace.mTarget,
-                                                  shard.mTarget,
-                                                  aReason } });
 }
 
-/** Updates what is known of a target by the end of an attempt. */
+/** Takes a result into its request; attempts still in flight at the shard are
+    cancelled. */
 void
-ObserveTarget(NodeState& aState,
-              const AttemptPlace& aPlace,
-              const ItemReply& aReply,
-              TimePoint aNow)
+AcceptResult(NodeState& aState,
+             const AttemptPlace& aPlace,
+             const ItemReply& aReply,
+             TimePoint aNow,
+             Outgoing& aOutgoing,
+             Effects& aEffects)
 {
-  constexpr double kNewWeight = 0.1;
-  constexpr std::uint32_t kFailuresToAvoid = 3;
-  constexpr Duration kAvoidTime = std::chrono::seconds(1);
-  TargetObservation& seen = aState.mEntry.mTargets[aPlace.mTarget];
-  assert(seen.mInFlight > 0);
-  --seen.mInFlight;
-  if (!aReply.mHeldSnapshots.empty()) {
-    seen.mHeldSnapshots = aReply.mHeldSnapshots;
-  }
-  if (aReply.mOutcome == AttemptOutcome::kAnswered) {
-    const auto latency = static_cast<double>((aNow - aPlace.mSent).count());
-    seen.mLatency +=
-      seen.mLatency == 0 ? latency : (latency - seen.mLatency) * kNewWeight;
-    seen.mFailures = 0;
-    return;
-  }
-  if (++seen.mFailures >= kFailuresToAvoid ||
-      aReply.mReason == MissingReason::kDraining) {
-    seen.mAvoidUntil = aNow + kAvoidTime;
+  Query& query = aState.mEntry.mQueries.at(aPlace.mQuery);
+  ShardProgress& shard = query.mShards[aPlace.mShardPosition];
+  shard.mStatus = ShardStatus::kAnswered;
+  shard.mTarget = aPlace.mTarget;
+  shard.mSnapshot = aReply.mSnapshot;
+  shard.mBody = aReply.mBody;
+  --query.mPending;
+  ++query.mAnswered;
+  if (query.mRequest.mOperation != Operation::kSearch) {
+    query.mSnapshot = aReply.mSnapshot;
+  } else if (!query.mIsSettled) {
+    TallySnapshot(query, aReply.mSnapshot);
   }
+  aState.mCounters.mHedgesWon += aPlace.mIsHedge ? 1 : 0;
+  EarnExtraLoad(aState.mEntry.mServices[query.mService].mBudget,
+                *query.mServiceRecord);
+  AbandonAttempts(aState, shard, false, aNow, aOutgoing, aEffects);
 }
 
-/** Takes in an answer from a target. */
+/** Takes a result into its request, unless it is of another snapshot. */
 void
 HandleAttemptAnswered(NodeState& aState,
                       const AttemptPlace& aPlace,
                       const ItemReply& aReply,
                       TimePoint aNow,
-                      Batches& aBatches,
+                      Outgoing& aOutgoing,
                       Effects& aEffects)
 {
   Query& query = aState.mEntry.mQueries.at(aPlace.mQuery);
-  ShardProgress& shard = query.mShards[aPlace.mShardPosition];
-  if (shard.mStatus != ShardStatus::kPending) {
+  if (query.mShards[aPlace.mShardPosition].mStatus != ShardStatus::kPending) {
+    ++aState.mCounters.mLateReplies;
     return;
   }
-  if (query.mSnapshot.Value() == 0) {
-    query.mSnapshot = aReply.mSnapshot;
-  }
-  if (aReply.mSnapshot != query.mSnapshot) {
-    ++aState.mCounters.mSnapshotMismatches;
-    HandleAttemptFailed(aState,
-                        aPlace,
-                        MissingReason::kSnapshotUnavailable,
-                        true,
-                        aNow,
-                        aBatches,
-                        aEffects);
+  const bool isOther = query.mRequest.mOperation == Operation::kSearch &&
+                       query.mIsSettled && aReply.mSnapshot != query.mSnapshot;
+  if (!isOther) {
+    AcceptResult(aState, aPlace, aReply, aNow, aOutgoing, aEffects);
     return;
   }
-  shard.mStatus = ShardStatus::kAnswered;
-  shard.mTarget = aPlace.mTarget;
-  shard.mBody = aReply.mBody;
-  --query.mPending;
-  ++query.mAnswered;
+  ++aState.mCounters.mSnapshotMismatches;
+  KeepSpare(query,
+            aPlace.mShardPosition,
+            aPlace.mTarget,
+            aReply.mSnapshot,
+            aReply.mBody);
+  HandleAttemptFailed(aState,
+                      aPlace,
+                      MissingReason::kSnapshotUnavailable,
+                      true,
+                      aNow,
+                      aOutgoing,
+                      aEffects);
 }
 
-/** Ends one attempt. The request it belongs to is returned, if it lives. */
-std::optional<QueryId>
-EndAttempt(NodeState& aState,
-           VmId aOwner,
-           const ItemReply& aReply,
-           TimePoint aNow,
-           std::map<QueryId, Batches>& aBatches,
-           Effects& aEffects)
+/** Settles snapshots, sends what was collected, and answers if it is time. */
+void
+FollowUp(NodeState& aState,
+         Touched& aTouched,
+         bool aIsSettlingForced,
+         TimePoint aNow,
+         Effects& aEffects)
 {
-  const auto found = aState.mEntry.mAttempts.find(aReply.mSequence);
-  if (found == aState.mEntry.mAttempts.end()) {
-    ++aState.mCounters.mLateReplies;
-    return std::nullopt;
-  }
-  if (found->second.mOwner != aOwner) {
-    ++aState.mCounters.mForeignReplies;
-    return std::nullopt;
-  }
-  const AttemptPlace place = found->second;
-  aState.mEntry.mAttempts.erase(found);
-  ObserveTarget(aState, place, aReply, aNow);
-  Query& query = aState.mEntry.mQueries.at(place.mQuery);
-  --query.mShards[place.mShardPosition].mAttemptsInFlight;
-  Batches& batches = aBatches[place.mQuery];
-  if (aReply.mOutcome == AttemptOutcome::kAnswered) {
-    HandleAttemptAnswered(aState, place, aReply, aNow, batches, aEffects);
-  } else {
-    HandleAttemptFailed(aState,
-                        place,
-                        aReply.mReason,
-                        aReply.mOutcome == AttemptOutcome::kUnknown,
-                        aNow,
-                        batches,
-                        aEffects);
-  }
-  return place.mQuery;
+  Query& query = aState.mEntry.mQueries.at(aTouched.mQuery);
+  if (query.mRequest.mOperation == Operation::kSearch) {
+    SettleSnapshot(aState,
+                   aTouched.mQuery,
+                   query,
+                   aIsSettlingForced,
+                   aNow,
+                   aTouched.mOutgoing,
+                   aEffects);
+    ReconsiderSnapshot(
+      aState, aTouched.mQuery, query, aNow, aTouched.mOutgoing, aEffects);
+  }
+  SendOutgoing(aState, query, aTouched.mOutgoing, aNow, aEffects);
+  FinishIfDone(aState, aTouched.mQuery, aNow, aEffects);
 }
 
 /** Ends attempts and follows up each request concerned. */
@@ -458,20 +213,33 @@
             TimePoint aNow,
             Effects& aEffects)
 {
-  std::map<QueryId, Batches> batches;
+  std::vector<Touched> touched;
   for (const ItemReply& reply : aReplies) {
-    EndAttempt(aState, aOwner, reply, aNow, batches, aEffects);
+    const auto place = TakeEndedAttempt(aState, aOwner, reply, aNow, aEffects);
+    if (!place) {
+      continue;
+    }
+    Outgoing& outgoing = OutgoingFor(touched, place->mQuery);
+    if (reply.mOutcome == AttemptOutcome::kAnswered) {
+      HandleAttemptAnswered(aState, *place, reply, aNow, outgoing, aEffects);
+      continue;
+    }
+    HandleAttemptFailed(aState,
+                        *place,
+                        reply.mReason,
+                        reply.mOutcome == AttemptOutcome::kUnknown,
+                        aNow,
+                        outgoing,
+                        aEffects);
   }
-  for (auto& [queryId, retries] : batches) {
-    SendBatches(
-      aState, aState.mEntry.mQueries.at(queryId), retries, aNow, aEffects);
-    FinishIfDone(aState, queryId, aNow, aEffects);
+  for (Touched& each : touched) {
+    FollowUp(aState, each, false, aNow, aEffects);
   }
 }
 
 /** Sets up a request that passed its checks. */
 Query
-MakeQuery(const NodeState& aState,
+MakeQuery(NodeState& aState,
           const CallerRequest& aRequest,
           const Service& aService,
           TimePoint aNow)
@@ -485,20 +253,26 @@
   query.mStarted = aNow;
   const Duration budget = std::min(aRequest.mPatience, aService.mMaximumWait);
   query.mDeadline = aNow + budget - AnswerMargin(budget);
-  for (const ShardIndex shard :
-       ShardsOf(aService, aRequest.mOperation, aRequest.mKey)) {
-    query.mShards.emplace_back();
-    query.mShards.back().mShard = shard;
+  const auto shards = ShardsOf(aService, aRequest.mOperation, aRequest.mKey);
+  query.mShards.resize(shards.size());
+  for (std::size_t position = 0; position < shards.size(); ++position) {
+    query.mShards[position].mShard = shards[position];
   }
   query.mPending = static_cast<std::uint32_t>(query.mShards.size());
   if (aRequest.mOperation != Operation::kAction) {
-    query.mSnapshot = ChooseSnapshot(aState.mEntry, query);
-  }
+    query.mSnapshot = PlanSnapshot(aState, query);
+    query.mIsSettled = query.mSnapshot.Value() != 0;
+  }
+  const EntryPolicy& policy = aState.mEntry.mPolicy;
+  const ServiceObservation& service = ObservedService(aState, aService);
+  query.mHedgeDelay = HedgeDelay(policy, aService, service.mLatency);
+  query.mGrace =
+    EarlyAnswerGrace(policy, LearnedDelay(aService, service.mLatency));
   return query;
 }
 
 QueryPlanned
-DescribePlan(const Query& aQuery, const Batches& aBatches, TimePoint aNow)
+DescribePlan(const Query& aQuery, const Outgoing& aOutgoing, TimePoint aNow)
 {
   QueryPlanned record;
   record.mRequestId = aQuery.mRequest.mRequestId;
@@ -509,13 +283,60 @@
   record.mBudget = aQuery.mDeadline - aNow;
   record.mUnroutable =
     static_cast<std::uint32_t>(aQuery.mShards.size()) - aQuery.mPending;
-  for (const auto& [owner, items] : aBatches) {
-    record.mBatches.push_back(
-      PlannedBatch{ owner, static_cast<std::uint32_t>(items.size()) });
+  for (const OwnerBatch& batch : aOutgoing.mBatches) {
+    record.mBatches.push_back(PlannedBatch{
+      batch.mOwner, static_cast<std::uint32_t>(batch.mItems.size()) });
   }
   return record;
 }
 
+/** Arms the timers of a request that was just sent. */
+void
+ArmQueryTimers(NodeState& aState,
+               QueryId aQueryId,
+               Query& aQuery,
+               TimePoint aNow)
+{
+  constexpr int kSettlingDivisor = 4;
+  aState.mTimers.Arm(
+    aQuery.mDeadline, TimerKind::kQueryDeadline, aQueryId.Value());
+  if (aQuery.mHedgeDelay > Duration::zero()) {
+    ArmHedgeTimer(aState, aQueryId, aQuery, aNow);
+  } else if (!aQuery.mIsSettled &&
+             aQuery.mRequest.mOperation == Operation::kSearch) {
+    const Duration wait = (aQuery.mDeadline - aNow) / kSettlingDivisor;
+    aState.mTimers.Arm(aNow + wait, TimerKind::kHedge, aQueryId.Value());
+  }
+}
+
+/** Plans and sends a request that was admitted. */
+void
+StartQuery(NodeState& aState,
+           const CallerRequest& aRequest,
+           const Service& aService,
+           TimePoint aNow,
+           Effects& aEffects)
+{
+  const QueryId queryId(aState.mEntry.mNextQuery++);
+  Query& query =
+    aState.mEntry.mQueries
+      .emplace(queryId, MakeQuery(aState, aRequest, aService, aNow))
+      .first->second;
+  aState.mEntry.mQueryOfCaller[aRequest.mToken] = queryId;
+  Outgoing outgoing;
+  for (std::uint32_t shard = 0; shard < query.mShards.size(); ++shard) {
+    const auto target =
+      PlanAttempt(aState, queryId, query, shard, false, aNow, outgoing);
+    if (!target) {
+      MarkMissing(query, query.mShards[shard], target.error());
+    }
+  }
+  aEffects.push_back(LogDecision{ DescribePlan(query, outgoing, aNow) });
+  SendOutgoing(aState, query, outgoing, aNow, aEffects);
+  ArmQueryTimers(aState, queryId, query, aNow);
+  FinishIfDone(aState, queryId, aNow, aEffects);
+}
+
 } // namespace
 
 void
@@ -530,35 +351,31 @@
     Refuse(aState, aRequest, service.error(), aEffects);
     return;
   }
-  const QueryId queryId(aState.mEntry.mNextQuery++);
-  Query& query =
-    aState.mEntry.mQueries
-      .emplace(queryId, MakeQuery(aState, aRequest, **service, aNow))
-      .first->second;
-  aState.mEntry.mQueryOfCaller[aRequest.mToken] = queryId;
-  Batches batches;
-  for (std::uint32_t shard = 0; shard < query.mShards.size(); ++shard) {
-    if (!PlanAttempt(
-          aState, queryId, query, shard, std::nullopt, aNow, batches)) {
-      MarkMissing(query, query.mShards[shard], query.mShards[shard].mReason);
-    }
+  if (auto error = CheckAdmission(aState, **service, aRequest, aNow)) {
+    Refuse(aState, aRequest, std::move(*error), aEffects);
+    return;
   }
-  aEffects.push_back(LogDecision{ DescribePlan(query, batches, aNow) });
-  SendBatches(aState, query, batches, aNow, aEffects);
-  aState.mTimers.Arm(
-    query.mDeadline, TimerKind::kQueryDeadline, queryId.Value());
-  FinishIfDone(aState, queryId, aNow, aEffects);
+  StartQuery(aState, aRequest, **service, aNow, aEffects);
 }
 
 void
-HandleCallerGone(NodeState& aState, const CallerGone& aEvent, Effects& aEffects)
+HandleCallerGone(NodeState& aState,
+                 const CallerGone& aEvent,
+                 TimePoint aNow,
+                 Effects& aEffects)
 {
   const auto place = aState.mEntry.mQueryOfCaller.find(aEvent.mToken);
   if (place == aState.mEntry.mQueryOfCaller.end()) {
     return;
   }
+  ++aState.mCounters.mCallersGone;
   const QueryId queryId = place->second;
-  CancelAttempts(aState, queryId, aEffects);
+  Query& query = aState.mEntry.mQueries.at(queryId);
+  Outgoing outgoing;
+  for (ShardProgress& shard : query.mShards) {
+    AbandonAttempts(aState, shard, false, aNow, outgoing, aEffects);
+  }
+  SendOutgoing(aState, query, outgoing, aNow, aEffects);
   aState.mEntry.mQueryOfCaller.erase(place);
   aState.mEntry.mQueries.erase(queryId);
 }
@@ -583,22 +400,15 @@
                 TimePoint aNow,
                 Effects& aEffects)
 {
+  ObserveOwnerLost(aState, aOwner, aNow);
   std::vector<ItemReply> replies;
-  for (const auto& [sequence, place] : aState.mEntry.mAttempts) {
-    if (place.mOwner == aOwner) {
-      ItemReply reply;
-      reply.mSequence = sequence;
-      reply.mOutcome = AttemptOutcome::kUnknown;
-      reply.mReason = MissingReason::kOwnerLost;
-      replies.push_back(std::move(reply));
-    }
+  for (const AttemptSequence sequence : AttemptsAt(aState.mEntry, aOwner)) {
+    ItemReply reply;
+    reply.mSequence = sequence;
+    reply.mOutcome = AttemptOutcome::kUnknown;
+    reply.mReason = MissingReason::kOwnerLost;
+    replies.push_back(std::move(reply));
   }
-  // The table's order depends on its history; the attempts' order does not.
-  std::sort(replies.begin(),
-            replies.end(),
-            [](const ItemReply& aLeft, const ItemReply& aRight) {
-              return aLeft.mSequence < aRight.mSequence;
-            });
   EndAttempts(aState, aOwner, replies, aNow, aEffects);
 }
 
@@ -613,4 +423,36 @@
   }
 }
 
+void
+HandleHedgeDue(NodeState& aState,
+               QueryId aQuery,
+               TimePoint aNow,
+               Effects& aEffects)
+{
+  const auto place = aState.mEntry.mQueries.find(aQuery);
+  // A paused process may come here after the deadline.
+  if (place == aState.mEntry.mQueries.end() ||
+      place->second.mDeadline <= aNow) {
+    return;
+  }
+  Query& query = place->second;
+  Touched touched{ aQuery, {} };
+  if (query.mHedgeDelay > Duration::zero()) {
+    HedgeSlowShards(aState, aQuery, query, aNow, touched.mOutgoing, aEffects);
+    ArmHedgeTimer(aState, aQuery, query, aNow);
+  }
+  FollowUp(aState, touched, true, aNow, aEffects);
+}
+
+void
+HandleEarlyAnswerDue(NodeState& aState,
+                     QueryId aQuery,
+                     TimePoint aNow,
+                     Effects& aEffects)
+{
+  if (aState.mEntry.mQueries.contains(aQuery)) {
+    FinishIfDone(aState, aQuery, aNow, aEffects);
+  }
+}
+
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Entry.h
+++ b/modules/wasabispread_decisions/Entry.h
@@ -20,6 +20,7 @@
 void
 HandleCallerGone(NodeState& aState,
                  const CallerGone& aEvent,
+                 TimePoint aNow,
                  Effects& aEffects);
 
 /** Takes in ended attempts. */
@@ -44,4 +45,18 @@
                     TimePoint aNow,
                     Effects& aEffects);
 
+/** Hedges a request's slow attempts, and settles its snapshot. */
+void
+HandleHedgeDue(NodeState& aState,
+               QueryId aQuery,
+               TimePoint aNow,
+               Effects& aEffects);
+
+/** Answers a request early if it has the least coverage declared. */
+void
+HandleEarlyAnswerDue(NodeState& aState,
+                     QueryId aQuery,
+                     TimePoint aNow,
+                     Effects& aEffects);
+
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/EntryState.h
+++ b/modules/wasabispread_decisions/EntryState.h
@@ -1,15 +1,20 @@
 /*
- * A node's part as entry: callers' requests under way.
+ * A node's part as entry: callers' requests under way, and what was seen of
+ * services, targets and owners.
  */
 #pragma once
 
+#include "Admission.h"
 #include "Answer.h"
+#include "EntryPolicy.h"
 #include "Event.h"
+#include "ExtraLoadBudget.h"
+#include "LatencyHistogram.h"
 #include "PeerMessage.h"
 
+#include <array>
 #include <cstdint>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace wasabispread {
@@ -17,6 +22,9 @@
 /** Identifies a request under way within one entry. */
 using QueryId = StrongType<struct QueryIdTag, std::uint64_t>;
 
+/** The most attempts at one shard of a request, hedges included. */
+inline constexpr std::uint8_t kMostAttempts = 5;
+
 /** How far one shard of a request has come. */
 enum class ShardStatus : std::uint8_t
 {
@@ -25,7 +33,17 @@
   kMissing,
 };
 
-/** One shard of a request. */
+/** One attempt at a shard, in flight or ended. */
+struct ShardAttempt
+{
+  AttemptSequence mSequence;
+  TargetId mTarget;
+  VmId mOwner;
+  TimePoint mSent;
+};
+
+/** One shard of a request. Invariant: the first mAttempts of mTried are the
+    attempts made; mAttemptsInFlight of them have not ended. */
 struct ShardProgress
 {
   ShardIndex mShard;
@@ -34,10 +52,30 @@
   MissingReason mReason = MissingReason::kTimeout;
   std::uint8_t mAttempts = 0;
   std::uint8_t mAttemptsInFlight = 0;
+  std::uint8_t mHedges = 0;
+  std::array<ShardAttempt, kMostAttempts> mTried;
+  /** The three below have meaning once the shard is answered. */
+  TargetId mTarget;
+  SnapshotVersion mSnapshot;
+  SharedBytes mBody;
+};
+
+/** A shard's result from another version than the one the query asks for. */
+struct SpareResult
+{
+  std::uint32_t mShardPosition = 0;
   TargetId mTarget;
+  SnapshotVersion mSnapshot;
   SharedBytes mBody;
 };
 
+/** How many shards answered from one version. */
+struct SnapshotTally
+{
+  SnapshotVersion mSnapshot;
+  std::uint32_t mShards = 0;
+};
+
 /** A request under way. Invariant: mPending counts the shards still pending;
     mAnswered those answered. */
 struct Query
@@ -48,18 +86,30 @@
   /** Keeps mServiceRecord alive across changes of configuration. */
   DeploymentPointer mDeployment;
   const Service* mServiceRecord = nullptr;
-  /** The one version all results come from; 0 until it is settled. */
+  /** The version asked for; 0 asks each target for its newest. */
   SnapshotVersion mSnapshot;
+  /** Whether results must be of mSnapshot. Until then the versions that came
+      are tallied. */
+  bool mIsSettled = false;
+  std::uint8_t mRestarts = 0;
+  std::vector<SnapshotTally> mTallies;
+  std::vector<SpareResult> mSpares;
   TimePoint mStarted;
   /** When the answer must leave. */
   TimePoint mDeadline;
+  /** How long an attempt may take before it is hedged; 0 is never. */
+  Duration mHedgeDelay{};
+  std::uint8_t mHedgePasses = 0;
+  /** How long an early answer is held back. */
+  Duration mGrace{};
   std::vector<ShardProgress> mShards;
-  /** Every attempt made, ended or not. */
-  std::vector<AttemptSequence> mSequences;
   std::uint32_t mPending = 0;
   std::uint32_t mAnswered = 0;
-  /** Set when a non-idempotent attempt may have run. */
+  /** Set when an attempt may have run without its result being known. */
   bool mMayHaveRun = false;
+  /** Set while a shard waits to hear whether another version serves it. */
+  bool mLacksSnapshot = false;
+  bool mIsGraceArmed = false;
 };
 
 /** Where an attempt belongs. */
@@ -71,31 +121,81 @@
   VmId mOwner;
   TargetId mTarget;
   TimePoint mSent;
+  bool mIsHedge = false;
+};
+
+/** Whether a target is given work. */
+enum class TargetStanding : std::uint8_t
+{
+  kInUse,
+  /** Failed repeatedly: gets probes, and work only when no other replica can
+      take it. */
+  kEjected,
+  /** Said that it is leaving: gets probes only. */
+  kDraining,
 };
 
 /** What an entry has seen of a target. */
 struct TargetObservation
 {
+  ServiceId mService;
   /** Mean latency, weighted towards the present, in nanoseconds; 0 before the
       first reply. */
   double mLatency = 0;
+  /** The share of attempts that succeeded, weighted towards the present. */
+  double mSuccess = 1;
   std::uint32_t mInFlight = 0;
   /** Failures in a row. */
   std::uint32_t mFailures = 0;
-  /** No work before this time, while another replica can take it. */
-  TimePoint mAvoidUntil{};
+  TargetStanding mStanding = TargetStanding::kInUse;
+  /** When a target that is not in use may next be tried. */
+  TimePoint mNextProbe{};
+  Duration mProbeInterval{};
+  TimePoint mLastAsked{};
+  /** When mHeldSnapshots was last confirmed. */
+  TimePoint mSnapshotsSeen{};
   std::vector<SnapshotVersion> mHeldSnapshots;
 };
 
+/** What an entry has seen of a VM as target owner. */
+struct OwnerObservation
+{
+  /** The first attempt since the last reply; the epoch when there is none. */
+  TimePoint mUnansweredSince{};
+  /** The other owner is preferred before this time. */
+  TimePoint mAvoidUntil{};
+};
+
+/** What an entry has seen of a service. */
+struct ServiceObservation
+{
+  LatencyHistogram mLatency;
+  ExtraLoadBudget mBudget;
+  AdmissionState mAdmission;
+  Revision mRevision;
+  /** Targets ejected or draining, as of mRevision. */
+  std::uint32_t mOutOfUse = 0;
+  /** Rises when a target is seen to hold other versions than before. */
+  std::uint64_t mSnapshotEpoch = 1;
+  /** The choice for a whole search as of mChosenEpoch and mRevision. */
+  SnapshotVersion mChosenSnapshot;
+  std::uint64_t mChosenEpoch = 0;
+  /** When an exhausted budget was last logged. */
+  TimePoint mExhaustionLogged{};
+};
+
 /** All that an entry remembers. */
 struct EntryState
 {
+  EntryPolicy mPolicy;
   std::uint64_t mNextQuery = 1;
   std::uint64_t mNextAttempt = 1;
   std::unordered_map<QueryId, Query> mQueries;
   std::unordered_map<CallerToken, QueryId> mQueryOfCaller;
   std::unordered_map<AttemptSequence, AttemptPlace> mAttempts;
   std::unordered_map<TargetId, TargetObservation> mTargets;
+  std::unordered_map<ServiceId, ServiceObservation> mServices;
+  std::unordered_map<VmId, OwnerObservation> mOwners;
 };
 
 } // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_decisions/ExtraLoadBudget.cpp
@@ -0,0 +1,46 @@
+/*
+ * Earning and spending of extra sub-requests.
+ */
+#include "wasabispread_decisions.h"
+
+#include <algorithm>
+
+namespace wasabispread {
+
+double
+MostExtraLoadTokens(const Service& aService)
+{
+  constexpr double kLeastBurst = 10;
+  constexpr double kBurstRequests = 4;
+  if (aService.mExtraLoad <= 0) {
+    return 0;
+  }
+  const double ofRequest =
+    aService.mExtraLoad * static_cast<double>(aService.mShardCount);
+  return std::max(kLeastBurst, kBurstRequests * ofRequest);
+}
+
+ExtraLoadBudget
+MakeExtraLoadBudget(const Service& aService)
+{
+  return ExtraLoadBudget{ MostExtraLoadTokens(aService) };
+}
+
+void
+EarnExtraLoad(ExtraLoadBudget& aBudget, const Service& aService)
+{
+  aBudget.mTokens = std::min(aBudget.mTokens + aService.mExtraLoad,
+                             MostExtraLoadTokens(aService));
+}
+
+bool
+SpendExtraLoad(ExtraLoadBudget& aBudget)
+{
+  if (aBudget.mTokens < 1) {
+    return false;
+  }
+  aBudget.mTokens -= 1;
+  return true;
+}
+
+} // namespace wasabispread
--- a/modules/wasabispread_decisions/QueryPlan.cpp
+++ b/modules/wasabispread_decisions/QueryPlan.cpp
@@ -1,48 +1,217 @@
 /*
- * Snapshot and replica choice.
+ * Replica and owner choice.
  */
 #include "wasabispread_decisions.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
-#include <map>
+#include <limits>
 
 namespace wasabispread {
 
 namespace {
 
+constexpr std::size_t kMostCandidates = 8;
+constexpr double kUnknownLatency = 1e6;
+
+/** How willingly a replica is asked; the lower the better. */
+enum class Grade : std::uint8_t
+{
+  kGood,
+  /** Was asked for this shard already. */
+  kTried,
+  kEjected,
+  /** Was seen, some time ago, not to hold the snapshot. */
+  kStale,
+  /** Has an attempt at this shard in flight, as another replica has. */
+  kBusy,
+  kUnusable,
+};
+
+/** A replica that may be asked. */
+struct Candidate
+{
+  std::uint32_t mPosition = 0;
+  Grade mGrade = Grade::kGood;
+  const Target* mTarget = nullptr;
+  TargetObservation* mSeen = nullptr;
+};
+
 /** Lower is better. */
 double
-ReplicaScore(const NodeState& aState, const Target& aTarget, TimePoint aNow)
+ReplicaScore(const NodeState& aState, const Candidate& aCandidate)
 {
-  constexpr double kUnknownLatency = 1e6;
   constexpr double kOtherZonePenalty = 4e6;
-  constexpr double kAvoidedPenalty = 1e12;
-  double score = aTarget.mZone == aState.mSelf.mZone ? 0 : kOtherZonePenalty;
-  const auto place = aState.mEntry.mTargets.find(aTarget.mId);
-  if (place == aState.mEntry.mTargets.end()) {
-    return score + kUnknownLatency;
+  constexpr double kLeastSuccess = 0.05;
+  const double zone =
+    aCandidate.mTarget->mZone == aState.mSelf.mZone ? 0 : kOtherZonePenalty;
+  if (aCandidate.mSeen == nullptr) {
+    return zone + kUnknownLatency;
   }
-  const TargetObservation& seen = place->second;
+  const TargetObservation& seen = *aCandidate.mSeen;
   const double latency = seen.mLatency > 0 ? seen.mLatency : kUnknownLatency;
-  score += latency * (seen.mInFlight + 1);
-  return seen.mAvoidUntil > aNow ? score + kAvoidedPenalty : score;
+  const double success = std::max(seen.mSuccess, kLeastSuccess);
+  return zone + latency * (seen.mInFlight + 1) / (success * success);
 }
 
+/** Whether a replica said that it does not hold the snapshot. */
 bool
-LacksSnapshot(const EntryState& aEntry,
-              TargetId aTarget,
-              SnapshotVersion aSnapshot)
+LacksSnapshot(const TargetObservation& aSeen, SnapshotVersion aSnapshot)
 {
-  const auto place = aEntry.mTargets.find(aTarget);
-  if (aSnapshot.Value() == 0 || place == aEntry.mTargets.end()) {
-    return false;
-  }
-  const auto& held = place->second.mHeldSnapshots;
-  return !held.empty() &&
+  const auto& held = aSeen.mHeldSnapshots;
+  return aSnapshot.Value() != 0 && !held.empty() &&
          std::find(held.begin(), held.end(), aSnapshot) == held.end();
 }
 
+/** Whether an attempt at a target was made for the shard. */
+bool
+WasTried(const ShardProgress& aShard, TargetId aTarget)
+{
+  const auto end = aShard.mTried.begin() + aShard.mAttempts;
+  return std::any_of(
+    aShard.mTried.begin(), end, [aTarget](const ShardAttempt& aAttempt) {
+      return aAttempt.mTarget == aTarget;
+    });
+}
+
+bool
+IsInFlight(const EntryState& aEntry,
+           const ShardProgress& aShard,
+           TargetId aTarget)
+{
+  const auto end = aShard.mTried.begin() + aShard.mAttempts;
+  return std::any_of(
+    aShard.mTried.begin(), end, [&](const ShardAttempt& aAttempt) {
+      return aAttempt.mTarget == aTarget &&
+             aEntry.mAttempts.contains(aAttempt.mSequence);
+    });
+}
+
+/** Whether attempts at more than one target were made for the shard. */
+bool
+WereSeveralTried(const ShardProgress& aShard)
+{
+  const auto end = aShard.mTried.begin() + aShard.mAttempts;
+  return std::any_of(
+    aShard.mTried.begin(), end, [&](const ShardAttempt& aAttempt) {
+      return aAttempt.mTarget != aShard.mTried.front().mTarget;
+    });
+}
+
+/** The grade of a replica that was asked for the shard already. */
+Grade
+GradeOfTried(const NodeState& aState,
+             const ShardProgress& aShard,
+             TargetId aTarget)
+{
+  if (!IsInFlight(aState.mEntry, aShard, aTarget)) {
+    return Grade::kTried;
+  }
+  return WereSeveralTried(aShard) ? Grade::kBusy : Grade::kUnusable;
+}
+
+Grade
+GradeOf(const NodeState& aState,
+        const Query& aQuery,
+        const ShardProgress& aShard,
+        const Candidate& aCandidate,
+        TimePoint aNow)
+{
+  constexpr Duration kSnapshotsStaleAfter = std::chrono::milliseconds(200);
+  const TargetObservation* seen = aCandidate.mSeen;
+  const TargetId target = aCandidate.mTarget->mId;
+  if (seen == nullptr) {
+    return Grade::kGood;
+  }
+  if (seen->mStanding == TargetStanding::kDraining) {
+    return Grade::kUnusable;
+  }
+  // A hedge must be likely to help; what is left may do for a retry.
+  const bool isHedge = aShard.mAttemptsInFlight != 0;
+  if (LacksSnapshot(*seen, aQuery.mSnapshot)) {
+    const bool isFresh = aNow - seen->mSnapshotsSeen < kSnapshotsStaleAfter;
+    return isFresh || isHedge ? Grade::kUnusable : Grade::kStale;
+  }
+  if (WasTried(aShard, target)) {
+    return GradeOfTried(aState, aShard, target);
+  }
+  if (seen->mStanding == TargetStanding::kEjected) {
+    return isHedge ? Grade::kUnusable : Grade::kEjected;
+  }
+  return Grade::kGood;
+}
+
+/** Whether a replica out of use is due for a probe. */
+bool
+IsProbeDue(const Query& aQuery,
+           const ShardProgress& aShard,
+           const TargetObservation* aSeen,
+           TimePoint aNow)
+{
+  return aSeen != nullptr && aSeen->mStanding != TargetStanding::kInUse &&
+         aNow >= aSeen->mNextProbe && aShard.mAttempts == 0 &&
+         IsIdempotent(aQuery.mRequest.mOperation);
+}
+
+/** Whether the slower of two replicas should be asked to learn whether it is
+    still slow. */
+bool
+IsSlowReplicaDue(NodeState& aState,
+                 const Query& aQuery,
+                 const ShardProgress& aShard,
+                 const Candidate& aSlower,
+                 TimePoint aNow)
+{
+  constexpr Duration kInterval = std::chrono::seconds(1);
+  constexpr std::uint64_t kOneIn = 8;
+  return aSlower.mSeen != nullptr && aShard.mAttempts == 0 &&
+         aSlower.mGrade == Grade::kGood &&
+         aSlower.mSeen->mLastAsked + kInterval < aNow &&
+         IsIdempotent(aQuery.mRequest.mOperation) &&
+         aState.mRandom.Below(kOneIn) == 0;
+}
+
+/** Of the candidates of the best grade, the better of two. */
+std::uint32_t
+PickCandidate(NodeState& aState,
+              const Query& aQuery,
+              const ShardProgress& aShard,
+              const Candidate* aCandidates,
+              std::size_t aCount,
+              TimePoint aNow)
+{
+  const std::size_t first = aState.mRandom.Below(aCount);
+  if (aCount == 1) {
+    return aCandidates[0].mPosition;
+  }
+  const std::size_t second =
+    (first + 1 + aState.mRandom.Below(aCount - 1)) % aCount;
+  const Candidate* better = &aCandidates[first];
+  const Candidate* other = &aCandidates[second];
+  if (ReplicaScore(aState, *other) < ReplicaScore(aState, *better)) {
+    std::swap(better, other);
+  }
+  return IsSlowReplicaDue(aState, aQuery, aShard, *other, aNow)
+           ? other->mPosition
+           : better->mPosition;
+}
+
+/** Why no replica of a shard is worth asking. */
+MissingReason
+ReasonForNone(const std::array<Candidate, kMostCandidates>& aCandidates,
+              std::size_t aCount)
+{
+  const auto end = aCandidates.begin() + static_cast<std::ptrdiff_t>(aCount);
+  const bool allDrain =
+    std::all_of(aCandidates.begin(), end, [](const Candidate& aCandidate) {
+      return aCandidate.mSeen != nullptr &&
+             aCandidate.mSeen->mStanding == TargetStanding::kDraining;
+    });
+  return allDrain ? MissingReason::kDraining
+                  : MissingReason::kSnapshotUnavailable;
+}
+
 } // namespace
 
 std::vector<ShardIndex>
@@ -61,75 +230,92 @@
   return shards;
 }
 
-SnapshotVersion
-ChooseSnapshot(const EntryState& aEntry, const Query& aQuery)
-{
-  std::map<SnapshotVersion, std::uint32_t> coverage;
-  std::vector<SnapshotVersion> versions;
-  for (const ShardProgress& shard : aQuery.mShards) {
-    versions.clear();
-    const auto& replicas =
-      aQuery.mServiceRecord->mReplicas[shard.mShard.Value()];
-    for (const std::uint32_t position : replicas) {
-      const TargetId target = aQuery.mDeployment->mTargets[position].mId;
-      const auto place = aEntry.mTargets.find(target);
-      if (place != aEntry.mTargets.end()) {
-        const auto& held = place->second.mHeldSnapshots;
-        versions.insert(versions.end(), held.begin(), held.end());
-      }
+tl::expected<std::uint32_t, MissingReason>
+ChooseReplica(NodeState& aState,
+              const Query& aQuery,
+              const ShardProgress& aShard,
+              TimePoint aNow)
+{
+  const auto& replicas =
+    aQuery.mServiceRecord->mReplicas[aShard.mShard.Value()];
+  assert(!replicas.empty());
+  std::array<Candidate, kMostCandidates> candidates;
+  std::size_t count = 0;
+  Grade best = Grade::kUnusable;
+  for (const std::uint32_t position : replicas) {
+    if (count == kMostCandidates) {
+      break;
     }
-    std::sort(versions.begin(), versions.end());
-    const auto end = std::unique(versions.begin(), versions.end());
-    for (auto version = versions.begin(); version != end; ++version) {
-      ++coverage[*version];
+    Candidate& candidate = candidates[count++];
+    candidate.mPosition = position;
+    candidate.mTarget = &aQuery.mDeployment->mTargets[position];
+    const auto seen = aState.mEntry.mTargets.find(candidate.mTarget->mId);
+    candidate.mSeen =
+      seen == aState.mEntry.mTargets.end() ? nullptr : &seen->second;
+    if (IsProbeDue(aQuery, aShard, candidate.mSeen, aNow)) {
+      candidate.mSeen->mNextProbe = aNow + candidate.mSeen->mProbeInterval;
+      ++aState.mCounters.mProbes;
+      return position;
     }
+    candidate.mGrade = GradeOf(aState, aQuery, aShard, candidate, aNow);
+    best = std::min(best, candidate.mGrade);
   }
-  SnapshotVersion best;
-  std::uint32_t bestCoverage = 0;
-  for (const auto& [version, shards] : coverage) {
-    if (shards >= bestCoverage) {
-      best = version;
-      bestCoverage = shards;
+  if (best == Grade::kUnusable) {
+    return tl::unexpected(ReasonForNone(candidates, count));
+  }
+  std::size_t kept = 0;
+  for (std::size_t index = 0; index < count; ++index) {
+    if (candidates[index].mGrade == best) {
+      candidates[kept++] = candidates[index];
     }
   }
-  return best;
+  return PickCandidate(aState, aQuery, aShard, candidates.data(), kept, aNow);
 }
 
-std::uint32_t
-ChooseReplica(NodeState& aState,
-              const Query& aQuery,
-              ShardIndex aShard,
-              std::optional<TargetId> aExclude,
-              TimePoint aNow)
+tl::expected<VmId, MissingReason>
+ChooseOwner(NodeState& aState,
+            const Query& aQuery,
+            const ShardProgress& aShard,
+            std::uint32_t aTargetPosition,
+            TimePoint aNow)
 {
-  const auto& replicas = aQuery.mServiceRecord->mReplicas[aShard.Value()];
-  assert(!replicas.empty());
-  const auto& targets = aQuery.mDeployment->mTargets;
-  constexpr std::size_t kMostCandidates = 8;
-  std::uint32_t candidates[kMostCandidates];
-  std::size_t count = 0;
-  for (const std::uint32_t position : replicas) {
-    const TargetId id = targets[position].mId;
-    const bool usable =
-      id != aExclude && !LacksSnapshot(aState.mEntry, id, aQuery.mSnapshot);
-    if (usable && count < kMostCandidates) {
-      candidates[count++] = position;
+  const ConfigurationState& configuration = aState.mConfiguration;
+  std::uint32_t position = aTargetPosition;
+  if (aQuery.mDeployment != configuration.mDeployment) {
+    const auto& index = configuration.mDeployment->mTargetIndex;
+    const auto place =
+      index.find(aQuery.mDeployment->mTargets[aTargetPosition].mId);
+    if (place == index.end()) {
+      return tl::unexpected(MissingReason::kUnknownTarget);
     }
+    position = place->second;
   }
-  if (count == 0) {
-    return replicas[aState.mRandom.Below(replicas.size())];
+  const OwnerGroup& group =
+    configuration.mGroups[configuration.mGroupOfTarget[position]];
+  const std::vector<VmId>& owners = OwnersOf(aState.mMembership, group);
+  if (owners.empty()) {
+    return tl::unexpected(MissingReason::kNoOwner);
   }
-  const std::size_t first = aState.mRandom.Below(count);
-  if (count == 1) {
-    return candidates[first];
+  const auto isBusy = [&](VmId aOwner) {
+    const auto end = aShard.mTried.begin() + aShard.mAttempts;
+    return std::any_of(
+      aShard.mTried.begin(), end, [aOwner](const ShardAttempt& aAttempt) {
+        return aAttempt.mOwner == aOwner;
+      });
+  };
+  VmId best = owners.front();
+  int bestCost = std::numeric_limits<int>::max();
+  for (const VmId owner : owners) {
+    constexpr int kSuspectedCost = 2;
+    const int cost =
+      (IsOwnerSuspected(aState.mEntry, owner, aNow) ? kSuspectedCost : 0) +
+      (aShard.mAttempts != 0 && isBusy(owner) ? 1 : 0);
+    if (cost < bestCost) {
+      best = owner;
+      bestCost = cost;
+    }
   }
-  const std::size_t second =
-    (first + 1 + aState.mRandom.Below(count - 1)) % count;
-  const double firstScore =
-    ReplicaScore(aState, targets[candidates[first]], aNow);
-  const double secondScore =
-    ReplicaScore(aState, targets[candidates[second]], aNow);
-  return secondScore < firstScore ? candidates[second] : candidates[first];
+  return best;
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/QueryPlan.h
+++ b/modules/wasabispread_decisions/QueryPlan.h
@@ -1,5 +1,6 @@
 /*
- * Choices made for one request: its snapshot and a replica for each shard.
+ * Choices made for one request: its shards, a replica for each, and the owner
+ * that asks it.
  */
 #pragma once
 
@@ -17,19 +18,27 @@
          Operation aOperation,
          const std::string& aKey);
 
-/** The version that the most of the shards asked can answer from, the newest
-    among equals; 0 when no target's versions are known yet. */
-SnapshotVersion
-ChooseSnapshot(const EntryState& aEntry, const Query& aQuery);
-
-/** The position in Deployment::mTargets of the replica to ask: the better of
-    two drawn at random, by requests in flight, latency and zone. aExclude, if
-    given, is chosen only when it is the sole replica. */
-std::uint32_t
+/** The position in Deployment::mTargets of the replica to ask next, or why
+    none is worth asking. Of two drawn at random the better by requests in
+    flight, latency, success and zone is taken. Replicas asked before come next,
+    then ejected ones; one known to lack the query's snapshot, or to be
+    draining, is never asked. A hedge goes to a replica that is not ejected and
+    was not asked, or to one of several that were. Idempotent first attempts
+    now and then probe a replica out of use. */
+tl::expected<std::uint32_t, MissingReason>
 ChooseReplica(NodeState& aState,
               const Query& aQuery,
-              ShardIndex aShard,
-              std::optional<TargetId> aExclude,
+              const ShardProgress& aShard,
               TimePoint aNow);
 
+/** The VM that shall run an attempt at a target, or why there is none. An
+    owner under suspicion, or one that already holds an attempt at the shard,
+    is passed over while the other is better. */
+tl::expected<VmId, MissingReason>
+ChooseOwner(NodeState& aState,
+            const Query& aQuery,
+            const ShardProgress& aShard,
+            std::uint32_t aTargetPosition,
+            TimePoint aNow);
+
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -29,7 +29,7 @@
 
   void operator()(const CallerGone& aEvent)
   {
-    HandleCallerGone(mState, aEvent, mEffects);
+    HandleCallerGone(mState, aEvent, mNow, mEffects);
   }
 
   void operator()(const PeerMessageReceived& aEvent)
@@ -118,6 +118,12 @@
       case TimerKind::kReadVmList:
         StartMembership(mState, mEffects);
         break;
+      case TimerKind::kHedge:
+        HandleHedgeDue(mState, QueryId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kEarlyAnswer:
+        HandleEarlyAnswerDue(mState, QueryId(aTimer.mKey), mNow, mEffects);
+        break;
     }
   }
 };
--- a/modules/wasabispread_decisions/TimerQueue.h
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -29,6 +29,10 @@
   kWatchConfiguration,
   /** No key. */
   kReadVmList,
+  /** Key: the query whose slow attempts may be hedged. */
+  kHedge,
+  /** Key: the query that may be answered early. */
+  kEarlyAnswer,
 };
 
 /** A timer that came due. */
--- a/modules/wasabispread_telemetry/LogFormat.cpp
+++ b/modules/wasabispread_telemetry/LogFormat.cpp
@@ -118,6 +118,51 @@
     mLine["live"] = aRecord.mLive;
     mLine["leaving"] = aRecord.mLeaving;
   }
+
+  void operator()(const AttemptsHedged& aRecord)
+  {
+    mLine["event"] = "attempts-hedged";
+    mLine["request_id"] = aRecord.mRequestId.Value();
+    mLine["after_ms"] = ToMilliseconds(aRecord.mDelay);
+    mLine["hedges"] = Json::array();
+    for (const HedgedShard& hedge : aRecord.mHedges) {
+      mLine["hedges"].push_back({ { "shard", hedge.mShard.Value() },
+                                  { "from", TargetName(hedge.mFrom) },
+                                  { "to", TargetName(hedge.mTo) } });
+    }
+  }
+
+  void operator()(const ExtraLoadExhausted& aRecord)
+  {
+    constexpr double kPercent = 100;
+    mLine["event"] = "extra-load-exhausted";
+    mLine["request_id"] = aRecord.mRequestId.Value();
+    mLine["service"] = ServiceName(aRecord.mService);
+    mLine["extra_load_percent"] = aRecord.mExtraLoad * kPercent;
+  }
+
+  void operator()(const TargetEjected& aRecord)
+  {
+    mLine["event"] = "target-ejected";
+    mLine["target"] = TargetName(aRecord.mTarget);
+    mLine["reason"] = ToText(aRecord.mReason);
+    mLine["failures"] = aRecord.mFailures;
+  }
+
+  void operator()(const TargetRestored& aRecord)
+  {
+    mLine["event"] = "target-restored";
+    mLine["target"] = TargetName(aRecord.mTarget);
+  }
+
+  void operator()(const SnapshotChanged& aRecord)
+  {
+    mLine["event"] = "snapshot-changed";
+    mLine["request_id"] = aRecord.mRequestId.Value();
+    mLine["from"] = aRecord.mFrom.Value();
+    mLine["to"] = aRecord.mTo.Value();
+    mLine["asked_again"] = aRecord.mAskedAgain;
+  }
 };
 
 std::string_view
@@ -154,9 +199,11 @@
 LogLevel
 LevelOf(const DecisionRecord& aRecord)
 {
-  return std::holds_alternative<ConfigurationRejected>(aRecord)
-           ? LogLevel::kWarning
-           : LogLevel::kInfo;
+  const bool isWarning =
+    std::holds_alternative<ConfigurationRejected>(aRecord) ||
+    std::holds_alternative<ExtraLoadExhausted>(aRecord) ||
+    std::holds_alternative<TargetEjected>(aRecord);
+  return isWarning ? LogLevel::kWarning : LogLevel::kInfo;
 }
 
 std::string
--- a/modules/wasabispread_telemetry/MetricsText.cpp
+++ b/modules/wasabispread_telemetry/MetricsText.cpp
@@ -86,6 +86,42 @@
                    aCounters.mSnapshotMismatches);
 }
 
+void
+AddPolicyCounters(FamilyList& aList, const Counters& aCounters)
+{
+  aList.AddCounter(
+    "hedges_total", "Second attempts at slow shards.", aCounters.mHedges);
+  aList.AddCounter("hedges_won_total",
+                   "Hedges that answered before the first attempt.",
+                   aCounters.mHedgesWon);
+  aList.AddCounter("extra_load_denied_total",
+                   "Hedges and retries not sent because the budget was spent.",
+                   aCounters.mExtraLoadDenied);
+  aList.AddCounter("early_answers_total",
+                   "Answers sent once the least coverage was in.",
+                   aCounters.mEarlyAnswers);
+  aList.AddCounter("refused_overloaded_total",
+                   "Requests refused because targets refuse work.",
+                   aCounters.mRefusedOverloaded);
+  aList.AddCounter("refused_budget_total",
+                   "Requests refused because their time is too short.",
+                   aCounters.mRefusedBudget);
+  aList.AddCounter("targets_ejected_total",
+                   "Times that a target was taken out of use.",
+                   aCounters.mTargetsEjected);
+  aList.AddCounter("targets_restored_total",
+                   "Times that a target was put back to use.",
+                   aCounters.mTargetsRestored);
+  aList.AddCounter(
+    "probes_total", "Attempts at targets out of use.", aCounters.mProbes);
+  aList.AddCounter("snapshot_restarts_total",
+                   "Searches begun again on another snapshot.",
+                   aCounters.mSnapshotRestarts);
+  aList.AddCounter("callers_gone_total",
+                   "Requests whose caller left before the answer.",
+                   aCounters.mCallersGone);
+}
+
 void
 AddOwnerCounters(FamilyList& aList, const Counters& aCounters)
 {
@@ -163,6 +199,7 @@
 {
   FamilyList list;
   AddEntryCounters(list, aState.mCounters);
+  AddPolicyCounters(list, aState.mCounters);
   AddOwnerCounters(list, aState.mCounters);
   AddConfiguration(list, aState, aNow);
   AddGauges(list, aState);
