--- /dev/null
+++ b/benchmarks/BenchFleet.h
@@ -0,0 +1,245 @@
+/*
+ * A fleet under open-loop load in virtual time, and what its callers saw.
+ */
+#pragma once
+
+#include <tests/support/DeploymentText.h>
+#include <tests/support/FakeFleet.h>
+#include <tests/support/NaiveTier.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wasabispread::testing {
+
+/** How a fleet is set up and loaded. */
+struct BenchOptions
+{
+  std::uint64_t mSeed = 1;
+  unsigned mVms = 8;
+  ServiceText mService;
+  Duration mBetweenZones = std::chrono::milliseconds(4);
+  EntryPolicy mPolicy;
+  TargetBehaviour mBehaviour;
+  /** Requests a second, all VMs together. */
+  double mRate = 100;
+  Duration mWarmUp = std::chrono::seconds(5);
+  Duration mSpan = std::chrono::seconds(20);
+  Duration mPatience = std::chrono::seconds(1);
+};
+
+/** Latencies and coverage of the requests of one span. */
+struct BenchResult
+{
+  std::vector<double> mLatencyMs;
+  std::uint64_t mAsked = 0;
+  std::uint64_t mRefused = 0;
+  std::uint64_t mComplete = 0;
+  double mCoverage = 0;
+  /** Sub-requests for each shard asked. */
+  double mLoad = 0;
+
+  /** A quantile of the latencies of answers, in milliseconds. */
+  double Quantile(double aShare)
+  {
+    if (mLatencyMs.empty()) {
+      return 0;
+    }
+    std::sort(mLatencyMs.begin(), mLatencyMs.end());
+    const auto last = static_cast<double>(mLatencyMs.size() - 1);
+    return mLatencyMs[static_cast<std::size_t>(std::floor(aShare * last))];
+  }
+
+  double MeanCoverage() const
+  {
+    return mAsked == 0 ? 0 : mCoverage / static_cast<double>(mAsked);
+  }
+
+  double CompleteShare() const
+  {
+    return mAsked == 0
+             ? 0
+             : static_cast<double>(mComplete) / static_cast<double>(mAsked);
+  }
+};
+
+/** The fleet. */
+class BenchFleet
+{
+public:
+  explicit BenchFleet(const BenchOptions& aOptions)
+    : mOptions(aOptions)
+    , mFleet(aOptions.mSeed)
+    , mArrivals(aOptions.mSeed + 1)
+  {
+    mFleet.mNetwork.mBetweenZones = aOptions.mBetweenZones;
+    const auto& zones = aOptions.mService.mZones;
+    for (unsigned vm = 0; vm < aOptions.mVms; ++vm) {
+      mVms.push_back(
+        mFleet.AddVm("vm-" + std::to_string(vm), zones[vm % zones.size()]));
+      mFleet.State(mVms.back()).mEntry.mPolicy = aOptions.mPolicy;
+    }
+    const std::string text = DeploymentText({ aOptions.mService });
+    mFleet.Apply(text);
+    mNaive = std::make_unique<NaiveTier>(
+      mFleet, *ParseDeployment(text, "bench"), aOptions.mBetweenZones);
+    for (const auto& [id, target] : mFleet.Targets()) {
+      target->mBehaviour = aOptions.mBehaviour;
+    }
+    mFleet.RunFor(std::chrono::seconds(3));
+  }
+
+  FakeFleet& Fleet() { return mFleet; }
+
+  /** Asks at the set rate for a span, waits for every answer, and says what
+      became of the requests. */
+  BenchResult Run(Duration aSpan)
+  {
+    const std::size_t first = mFleet.Exchanges().size();
+    const std::uint64_t before = Arrivals();
+    std::uint64_t asked = 0;
+    const TimePoint end = mFleet.mTimeline.Now() + aSpan;
+    while (mFleet.mTimeline.Now() < end) {
+      AskOptions ask;
+      ask.mService = mOptions.mService.mName;
+      ask.mPatience = mOptions.mPatience;
+      mFleet.Ask(mVms[mArrivals.Below(mVms.size())], ask);
+      ++asked;
+      mFleet.RunFor(NextGap());
+    }
+    mFleet.RunFor(mOptions.mPatience);
+    BenchResult result = Summarize(first);
+    result.mLoad = LoadSince(before, asked);
+    return result;
+  }
+
+  /** The same load on a tier without policy. */
+  BenchResult RunNaive(Duration aSpan)
+  {
+    const std::uint64_t before = Arrivals();
+    std::vector<std::shared_ptr<const NaiveAnswer>> answers;
+    const TimePoint end = mFleet.mTimeline.Now() + aSpan;
+    while (mFleet.mTimeline.Now() < end) {
+      answers.push_back(mNaive->Ask(mOptions.mService.mName,
+                                    "n" + std::to_string(answers.size()),
+                                    mOptions.mPatience));
+      mFleet.RunFor(NextGap());
+    }
+    mFleet.RunFor(mOptions.mPatience);
+    BenchResult result;
+    for (const auto& answer : answers) {
+      ++result.mAsked;
+      const double share = static_cast<double>(answer->mBodies.size()) /
+                           static_cast<double>(answer->mShardsAsked);
+      result.mCoverage += share;
+      result.mComplete += share == 1 ? 1 : 0;
+      result.mLatencyMs.push_back(
+        ToMilliseconds(answer->mAnswered - answer->mAsked));
+    }
+    result.mLoad = LoadSince(before, answers.size());
+    return result;
+  }
+
+  /** A counter, summed over all VMs. */
+  std::uint64_t Sum(std::uint64_t Counters::*aCounter) const
+  {
+    std::uint64_t sum = 0;
+    for (const VmId vm : mVms) {
+      sum += mFleet.State(vm).mCounters.*aCounter;
+    }
+    return sum;
+  }
+
+private:
+  std::uint64_t Arrivals() const
+  {
+    std::uint64_t arrivals = 0;
+    for (const auto& [id, target] : mFleet.Targets()) {
+      arrivals += target->Arrivals();
+    }
+    return arrivals;
+  }
+
+  double LoadSince(std::uint64_t aBefore, std::uint64_t aAsked) const
+  {
+    const double shards =
+      static_cast<double>(aAsked) * mOptions.mService.mShards;
+    return static_cast<double>(Arrivals() - aBefore) / shards;
+  }
+
+  Duration NextGap()
+  {
+    const double seconds =
+      -std::log(1.0 - mArrivals.Fraction()) / mOptions.mRate;
+    constexpr double kNanoseconds = 1e9;
+    return Duration(static_cast<std::int64_t>(seconds * kNanoseconds));
+  }
+
+  BenchResult Summarize(std::size_t aFirst) const
+  {
+    BenchResult result;
+    const auto& exchanges = mFleet.Exchanges();
+    for (std::size_t at = aFirst; at < exchanges.size(); ++at) {
+      const Exchange& exchange = exchanges[at];
+      ++result.mAsked;
+      const Answer* answer = exchange.AnswerOrNull();
+      if (answer == nullptr) {
+        ++result.mRefused;
+        continue;
+      }
+      result.mCoverage += static_cast<double>(answer->mResults.size()) /
+                          static_cast<double>(answer->mShardsAsked);
+      result.mComplete += answer->IsComplete() ? 1 : 0;
+      result.mLatencyMs.push_back(
+        ToMilliseconds(exchange.mAnswered - exchange.mAsked));
+    }
+    return result;
+  }
+
+  BenchOptions mOptions;
+  FakeFleet mFleet;
+  Random mArrivals;
+  std::vector<VmId> mVms;
+  std::unique_ptr<NaiveTier> mNaive;
+};
+
+/** Prints the heading of the table whose rows PrintRow() adds. */
+inline void
+PrintHeading(const char* aTitle)
+{
+  std::printf("\n%s\n%-34s %8s %8s %8s %9s %9s %8s %8s\n",
+              aTitle,
+              "rule",
+              "p50 ms",
+              "p99 ms",
+              "p99.9",
+              "coverage",
+              "complete",
+              "refused",
+              "load");
+}
+
+/** Prints what one rule brought. */
+inline void
+PrintRow(const std::string& aName, BenchResult aResult)
+{
+  constexpr double kMedian = 0.5;
+  constexpr double kHigh = 0.99;
+  constexpr double kHighest = 0.999;
+  std::printf("%-34s %8.1f %8.1f %8.1f %9.4f %9.4f %8llu %8.3f\n",
+              aName.c_str(),
+              aResult.Quantile(kMedian),
+              aResult.Quantile(kHigh),
+              aResult.Quantile(kHighest),
+              aResult.MeanCoverage(),
+              aResult.CompleteShare(),
+              static_cast<unsigned long long>(aResult.mRefused),
+              aResult.mLoad);
+}
+
+} // namespace wasabispread::testing
--- /dev/null
+++ b/benchmarks/hedging.cpp
@@ -0,0 +1,218 @@
+/*
+ * Hedging rules compared in virtual time: none, a fixed delay, and a learned
+ * quantile under the extra-load budget, beside a tier without any policy.
+ * Prints one table for each fault and load; argument: seconds of load.
+ */
+#include "BenchFleet.h"
+
+#include <cstdlib>
+
+using namespace wasabispread;
+using namespace wasabispread::testing;
+
+namespace {
+
+/** A rule and its name in the tables. */
+struct Rival
+{
+  const char* mName;
+  EntryPolicy mPolicy;
+};
+
+EntryPolicy
+WithHedge(HedgeRule aRule, std::uint8_t aMost, bool aIsBudgeted)
+{
+  EntryPolicy policy;
+  policy.mHedge = aRule;
+  policy.mMostHedges = aMost;
+  policy.mIsBudgeted = aIsBudgeted;
+  return policy;
+}
+
+std::vector<Rival>
+Rivals()
+{
+  return {
+    { "no hedge", WithHedge(HedgeRule::kNone, 0, true) },
+    { "fixed 10 ms, no budget", WithHedge(HedgeRule::kFixedDelay, 1, false) },
+    { "learned, no budget", WithHedge(HedgeRule::kLearnedQuantile, 1, false) },
+    { "learned, budget, 1 hedge",
+      WithHedge(HedgeRule::kLearnedQuantile, 1, true) },
+    { "learned, budget, 2 hedges",
+      WithHedge(HedgeRule::kLearnedQuantile, 2, true) },
+  };
+}
+
+/** A deployment's shape, as one of its services has it. */
+struct Shape
+{
+  const char* mName;
+  ServiceText mService;
+  Duration mBetweenZones;
+};
+
+Shape
+SrisukShape()
+{
+  ServiceText service;
+  service.mName = "alert-desk";
+  service.mHoldsAllShards = true;
+  service.mZones = { "zone-a", "zone-b", "zone-c", "zone-d" };
+  return { "Srisuk: 4 shards, 2 targets, cap 25",
+           service,
+           std::chrono::milliseconds(4) };
+}
+
+Shape
+FoamlineShape()
+{
+  ServiceText service;
+  service.mName = "catalogue";
+  service.mHoldsAllShards = true;
+  service.mExtraLoadPercent = 2;
+  return { "Foamline: 4 shards, 2 targets, cap 25",
+           service,
+           std::chrono::milliseconds(5) };
+}
+
+Shape
+WideShape()
+{
+  ServiceText service;
+  service.mName = "wide";
+  service.mShards = 100;
+  service.mReplicas = 2;
+  service.mConnectionCap = 100;
+  return { "Wide: 100 shards, 2 replicas, cap 100",
+           service,
+           std::chrono::milliseconds(4) };
+}
+
+/** The rate that keeps a share of the connections of the first owners busy. */
+double
+RateAt(const Shape& aShape, double aLoad)
+{
+  constexpr double kFirstOwnerShare = 0.6;
+  constexpr double kMeanSeconds = 0.007;
+  const double targets =
+    aShape.mService.mHoldsAllShards
+      ? aShape.mService.mReplicas
+      : aShape.mService.mReplicas * aShape.mService.mShards;
+  const double connections =
+    aShape.mService.mConnectionCap * kFirstOwnerShare * targets;
+  return aLoad * connections / kMeanSeconds / aShape.mService.mShards;
+}
+
+BenchOptions
+OptionsFor(const Shape& aShape, double aRate, double aStragglers)
+{
+  BenchOptions options;
+  options.mService = aShape.mService;
+  options.mBetweenZones = aShape.mBetweenZones;
+  options.mRate = aRate;
+  options.mBehaviour.mServiceTime = std::chrono::milliseconds(5);
+  options.mBehaviour.mIsExponential = true;
+  options.mBehaviour.mStragglers = aStragglers;
+  options.mBehaviour.mStragglerTime = std::chrono::milliseconds(200);
+  return options;
+}
+
+void
+CompareStragglers(const Shape& aShape,
+                  double aRate,
+                  const std::string& aLoad,
+                  double aStragglers,
+                  Duration aSpan)
+{
+  constexpr double kPercent = 100;
+  const std::string title = std::string(aShape.mName) + ", load " + aLoad +
+                            ", stragglers " +
+                            std::to_string(aStragglers * kPercent) + "%";
+  PrintHeading(title.c_str());
+  BenchOptions options = OptionsFor(aShape, aRate, aStragglers);
+  BenchFleet naive(options);
+  PrintRow("naive", naive.RunNaive(aSpan));
+  for (const Rival& rival : Rivals()) {
+    options.mPolicy = rival.mPolicy;
+    BenchFleet fleet(options);
+    fleet.Run(options.mWarmUp);
+    PrintRow(rival.mName, fleet.Run(aSpan));
+  }
+}
+
+/** One target of each shard answers ten times slower than the others. */
+void
+CompareSlowTarget(const Shape& aShape, double aRate, Duration aSpan)
+{
+  PrintHeading(
+    (std::string(aShape.mName) + ", one target 10 times slower").c_str());
+  BenchOptions options = OptionsFor(aShape, aRate, 0);
+  const auto slow = [&](BenchFleet& aFleet) {
+    aFleet.Fleet()
+      .TargetNamed(aShape.mService.mName + "-0-0")
+      .mBehaviour.mServiceTime = std::chrono::milliseconds(50);
+  };
+  BenchFleet naive(options);
+  slow(naive);
+  PrintRow("naive", naive.RunNaive(aSpan));
+  for (const Rival& rival : Rivals()) {
+    options.mPolicy = rival.mPolicy;
+    BenchFleet fleet(options);
+    slow(fleet);
+    fleet.Run(options.mWarmUp);
+    PrintRow(rival.mName, fleet.Run(aSpan));
+  }
+}
+
+/** Half of all targets shed everything for a while, then recover. */
+void
+CompareShedding(const Shape& aShape, double aRate)
+{
+  for (const Rival& rival : Rivals()) {
+    BenchOptions options = OptionsFor(aShape, aRate, 0);
+    options.mPolicy = rival.mPolicy;
+    BenchFleet fleet(options);
+    fleet.Run(options.mWarmUp);
+    PrintHeading(
+      (std::string(aShape.mName) + ", half shedding: " + rival.mName).c_str());
+    PrintRow("before", fleet.Run(std::chrono::seconds(5)));
+    const auto shed = [&](double aShare) {
+      unsigned ordinal = 0;
+      for (const auto& [id, target] : fleet.Fleet().Targets()) {
+        target->mBehaviour.mShed = ordinal++ % 2 == 0 ? aShare : 0;
+      }
+    };
+    shed(1);
+    PrintRow("first second of the fault", fleet.Run(std::chrono::seconds(1)));
+    PrintRow("rest of the fault", fleet.Run(std::chrono::seconds(10)));
+    shed(0);
+    PrintRow("first second after", fleet.Run(std::chrono::seconds(1)));
+    PrintRow("third second on", fleet.Run(std::chrono::seconds(5)));
+  }
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  constexpr int kDefaultSeconds = 20;
+  const int seconds = aCount > 1 ? std::atoi(aArguments[1]) : kDefaultSeconds;
+  const Duration span = std::chrono::seconds(seconds);
+  constexpr double kMany = 0.05;
+  constexpr double kFew = 0.01;
+  constexpr double kQuarter = 0.25;
+  for (const Shape& shape : { SrisukShape(), FoamlineShape() }) {
+    for (const double load : { 0.3, 0.6, 0.9 }) {
+      CompareStragglers(
+        shape, RateAt(shape, load), std::to_string(load), kFew, span);
+    }
+    CompareStragglers(
+      shape, RateAt(shape, kQuarter), std::to_string(kQuarter), kMany, span);
+    CompareSlowTarget(shape, RateAt(shape, kQuarter), span);
+    CompareShedding(shape, RateAt(shape, kQuarter));
+  }
+  constexpr double kWideRate = 50;
+  CompareStragglers(WideShape(), kWideRate, "50 a second", kFew, span);
+  return 0;
+}
--- a/modules/wasabispread_decisions/Answering.cpp
+++ b/modules/wasabispread_decisions/Answering.cpp
@@ -94,17 +94,36 @@
   }
 }
 
+/** Whether a shard is missing for want of capacity. A target that is out of use
+    is broken rather than busy. */
+bool
+IsMissingUnderLoad(const EntryState& aEntry, const ShardProgress& aShard)
+{
+  if (aShard.mStatus != ShardStatus::kMissing) {
+    return false;
+  }
+  if (aShard.mReason == MissingReason::kShed ||
+      aShard.mReason == MissingReason::kOverloaded) {
+    return true;
+  }
+  if (aShard.mReason != MissingReason::kTimeout || aShard.mAttempts == 0) {
+    return false;
+  }
+  const auto target =
+    aEntry.mTargets.find(aShard.mTried[aShard.mAttempts - 1].mTarget);
+  return target != aEntry.mTargets.end() &&
+         target->second.mStanding == TargetStanding::kInUse;
+}
+
 /** The share of a request's shards that were not refused under load. */
 double
-AcceptedShare(const Query& aQuery)
+AcceptedShare(const EntryState& aEntry, const Query& aQuery)
 {
   const auto refused =
     std::count_if(aQuery.mShards.begin(),
                   aQuery.mShards.end(),
-                  [](const ShardProgress& aShard) {
-                    return aShard.mStatus == ShardStatus::kMissing &&
-                           (aShard.mReason == MissingReason::kShed ||
-                            aShard.mReason == MissingReason::kOverloaded);
+                  [&aEntry](const ShardProgress& aShard) {
+                    return IsMissingUnderLoad(aEntry, aShard);
                   });
   return 1 - static_cast<double>(refused) /
                static_cast<double>(aQuery.mShards.size());
@@ -237,7 +256,8 @@
   }
   const bool isTimeout = aReason == MissingReason::kTimeout;
   CloseAttempts(aState, query, isTimeout, aNow, aEffects);
-  RecordAccepted(aState, query.mService, AcceptedShare(query), aNow);
+  RecordAccepted(
+    aState, query.mService, AcceptedShare(aState.mEntry, query), aNow);
   Outcome outcome = BuildOutcome(query);
   CountOutcome(aState.mCounters, outcome);
   aEffects.push_back(LogDecision{ DescribeAnswered(query, outcome, aNow) });
--- a/modules/wasabispread_decisions/Attempts.cpp
+++ b/modules/wasabispread_decisions/Attempts.cpp
@@ -77,14 +77,18 @@
   if (!owner) {
     return tl::unexpected(owner.error());
   }
-  const TargetId target = aQuery.mDeployment->mTargets[*position].mId;
+  const Target& record = aQuery.mDeployment->mTargets[*position];
+  const TargetId target = record.mId;
+  const Distance distance = record.mZone == aState.mSelf.mZone
+                              ? Distance::kOwnZone
+                              : Distance::kOtherZone;
   const AttemptSequence sequence(aState.mEntry.mNextAttempt++);
   shard.mTried[shard.mAttempts++] =
-    ShardAttempt{ sequence, target, *owner, aNow };
+    ShardAttempt{ sequence, target, *owner, aNow, distance };
   ++shard.mAttemptsInFlight;
   ++aState.mCounters.mAttempts;
-  const AttemptPlace place{ aQueryId, aShardPosition, *owner,
-                            target,   aNow,           aIsHedge };
+  const AttemptPlace place{ aQueryId, aShardPosition, *owner,  target,
+                            aNow,     distance,       aIsHedge };
   ObserveSent(aState, aQuery.mService, place, aNow);
   aState.mEntry.mAttempts.emplace(sequence, place);
   ItemsFor(aOutgoing, *owner)
--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -265,9 +265,9 @@
   }
   const EntryPolicy& policy = aState.mEntry.mPolicy;
   const ServiceObservation& service = ObservedService(aState, aService);
-  query.mHedgeDelay = HedgeDelay(policy, aService, service.mLatency);
+  query.mHedgeDelay = HedgeDelay(policy, aService, service);
   query.mGrace =
-    EarlyAnswerGrace(policy, LearnedDelay(aService, service.mLatency));
+    EarlyAnswerGrace(policy, LearnedDelay(aService, service).Longest());
   return query;
 }
 
@@ -300,7 +300,7 @@
   constexpr int kSettlingDivisor = 4;
   aState.mTimers.Arm(
     aQuery.mDeadline, TimerKind::kQueryDeadline, aQueryId.Value());
-  if (aQuery.mHedgeDelay > Duration::zero()) {
+  if (aQuery.mHedgeDelay.Longest() > Duration::zero()) {
     ArmHedgeTimer(aState, aQueryId, aQuery, aNow);
   } else if (!aQuery.mIsSettled &&
              aQuery.mRequest.mOperation == Operation::kSearch) {
@@ -437,7 +437,7 @@
   }
   Query& query = place->second;
   Touched touched{ aQuery, {} };
-  if (query.mHedgeDelay > Duration::zero()) {
+  if (query.mHedgeDelay.Longest() > Duration::zero()) {
     HedgeSlowShards(aState, aQuery, query, aNow, touched.mOutgoing, aEffects);
     ArmHedgeTimer(aState, aQuery, query, aNow);
   }
--- a/modules/wasabispread_decisions/EntryState.h
+++ b/modules/wasabispread_decisions/EntryState.h
@@ -12,6 +12,7 @@
 #include "LatencyHistogram.h"
 #include "PeerMessage.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <unordered_map>
@@ -33,6 +34,27 @@
   kMissing,
 };
 
+/** Whether a target is in the entry's own availability zone. */
+enum class Distance : std::uint8_t
+{
+  kOwnZone,
+  kOtherZone,
+};
+
+/** A duration for each distance. */
+struct DelayByDistance
+{
+  Duration mOwnZone{};
+  Duration mOtherZone{};
+
+  Duration To(Distance aDistance) const
+  {
+    return aDistance == Distance::kOwnZone ? mOwnZone : mOtherZone;
+  }
+
+  Duration Longest() const { return std::max(mOwnZone, mOtherZone); }
+};
+
 /** One attempt at a shard, in flight or ended. */
 struct ShardAttempt
 {
@@ -40,6 +62,7 @@
   TargetId mTarget;
   VmId mOwner;
   TimePoint mSent;
+  Distance mDistance = Distance::kOwnZone;
 };
 
 /** One shard of a request. Invariant: the first mAttempts of mTried are the
@@ -98,7 +121,7 @@
   /** When the answer must leave. */
   TimePoint mDeadline;
   /** How long an attempt may take before it is hedged; 0 is never. */
-  Duration mHedgeDelay{};
+  DelayByDistance mHedgeDelay;
   std::uint8_t mHedgePasses = 0;
   /** How long an early answer is held back. */
   Duration mGrace{};
@@ -121,6 +144,7 @@
   VmId mOwner;
   TargetId mTarget;
   TimePoint mSent;
+  Distance mDistance = Distance::kOwnZone;
   bool mIsHedge = false;
 };
 
@@ -169,7 +193,10 @@
 /** What an entry has seen of a service. */
 struct ServiceObservation
 {
+  /** Latencies of attempts, all together and by distance. */
   LatencyHistogram mLatency;
+  LatencyHistogram mOwnZoneLatency;
+  LatencyHistogram mOtherZoneLatency;
   ExtraLoadBudget mBudget;
   AdmissionState mAdmission;
   Revision mRevision;
--- a/modules/wasabispread_decisions/Hedging.cpp
+++ b/modules/wasabispread_decisions/Hedging.cpp
@@ -7,47 +7,56 @@
 
 namespace wasabispread {
 
-Duration
-LearnedDelay(const Service& aService, const LatencyHistogram& aLatency)
+namespace {
+
+constexpr std::uint8_t kMostPasses = 12;
+constexpr int kPassesPerDelay = 4;
+
+} // namespace
+
+DelayByDistance
+LearnedDelay(const Service& aService, const ServiceObservation& aObserved)
 {
   // The rest of the budget is left for retries.
-  constexpr double kHedgedShareOfBudget = 0.75;
+  constexpr double kHedgedShareOfBudget = 0.8;
   constexpr double kHighestShare = 0.999;
   const double affordable = 1 - kHedgedShareOfBudget * aService.mExtraLoad;
-  return aLatency.Quantile(
-    std::min(kHighestShare, std::max(aService.mHedgeQuantile, affordable)));
+  const double share =
+    std::min(kHighestShare, std::max(aService.mHedgeQuantile, affordable));
+  return DelayByDistance{ aObserved.mOwnZoneLatency.Quantile(share),
+                          aObserved.mOtherZoneLatency.Quantile(share) };
 }
 
-Duration
+DelayByDistance
 HedgeDelay(const EntryPolicy& aPolicy,
            const Service& aService,
-           const LatencyHistogram& aLatency)
+           const ServiceObservation& aObserved)
 {
   switch (aPolicy.mHedge) {
     case HedgeRule::kNone:
-      return Duration::zero();
+      return {};
     case HedgeRule::kFixedDelay:
-      return aPolicy.mFixedHedgeDelay;
+      return { aPolicy.mFixedHedgeDelay, aPolicy.mFixedHedgeDelay };
     case HedgeRule::kLearnedQuantile:
       break;
   }
-  return aService.mExtraLoad > 0 ? LearnedDelay(aService, aLatency)
-                                 : Duration::zero();
+  return aService.mExtraLoad > 0 ? LearnedDelay(aService, aObserved)
+                                 : DelayByDistance{};
 }
 
-bool
-IsHedgeDue(const Query& aQuery,
-           const ShardProgress& aShard,
-           const EntryPolicy& aPolicy,
-           TimePoint aNow)
+TimePoint
+NextHedge(const Query& aQuery,
+          const ShardProgress& aShard,
+          const EntryPolicy& aPolicy)
 {
   if (aShard.mStatus != ShardStatus::kPending ||
       aShard.mAttemptsInFlight == 0 || aShard.mAttempts >= kMostAttempts ||
       aShard.mHedges >= aPolicy.mMostHedges) {
-    return false;
+    return TimePoint::max();
   }
   const ShardAttempt& last = aShard.mTried[aShard.mAttempts - 1];
-  return aNow - last.mSent >= aQuery.mHedgeDelay;
+  const Duration delay = aQuery.mHedgeDelay.To(last.mDistance);
+  return delay > Duration::zero() ? last.mSent + delay : TimePoint::max();
 }
 
 void
@@ -56,13 +65,19 @@
               Query& aQuery,
               TimePoint aNow)
 {
-  constexpr std::uint8_t kMostPasses = 8;
-  const TimePoint due = aNow + aQuery.mHedgeDelay * (1 + aQuery.mHedgePasses);
-  const bool isWanted = aQuery.mHedgeDelay > Duration::zero() &&
-                        due < aQuery.mDeadline &&
-                        aQuery.mHedgePasses < kMostPasses &&
-                        IsIdempotent(aQuery.mRequest.mOperation);
-  if (isWanted) {
+  if (!IsIdempotent(aQuery.mRequest.mOperation)) {
+    return;
+  }
+  TimePoint due = TimePoint::max();
+  for (const ShardProgress& shard : aQuery.mShards) {
+    due = std::min(due, NextHedge(aQuery, shard, aState.mEntry.mPolicy));
+  }
+  // Each pass waits longer than the one before, so that a request costs a
+  // bounded number of them.
+  const Duration spacing =
+    aQuery.mHedgeDelay.Longest() / kPassesPerDelay * aQuery.mHedgePasses;
+  due = due == TimePoint::max() ? due : std::max(due, aNow + spacing);
+  if (due < aQuery.mDeadline && aQuery.mHedgePasses < kMostPasses) {
     ++aQuery.mHedgePasses;
     aState.mTimers.Arm(due, TimerKind::kHedge, aQueryId.Value());
   }
@@ -78,12 +93,12 @@
 {
   AttemptsHedged record;
   record.mRequestId = aQuery.mRequest.mRequestId;
-  record.mDelay = aQuery.mHedgeDelay;
+  record.mDelay = aQuery.mHedgeDelay.Longest();
   const EntryPolicy& policy = aState.mEntry.mPolicy;
   for (std::uint32_t position = 0; position < aQuery.mShards.size();
        ++position) {
     ShardProgress& shard = aQuery.mShards[position];
-    if (!IsHedgeDue(aQuery, shard, policy, aNow)) {
+    if (NextHedge(aQuery, shard, policy) > aNow) {
       continue;
     }
     if (!PayForExtraAttempt(aState, aQuery, aNow, aEffects)) {
--- a/modules/wasabispread_decisions/Hedging.h
+++ b/modules/wasabispread_decisions/Hedging.h
@@ -10,25 +10,25 @@
 /** How long attempts of a service take that are not slow: its hedge_quantile,
     or a higher quantile when hedging after that one would ask for more than
     the budget allows; zero while this is not known. */
-Duration
-LearnedDelay(const Service& aService, const LatencyHistogram& aLatency);
+DelayByDistance
+LearnedDelay(const Service& aService, const ServiceObservation& aObserved);
 
 /** How long an attempt of a service may take before it is hedged; zero when it
     is not. */
-Duration
+DelayByDistance
 HedgeDelay(const EntryPolicy& aPolicy,
            const Service& aService,
-           const LatencyHistogram& aLatency);
+           const ServiceObservation& aObserved);
 
-/** Whether a shard's attempt has taken long enough to be hedged. */
-bool
-IsHedgeDue(const Query& aQuery,
-           const ShardProgress& aShard,
-           const EntryPolicy& aPolicy,
-           TimePoint aNow);
+/** When a shard's attempt has taken long enough to be hedged;
+    TimePoint::max() when it is not to be. */
+TimePoint
+NextHedge(const Query& aQuery,
+          const ShardProgress& aShard,
+          const EntryPolicy& aPolicy);
 
-/** Arms a request's hedge timer, if it may be hedged; each time for a longer
-    wait than before, so that a request costs a bounded number of passes. */
+/** Arms a request's hedge timer for its next slow shard, if it may be hedged.
+    A request gets a bounded number of passes. */
 void
 ArmHedgeTimer(NodeState& aState,
               QueryId aQueryId,
--- a/modules/wasabispread_decisions/LatencyHistogram.cpp
+++ b/modules/wasabispread_decisions/LatencyHistogram.cpp
@@ -30,18 +30,28 @@
   return (shift + 1) * kSubBuckets + ((units >> shift) - kSubBuckets);
 }
 
-/** The least latency beyond a bucket. */
+/** The least latency of a bucket. */
 Duration
-UpperBound(std::size_t aBucket)
+LowerBound(std::size_t aBucket)
 {
-  std::uint64_t units = aBucket + 1;
+  std::uint64_t units = aBucket;
   if (aBucket >= kSubBuckets) {
     const std::uint64_t shift = aBucket / kSubBuckets - 1;
-    units = (kSubBuckets + aBucket % kSubBuckets + 1) << shift;
+    units = (kSubBuckets + aBucket % kSubBuckets) << shift;
   }
   return Duration(static_cast<std::int64_t>(units << kUnitBits));
 }
 
+/** The latency at a share, 0 to 1, of a bucket's width. */
+Duration
+Within(std::size_t aBucket, double aShare)
+{
+  const Duration from = LowerBound(aBucket);
+  const auto width =
+    static_cast<double>((LowerBound(aBucket + 1) - from).count());
+  return from + Duration(static_cast<std::int64_t>(aShare * width));
+}
+
 } // namespace
 
 void
@@ -65,14 +75,15 @@
     return Duration::zero();
   }
   const double wanted = aShare * static_cast<double>(mTotal);
-  std::uint64_t seen = 0;
+  double seen = 0;
   for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
-    seen += mCounts[bucket];
-    if (seen != 0 && static_cast<double>(seen) >= wanted) {
-      return UpperBound(bucket);
+    const double count = mCounts[bucket];
+    if (count > 0 && seen + count >= wanted) {
+      return Within(bucket, std::max(0.0, wanted - seen) / count);
     }
+    seen += count;
   }
-  return UpperBound(kBuckets - 1);
+  return LowerBound(kBuckets);
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/LatencyHistogram.h
+++ b/modules/wasabispread_decisions/LatencyHistogram.h
@@ -12,7 +12,7 @@
 namespace wasabispread {
 
 /** Counts latencies in buckets an eighth of an octave wide; older ones weigh
-    less and less. A quantile is at most 12.5% above the true one. */
+    less and less. A quantile is off by at most an eighth. */
 class LatencyHistogram
 {
 public:
--- a/modules/wasabispread_decisions/QueryPlan.cpp
+++ b/modules/wasabispread_decisions/QueryPlan.cpp
@@ -44,6 +44,7 @@
 {
   constexpr double kOtherZonePenalty = 4e6;
   constexpr double kLeastSuccess = 0.05;
+  constexpr double kUsualConcurrency = 4;
   const double zone =
     aCandidate.mTarget->mZone == aState.mSelf.mZone ? 0 : kOtherZonePenalty;
   if (aCandidate.mSeen == nullptr) {
@@ -52,7 +53,8 @@
   const TargetObservation& seen = *aCandidate.mSeen;
   const double latency = seen.mLatency > 0 ? seen.mLatency : kUnknownLatency;
   const double success = std::max(seen.mSuccess, kLeastSuccess);
-  return zone + latency * (seen.mInFlight + 1) / (success * success);
+  const double crowding = 1 + seen.mInFlight / kUsualConcurrency;
+  return zone + latency * crowding / (success * success);
 }
 
 /** Whether a replica said that it does not hold the snapshot. */
--- a/modules/wasabispread_decisions/TargetHealth.cpp
+++ b/modules/wasabispread_decisions/TargetHealth.cpp
@@ -113,6 +113,19 @@
                           : (latency - aObserved.mLatency) * kNewWeight;
 }
 
+void
+RecordLatency(ServiceObservation& aService,
+              const AttemptPlace& aPlace,
+              Duration aLatency)
+{
+  aService.mLatency.Add(aLatency);
+  if (aPlace.mDistance == Distance::kOwnZone) {
+    aService.mOwnZoneLatency.Add(aLatency);
+  } else {
+    aService.mOtherZoneLatency.Add(aLatency);
+  }
+}
+
 void
 LearnSnapshots(NodeState& aState,
                TargetObservation& aObserved,
@@ -279,7 +292,7 @@
   target.mSuccess += (1 - target.mSuccess) * kNewWeight;
   const Duration latency = aNow - aPlace.mSent;
   LearnLatency(target, latency);
-  aState.mEntry.mServices[target.mService].mLatency.Add(latency);
+  RecordLatency(aState.mEntry.mServices[target.mService], aPlace, latency);
 }
 
 void
@@ -297,7 +310,7 @@
   // A hedge's time so far says little; a first attempt's tells that it is
   // beyond the quantile that the hedge waited for.
   if (!aPlace.mIsHedge) {
-    aState.mEntry.mServices[target.mService].mLatency.Add(elapsed);
+    RecordLatency(aState.mEntry.mServices[target.mService], aPlace, elapsed);
   }
   if (!aIsTimeout) {
     return;
--- a/tests/support/DeploymentText.h
+++ b/tests/support/DeploymentText.h
@@ -21,6 +21,9 @@
   unsigned mMaximumWaitMs = 500;
   unsigned mConnectionCap = 25;
   double mExtraLoadPercent = 5;
+  /** Whether there are just mReplicas targets, NAME-0-R, that each hold every
+      shard. */
+  bool mHoldsAllShards = false;
 };
 
 /** The file's text. Target NAME-S-R is replica R of shard S; replicas of one
@@ -42,7 +45,8 @@
     text +=
       "extra_load_percent = " + std::to_string(service.mExtraLoadPercent) +
       "\n";
-    for (unsigned shard = 0; shard < service.mShards; ++shard) {
+    const unsigned groups = service.mHoldsAllShards ? 1 : service.mShards;
+    for (unsigned shard = 0; shard < groups; ++shard) {
       for (unsigned replica = 0; replica < service.mReplicas; ++replica) {
         const std::string& zone =
           service.mZones[(shard + replica) % service.mZones.size()];
@@ -50,8 +54,10 @@
                 std::to_string(shard) + "-" + std::to_string(replica) + "\"\n";
         text += "address = \"10.0.0." + std::to_string(host) + ":" +
                 std::to_string(port) + "\"\n";
-        text +=
-          "zone = \"" + zone + "\"\nshards = [" + std::to_string(shard) + "]\n";
+        text += "zone = \"" + zone + "\"\n";
+        if (!service.mHoldsAllShards) {
+          text += "shards = [" + std::to_string(shard) + "]\n";
+        }
         constexpr unsigned kMostPort = 65000;
         if (++port > kMostPort) {
           port = 1;
