--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -30,7 +30,7 @@
 
   void operator()(const CallerGone& aEvent)
   {
-    HandleCallerGone(mState, aEvent, mEffects);
+    HandleCallerGone(mState, aEvent, mNow, mEffects);
   }
 
   void operator()(const PeerMessageReceived& aEvent)
@@ -188,6 +188,12 @@
       case TimerKind::kHeartbeat:
         StartHeartbeat(mState, mNow);
         break;
+      case TimerKind::kHedge:
+        HandleHedgeDue(mState, QueryId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kEarlyAnswer:
+        HandleEarlyAnswerDue(mState, QueryId(aTimer.mKey), mNow, mEffects);
+        break;
     }
   }
 };
--- a/modules/wasabispread_decisions/TimerQueue.h
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -47,6 +47,10 @@
   kIdleConnections,
   /** No key: shows that the process runs. */
   kHeartbeat,
+  /** Key: the query whose slow attempts may be hedged. */
+  kHedge,
+  /** Key: the query that may be answered early. */
+  kEarlyAnswer,
 };
 
 /** A timer that came due. */
