Notice callers and idle connections that close; split the stand-ins

Cause: a request ran on after its caller had gone, a target connection closed while idle was found only by writing on it, frames that a broken link never began to write ended as 'may have run', and an oversized request's rejection was lost to a reset. Ruled out: a fiber per request that reads ahead (a stack for each request); one wait on the socket is enough.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -103,7 +103,8 @@
   {
   }
 
-  HttpResponse operator()(const HttpRequest& aRequest)
+  HttpResponse operator()(const HttpRequest& aRequest,
+                          const ClosedWatch& aWatch)
   {
     auto request =
       ParseCallerRequest(aRequest, CallerToken{}, GenerateRequestId());
@@ -116,7 +117,7 @@
     // Names must come from the configuration that the request was planned by.
     const DeploymentPointer deployment =
       mRunner.State().mConfiguration.mDeployment;
-    const Outcome outcome = mRunner.Ask(std::move(*request));
+    const Outcome outcome = mRunner.Ask(std::move(*request), aWatch);
     return FormatOutcome(id, outcome, deployment.get());
   }
 
--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -602,6 +602,23 @@
   EndAttempts(aState, aOwner, replies, aNow, aEffects);
 }
 
+void
+HandleAttemptsNotSent(NodeState& aState,
+                      const AttemptsNotSent& aEvent,
+                      TimePoint aNow,
+                      Effects& aEffects)
+{
+  std::vector<ItemReply> replies;
+  for (const AttemptSequence sequence : aEvent.mAttempts) {
+    ItemReply reply;
+    reply.mSequence = sequence;
+    reply.mOutcome = AttemptOutcome::kNotRun;
+    reply.mReason = MissingReason::kOwnerLost;
+    replies.push_back(std::move(reply));
+  }
+  EndAttempts(aState, aEvent.mPeer, replies, aNow, aEffects);
+}
+
 void
 HandleQueryDeadline(NodeState& aState,
                     QueryId aQuery,
--- a/modules/wasabispread_decisions/Entry.h
+++ b/modules/wasabispread_decisions/Entry.h
@@ -37,6 +37,13 @@
                 TimePoint aNow,
                 Effects& aEffects);
 
+/** Ends attempts that never left this VM as not run. */
+void
+HandleAttemptsNotSent(NodeState& aState,
+                      const AttemptsNotSent& aEvent,
+                      TimePoint aNow,
+                      Effects& aEffects);
+
 /** Answers a request with what is there. */
 void
 HandleQueryDeadline(NodeState& aState,
--- a/modules/wasabispread_decisions/Event.h
+++ b/modules/wasabispread_decisions/Event.h
@@ -49,6 +49,14 @@
   VmId mPeer;
 };
 
+/** Attempts that were to be sent to another VM, none of whose bytes were
+    written: they did not run. */
+struct AttemptsNotSent
+{
+  VmId mPeer;
+  std::vector<AttemptSequence> mAttempts;
+};
+
 /** A connection that was asked for is ready. */
 struct TargetConnected
 {
@@ -118,6 +126,7 @@
                            StoreWatched,
                            VmListReceived,
                            StopRequested,
-                           Tick>;
+                           Tick,
+                           AttemptsNotSent>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -42,6 +42,11 @@
     HandleOwnerLost(mState, aEvent.mPeer, mNow, mEffects);
   }
 
+  void operator()(const AttemptsNotSent& aEvent)
+  {
+    HandleAttemptsNotSent(mState, aEvent, mNow, mEffects);
+  }
+
   void operator()(const TargetConnected& aEvent)
   {
     HandleTargetConnected(mState, aEvent, mNow, mEffects);
--- a/modules/wasabispread_runtime/AsioSupport.h
+++ b/modules/wasabispread_runtime/AsioSupport.h
@@ -40,6 +40,19 @@
   return { boost::asio::ip::make_address(aEndpoint.mHost), aEndpoint.mPort };
 }
 
+/** Whether the other side has closed a connection; reads nothing. */
+inline bool
+IsClosedByPeer(boost::asio::ip::tcp::socket& aSocket)
+{
+  char byte = 0;
+  boost::system::error_code error;
+  aSocket.non_blocking(true, error);
+  aSocket.receive(boost::asio::buffer(&byte, 1),
+                  boost::asio::socket_base::message_peek,
+                  error);
+  return error && error != boost::asio::error::would_block;
+}
+
 /** Opens a listening socket, or says why it cannot. */
 inline Result<boost::asio::ip::tcp::acceptor>
 Listen(boost::asio::io_context& aContext, const Endpoint& aEndpoint)
--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -64,15 +64,48 @@
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   std::string mPeer;
+  /** True while a watch on the idle connection stands. */
+  std::shared_ptr<bool> mIsWatching;
 };
 
 HttpConnection::HttpConnection(IoLoop& aLoop)
   : mImplementation(std::make_unique<Implementation>(
-      Implementation{ beast::tcp_stream(aLoop.Context()), {}, {} }))
+      Implementation{ beast::tcp_stream(aLoop.Context()), {}, {}, {} }))
 {
 }
 
-HttpConnection::~HttpConnection() = default;
+HttpConnection::~HttpConnection()
+{
+  EndWatch();
+}
+
+void
+HttpConnection::WatchIdle(std::function<void()> aAction)
+{
+  EndWatch();
+  auto isWatching = std::make_shared<bool>(true);
+  mImplementation->mIsWatching = isWatching;
+  mImplementation->mStream.socket().async_wait(
+    boost::asio::ip::tcp::socket::wait_read,
+    [isWatching, action = std::move(aAction)](auto aError) {
+      if (!aError && *isWatching) {
+        *isWatching = false;
+        StartFiber(action);
+      }
+    });
+}
+
+void
+HttpConnection::EndWatch()
+{
+  if (mImplementation->mIsWatching == nullptr) {
+    return;
+  }
+  *mImplementation->mIsWatching = false;
+  mImplementation->mIsWatching.reset();
+  boost::system::error_code ignored;
+  mImplementation->mStream.socket().cancel(ignored);
+}
 
 Result<std::monostate>
 HttpConnection::Connect(const Endpoint& aAddress, Duration aTimeout)
@@ -94,7 +127,13 @@
 Result<HttpResponse>
 HttpConnection::Exchange(const HttpRequest& aRequest, Duration aTimeout)
 {
+  EndWatch();
   auto& stream = mImplementation->mStream;
+  if (IsClosedByPeer(stream.socket())) {
+    return ConnectionFailure(boost::asio::error::eof,
+                             mImplementation->mPeer,
+                             Execution::kNotRun);
+  }
   const auto request = ToBeast(aRequest, mImplementation->mPeer);
   stream.expires_after(aTimeout);
   const IoResult written =
@@ -120,6 +159,7 @@
 void
 HttpConnection::Close()
 {
+  EndWatch();
   boost::system::error_code ignored;
   mImplementation->mStream.socket().shutdown(
     boost::asio::ip::tcp::socket::shutdown_both, ignored);
--- a/modules/wasabispread_runtime/HttpClient.h
+++ b/modules/wasabispread_runtime/HttpClient.h
@@ -7,6 +7,7 @@
 
 #include <wasabispread_wire/wasabispread_wire.h>
 
+#include <functional>
 #include <memory>
 
 namespace wasabispread {
@@ -28,12 +29,18 @@
   /** Sends a request and reads its response, within aTimeout in all. */
   Result<HttpResponse> Exchange(const HttpRequest& aRequest, Duration aTimeout);
 
+  /** Calls aAction once, in a fiber of its own, if the other side closes the
+      connection, or sends unasked, before the next exchange or Close(). */
+  void WatchIdle(std::function<void()> aAction);
+
   /** Closes the connection; an exchange under way fails. */
   void Close();
 
 private:
   struct Implementation;
 
+  void EndWatch();
+
   std::unique_ptr<Implementation> mImplementation;
 };
 
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -18,7 +18,11 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-constexpr Duration kIdleLimit = std::chrono::minutes(2);
+constexpr std::size_t kFirstReadBytes = 4096;
+/** What a caller still sends after its request was rejected is read and
+    dropped within these limits, so that it can read the rejection. */
+constexpr std::size_t kMostDiscardedBytes = 64U << 20U;
+constexpr Duration kDiscardLimit = std::chrono::seconds(2);
 constexpr Duration kStopPollInterval = std::chrono::milliseconds(2);
 
 HttpRequest
@@ -64,8 +68,9 @@
 {
   boost::asio::ip::tcp::acceptor mAcceptor;
   HttpServerLimits mLimits;
-  HttpHandler mHandler;
+  WatchingHttpHandler mHandler;
   std::set<std::shared_ptr<ServerConnection>> mConnections;
+  bool mStopAnnounced = false;
   bool mStopping = false;
   std::size_t mPeakConnections = 0;
   std::uint64_t mRefusedConnections = 0;
@@ -95,6 +100,11 @@
                   "the request's body is too large",
                   "send a smaller body" };
   }
+  if (aError == http::error::header_limit) {
+    return Error{ ErrorKind::kRequestTooLarge,
+                  "the request's header is too large",
+                  "send fewer or shorter header fields" };
+  }
   const bool isProtocolError =
     aError.category() ==
       http::make_error_code(http::error::bad_version).category() &&
@@ -108,6 +118,109 @@
   return std::nullopt;
 }
 
+/** Ends the sending side and reads on for a while: closing with unread input
+    would reset the connection and take the last response with it. */
+void
+DiscardInput(beast::tcp_stream& aStream)
+{
+  boost::system::error_code ignored;
+  aStream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                            ignored);
+  aStream.expires_after(kDiscardLimit);
+  std::array<char, kFirstReadBytes> bytes{};
+  std::size_t discarded = 0;
+  while (discarded < kMostDiscardedBytes) {
+    const IoResult read = Await([&](auto aHandler) {
+      aStream.async_read_some(boost::asio::buffer(bytes), aHandler);
+    });
+    if (read.mError) {
+      return;
+    }
+    discarded += read.mBytes;
+  }
+}
+
+/** Waits for a request's first bytes; false when none come. */
+bool
+AwaitRequest(ServerConnection& aConnection,
+             beast::flat_buffer& aBuffer,
+             Duration aIdleLimit)
+{
+  if (aBuffer.size() != 0) {
+    return true;
+  }
+  aConnection.mStream.expires_after(aIdleLimit);
+  const IoResult read = Await([&](auto aHandler) {
+    aConnection.mStream.async_read_some(aBuffer.prepare(kFirstReadBytes),
+                                        aHandler);
+  });
+  aBuffer.commit(read.mBytes);
+  return !read.mError;
+}
+
+/** Runs a handler and lets it watch for the other side's end. */
+template<class Server>
+HttpResponse
+RunHandler(Server& aServer,
+           ServerConnection& aConnection,
+           const HttpRequest& aRequest)
+{
+  auto& socket = aConnection.mStream.socket();
+  const auto isOver = std::make_shared<bool>(false);
+  bool isWatched = false;
+  const ClosedWatch watch = [&](std::function<void()> aAction) {
+    isWatched = true;
+    socket.async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [&socket, isOver, action = std::move(aAction)](auto aError) {
+        if (!aError && !*isOver && IsClosedByPeer(socket)) {
+          StartFiber(action);
+        }
+      });
+  };
+  HttpResponse response = aServer.mHandler(aRequest, watch);
+  *isOver = true;
+  if (isWatched) {
+    boost::system::error_code ignored;
+    socket.cancel(ignored);
+  }
+  return response;
+}
+
+/** Serves the next request; false when the connection has to end. */
+template<class Server>
+bool
+ServeRequest(Server& aServer,
+             ServerConnection& aConnection,
+             beast::flat_buffer& aBuffer)
+{
+  http::request_parser<http::string_body> parser;
+  parser.body_limit(aServer.mLimits.mMostBodyBytes);
+  aConnection.mStream.expires_after(aServer.mLimits.mTransferLimit);
+  const IoResult read = Await([&](auto aHandler) {
+    http::async_read(aConnection.mStream, aBuffer, parser, aHandler);
+  });
+  if (read.mError) {
+    if (const auto problem = ReadProblem(read.mError)) {
+      aConnection.mStream.expires_after(aServer.mLimits.mTransferLimit);
+      WriteResponse(aConnection, FormatProblem(*problem, ""), false);
+      DiscardInput(aConnection.mStream);
+    }
+    return false;
+  }
+  const bool wantsMore = parser.keep_alive();
+  HttpResponse response =
+    RunHandler(aServer, aConnection, FromBeast(parser.release()));
+  if (response.mStatus == kNoResponse) {
+    return false;
+  }
+  const bool keepAlive = wantsMore && response.mKeepAlive &&
+                         !aServer.mStopAnnounced && !aServer.mStopping;
+  aConnection.mStream.expires_after(aServer.mLimits.mTransferLimit);
+  return WriteResponse(aConnection, std::move(response), keepAlive) &&
+         keepAlive;
+}
+
 /** Serves one connection until it ends. */
 template<class Server>
 void
@@ -117,27 +230,10 @@
     boost::this_fiber::sleep_for(aServer.mLimits.mConnectionDelay);
   }
   beast::flat_buffer buffer;
-  while (!aServer.mStopping) {
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(aServer.mLimits.mMostBodyBytes);
-    aConnection.mStream.expires_after(kIdleLimit);
-    const IoResult read = Await([&](auto aHandler) {
-      http::async_read(aConnection.mStream, buffer, parser, aHandler);
-    });
-    if (read.mError) {
-      if (const auto problem = ReadProblem(read.mError)) {
-        WriteResponse(aConnection, FormatProblem(*problem, ""), false);
-      }
-      return;
-    }
+  while (!aServer.mStopping &&
+         AwaitRequest(aConnection, buffer, aServer.mLimits.mIdleLimit)) {
     aConnection.mIsIdle = false;
-    const bool wantsMore = parser.keep_alive();
-    HttpResponse response = aServer.mHandler(FromBeast(parser.release()));
-    const bool keepAlive =
-      wantsMore && response.mKeepAlive && !aServer.mStopping;
-    aConnection.mStream.expires_after(kIdleLimit);
-    if (!WriteResponse(aConnection, std::move(response), keepAlive) ||
-        !keepAlive) {
+    if (!ServeRequest(aServer, aConnection, buffer)) {
       return;
     }
     aConnection.mIsIdle = true;
@@ -196,6 +292,22 @@
                   const Endpoint& aAddress,
                   HttpServerLimits aLimits,
                   HttpHandler aHandler)
+{
+  return Start(
+    aLoop,
+    aAddress,
+    aLimits,
+    WatchingHttpHandler([handler = std::move(aHandler)](
+                          const HttpRequest& aRequest, const ClosedWatch&) {
+      return handler(aRequest);
+    }));
+}
+
+Result<std::unique_ptr<HttpServer>>
+HttpServer::Start(IoLoop& aLoop,
+                  const Endpoint& aAddress,
+                  HttpServerLimits aLimits,
+                  WatchingHttpHandler aHandler)
 {
   auto acceptor = Listen(aLoop.Context(), aAddress);
   if (!acceptor) {
@@ -219,6 +331,12 @@
   mImplementation->mAcceptor.close(ignored);
 }
 
+void
+HttpServer::AnnounceStop()
+{
+  mImplementation->mStopAnnounced = true;
+}
+
 void
 HttpServer::Stop(TimePoint aUntil)
 {
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -13,9 +13,20 @@
 
 namespace wasabispread {
 
+/** A response of this status ends the connection without a reply. */
+inline constexpr unsigned kNoResponse = 0;
+
 /** Answers one request; may block its fiber. */
 using HttpHandler = std::function<HttpResponse(const HttpRequest&)>;
 
+/** Has an action called once, in a fiber of its own, if the other side closes
+    the connection while its request is handled. */
+using ClosedWatch = std::function<void(std::function<void()>)>;
+
+/** Answers one request and may watch whether its caller is still there. */
+using WatchingHttpHandler =
+  std::function<HttpResponse(const HttpRequest&, const ClosedWatch&)>;
+
 /** Limits of a server. */
 struct HttpServerLimits
 {
@@ -25,6 +36,10 @@
   std::uint32_t mMostConnections = 4096;
   /** How long a new connection waits before its first request is read. */
   Duration mConnectionDelay{};
+  /** How long a connection may be open without a request. */
+  Duration mIdleLimit = std::chrono::minutes(2);
+  /** How long a request may take to arrive, and a response to leave. */
+  Duration mTransferLimit = std::chrono::seconds(10);
 };
 
 /** Serves one address until stopped. */
@@ -37,11 +52,22 @@
                                                    HttpServerLimits aLimits,
                                                    HttpHandler aHandler);
 
+  /** As above, for a handler that watches its callers. */
+  static Result<std::unique_ptr<HttpServer>> Start(
+    IoLoop& aLoop,
+    const Endpoint& aAddress,
+    HttpServerLimits aLimits,
+    WatchingHttpHandler aHandler);
+
   ~HttpServer();
 
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /** Goes on serving, but each response from now on ends its connection, so
+      that callers go elsewhere before Stop(). */
+  void AnnounceStop();
+
   /** Takes no new connection, closes idle ones, and lets each request in
       flight finish; returns when all have, or at aUntil. */
   void Stop(TimePoint aUntil);
--- a/modules/wasabispread_runtime/NodeRunner.cpp
+++ b/modules/wasabispread_runtime/NodeRunner.cpp
@@ -51,6 +51,10 @@
     [this](VmId aPeer, const Endpoint& aAddress, PeerMessage aMessage) {
       Deliver(PeerMessageReceived{ aPeer, aAddress, std::move(aMessage) });
     };
+  handlers.mNotSent = [this](VmId aPeer,
+                             std::vector<AttemptSequence> aAttempts) {
+    Deliver(AttemptsNotSent{ aPeer, std::move(aAttempts) });
+  };
   handlers.mLost = [this](VmId aPeer) { Deliver(PeerLost{ aPeer }); };
   handlers.mNote = [this](const std::string& aNote) {
     mLog.Write(FormatMessage(
@@ -89,16 +93,28 @@
   }
 }
 
+void
+NodeRunner::DropCaller(CallerToken aToken)
+{
+  Deliver(CallerGone{ aToken });
+  auto caller = mCallers.extract(aToken);
+  if (!caller.empty()) {
+    caller.mapped().set_value(Error{ ErrorKind::kOutcomeUnknown,
+                                   "the caller closed its connection",
+                                   "keep the connection open while waiting",
+                                   Execution::kUnknown });
+  }
+}
+
 Outcome
-NodeRunner::Ask(CallerRequest aRequest)
+NodeRunner::Ask(CallerRequest aRequest, const ClosedWatch& aWatch)
 {
   aRequest.mToken = CallerToken(mNextToken++);
   const CallerToken token = aRequest.mToken;
   auto future = mCallers[token].get_future();
+  aWatch([this, token] { DropCaller(token); });
   Deliver(std::move(aRequest));
-  Outcome outcome = future.get();
-  mCallers.erase(token);
-  return outcome;
+  return future.get();
 }
 
 void
@@ -110,9 +126,9 @@
 void
 NodeRunner::Perform(AnswerCaller& aEffect)
 {
-  const auto place = mCallers.find(aEffect.mToken);
-  if (place != mCallers.end()) {
-    place->second.set_value(std::move(aEffect.mOutcome));
+  auto caller = mCallers.extract(aEffect.mToken);
+  if (!caller.empty()) {
+    caller.mapped().set_value(std::move(aEffect.mOutcome));
   }
 }
 
@@ -214,6 +230,9 @@
   Deliver(TargetConnected{ aConnection });
   while (!aLink.mIsClosed) {
     if (!aLink.mNext) {
+      aLink.mConnection.WatchIdle([this, aConnection] {
+        LoseIdleConnection(aConnection);
+      });
       aLink.mWake.Wait();
       continue;
     }
@@ -227,6 +246,16 @@
   }
 }
 
+void
+NodeRunner::LoseIdleConnection(ConnectionId aConnection)
+{
+  const auto place = mTargetLinks.find(aConnection);
+  // With a request waiting to be written, the write itself finds the end.
+  if (place != mTargetLinks.end() && !place->second->mNext) {
+    Deliver(TargetConnectionLost{ aConnection, false });
+  }
+}
+
 void
 NodeRunner::DeliverTargetResult(ConnectionId aConnection,
                                 const Result<HttpResponse>& aResponse)
--- a/modules/wasabispread_runtime/NodeRunner.h
+++ b/modules/wasabispread_runtime/NodeRunner.h
@@ -5,6 +5,7 @@
 
 #include "FiberEvent.h"
 #include "HttpClient.h"
+#include "HttpServer.h"
 #include "IoLoop.h"
 #include "PeerTransport.h"
 
@@ -39,9 +40,10 @@
   /** Applies an event; never blocks. */
   void Deliver(Event aEvent);
 
-  /** Asks on a caller's behalf and blocks its fiber until the outcome. The
-      request's token is set here. */
-  Outcome Ask(CallerRequest aRequest);
+  /** Asks on a caller's behalf and blocks its fiber until the outcome, or
+      until aWatch tells that the caller is gone. The request's token is set
+      here. */
+  Outcome Ask(CallerRequest aRequest, const ClosedWatch& aWatch);
 
   /** The node's present state. */
   const NodeState& State() const { return mState; }
@@ -62,10 +64,12 @@
   void Perform(ReadVmList& aEffect);
   void Perform(LogDecision& aEffect);
 
+  void DropCaller(CallerToken aToken);
   void RunTimers();
   void RunTargetLink(ConnectionId aConnection,
                      const OpenTargetConnection& aOpening,
                      TargetLink& aLink);
+  void LoseIdleConnection(ConnectionId aConnection);
   void DeliverTargetResult(ConnectionId aConnection,
                            const Result<HttpResponse>& aResponse);
 
--- a/modules/wasabispread_runtime/PeerTransport.cpp
+++ b/modules/wasabispread_runtime/PeerTransport.cpp
@@ -21,11 +21,19 @@
 
 using Stream = boost::beast::tcp_stream;
 
+/** An encoded message that waits to be written. */
+struct QueuedFrame
+{
+  std::string mBytes;
+  /** The attempts asked for in it, if it asks for any. */
+  std::vector<AttemptSequence> mAttempts;
+};
+
 /** Messages on their way to one VM. */
 struct OutgoingLink
 {
   Endpoint mAddress;
-  std::deque<std::string> mQueue;
+  std::deque<QueuedFrame> mQueue;
   std::size_t mQueuedBytes = 0;
   FiberEvent mWake;
   bool mIsBroken = false;
@@ -158,8 +166,8 @@
         continue;
       }
       std::string bytes;
-      for (std::string& message : aLink.mQueue) {
-        bytes += message;
+      for (const QueuedFrame& frame : aLink.mQueue) {
+        bytes += frame.mBytes;
       }
       aLink.mQueue.clear();
       aLink.mQueuedBytes = 0;
@@ -200,6 +208,33 @@
   aLink->mWake.Notify();
 }
 
+/** The attempts that a message asks for. */
+std::vector<AttemptSequence>
+AttemptsIn(const PeerMessage& aMessage)
+{
+  std::vector<AttemptSequence> attempts;
+  if (const auto* request = std::get_if<BatchRequest>(&aMessage)) {
+    attempts.reserve(request->mItems.size());
+    for (const BatchItem& item : request->mItems) {
+      attempts.push_back(item.mSequence);
+    }
+  }
+  return attempts;
+}
+
+/** Takes what a link never began to write; the link must have ended. */
+std::vector<AttemptSequence>
+TakeUnsent(OutgoingLink& aLink)
+{
+  std::vector<AttemptSequence> unsent;
+  for (const QueuedFrame& frame : aLink.mQueue) {
+    unsent.insert(
+      unsent.end(), frame.mAttempts.begin(), frame.mAttempts.end());
+  }
+  aLink.mQueue.clear();
+  return unsent;
+}
+
 /** A link's life: connect, write, and report its end. */
 template<class Transport>
 void
@@ -221,6 +256,11 @@
   if (place != aTransport->mLinks.end() && place->second == aLink) {
     aTransport->mLinks.erase(place);
   }
+  aLink->mIsBroken = true;
+  auto unsent = TakeUnsent(*aLink);
+  if (!unsent.empty()) {
+    aTransport->mHandlers.mNotSent(aPeer, std::move(unsent));
+  }
   aTransport->mHandlers.mLost(aPeer);
 }
 
@@ -324,12 +364,9 @@
   }
   std::string bytes = EncodeMessage(aMessage);
   const std::size_t queued = link->mQueuedBytes + bytes.size();
-  if (queued > mImplementation->mLimits.mMostQueuedBytes) {
-    link->mIsBroken = true;
-  } else {
-    link->mQueuedBytes = queued;
-    link->mQueue.push_back(std::move(bytes));
-  }
+  link->mQueue.push_back(QueuedFrame{ std::move(bytes), AttemptsIn(aMessage) });
+  link->mQueuedBytes = queued;
+  link->mIsBroken = queued > mImplementation->mLimits.mMostQueuedBytes;
   link->mWake.Notify();
 }
 
--- a/modules/wasabispread_runtime/PeerTransport.h
+++ b/modules/wasabispread_runtime/PeerTransport.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace wasabispread {
 
@@ -17,8 +18,10 @@
 {
   /** A message came; the endpoint is where its sender takes connections. */
   std::function<void(VmId, const Endpoint&, PeerMessage)> mMessage;
+  /** No byte of these attempts was written, and none will be. */
+  std::function<void(VmId, std::vector<AttemptSequence>)> mNotSent;
   /** The connection to a VM broke, or could not be had; messages sent to it
-      before may be lost. */
+      before may be lost. Called after mNotSent. */
   std::function<void(VmId)> mLost;
   /** Something worth a log line. */
   std::function<void(const std::string&)> mNote;
--- a/tests/standins/target/main.cpp
+++ b/tests/standins/target/main.cpp
@@ -1,18 +1,15 @@
 /*
- * A stand-in for every target of a deployment, in one process: it listens on
- * each target's address and counts each execution. Faults are switched by HTTP
- * under /control on a port of its own.
+ * A stand-in for the targets of a deployment, in one process: it listens on
+ * each target's address and records each execution. Faults are switched by
+ * HTTP under /control on a port of its own.
  */
-#include <wasabispread_runtime/wasabispread_runtime.h>
+#include "TargetFleet.h"
 
-#include <fstream>
+#include <cstdlib>
 #include <iostream>
-#include <map>
 #include <sstream>
 
-#include <boost/fiber/operations.hpp>
 #include <boost/program_options.hpp>
-#include <nlohmann/json.hpp>
 
 namespace wasabispread {
 
@@ -22,235 +19,91 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
-constexpr unsigned kConflict = 409;
-constexpr unsigned kGone = 410;
-constexpr unsigned kUnavailable = 503;
+constexpr int kExitUsage = 2;
 
-/** How one target behaves. */
-struct TargetBehaviour
+HttpResponse
+HandleControl(TargetFleet& aFleet, const HttpRequest& aRequest)
 {
-  Duration mServiceTime = std::chrono::milliseconds(1);
-  /** The share of requests, 0 to 1, that take mStragglerTime instead. */
-  double mStragglers = 0;
-  Duration mStragglerTime = std::chrono::milliseconds(100);
-  /** The share of requests, 0 to 1, that are shed. */
-  double mShed = 0;
-  bool mDraining = false;
-  std::vector<std::uint64_t> mSnapshots{ 1 };
-};
-
-/** One execution of a sub-request. */
-struct Execution
-{
-  std::string mTarget;
-  std::string mShard;
-  std::string mAttempt;
-};
-
-/** All targets of one deployment. */
-class TargetFleet
-{
-public:
-  TargetFleet(IoLoop& aLoop, Deployment aDeployment, std::uint64_t aSeed)
-    : mLoop(aLoop)
-    , mDeployment(std::move(aDeployment))
-    , mRandom(aSeed)
-  {
+  const HttpPath path = ParsePath(aRequest.mTarget);
+  const std::string name = path.mSegments.size() > 1 ? path.mSegments[1] : "";
+  if (name == "executions") {
+    return JsonResponse(
+      kOk,
+      aFleet.Executions().Describe(FindHeader(path.mParameters, "request_id")));
   }
-
-  Result<std::monostate> Listen()
-  {
-    for (const Target& target : mDeployment.mTargets) {
-      const Service& service = *mDeployment.FindService(target.mService);
-      HttpServerLimits limits;
-      limits.mMostConnections = service.mConnectionCap;
-      limits.mConnectionDelay = service.mConnectTime;
-      mBehaviours[target.mName] = TargetBehaviour{};
-      auto server =
-        HttpServer::Start(mLoop,
-                          target.mAddress,
-                          limits,
-                          [this, &target](const HttpRequest& aRequest) {
-                            return Serve(target, aRequest);
-                          });
-      if (!server) {
-        return tl::unexpected<Error>(server.error());
-      }
-      mServers[target.mName] = std::move(*server);
-    }
-    return std::monostate{};
+  if (name == "counts") {
+    return JsonResponse(kOk, aFleet.Executions().DescribeCounts());
   }
-
-  HttpResponse HandleControl(const HttpRequest& aRequest)
-  {
-    const HttpPath path = ParsePath(aRequest.mTarget);
-    const std::string name = path.mSegments.size() > 1 ? path.mSegments[1] : "";
-    if (name == "executions") {
-      return DescribeExecutions(FindHeader(path.mParameters, "request_id"));
-    }
-    if (name == "connections") {
-      return DescribeConnections();
-    }
-    const Json body = Json::parse(aRequest.mBody, nullptr, false);
-    if (name != "behaviour" || !body.is_object()) {
-      return JsonResponse(kNotFound, R"({"error":"no such control"})");
-    }
-    const std::string wanted = body.value("target", "*");
-    for (auto& [target, behaviour] : mBehaviours) {
-      if (wanted == "*" || wanted == target) {
-        Change(behaviour, body);
-      }
-    }
-    return JsonResponse(kOk, "{}");
+  if (name == "connections") {
+    return JsonResponse(kOk, aFleet.DescribeConnections());
   }
-
-private:
-  static void Change(TargetBehaviour& aBehaviour, const Json& aBody)
-  {
-    const auto duration = [&aBody](const char* aKey, Duration& aValue) {
-      if (aBody.contains(aKey)) {
-        aValue = std::chrono::duration_cast<Duration>(
-          std::chrono::duration<double, std::milli>(aBody[aKey].get<double>()));
-      }
-    };
-    duration("service_ms", aBehaviour.mServiceTime);
-    duration("straggler_ms", aBehaviour.mStragglerTime);
-    aBehaviour.mStragglers = aBody.value("stragglers", aBehaviour.mStragglers);
-    aBehaviour.mShed = aBody.value("shed", aBehaviour.mShed);
-    aBehaviour.mDraining = aBody.value("draining", aBehaviour.mDraining);
-    aBehaviour.mSnapshots = aBody.value("snapshots", aBehaviour.mSnapshots);
-  }
-
-  static std::string HeldSnapshots(const TargetBehaviour& aBehaviour)
-  {
-    std::string text;
-    for (const std::uint64_t version : aBehaviour.mSnapshots) {
-      text += (text.empty() ? "" : ",") + std::to_string(version);
-    }
-    return text;
-  }
-
-  HttpResponse Serve(const Target& aTarget, const HttpRequest& aRequest)
-  {
-    const TargetBehaviour& behaviour = mBehaviours.at(aTarget.mName);
-    const HttpPath path = ParsePath(aRequest.mTarget);
-    const std::string shard =
-      path.mSegments.size() > 2 ? path.mSegments[2] : "";
-    const std::string attempt(FindHeader(aRequest.mHeaders, "X-Attempt-Id"));
-    const std::string wanted(FindHeader(aRequest.mHeaders, "X-Snapshot"));
-    const std::uint64_t version =
-      wanted.empty() || wanted == "0"
-        ? behaviour.mSnapshots.back()
-        : std::strtoull(wanted.c_str(), nullptr, 10);
-    const auto& held = behaviour.mSnapshots;
-    const bool isHeld =
-      std::find(held.begin(), held.end(), version) != held.end();
-    HttpResponse response;
-    if (behaviour.mDraining) {
-      response.mStatus = kGone;
-    } else if (mRandom.Fraction() < behaviour.mShed) {
-      response.mStatus = kUnavailable;
-    } else if (!isHeld) {
-      response.mStatus = kConflict;
-    } else {
-      const std::string requestId(
-        FindHeader(aRequest.mHeaders, "X-Request-Id"));
-      mExecutions[requestId].push_back({ aTarget.mName, shard, attempt });
-      const bool isStraggler = mRandom.Fraction() < behaviour.mStragglers;
-      boost::this_fiber::sleep_for(isStraggler ? behaviour.mStragglerTime
-                                               : behaviour.mServiceTime);
-      response.mBody = "shard " + shard + " of " + aTarget.mName +
-                       " at snapshot " + std::to_string(version);
-    }
-    response.mHeaders = { { "X-Attempt-Id", attempt },
-                          { "X-Snapshot", std::to_string(version) },
-                          { "X-Snapshots", HeldSnapshots(behaviour) } };
-    return response;
+  const Json body = Json::parse(aRequest.mBody, nullptr, false);
+  if (name != "behaviour" || !body.is_object()) {
+    return JsonResponse(kNotFound, R"({"error":"no such control"})");
   }
-
-  HttpResponse DescribeExecutions(std::string_view aRequestId) const
-  {
-    Json json = Json::object();
-    for (const auto& [requestId, executions] : mExecutions) {
-      if (!aRequestId.empty() && aRequestId != requestId) {
-        continue;
-      }
-      Json list = Json::array();
-      for (const Execution& execution : executions) {
-        list.push_back({ { "target", execution.mTarget },
-                         { "shard", execution.mShard },
-                         { "attempt", execution.mAttempt } });
-      }
-      json[requestId] = std::move(list);
-    }
-    return JsonResponse(kOk, json.dump());
-  }
-
-  HttpResponse DescribeConnections() const
-  {
-    Json json = Json::object();
-    for (const auto& [name, server] : mServers) {
-      json[name] = { { "open", server->ConnectionCount() },
-                     { "peak", server->PeakConnectionCount() },
-                     { "refused", server->RefusedConnections() } };
-    }
-    return JsonResponse(kOk, json.dump());
-  }
-
-  IoLoop& mLoop;
-  Deployment mDeployment;
-  Random mRandom;
-  std::map<std::string, TargetBehaviour> mBehaviours;
-  std::map<std::string, std::unique_ptr<HttpServer>> mServers;
-  std::map<std::string, std::vector<Execution>> mExecutions;
-};
+  aFleet.Change(body.value("target", "*"), body);
+  return JsonResponse(kOk, "{}");
+}
 
 int
-Run(const std::string& aFile, const Endpoint& aControl, std::uint64_t aSeed)
+Run(FleetOptions aOptions, const Endpoint& aControl)
 {
-  std::ifstream stream(aFile);
-  std::ostringstream text;
-  text << stream.rdbuf();
-  auto deployment = ParseDeployment(text.str(), aFile);
-  if (!deployment) {
-    std::cerr << ToText(deployment.error().front()) << "\n";
-    return 2;
-  }
   IoLoop loop;
-  TargetFleet fleet(loop, std::move(*deployment), aSeed);
+  TargetFleet fleet(loop, std::move(aOptions));
   const auto listening = fleet.Listen();
   auto control = HttpServer::Start(
     loop, aControl, HttpServerLimits{}, [&fleet](const HttpRequest& aRequest) {
-      return fleet.HandleControl(aRequest);
+      return HandleControl(fleet, aRequest);
     });
   if (!listening || !control) {
     std::cerr << ToText(listening ? control.error() : listening.error())
               << "\n";
-    return 1;
+    return EXIT_FAILURE;
   }
   loop.WaitForStopSignal();
+  fleet.Stop();
   std::quick_exit(EXIT_SUCCESS);
 }
 
-} // namespace
-
-} // namespace wasabispread
-
 int
-main(int aCount, char** aArguments)
+Main(int aCount, char** aArguments)
 {
   namespace options = boost::program_options;
-  wasabispread::Endpoint control{ "127.0.0.1", 0 };
+  Endpoint control{ "127.0.0.1", 0 };
+  FleetOptions fleet;
   std::string file;
-  std::uint64_t seed = 1;
+  std::int64_t idleMs = 120'000;
   options::options_description description("Options");
-  description.add_options()(
-    "deployment", options::value(&file)->required(), "deployment file")(
-    "control-port", options::value(&control.mPort)->required(), "port")(
-    "seed", options::value(&seed), "seed of its random choices");
+  auto add = description.add_options();
+  add("deployment", options::value(&file)->required(), "deployment file");
+  add("control-port", options::value(&control.mPort)->required(), "port");
+  add("seed", options::value(&fleet.mSeed), "seed of its random choices");
+  add("zone", options::value(&fleet.mZone), "only the targets of one zone");
+  add("record", options::value(&fleet.mRecordFile), "file for executions");
+  add("idle-ms", options::value(&idleMs), "how long connections may idle");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aArguments, description),
                  values);
   options::notify(values);
-  return wasabispread::Run(file, control, seed);
+  fleet.mIdleLimit = std::chrono::milliseconds(idleMs);
+  std::ifstream stream(file);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  auto deployment = ParseDeployment(text.str(), file);
+  if (!deployment) {
+    std::cerr << ToText(deployment.error().front()) << "\n";
+    return kExitUsage;
+  }
+  fleet.mDeployment = std::move(*deployment);
+  return Run(std::move(fleet), control);
+}
+
+} // namespace
+
+} // namespace wasabispread
+
+int
+main(int aCount, char** aArguments)
+{
+  return wasabispread::Main(aCount, aArguments);
 }
