--- /dev/null
+++ b/apps/daemon/CallerInterface.cpp
@@ -0,0 +1,35 @@
+/*
+ * Callers' requests on their way to the node and back.
+ */
+#include "CallerInterface.h"
+
+namespace wasabispread {
+
+HttpResponse
+CallerInterface::operator()(const HttpRequest& aRequest,
+                            const ClosedWatch& aWatch)
+{
+  auto request =
+    ParseCallerRequest(aRequest, CallerToken{}, GenerateRequestId());
+  if (!request) {
+    return FormatProblem(
+      request.error(),
+      std::string(FindHeader(aRequest.mHeaders, kRequestIdHeader)));
+  }
+  const RequestId id = request->mRequestId;
+  // Names must come from the configuration that the request was planned by.
+  const DeploymentPointer deployment =
+    mRunner.State().mConfiguration.mDeployment;
+  const Outcome outcome = mRunner.Ask(std::move(*request), aWatch);
+  return FormatOutcome(id, outcome, deployment.get());
+}
+
+std::string
+CallerInterface::GenerateRequestId()
+{
+  const NodeIdentity& self = mRunner.State().mSelf;
+  return self.mName + "-" + std::to_string(self.mIncarnation.Value()) + "-" +
+         std::to_string(mNextRequest++);
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/apps/daemon/Daemon.cpp
@@ -0,0 +1,132 @@
+/*
+ * A daemon's ports, and the order of its stop.
+ */
+#include "Daemon.h"
+
+#include "CallerInterface.h"
+
+#include <boost/fiber/operations.hpp>
+
+namespace wasabispread {
+
+namespace {
+
+constexpr Duration kDrainPollInterval = std::chrono::milliseconds(2);
+constexpr Duration kDroppedLineInterval = std::chrono::seconds(1);
+
+NodeIdentity
+IdentityFrom(const DaemonSettings& aSettings)
+{
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto microseconds =
+    std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
+  NodeIdentity identity;
+  identity.mId = IdFromName<VmId>(aSettings.mName);
+  identity.mName = aSettings.mName;
+  identity.mZone = aSettings.mZone;
+  identity.mIncarnation = Incarnation(static_cast<std::uint64_t>(microseconds));
+  identity.mPeerAddress = aSettings.mPeerAddress;
+  return identity;
+}
+
+NodeState
+StateFrom(const DaemonSettings& aSettings)
+{
+  NodeIdentity identity = IdentityFrom(aSettings);
+  const std::uint64_t seed =
+    identity.mId.Value() ^ identity.mIncarnation.Value();
+  return MakeNodeState(std::move(identity), seed);
+}
+
+} // namespace
+
+Daemon::Daemon(IoLoop& aLoop, LogWriter& aLog, const DaemonSettings& aSettings)
+  : mLoop(aLoop)
+  , mLog(aLog)
+  , mSettings(aSettings)
+  , mRunner(aLoop, StateFrom(aSettings), aSettings.mPlatformAddress, aLog)
+{
+}
+
+Result<std::monostate>
+Daemon::Start()
+{
+  PeerTransportLimits peerLimits;
+  peerLimits.mMostFrameBytes = mSettings.mMostFrameBytes;
+  const auto started = mRunner.Start(peerLimits);
+  if (!started) {
+    return started;
+  }
+  HttpServerLimits callerLimits;
+  callerLimits.mMostBodyBytes = mSettings.mMostBodyBytes;
+  auto callers =
+    HttpServer::Start(mLoop,
+                      mSettings.mCallerAddress,
+                      callerLimits,
+                      WatchingHttpHandler(CallerInterface(mRunner)));
+  if (!callers) {
+    return tl::unexpected<Error>(callers.error());
+  }
+  mCallers = std::move(*callers);
+  auto operators = HttpServer::Start(
+    mLoop,
+    mSettings.mOperatorAddress,
+    HttpServerLimits{},
+    [this](const HttpRequest& aRequest) { return HandleOperator(aRequest); });
+  if (!operators) {
+    return tl::unexpected<Error>(operators.error());
+  }
+  mOperators = std::move(*operators);
+  StartFiber([this] { ReportDroppedLines(); });
+  return std::monostate{};
+}
+
+HttpResponse
+Daemon::HandleOperator(const HttpRequest& aRequest)
+{
+  if (!IsDrainRequest(aRequest)) {
+    return HandleOperatorRequest(mRunner, aRequest);
+  }
+  BeginStop();
+  return FormatDrainState(mRunner);
+}
+
+void
+Daemon::BeginStop()
+{
+  mRunner.Deliver(StopRequested{ mSettings.mStopNotice });
+  mCallers->AnnounceStop();
+}
+
+void
+Daemon::FinishStop()
+{
+  boost::this_fiber::sleep_until(mRunner.State().mRefusingFrom);
+  const TimePoint until = NodeRunner::Now() + mSettings.mStopWait;
+  mCallers->Stop(until);
+  while (!mRunner.State().IsDrained() && NodeRunner::Now() < until) {
+    boost::this_fiber::sleep_for(kDrainPollInterval);
+  }
+}
+
+void
+Daemon::ReportDroppedLines()
+{
+  std::uint64_t reported = 0;
+  while (true) {
+    boost::this_fiber::sleep_for(kDroppedLineInterval);
+    const std::uint64_t dropped = LogWriter::DroppedLines();
+    if (dropped == reported) {
+      continue;
+    }
+    mLog.Write(FormatMessage(LogLevel::kWarning,
+                             mSettings.mName,
+                             std::to_string(dropped - reported) +
+                               " log lines were dropped; " +
+                               std::to_string(dropped) + " since the start",
+                             WallClockText()));
+    reported = dropped;
+  }
+}
+
+} // namespace wasabispread
--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -1,24 +1,20 @@
 /*
- * wasabispreadd: one VM's daemon. Reads its settings, opens its ports and runs
- * one node until it is asked to stop.
+ * wasabispreadd: one VM's daemon. Reads the command line and the settings.
  */
-#include <wasabispread_runtime/wasabispread_runtime.h>
+#include "Daemon.h"
 
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
-#include <boost/fiber/operations.hpp>
 #include <boost/program_options.hpp>
 
 namespace wasabispread {
 
 namespace {
 
-constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
-constexpr Duration kDrainPollInterval = std::chrono::milliseconds(2);
 
 /** What the command line asked for. */
 struct CommandLine
@@ -79,60 +75,6 @@
   return ParseDaemonSettings(text.str(), aFile);
 }
 
-NodeIdentity
-IdentityFrom(const DaemonSettings& aSettings)
-{
-  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  const auto microseconds =
-    std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
-  NodeIdentity identity;
-  identity.mId = IdFromName<VmId>(aSettings.mName);
-  identity.mName = aSettings.mName;
-  identity.mZone = aSettings.mZone;
-  identity.mIncarnation = Incarnation(static_cast<std::uint64_t>(microseconds));
-  identity.mPeerAddress = aSettings.mPeerAddress;
-  return identity;
-}
-
-/** Answers callers: a request becomes an event, its outcome the response. */
-class CallerInterface
-{
-public:
-  explicit CallerInterface(NodeRunner& aRunner)
-    : mRunner(aRunner)
-  {
-  }
-
-  HttpResponse operator()(const HttpRequest& aRequest,
-                          const ClosedWatch& aWatch)
-  {
-    auto request =
-      ParseCallerRequest(aRequest, CallerToken{}, GenerateRequestId());
-    if (!request) {
-      return FormatProblem(
-        request.error(),
-        std::string(FindHeader(aRequest.mHeaders, kRequestIdHeader)));
-    }
-    const RequestId id = request->mRequestId;
-    // Names must come from the configuration that the request was planned by.
-    const DeploymentPointer deployment =
-      mRunner.State().mConfiguration.mDeployment;
-    const Outcome outcome = mRunner.Ask(std::move(*request), aWatch);
-    return FormatOutcome(id, outcome, deployment.get());
-  }
-
-private:
-  std::string GenerateRequestId()
-  {
-    const NodeIdentity& self = mRunner.State().mSelf;
-    return self.mName + "-" + std::to_string(self.mIncarnation.Value()) + "-" +
-           std::to_string(mNextRequest++);
-  }
-
-  NodeRunner& mRunner;
-  std::uint64_t mNextRequest = 1;
-};
-
 int
 Report(const Error& aError, int aExit)
 {
@@ -140,53 +82,19 @@
   return aExit;
 }
 
-/** Lets requests in flight finish, then returns. */
-void
-StopGracefully(NodeRunner& aRunner, HttpServer& aCallers, Duration aWait)
-{
-  const TimePoint until = NodeRunner::Now() + aWait;
-  aRunner.Deliver(StopRequested{});
-  aCallers.Stop(until);
-  while (!aRunner.State().IsDrained() && NodeRunner::Now() < until) {
-    boost::this_fiber::sleep_for(kDrainPollInterval);
-  }
-}
-
 int
 RunDaemon(const DaemonSettings& aSettings)
 {
   IoLoop loop;
   LogWriter log(aSettings.mLogFile, aSettings.mLogLevel);
-  const NodeIdentity identity = IdentityFrom(aSettings);
-  const std::uint64_t seed =
-    identity.mId.Value() ^ identity.mIncarnation.Value();
-  NodeRunner runner(
-    loop, MakeNodeState(identity, seed), aSettings.mPlatformAddress, log);
-  PeerTransportLimits peerLimits;
-  peerLimits.mMostFrameBytes = aSettings.mMostFrameBytes;
-  const auto started = runner.Start(peerLimits);
+  Daemon daemon(loop, log, aSettings);
+  const auto started = daemon.Start();
   if (!started) {
-    return Report(started.error(), kExitFailure);
-  }
-  HttpServerLimits callerLimits;
-  callerLimits.mMostBodyBytes = aSettings.mMostBodyBytes;
-  auto callers = HttpServer::Start(
-    loop, aSettings.mCallerAddress, callerLimits, CallerInterface(runner));
-  if (!callers) {
-    return Report(callers.error(), kExitFailure);
-  }
-  auto operators =
-    HttpServer::Start(loop,
-                      aSettings.mOperatorAddress,
-                      HttpServerLimits{},
-                      [&runner](const HttpRequest& aRequest) {
-                        return HandleOperatorRequest(runner, aRequest);
-                      });
-  if (!operators) {
-    return Report(operators.error(), kExitFailure);
+    std::quick_exit(Report(started.error(), EXIT_FAILURE));
   }
   loop.WaitForStopSignal();
-  StopGracefully(runner, **callers, aSettings.mStopWait);
+  daemon.BeginStop();
+  daemon.FinishStop();
   log.Flush();
   // Fibers that wait for ever hold references to this frame's objects; the
   // process ends without unwinding them.
--- a/modules/wasabispread_config/DaemonSettings.cpp
+++ b/modules/wasabispread_config/DaemonSettings.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::int64_t kMostConfigurableBytes = 64LL << 20;
 constexpr std::int64_t kLeastConfigurableBytes = 1024;
+constexpr DurationRange kStopNoticeRange{ Duration::zero(),
+                                          std::chrono::minutes(1) };
 constexpr DurationRange kStopWaitRange{ std::chrono::seconds(1),
                                         std::chrono::minutes(10) };
 
@@ -93,6 +95,9 @@
   aSettings.mMostFrameBytes =
     static_cast<std::uint32_t>(limits.OptionalInteger("frame_bytes", kBytes)
                                  .value_or(aSettings.mMostFrameBytes));
+  aSettings.mStopNotice =
+    limits.OptionalDuration("stop_notice", kStopNoticeRange)
+      .value_or(aSettings.mStopNotice);
   aSettings.mStopWait = limits.OptionalDuration("stop_wait", kStopWaitRange)
                           .value_or(aSettings.mStopWait);
   limits.RejectUnknownKeys();
--- a/modules/wasabispread_config/DaemonSettings.h
+++ b/modules/wasabispread_config/DaemonSettings.h
@@ -54,6 +54,8 @@
   std::uint32_t mMostBodyBytes = 1U << 20U;
   /** The largest frame between VMs, in bytes. */
   std::uint32_t mMostFrameBytes = 16U << 20U;
+  /** How long a stopping VM still takes work, while the others learn. */
+  Duration mStopNotice = std::chrono::seconds(3);
   /** How long a stop waits for requests in flight. */
   Duration mStopWait = std::chrono::seconds(30);
 };
--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -40,9 +40,11 @@
 
 /** The service a request may use, or why it may not. */
 Result<const Service*>
-CheckRequest(const NodeState& aState, const CallerRequest& aRequest)
+CheckRequest(const NodeState& aState,
+             const CallerRequest& aRequest,
+             TimePoint aNow)
 {
-  if (aState.mStopping) {
+  if (aNow >= aState.mRefusingFrom) {
     return Fail(ErrorKind::kNotReady,
                 "this VM is stopping",
                 "ask another VM of the deployment");
@@ -525,7 +527,7 @@
                     Effects& aEffects)
 {
   ++aState.mCounters.mRequests;
-  const auto service = CheckRequest(aState, aRequest);
+  const auto service = CheckRequest(aState, aRequest, aNow);
   if (!service) {
     Refuse(aState, aRequest, service.error(), aEffects);
     return;
--- a/modules/wasabispread_decisions/Event.h
+++ b/modules/wasabispread_decisions/Event.h
@@ -108,7 +108,11 @@
 
 /** The process was asked to stop. */
 struct StopRequested
-{};
+{
+  /** How long it still takes callers' requests, so that everyone can learn of
+      the stop first. */
+  Duration mNotice{};
+};
 
 /** Time has passed; sent when NodeState::NextDue() is reached. */
 struct Tick
--- a/modules/wasabispread_decisions/NodeState.h
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -40,6 +40,8 @@
   /** Messages from this node to itself, handled before Reduce() returns. */
   std::deque<PeerMessage> mLoopback;
   bool mStopping = false;
+  /** When a stopping node begins to refuse callers' requests. */
+  TimePoint mRefusingFrom = TimePoint::max();
 
   /** Whether callers' requests can be taken. */
   bool IsReady() const;
--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -77,7 +77,13 @@
     HandleVmListReceived(mState, aEvent, mNow, mEffects);
   }
 
-  void operator()(const StopRequested&) { mState.mStopping = true; }
+  void operator()(const StopRequested& aEvent)
+  {
+    if (!mState.mStopping) {
+      mState.mStopping = true;
+      mState.mRefusingFrom = mNow + aEvent.mNotice;
+    }
+  }
 
   void operator()(const Tick&)
   {
--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -130,9 +130,8 @@
   EndWatch();
   auto& stream = mImplementation->mStream;
   if (IsClosedByPeer(stream.socket())) {
-    return ConnectionFailure(boost::asio::error::eof,
-                             mImplementation->mPeer,
-                             Execution::kNotRun);
+    return ConnectionFailure(
+      boost::asio::error::eof, mImplementation->mPeer, Execution::kNotRun);
   }
   const auto request = ToBeast(aRequest, mImplementation->mPeer);
   stream.expires_after(aTimeout);
--- a/modules/wasabispread_runtime/OperatorInterface.cpp
+++ b/modules/wasabispread_runtime/OperatorInterface.cpp
@@ -32,6 +32,13 @@
   return JsonResponse(aState.IsReady() ? kOk : kUnavailable, json.dump());
 }
 
+/** Requests and attempts that have not ended. */
+std::size_t
+InFlight(const NodeState& aState)
+{
+  return aState.mEntry.mQueries.size() + aState.mOwner.mItems.size();
+}
+
 HttpResponse
 FormatStatus(const NodeState& aState)
 {
@@ -48,11 +55,33 @@
         { "zone", member.mZone.Value() },
         { "state", member.mLeaving ? "leaving" : "live" } });
   }
+  json["draining"] = aState.mStopping;
+  json["in_flight"] = InFlight(aState);
+  json["dropped_log_lines"] = LogWriter::DroppedLines();
   return JsonResponse(kOk, json.dump());
 }
 
 } // namespace
 
+bool
+IsDrainRequest(const HttpRequest& aRequest)
+{
+  return aRequest.mMethod == "POST" && aRequest.mTarget == "/v1/drain";
+}
+
+HttpResponse
+FormatDrainState(const NodeRunner& aRunner)
+{
+  const NodeState& state = aRunner.State();
+  const bool isRefusing = NodeRunner::Now() >= state.mRefusingFrom;
+  Json json;
+  json["vm"] = state.mSelf.mName;
+  json["draining"] = state.mStopping;
+  json["drained"] = isRefusing && state.IsDrained();
+  json["in_flight"] = InFlight(state);
+  return JsonResponse(kOk, json.dump());
+}
+
 HttpResponse
 HandleOperatorRequest(const NodeRunner& aRunner, const HttpRequest& aRequest)
 {
@@ -60,6 +89,12 @@
   const HttpPath path = ParsePath(aRequest.mTarget);
   const std::string name =
     path.mSegments.empty() ? std::string() : path.mSegments.back();
+  if (aRequest.mMethod != "GET") {
+    return FormatProblem(Error{ ErrorKind::kMalformedRequest,
+                                "the method must be GET",
+                                "send GET, or POST to /v1/drain" },
+                         "");
+  }
   if (name == "healthz") {
     return JsonResponse(kOk, R"({"healthy":true})");
   }
--- a/modules/wasabispread_runtime/OperatorInterface.h
+++ b/modules/wasabispread_runtime/OperatorInterface.h
@@ -13,4 +13,13 @@
 HttpResponse
 HandleOperatorRequest(const NodeRunner& aRunner, const HttpRequest& aRequest);
 
+/** Whether a request is POST /v1/drain. */
+bool
+IsDrainRequest(const HttpRequest& aRequest);
+
+/** How far a drain has come, as JSON: draining, drained, and what is still in
+    flight. */
+HttpResponse
+FormatDrainState(const NodeRunner& aRunner);
+
 } // namespace wasabispread
--- /dev/null
+++ b/tests/processes/DeliveryTests.cpp
@@ -0,0 +1,252 @@
+/*
+ * Answers, coverage and histories of real processes, with kills and freezes.
+ */
+#include "ProcessFleet.h"
+
+#include <set>
+
+#include <boost/fiber/operations.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace wasabispread;
+using namespace wasabispread::testing;
+
+/** Three zones, each with a daemon and a process for its targets. */
+class DeliveryTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(DeliveryTests);
+  CPPUNIT_TEST(DeclaresShardsOfKilledTargets);
+  CPPUNIT_TEST(KeepsHistoriesSoundUnderFaults);
+  CPPUNIT_TEST(SurvivesTheKillOfAnOwner);
+  CPPUNIT_TEST(SurvivesTheKillOfAnEntry);
+  CPPUNIT_TEST(AnswersWhileAnOwnerIsFrozen);
+  CPPUNIT_TEST(RunsActionsOnceUnderKillsAndFreezes);
+  CPPUNIT_TEST(RunsActionsOnceUnderResets);
+  CPPUNIT_TEST(KeepsSnapshotsApartDuringRollOver);
+  CPPUNIT_TEST(CancelsWorkWhenItsCallerIsGone);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override { mFleet = std::make_unique<ProcessFleet>(); }
+
+  void tearDown() override { mFleet.reset(); }
+
+  void DeclaresShardsOfKilledTargets()
+  {
+    ProcessAsk solo;
+    solo.mService = "solo";
+    const HistoryCall whole = mFleet->Ask(0, solo);
+    CPPUNIT_ASSERT_EQUAL(std::string(), whole.mErrorKind);
+    CPPUNIT_ASSERT(whole.mMissing.empty());
+    mFleet->Targets(0).Kill();
+    const HistoryCall partial = mFleet->Ask(1, solo);
+    CPPUNIT_ASSERT_EQUAL(std::string(), partial.mErrorKind);
+    const std::vector<unsigned> expected{ 0, 3 };
+    CPPUNIT_ASSERT(expected == partial.mMissing);
+    // The other service has replicas in the zones that are left.
+    const HistoryCall replicated = mFleet->Ask(2, ProcessAsk{});
+    CPPUNIT_ASSERT(replicated.mMissing.empty());
+    mFleet->ExpectSoundHistory();
+  }
+
+  void KeepsHistoriesSoundUnderFaults()
+  {
+    mFleet->ControlAllTargets({ { "stragglers", 0.05 },
+                                { "straggler_ms", 300 },
+                                { "shed", 0.05 },
+                                { "reset", "before-reply" },
+                                { "reset_share", 0.02 } });
+    RunConcurrently(24, [this](std::size_t aCaller) {
+      HttpConnection connection(TestLoop());
+      bool isOpen = false;
+      for (unsigned round = 0; round < 25; ++round) {
+        mFleet->AskOn(connection, isOpen, aCaller % 3, Mixed(aCaller, round));
+      }
+    });
+    CPPUNIT_ASSERT(CountAnswered() > 400U);
+    mFleet->ExpectSoundHistory();
+  }
+
+  void SurvivesTheKillOfAnOwner()
+  {
+    RunConcurrently(13, [this](std::size_t aCaller) {
+      if (aCaller == 12) {
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(60));
+        mFleet->Daemon(2).Kill();
+        return;
+      }
+      for (unsigned round = 0; round < 30; ++round) {
+        mFleet->Ask(aCaller % 2, Mixed(aCaller, round));
+      }
+    });
+    CPPUNIT_ASSERT(CountAnswered() > 180U);
+    mFleet->ExpectSoundHistory();
+  }
+
+  void SurvivesTheKillOfAnEntry()
+  {
+    mFleet->ControlAllTargets({ { "service_ms", 20 } });
+    RunConcurrently(13, [this](std::size_t aCaller) {
+      if (aCaller == 12) {
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(60));
+        mFleet->Daemon(0).Kill();
+        return;
+      }
+      for (unsigned round = 0; round < 10; ++round) {
+        mFleet->Ask(aCaller % 3, Mixed(aCaller, round));
+      }
+    });
+    mFleet->RestartDaemon(0);
+    // Its new life takes no reply meant for the old one.
+    for (unsigned round = 0; round < 20; ++round) {
+      CPPUNIT_ASSERT_EQUAL(std::string(),
+                           mFleet->Ask(0, ProcessAsk{}).mErrorKind);
+    }
+    mFleet->ExpectSoundHistory();
+  }
+
+  void AnswersWhileAnOwnerIsFrozen()
+  {
+    ProcessAsk ask;
+    ask.mPatienceMs = "300";
+    mFleet->Daemon(2).Freeze();
+    RunConcurrently(6, [&](std::size_t aCaller) {
+      const HistoryCall call = mFleet->Ask(aCaller % 2, ask);
+      CPPUNIT_ASSERT(call.mErrorKind != "no-response");
+    });
+    mFleet->Daemon(2).Thaw();
+    mFleet->ExpectSoundHistory();
+  }
+
+  void RunsActionsOnceUnderKillsAndFreezes()
+  {
+    mFleet->ControlAllTargets({ { "service_ms", 15 } });
+    ProcessAsk action;
+    action.mOperation = "action";
+    action.mPatienceMs = "200";
+    RunConcurrently(13, [&](std::size_t aCaller) {
+      if (aCaller == 12) {
+        HarmEverything();
+        return;
+      }
+      for (unsigned round = 0; round < 25; ++round) {
+        ProcessAsk ask = action;
+        ask.mKey = "k" + std::to_string(aCaller * 100 + round);
+        mFleet->Ask(aCaller % 3, ask);
+      }
+    });
+    mFleet->ExpectSoundHistory();
+  }
+
+  void RunsActionsOnceUnderResets()
+  {
+    for (const char* point : { "before-execution", "before-reply" }) {
+      mFleet->ControlAllTargets({ { "reset", point }, { "reset_share", 0.5 } });
+      RunConcurrently(9, [&](std::size_t aCaller) {
+        for (unsigned round = 0; round < 10; ++round) {
+          ProcessAsk ask;
+          ask.mOperation = "action";
+          ask.mKey = point + std::to_string(aCaller * 100 + round);
+          mFleet->Ask(aCaller % 3, ask);
+        }
+      });
+    }
+    CPPUNIT_ASSERT(CountAnswered() > 20U);
+    mFleet->ExpectSoundHistory();
+  }
+
+  void KeepsSnapshotsApartDuringRollOver()
+  {
+    RunConcurrently(7, [this](std::size_t aCaller) {
+      if (aCaller == 6) {
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(30));
+        mFleet->ControlAllTargets(
+          { { "roll_to", { 1, 2 } }, { "roll_spread_ms", 100 } });
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(150));
+        mFleet->ControlAllTargets(
+          { { "roll_to", { 2 } }, { "roll_spread_ms", 100 } });
+        return;
+      }
+      for (unsigned round = 0; round < 60; ++round) {
+        mFleet->Ask(aCaller % 3, ProcessAsk{});
+      }
+    });
+    std::set<std::uint64_t> snapshots;
+    for (const HistoryCall& call : mFleet->Calls()) {
+      snapshots.insert(call.mSnapshot);
+    }
+    CPPUNIT_ASSERT(snapshots.contains(1) && snapshots.contains(2));
+    mFleet->ExpectSoundHistory();
+  }
+
+  void CancelsWorkWhenItsCallerIsGone()
+  {
+    mFleet->ControlAllTargets({ { "frozen", true } });
+    HttpConnection connection(TestLoop());
+    bool isOpen = false;
+    RunConcurrently(2, [&](std::size_t aPart) {
+      if (aPart == 0) {
+        mFleet->AskOn(connection, isOpen, 0, ProcessAsk{});
+        return;
+      }
+      AwaitCondition([this] { return InFlight(0) != 0; }, "the request runs");
+      connection.Close();
+      AwaitCondition([this] { return InFlight(0) == 0; }, "it is given up");
+    });
+    mFleet->ControlAllTargets({ { "frozen", false } });
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         mFleet->Ask(0, ProcessAsk{}).mErrorKind);
+    mFleet->ExpectSoundHistory();
+  }
+
+private:
+  /** Searches, lookups and actions in turn. */
+  static ProcessAsk Mixed(std::size_t aCaller, unsigned aRound)
+  {
+    static const char* const kOperations[] = { "search", "lookup", "action" };
+    ProcessAsk ask;
+    ask.mOperation = kOperations[(aCaller + aRound) % 3];
+    if (ask.mOperation != "search") {
+      ask.mKey = "k" + std::to_string(aCaller) + "-" + std::to_string(aRound);
+    }
+    return ask;
+  }
+
+  std::size_t CountAnswered() const
+  {
+    std::size_t answered = 0;
+    for (const HistoryCall& call : mFleet->Calls()) {
+      answered += call.mErrorKind.empty() ? 1 : 0;
+    }
+    return answered;
+  }
+
+  std::uint64_t InFlight(std::size_t aZone)
+  {
+    const auto status = mFleet->GetOperator(aZone, "/v1/status");
+    CPPUNIT_ASSERT(status.has_value());
+    return nlohmann::json::parse(status->mBody).at("in_flight");
+  }
+
+  /** Freezes across the callers' deadline, then kills, at each kind of
+      process in turn. */
+  void HarmEverything()
+  {
+    constexpr Duration kStep = std::chrono::milliseconds(100);
+    constexpr Duration kPastDeadline = std::chrono::milliseconds(260);
+    boost::this_fiber::sleep_for(kStep);
+    for (ChildProcess* process : { &mFleet->Daemon(1), &mFleet->Targets(2) }) {
+      process->Freeze();
+      boost::this_fiber::sleep_for(kPastDeadline);
+      process->Thaw();
+      boost::this_fiber::sleep_for(kStep);
+    }
+    mFleet->Targets(0).Kill();
+    boost::this_fiber::sleep_for(kStep);
+    mFleet->Daemon(2).Kill();
+  }
+
+  std::unique_ptr<ProcessFleet> mFleet;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DeliveryTests);
--- /dev/null
+++ b/tests/processes/ProcessFleet.cpp
@@ -0,0 +1,442 @@
+/*
+ * The fleet's files, ports and callers.
+ */
+#include "ProcessFleet.h"
+
+#include "FreePorts.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <stdlib.h>
+
+namespace wasabispread::testing {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kPortsPerDaemon = 3;
+constexpr unsigned kShards = 6;
+constexpr Duration kCallTimeout = std::chrono::seconds(15);
+constexpr Duration kPoll = std::chrono::milliseconds(5);
+constexpr Duration kConditionLimit = std::chrono::seconds(20);
+
+std::string
+MakeFolder()
+{
+  std::string name = "/tmp/wasabispread-XXXXXX";
+  if (mkdtemp(name.data()) == nullptr) {
+    throw std::runtime_error("cannot make a folder under /tmp");
+  }
+  return name;
+}
+
+std::string
+ServiceText(const std::string& aName, unsigned aReplicas)
+{
+  std::string text = "[[service]]\nname = \"" + aName +
+                     "\"\nshards = " + std::to_string(kShards) +
+                     "\noperations = [\"search\", \"lookup\", \"action\"]\n"
+                     "prefer = \"coverage\"\nleast_coverage = 1.0\n"
+                     "max_wait = \"2s\"\nconnection_cap = 12\n"
+                     "connect_time = \"1ms\"\nextra_load_percent = 10\n";
+  for (unsigned shard = 0; shard < kShards; ++shard) {
+    for (unsigned replica = 0; replica < aReplicas; ++replica) {
+      text += "[[service.target]]\nname = \"" + aName + "-" +
+              std::to_string(shard) + "-" + std::to_string(replica) +
+              "\"\naddress = \"127.0.0.1:" + std::to_string(NextFreePort()) +
+              "\"\nzone = \"" + kZones[(shard + replica) % kZones.size()] +
+              "\"\nshards = [" + std::to_string(shard) + "]\n";
+    }
+  }
+  return text;
+}
+
+HttpRequest
+FormatAsk(const ProcessAsk& aAsk, const std::string& aRequestId)
+{
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = "/v1/services/" + aAsk.mService + "/" + aAsk.mOperation;
+  if (!aAsk.mKey.empty()) {
+    request.mTarget += "?key=" + aAsk.mKey;
+  }
+  request.mHeaders = { { "X-Patience-Ms", aAsk.mPatienceMs },
+                       { "X-Request-Id", aRequestId } };
+  if (!aAsk.mIdempotencyKey.empty()) {
+    request.mHeaders.push_back({ "Idempotency-Key", aAsk.mIdempotencyKey });
+  }
+  request.mBody = "body of " + aRequestId;
+  return request;
+}
+
+/** Fills in what a response says. */
+void
+ReadResponse(const HttpResponse& aResponse, HistoryCall& aCall)
+{
+  const Json json = Json::parse(aResponse.mBody);
+  if (json.at("request_id") != aCall.mRequestId) {
+    throw std::runtime_error("a response answers another request");
+  }
+  if (json.contains("kind")) {
+    aCall.mErrorKind = json.at("kind");
+    aCall.mRan = json.at("ran");
+    return;
+  }
+  aCall.mSnapshot = json.at("snapshot");
+  aCall.mShardsAsked = json.at("coverage").at("shards");
+  for (const Json& missing : json.at("coverage").at("missing")) {
+    aCall.mMissing.push_back(missing.at("shard"));
+  }
+  for (const Json& result : json.at("results")) {
+    aCall.mResults.push_back(
+      { result.at("shard"), result.at("target"), result.at("body") });
+  }
+}
+
+} // namespace
+
+IoLoop&
+TestLoop()
+{
+  // Never destroyed: fibers of failed tests may still refer to it.
+  static IoLoop* loop = new IoLoop();
+  return *loop;
+}
+
+void
+AwaitCondition(const std::function<bool()>& aCondition,
+               const std::string& aWhat)
+{
+  const TimePoint until = NodeRunner::Now() + kConditionLimit;
+  while (!aCondition()) {
+    if (NodeRunner::Now() > until) {
+      throw std::runtime_error("never came true: " + aWhat);
+    }
+    boost::this_fiber::sleep_for(kPoll);
+  }
+}
+
+void
+RunConcurrently(std::size_t aFibers,
+                const std::function<void(std::size_t)>& aBody)
+{
+  std::vector<boost::fibers::fiber> fibers;
+  std::exception_ptr failure;
+  for (std::size_t index = 0; index < aFibers; ++index) {
+    fibers.emplace_back(boost::fibers::launch::post, [&aBody, &failure, index] {
+      try {
+        aBody(index);
+      } catch (...) {
+        failure = std::current_exception();
+      }
+    });
+  }
+  for (auto& fiber : fibers) {
+    fiber.join();
+  }
+  if (failure) {
+    std::rethrow_exception(failure);
+  }
+}
+
+ProcessFleet::ProcessFleet()
+  : mFolder(MakeFolder())
+  , mDeploymentFile(mFolder + "/deployment.toml")
+  , mPlatformPort(NextFreePort())
+{
+  TestLoop();
+  for (std::size_t zone = 0; zone < kZones.size(); ++zone) {
+    mControlPorts.push_back(NextFreePort());
+    for (std::size_t port = 0; port < kPortsPerDaemon; ++port) {
+      mDaemonPorts.push_back(NextFreePort());
+    }
+  }
+  WriteFiles();
+  mPlatform = ChildProcess("platform_standin",
+                           { "--port", std::to_string(mPlatformPort) },
+                           mFolder + "/platform.log");
+  for (std::size_t zone = 0; zone < kZones.size(); ++zone) {
+    mTargets.emplace_back(
+      "target_standin",
+      std::vector<std::string>{ "--deployment",
+                                mDeploymentFile,
+                                "--control-port",
+                                std::to_string(mControlPorts[zone]),
+                                "--zone",
+                                kZones[zone],
+                                "--record",
+                                mFolder + "/executions" },
+      mFolder + "/targets.log");
+  }
+  AwaitCondition(
+    [this] {
+      return ExchangeOnce(
+               TestLoop(), PlatformAddress(), FormatVmListRead(), kCallTimeout)
+        .has_value();
+    },
+    "the platform answers");
+  ShowVms({});
+  for (std::size_t zone = 0; zone < kZones.size(); ++zone) {
+    mDaemons.emplace_back();
+    StartDaemon(zone);
+  }
+  const FinishedProcess applied = RunTool(
+    { "apply", mDeploymentFile, "--platform", ToText(PlatformAddress()) });
+  if (applied.mExitCode != 0) {
+    throw std::runtime_error("apply failed: " + applied.mOutput);
+  }
+  for (std::size_t zone = 0; zone < kZones.size(); ++zone) {
+    AwaitReady(zone);
+  }
+}
+
+ProcessFleet::~ProcessFleet()
+{
+  std::error_code ignored;
+  for (auto* group : { &mDaemons, &mTargets }) {
+    for (ChildProcess& process : *group) {
+      process.Kill();
+    }
+  }
+  mPlatform.Kill();
+  std::filesystem::remove_all(mFolder, ignored);
+}
+
+void
+ProcessFleet::WriteFiles()
+{
+  std::ofstream(mDeploymentFile)
+    << "format = 1\ndeployment = \"processes\"\n"
+    << ServiceText("stock", 2) << ServiceText("solo", 1);
+  for (std::size_t zone = 0; zone < kZones.size(); ++zone) {
+    std::ofstream settings(SettingsFile(zone));
+    settings << "name = \"vm-" << zone << "\"\nzone = \"" << kZones[zone]
+             << "\"\nplatform = \"" << ToText(PlatformAddress())
+             << "\"\n[listen]\ncallers = \"" << ToText(CallerAddress(zone))
+             << "\"\noperators = \"" << ToText(OperatorAddress(zone))
+             << "\"\npeers = \"" << ToText(PeerAddress(zone))
+             << "\"\n[log]\nfile = \"" << mFolder << "/vm-" << zone
+             << ".jsonl\"\n[limits]\nbody_bytes = 65536\n"
+                "stop_notice = \"2500ms\"\nstop_wait = \"10s\"\n";
+  }
+}
+
+std::string
+ProcessFleet::SettingsFile(std::size_t aZone) const
+{
+  return mFolder + "/vm-" + std::to_string(aZone) + ".toml";
+}
+
+void
+ProcessFleet::StartDaemon(std::size_t aZone)
+{
+  mDaemons.at(aZone) = ChildProcess("wasabispreadd",
+                                    { "--settings", SettingsFile(aZone) },
+                                    mFolder + "/vm.log");
+}
+
+void
+ProcessFleet::RestartDaemon(std::size_t aZone)
+{
+  StartDaemon(aZone);
+  AwaitReady(aZone);
+}
+
+void
+ProcessFleet::AwaitReady(std::size_t aZone)
+{
+  AwaitCondition(
+    [this, aZone] {
+      const auto status = GetOperator(aZone, "/v1/status");
+      if (!status) {
+        return false;
+      }
+      const Json json = Json::parse(status->mBody);
+      return json.at("ready") == true &&
+             json.at("members").size() == kZones.size();
+    },
+    "a daemon is ready and knows the others");
+}
+
+Endpoint
+ProcessFleet::CallerAddress(std::size_t aZone) const
+{
+  return { "127.0.0.1", mDaemonPorts.at(aZone * kPortsPerDaemon) };
+}
+
+Endpoint
+ProcessFleet::OperatorAddress(std::size_t aZone) const
+{
+  return { "127.0.0.1", mDaemonPorts.at(aZone * kPortsPerDaemon + 1) };
+}
+
+Endpoint
+ProcessFleet::PeerAddress(std::size_t aZone) const
+{
+  return { "127.0.0.1", mDaemonPorts.at(aZone * kPortsPerDaemon + 2) };
+}
+
+Endpoint
+ProcessFleet::PlatformAddress() const
+{
+  return { "127.0.0.1", mPlatformPort };
+}
+
+HistoryCall
+ProcessFleet::Ask(std::size_t aZone, const ProcessAsk& aAsk)
+{
+  HttpConnection connection(TestLoop());
+  bool isOpen = false;
+  return AskOn(connection, isOpen, aZone, aAsk);
+}
+
+HistoryCall
+ProcessFleet::AskOn(HttpConnection& aConnection,
+                    bool& aIsOpen,
+                    std::size_t aZone,
+                    const ProcessAsk& aAsk)
+{
+  HistoryCall call;
+  call.mRequestId = "r" + std::to_string(mCalls.size());
+  call.mOperation = aAsk.mOperation;
+  call.mIdempotencyKey = aAsk.mIdempotencyKey;
+  call.mErrorKind = "no-response";
+  call.mRan = "unknown";
+  const std::size_t position = mCalls.size();
+  mCalls.push_back(call);
+  Result<HttpResponse> response = Fail(ErrorKind::kConnectionFailed, "", "");
+  if (!aIsOpen) {
+    const auto connected =
+      aConnection.Connect(CallerAddress(aZone), kCallTimeout);
+    aIsOpen = connected.has_value();
+  }
+  if (aIsOpen) {
+    response =
+      aConnection.Exchange(FormatAsk(aAsk, call.mRequestId), kCallTimeout);
+    aIsOpen = response.has_value() && response->mKeepAlive;
+  }
+  if (response) {
+    call.mErrorKind.clear();
+    call.mRan.clear();
+    ReadResponse(*response, call);
+  } else {
+    call.mRan = ToText(response.error().mExecution);
+  }
+  if (!aIsOpen) {
+    aConnection.Close();
+  }
+  mCalls[position] = call;
+  return call;
+}
+
+HttpResponse
+ProcessFleet::Control(const Endpoint& aAddress,
+                      const std::string& aPath,
+                      const Json& aBody)
+{
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = aPath;
+  request.mBody = aBody.dump();
+  auto response = ExchangeOnce(TestLoop(), aAddress, request, kCallTimeout);
+  if (!response) {
+    throw std::runtime_error("control failed: " + ToText(response.error()));
+  }
+  return *response;
+}
+
+void
+ProcessFleet::ControlTargets(std::size_t aZone, const Json& aChange)
+{
+  Control(
+    { "127.0.0.1", mControlPorts.at(aZone) }, "/control/behaviour", aChange);
+}
+
+void
+ProcessFleet::ControlAllTargets(const Json& aChange)
+{
+  for (std::size_t zone = 0; zone < kZones.size(); ++zone) {
+    ControlTargets(zone, aChange);
+  }
+}
+
+void
+ProcessFleet::ControlPlatform(const Json& aChange)
+{
+  Control(PlatformAddress(), "/control/faults", aChange);
+}
+
+void
+ProcessFleet::ShowVms(const std::vector<std::size_t>& aLeaving)
+{
+  Json vms = Json::array();
+  for (std::size_t zone = 0; zone < kZones.size(); ++zone) {
+    const bool isLeaving =
+      std::find(aLeaving.begin(), aLeaving.end(), zone) != aLeaving.end();
+    vms.push_back({ { "name", "vm-" + std::to_string(zone) },
+                    { "zone", kZones[zone] },
+                    { "host", "127.0.0.1" },
+                    { "port", PeerAddress(zone).mPort },
+                    { "state", isLeaving ? "leaving" : "live" } });
+  }
+  Control(PlatformAddress(), "/control/vms", { { "vms", vms } });
+}
+
+FinishedProcess
+ProcessFleet::RunTool(std::vector<std::string> aArguments)
+{
+  return RunToEnd("wasabispread", aArguments, mFolder + "/tool.log");
+}
+
+Result<HttpResponse>
+ProcessFleet::GetOperator(std::size_t aZone, const std::string& aPath)
+{
+  HttpRequest request;
+  request.mTarget = aPath;
+  return ExchangeOnce(
+    TestLoop(), OperatorAddress(aZone), request, kCallTimeout);
+}
+
+std::vector<HistoryExecution>
+ProcessFleet::Executions() const
+{
+  std::vector<HistoryExecution> executions;
+  std::istringstream lines(ReadWholeFile(mFolder + "/executions"));
+  std::string line;
+  while (std::getline(lines, line)) {
+    const Json json = Json::parse(line);
+    executions.push_back(
+      { json.at("request_id"),
+        json.at("target"),
+        static_cast<unsigned>(std::stoul(json.at("shard").get<std::string>())),
+        json.at("snapshot") });
+  }
+  return executions;
+}
+
+void
+ProcessFleet::ExpectSoundHistory()
+{
+  constexpr Duration kQuiet = std::chrono::milliseconds(100);
+  std::size_t seen = 0;
+  AwaitCondition(
+    [&] {
+      const std::size_t before = std::exchange(seen, Executions().size());
+      boost::this_fiber::sleep_for(kQuiet);
+      return before == seen && seen != 0;
+    },
+    "the targets are quiet");
+  const auto violations = CheckHistory(mCalls, Executions());
+  if (!violations.empty()) {
+    throw std::runtime_error(std::to_string(violations.size()) +
+                             " violations; the first: " + violations.front());
+  }
+}
+
+} // namespace wasabispread::testing
