--- a/modules/wasabispread_config/DaemonSettings.cpp
+++ b/modules/wasabispread_config/DaemonSettings.cpp
@@ -3,6 +3,9 @@
  */
 #include "TableReader.h"
 
+#include <algorithm>
+#include <initializer_list>
+
 namespace wasabispread {
 
 namespace {
@@ -14,6 +17,24 @@
 constexpr DurationRange kStopWaitRange{ std::chrono::seconds(1),
                                         std::chrono::minutes(10) };
 
+/** Reports an address under [listen] that an earlier key has already. */
+void
+RejectSameAddress(TableReader& aListen,
+                  const toml::table& aTable,
+                  std::string_view aKey,
+                  const Endpoint& aAddress,
+                  std::initializer_list<Endpoint> aEarlier)
+{
+  const bool isTaken =
+    aAddress.mPort != 0 &&
+    std::find(aEarlier.begin(), aEarlier.end(), aAddress) != aEarlier.end();
+  if (isTaken) {
+    aListen.AddFault(*aTable.get(aKey),
+                     "the address " + ToText(aAddress) + " is listed twice",
+                     "give each interface an address of its own");
+  }
+}
+
 void
 ReadListen(TableReader& aReader,
            const std::string& aFile,
@@ -32,6 +53,11 @@
     listen.RequiredEndpoint("operators").value_or(Endpoint{});
   aSettings.mPeerAddress =
     listen.RequiredEndpoint("peers").value_or(Endpoint{});
+  const Endpoint& callers = aSettings.mCallerAddress;
+  const Endpoint& operators = aSettings.mOperatorAddress;
+  RejectSameAddress(listen, *table, "operators", operators, { callers });
+  RejectSameAddress(
+    listen, *table, "peers", aSettings.mPeerAddress, { callers, operators });
   listen.RejectUnknownKeys();
 }
 
@@ -71,8 +97,9 @@
   } else if (level == "error") {
     aSettings.mLogLevel = LogLevel::kError;
   } else if (level != "info") {
-    log.AddTableFault("the log level '" + level + "' is unknown",
-                      R"(use "debug", "info", "warning" or "error")");
+    log.AddFault(*table->get("level"),
+                 "the log level '" + level + "' is unknown",
+                 R"(use "debug", "info", "warning" or "error")");
   }
 }
 
--- /dev/null
+++ b/tests/processes/RawConnection.cpp
@@ -0,0 +1,80 @@
+/*
+ * Plain blocking sockets.
+ */
+#include "RawConnection.h"
+
+#include <stdexcept>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace wasabispread::testing {
+
+RawConnection::RawConnection(const Endpoint& aAddress)
+  : mSocket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+  constexpr time_t kReadLimitSeconds = 5;
+  const timeval limit{ kReadLimitSeconds, 0 };
+  setsockopt(mSocket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  setsockopt(mSocket, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.mPort);
+  inet_pton(AF_INET, aAddress.mHost.c_str(), &address.sin_addr);
+  if (connect(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof address) !=
+      0) {
+    close(mSocket);
+    throw std::runtime_error("cannot connect to " + ToText(aAddress));
+  }
+}
+
+RawConnection::~RawConnection()
+{
+  close(mSocket);
+}
+
+void
+RawConnection::Send(std::string_view aBytes) const
+{
+  while (!aBytes.empty()) {
+    const ssize_t sent =
+      send(mSocket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    if (sent <= 0) {
+      return;
+    }
+    aBytes.remove_prefix(static_cast<std::size_t>(sent));
+  }
+}
+
+void
+RawConnection::FinishSending() const
+{
+  shutdown(mSocket, SHUT_WR);
+}
+
+std::string
+RawConnection::Receive(std::size_t aBytes) const
+{
+  std::string received(aBytes, '\0');
+  std::size_t size = 0;
+  while (size < aBytes) {
+    const ssize_t got = recv(mSocket, received.data() + size, aBytes - size, 0);
+    if (got <= 0) {
+      break;
+    }
+    size += static_cast<std::size_t>(got);
+  }
+  received.resize(size);
+  return received;
+}
+
+std::string
+RawConnection::ReceiveAll() const
+{
+  constexpr std::size_t kMostBytes = 1U << 20U;
+  return Receive(kMostBytes);
+}
+
+} // namespace wasabispread::testing
