--- a/modules/wasabispread_decisions/Effect.h
+++ b/modules/wasabispread_decisions/Effect.h
@@ -5,6 +5,7 @@
 
 #include "DecisionRecord.h"
 #include "PeerMessage.h"
+#include "PlatformMessage.h"
 #include "TargetMessage.h"
 
 #include <variant>
@@ -68,6 +69,24 @@
   DecisionRecord mRecord;
 };
 
+/** Write a claim if its key has the version expected, 0 for none; answered by
+    ClaimSwapped. The store forgets it after mLifetime. */
+struct SwapClaim
+{
+  ClaimToken mToken;
+  std::string mKey;
+  std::uint64_t mExpected = 0;
+  ClaimRecord mRecord;
+  Duration mLifetime{};
+};
+
+/** Read a claim; answered by ClaimRead. */
+struct ReadClaim
+{
+  ClaimToken mToken;
+  std::string mKey;
+};
+
 using Effect = std::variant<AnswerCaller,
                             SendToPeer,
                             OpenTargetConnection,
@@ -75,7 +94,9 @@
                             SendToTarget,
                             WatchConfiguration,
                             ReadVmList,
-                            LogDecision>;
+                            LogDecision,
+                            SwapClaim,
+                            ReadClaim>;
 
 using Effects = std::vector<Effect>;
 
--- a/modules/wasabispread_decisions/Entry.h
+++ b/modules/wasabispread_decisions/Entry.h
@@ -16,10 +16,26 @@
                     TimePoint aNow,
                     Effects& aEffects);
 
+/** Refuses a request of which nothing was sent. */
+void
+RefuseRequest(NodeState& aState,
+              const CallerRequest& aRequest,
+              Error aError,
+              Effects& aEffects);
+
+/** Plans an admitted request and sends it out. */
+void
+StartQuery(NodeState& aState,
+           const CallerRequest& aRequest,
+           const Service& aService,
+           TimePoint aNow,
+           Effects& aEffects);
+
 /** Drops a request whose caller has gone. */
 void
 HandleCallerGone(NodeState& aState,
                  const CallerGone& aEvent,
+                 TimePoint aNow,
                  Effects& aEffects);
 
 /** Takes in ended attempts. */
@@ -51,4 +67,18 @@
                     TimePoint aNow,
                     Effects& aEffects);
 
+/** Hedges a request's slow attempts, and settles its snapshot. */
+void
+HandleHedgeDue(NodeState& aState,
+               QueryId aQuery,
+               TimePoint aNow,
+               Effects& aEffects);
+
+/** Answers a request early if it has the least coverage declared. */
+void
+HandleEarlyAnswerDue(NodeState& aState,
+                     QueryId aQuery,
+                     TimePoint aNow,
+                     Effects& aEffects);
+
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Event.h
+++ b/modules/wasabispread_decisions/Event.h
@@ -27,6 +27,8 @@
   SharedBytes mBody;
   /** How long the caller will wait. */
   Duration mPatience{};
+  /** Names an action across repeats; empty when the caller gave none. */
+  std::string mIdempotencyKey;
 };
 
 /** A caller went away before its answer. */
@@ -118,6 +120,21 @@
 struct Tick
 {};
 
+/** A write of a claim ended. */
+struct ClaimSwapped
+{
+  ClaimToken mToken;
+  /** The version written; kConflict when another version was there. */
+  Result<std::uint64_t> mVersion;
+};
+
+/** A claim was read. */
+struct ClaimRead
+{
+  ClaimToken mToken;
+  Result<StoredClaim> mStored;
+};
+
 using Event = std::variant<Started,
                            CallerRequest,
                            CallerGone,
@@ -131,6 +148,8 @@
                            VmListReceived,
                            StopRequested,
                            Tick,
-                           AttemptsNotSent>;
+                           AttemptsNotSent,
+                           ClaimSwapped,
+                           ClaimRead>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/NodeState.h
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "ClaimState.h"
 #include "ConfigurationState.h"
 #include "Counters.h"
 #include "EntryState.h"
@@ -35,6 +36,7 @@
   MembershipState mMembership;
   EntryState mEntry;
   OwnerState mOwner;
+  ClaimState mClaims;
   TimerQueue mTimers;
   Counters mCounters;
   /** Messages from this node to itself, handled before Reduce() returns. */
--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -29,7 +29,7 @@
 
   void operator()(const CallerGone& aEvent)
   {
-    HandleCallerGone(mState, aEvent, mEffects);
+    HandleCallerGone(mState, aEvent, mNow, mEffects);
   }
 
   void operator()(const PeerMessageReceived& aEvent)
@@ -47,6 +47,16 @@
     HandleAttemptsNotSent(mState, aEvent, mNow, mEffects);
   }
 
+  void operator()(const ClaimSwapped& aEvent)
+  {
+    HandleClaimSwapped(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const ClaimRead& aEvent)
+  {
+    HandleClaimRead(mState, aEvent, mNow, mEffects);
+  }
+
   void operator()(const TargetConnected& aEvent)
   {
     HandleTargetConnected(mState, aEvent, mNow, mEffects);
@@ -129,6 +139,18 @@
       case TimerKind::kReadVmList:
         StartMembership(mState, mEffects);
         break;
+      case TimerKind::kClaimDeadline:
+        HandleClaimDeadline(mState, ClaimToken(aTimer.mKey), mEffects);
+        break;
+      case TimerKind::kClaimRetry:
+        HandleClaimRetry(mState, ClaimToken(aTimer.mKey), mEffects);
+        break;
+      case TimerKind::kHedge:
+        HandleHedgeDue(mState, QueryId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kEarlyAnswer:
+        HandleEarlyAnswerDue(mState, QueryId(aTimer.mKey), mNow, mEffects);
+        break;
     }
   }
 };
--- a/modules/wasabispread_runtime/NodeRunner.cpp
+++ b/modules/wasabispread_runtime/NodeRunner.cpp
@@ -192,6 +192,26 @@
   });
 }
 
+void
+NodeRunner::Perform(SwapClaim& aEffect)
+{
+  StartFiber([this, effect = aEffect] {
+    const auto response =
+      ExchangeOnce(mLoop, mPlatform, FormatClaimSwap(effect), kPlatformTimeout);
+    Deliver(ClaimSwapped{ effect.mToken, response.and_then(ParseStoreSwap) });
+  });
+}
+
+void
+NodeRunner::Perform(ReadClaim& aEffect)
+{
+  StartFiber([this, effect = aEffect] {
+    const auto response = ExchangeOnce(
+      mLoop, mPlatform, FormatStoreRead(effect.mKey), kPlatformTimeout);
+    Deliver(ClaimRead{ effect.mToken, response.and_then(ParseStoredClaim) });
+  });
+}
+
 void
 NodeRunner::Perform(LogDecision& aEffect)
 {
--- a/modules/wasabispread_runtime/NodeRunner.h
+++ b/modules/wasabispread_runtime/NodeRunner.h
@@ -62,6 +62,8 @@
   void Perform(SendToTarget& aEffect);
   void Perform(WatchConfiguration& aEffect);
   void Perform(ReadVmList& aEffect);
+  void Perform(SwapClaim& aEffect);
+  void Perform(ReadClaim& aEffect);
   void Perform(LogDecision& aEffect);
 
   void DropCaller(CallerToken aToken);
--- a/modules/wasabispread_units/Error.h
+++ b/modules/wasabispread_units/Error.h
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <tl/expected.hpp>
 
@@ -50,6 +51,13 @@
 std::string_view
 ToText(Execution aExecution);
 
+/** A further fact about an error, for machines to read. */
+struct ErrorDetail
+{
+  std::string mName;
+  std::string mValue;
+};
+
 /** An error: what happened, what to do about it, and whether work ran. */
 struct Error
 {
@@ -57,6 +65,7 @@
   std::string mMessage;
   std::string mRemedy;
   Execution mExecution = Execution::kNotRun;
+  std::vector<ErrorDetail> mDetails{};
 };
 
 /** One line holding the kind, the message and the remedy. */
--- a/modules/wasabispread_wire/CallerProtocol.cpp
+++ b/modules/wasabispread_wire/CallerProtocol.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::size_t kMostRequestIdBytes = 128;
 constexpr std::size_t kMostKeyBytes = 1024;
+constexpr std::size_t kMostIdempotencyKeyBytes = 128;
 
 std::string
 Dump(const Json& aJson)
@@ -74,6 +75,22 @@
   return key;
 }
 
+Result<std::string>
+ParseIdempotencyKey(const std::vector<HttpHeader>& aHeaders,
+                    Operation aOperation)
+{
+  std::string key(FindHeader(aHeaders, kIdempotencyKeyHeader));
+  if (key.size() > kMostIdempotencyKeyBytes) {
+    return Malformed("the idempotency key is longer than 128 bytes",
+                     "send a shorter one");
+  }
+  if (!key.empty() && aOperation != Operation::kAction) {
+    return Malformed("only an action takes an idempotency key",
+                     "leave the header out; this operation may be repeated");
+  }
+  return key;
+}
+
 Json
 FormatAnswer(const RequestId& aRequestId,
              const Answer& aAnswer,
@@ -136,6 +153,11 @@
   if (!key) {
     return tl::unexpected<Error>(key.error());
   }
+  const auto idempotencyKey =
+    ParseIdempotencyKey(aRequest.mHeaders, *operation);
+  if (!idempotencyKey) {
+    return tl::unexpected<Error>(idempotencyKey.error());
+  }
   std::string requestId(FindHeader(aRequest.mHeaders, kRequestIdHeader));
   if (requestId.size() > kMostRequestIdBytes) {
     return Malformed("the request id is longer than 128 bytes",
@@ -150,6 +172,7 @@
   request.mKey = *key;
   request.mBody = std::make_shared<const std::string>(aRequest.mBody);
   request.mPatience = *patience;
+  request.mIdempotencyKey = *idempotencyKey;
   return request;
 }
 
@@ -182,6 +205,9 @@
   json["ran"] = ToText(aError.mExecution);
   json["remedy"] = aError.mRemedy;
   json["request_id"] = aRequestId;
+  for (const ErrorDetail& detail : aError.mDetails) {
+    json[detail.mName] = detail.mValue;
+  }
   HttpResponse response;
   response.mStatus = StatusOf(aError.mKind);
   response.mHeaders.push_back({ "Content-Type", "application/problem+json" });
--- a/modules/wasabispread_wire/CallerProtocol.h
+++ b/modules/wasabispread_wire/CallerProtocol.h
@@ -15,6 +15,9 @@
 /** The header that carries a caller's request id; echoed in the response. */
 inline constexpr std::string_view kRequestIdHeader = "X-Request-Id";
 
+/** The header that names an action across repeats; optional. */
+inline constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
+
 /** Reads a caller's request:
     POST /v1/services/NAME/search, or POST /v1/services/NAME/lookup?key=KEY, or
     POST /v1/services/NAME/action?key=KEY. aGeneratedId serves when the caller
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -92,6 +92,7 @@
   request.mKey = aOptions.mKey;
   request.mBody = std::make_shared<const std::string>("body");
   request.mPatience = aOptions.mPatience;
+  request.mIdempotencyKey = aOptions.mIdempotencyKey;
   mExchanges.push_back(
     Exchange{ aVm, request, mTimeline.Now(), TimePoint{}, std::nullopt });
   Deliver(aVm, request);
@@ -251,6 +252,10 @@
     PerformWatch(aVm, *watch);
   } else if (std::holds_alternative<ReadVmList>(aEffect)) {
     PerformReadVms(aVm);
+  } else if (const auto* swap = std::get_if<SwapClaim>(&aEffect)) {
+    PerformSwapClaim(aVm, *swap);
+  } else if (const auto* read = std::get_if<ReadClaim>(&aEffect)) {
+    PerformReadClaim(aVm, *read);
   } else if (const auto* record = std::get_if<LogDecision>(&aEffect)) {
     mRecords.push_back(record->mRecord);
   }
@@ -411,6 +416,30 @@
   mPlatform.ReadVms(deliver);
 }
 
+void
+FakeFleet::PerformSwapClaim(VmId aVm, const SwapClaim& aEffect)
+{
+  const std::uint64_t incarnation = mNodes.at(aVm).mIncarnation;
+  mPlatform.Swap(
+    aEffect,
+    [this, aVm, incarnation, token = aEffect.mToken](
+      Result<std::uint64_t> aResult) {
+      DeliverTo(aVm, incarnation, ClaimSwapped{ token, std::move(aResult) });
+    });
+}
+
+void
+FakeFleet::PerformReadClaim(VmId aVm, const ReadClaim& aEffect)
+{
+  const std::uint64_t incarnation = mNodes.at(aVm).mIncarnation;
+  mPlatform.Read(
+    aEffect,
+    [this, aVm, incarnation, token = aEffect.mToken](
+      Result<StoredClaim> aResult) {
+      DeliverTo(aVm, incarnation, ClaimRead{ token, std::move(aResult) });
+    });
+}
+
 void
 FakeFleet::DropConnections(VmId aVm)
 {
