--- a/modules/wasabispread_decisions/PlatformMessage.h
+++ b/modules/wasabispread_decisions/PlatformMessage.h
@@ -6,7 +6,9 @@
 #include <wasabispread_units/wasabispread_units.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wasabispread {
@@ -34,6 +36,41 @@
   std::vector<ChangeRecord> mEarlier;
 };
 
+/** How far a claimed action has come. */
+enum class ClaimStatus : std::uint8_t
+{
+  /** It may be running, or its holder was lost. */
+  kPending,
+  kDone,
+  /** It may have run. */
+  kUnknown,
+  /** It did not run; the claim may be taken over. */
+  kNotRun,
+};
+
+/** The name used in the store and in answers. */
+std::string_view
+ToText(ClaimStatus aStatus);
+
+/** A claim on an idempotency key as the store holds it. */
+struct ClaimRecord
+{
+  /** Who made it; no two claims have the same. */
+  std::string mHolder;
+  RequestId mRequestId;
+  ClaimStatus mStatus = ClaimStatus::kPending;
+};
+
+/** A claim as read; without a record when there is none. */
+struct StoredClaim
+{
+  std::uint64_t mVersion = 0;
+  std::optional<ClaimRecord> mRecord;
+};
+
+/** Identifies a claim's calls to the store within one node. */
+using ClaimToken = StrongType<struct ClaimTokenTag, std::uint64_t>;
+
 /** A VM as the platform's list shows it. */
 struct VmRecord
 {
--- a/modules/wasabispread_decisions/TimerQueue.h
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -51,6 +51,10 @@
   kHedge,
   /** Key: the query that may be answered early. */
   kEarlyAnswer,
+  /** Key: the claim. */
+  kClaimDeadline,
+  /** Key: the claim. */
+  kClaimRetry,
 };
 
 /** A timer that came due. */
--- a/modules/wasabispread_platform/PlatformProtocol.cpp
+++ b/modules/wasabispread_platform/PlatformProtocol.cpp
@@ -238,4 +238,69 @@
   return stored;
 }
 
+HttpRequest
+FormatClaimSwap(const SwapClaim& aSwap)
+{
+  const auto lifetime =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aSwap.mLifetime);
+  HttpRequest request =
+    FormatStoreSwap(aSwap.mKey, aSwap.mExpected, EncodeClaim(aSwap.mRecord));
+  request.mTarget += "&ttl_ms=" + std::to_string(lifetime.count());
+  return request;
+}
+
+std::string
+EncodeClaim(const ClaimRecord& aRecord)
+{
+  const Json json{ { "holder", aRecord.mHolder },
+                   { "request_id", aRecord.mRequestId.Value() },
+                   { "status", ToText(aRecord.mStatus) } };
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<ClaimRecord>
+DecodeClaim(const std::string& aValue)
+{
+  const Json json = ParseObject(aValue);
+  const auto holder =
+    json.is_discarded() ? std::nullopt : StringAt(json, "holder");
+  if (!holder) {
+    return Fail(ErrorKind::kPlatformUnavailable,
+                "the stored claim cannot be read",
+                "use another idempotency key");
+  }
+  ClaimRecord record;
+  record.mHolder = *holder;
+  record.mRequestId = RequestId(StringAt(json, "request_id").value_or(""));
+  const std::string status = StringAt(json, "status").value_or("");
+  // A status unknown to this release must not lead to a second run.
+  record.mStatus = ClaimStatus::kUnknown;
+  for (const ClaimStatus known :
+       { ClaimStatus::kPending, ClaimStatus::kDone, ClaimStatus::kNotRun }) {
+    if (status == ToText(known)) {
+      record.mStatus = known;
+    }
+  }
+  return record;
+}
+
+Result<StoredClaim>
+ParseStoredClaim(const HttpResponse& aResponse)
+{
+  const auto value = ParseStoreValue(aResponse);
+  if (!value) {
+    return tl::unexpected<Error>(value.error());
+  }
+  StoredClaim stored;
+  stored.mVersion = value->mVersion;
+  if (value->mValue) {
+    auto record = DecodeClaim(*value->mValue);
+    if (!record) {
+      return tl::unexpected<Error>(record.error());
+    }
+    stored.mRecord = std::move(*record);
+  }
+  return stored;
+}
+
 } // namespace wasabispread
--- a/modules/wasabispread_telemetry/MetricsText.cpp
+++ b/modules/wasabispread_telemetry/MetricsText.cpp
@@ -177,6 +177,23 @@
     "pauses_total", "Pauses of this process noticed.", aCounters.mPauses);
 }
 
+void
+AddClaimCounters(FamilyList& aList, const Counters& aCounters)
+{
+  aList.AddCounter("claims_made_total",
+                   "Idempotency keys claimed; their actions were sent.",
+                   aCounters.mClaimsMade);
+  aList.AddCounter("claims_duplicate_total",
+                   "Actions refused because their key was used before.",
+                   aCounters.mClaimsDuplicate);
+  aList.AddCounter("claims_failed_total",
+                   "Actions refused because their key was not claimed.",
+                   aCounters.mClaimsFailed);
+  aList.AddCounter("claims_released_total",
+                   "Claims made too late and given up.",
+                   aCounters.mClaimsReleased);
+}
+
 void
 AddConfiguration(FamilyList& aList, const NodeState& aState, TimePoint aNow)
 {
@@ -245,6 +262,7 @@
   AddEntryCounters(list, aState.mCounters);
   AddPolicyCounters(list, aState.mCounters);
   AddOwnerCounters(list, aState.mCounters);
+  AddClaimCounters(list, aState.mCounters);
   AddConfiguration(list, aState, aNow);
   AddGauges(list, aState);
   list.AddCounter("log_lines_dropped_total",
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -26,6 +26,8 @@
   Duration mBetweenZones = std::chrono::milliseconds(4);
   /** The share of a delay that is random. */
   double mJitter = 0.2;
+  /** The share of messages, 0 to 1, that arrive twice. */
+  double mDuplicates = 0;
   /** The share of messages, 0 to 1, that arrive mRetransmission later. */
   double mLoss = 0;
   Duration mRetransmission = std::chrono::milliseconds(200);
@@ -65,6 +67,7 @@
   std::string mKey;
   Duration mPatience = std::chrono::seconds(1);
   std::string mRequestId;
+  std::string mIdempotencyKey;
 };
 
 /** The fleet. The same seed and calls give the same history. */
@@ -163,6 +166,8 @@
   void PerformAnswer(VmId aVm, const AnswerCaller& aEffect);
   void PerformWatch(VmId aVm, const WatchConfiguration& aEffect);
   void PerformReadVms(VmId aVm);
+  void PerformSwapClaim(VmId aVm, const SwapClaim& aEffect);
+  void PerformReadClaim(VmId aVm, const ReadClaim& aEffect);
   void DropConnections(VmId aVm);
   bool IsCut(const ZoneName& aZone, const ZoneName& aOther) const;
   Duration DelayBetween(const ZoneName& aZone, const ZoneName& aOther);
