Let settings say how long VMs take to learn of each other

Cause: after a start a VM reads the list within 2.5 s and holds connections 2.5 s later; process tests asked before that. Ruled out: waiting those 5 s in each of 24 tests (over two minutes a run), and fixed shorter delays, which would weaken the caps of real fleets. Now start_spread and hold_delay are settings, /v1/status says whether a VM holds connections, and the process fleet waits for it.

--- a/apps/daemon/Daemon.cpp
+++ b/apps/daemon/Daemon.cpp
@@ -50,7 +50,11 @@
   NodeIdentity identity = IdentityFrom(aSettings);
   const std::uint64_t seed =
     identity.mId.Value() ^ identity.mIncarnation.Value();
-  return MakeNodeState(std::move(identity), seed, PeersFrom(aSettings));
+  NodeState state =
+    MakeNodeState(std::move(identity), seed, PeersFrom(aSettings));
+  state.mMembership.mStartSpread = aSettings.mStartSpread;
+  state.mPlacement.mHoldDelay = aSettings.mHoldDelay;
+  return state;
 }
 
 } // namespace
--- a/modules/wasabispread_config/DaemonSettings.cpp
+++ b/modules/wasabispread_config/DaemonSettings.cpp
@@ -12,6 +12,10 @@
 
 constexpr std::int64_t kMostConfigurableBytes = 64LL << 20;
 constexpr std::int64_t kLeastConfigurableBytes = 1024;
+constexpr DurationRange kStartSpreadRange{ Duration::zero(),
+                                           std::chrono::minutes(1) };
+constexpr DurationRange kHoldDelayRange{ std::chrono::milliseconds(500),
+                                         std::chrono::minutes(1) };
 constexpr DurationRange kStopNoticeRange{ Duration::zero(),
                                           std::chrono::minutes(1) };
 constexpr DurationRange kStopWaitRange{ std::chrono::seconds(1),
@@ -127,6 +131,11 @@
       .value_or(aSettings.mStopNotice);
   aSettings.mStopWait = limits.OptionalDuration("stop_wait", kStopWaitRange)
                           .value_or(aSettings.mStopWait);
+  aSettings.mStartSpread =
+    limits.OptionalDuration("start_spread", kStartSpreadRange)
+      .value_or(aSettings.mStartSpread);
+  aSettings.mHoldDelay = limits.OptionalDuration("hold_delay", kHoldDelayRange)
+                           .value_or(aSettings.mHoldDelay);
   limits.RejectUnknownKeys();
 }
 
--- a/modules/wasabispread_config/DaemonSettings.h
+++ b/modules/wasabispread_config/DaemonSettings.h
@@ -56,6 +56,11 @@
   std::uint32_t mMostFrameBytes = 16U << 20U;
   /** How long a stopping VM still takes work, while the others learn. */
   Duration mStopNotice = std::chrono::seconds(3);
+  /** Spreads the first reads of the VM list when all VMs start at once. */
+  Duration mStartSpread = std::chrono::milliseconds(2500);
+  /** How long every VM is given to learn of a change of the VMs; the same on
+      all VMs of a deployment. */
+  Duration mHoldDelay = std::chrono::milliseconds(2500);
   /** How long a stop waits for requests in flight. */
   Duration mStopWait = std::chrono::seconds(30);
 };
--- a/modules/wasabispread_decisions/Candidates.cpp
+++ b/modules/wasabispread_decisions/Candidates.cpp
@@ -109,7 +109,7 @@
     return TimePoint::max();
   }
   if (!aCandidate.mIsListed) {
-    return aCandidate.mGoneSince + kHoldDelay;
+    return aCandidate.mGoneSince + aState.mPlacement.mHoldDelay;
   }
   // A zone that cannot be reached may be alive and cut off.
   return aZone.mZone == aState.mSelf.mZone ? aCandidate.mGoneSince + kDeathDelay
@@ -148,7 +148,8 @@
     AddCandidate(placement, member.mZone, id, aNow).mIsListed = true;
   }
   if (membership.mHealth.at(aState.mSelf.mId).mIsListed) {
-    placement.mHoldsFrom = std::min(placement.mHoldsFrom, aNow + kHoldDelay);
+    placement.mHoldsFrom =
+      std::min(placement.mHoldsFrom, aNow + placement.mHoldDelay);
   }
   ObserveLiveness(aState, aNow);
   RefreshCandidates(aState, aNow, aEffects);
--- a/modules/wasabispread_decisions/Candidates.h
+++ b/modules/wasabispread_decisions/Candidates.h
@@ -3,9 +3,10 @@
  *
  * A VM's connections may outlive what others believe of it. So a VM counts as
  * a candidate as soon as it is listed, holds connections itself only after it
- * has been listed for kHoldDelay, and goes on counting for others until
- * kHoldDelay after it left the list, or kDeathDelay after it was found dead.
- * Shares therefore shrink at once and grow late.
+ * has been listed for PlacementState::mHoldDelay, and goes on counting for
+ * others until PlacementState::mHoldDelay after it left the list, or
+ * kDeathDelay after it was found dead. Shares therefore shrink at once and grow
+ * late.
  */
 #pragma once
 
@@ -15,9 +16,6 @@
 
 namespace wasabispread {
 
-/** How long every VM is given to learn of a change of the list. */
-inline constexpr Duration kHoldDelay = std::chrono::milliseconds(2500);
-
 /** How long a listed VM must be dead before others take its share. */
 inline constexpr Duration kDeathDelay = std::chrono::seconds(10);
 
--- a/modules/wasabispread_decisions/Membership.cpp
+++ b/modules/wasabispread_decisions/Membership.cpp
@@ -17,8 +17,6 @@
 constexpr Duration kListIntervalPerVm = std::chrono::milliseconds(200);
 constexpr Duration kListInterval = std::chrono::seconds(2);
 constexpr Duration kMostListInterval = std::chrono::minutes(10);
-/** Spreads the first reads when all VMs start at once. */
-constexpr Duration kStartSpread = std::chrono::milliseconds(2500);
 
 bool
 IsLive(MemberCondition aCondition)
@@ -281,8 +279,10 @@
     SendProbe(aState, seed.mId, seed.mPeerAddress, aNow, aEffects);
     SendToVm(aState, seed.mId, seed.mPeerAddress, MembersRequest{}, aEffects);
   }
-  const auto delay = Duration(static_cast<std::int64_t>(
-    aState.mRandom.Below(static_cast<std::uint64_t>(kStartSpread.count()))));
+  const auto spread =
+    static_cast<std::uint64_t>(membership.mStartSpread.count());
+  const auto delay =
+    Duration(static_cast<std::int64_t>(aState.mRandom.Below(spread + 1)));
   aState.mTimers.Arm(aNow + delay, TimerKind::kReadVmList);
   StartProbing(aState, aNow);
 }
--- a/modules/wasabispread_decisions/MembershipState.h
+++ b/modules/wasabispread_decisions/MembershipState.h
@@ -93,6 +93,8 @@
   TimePoint mLastAnswer{};
   /** When the next round of probes was due. */
   TimePoint mRoundDue{};
+  /** Spreads the first reads of the list when all VMs start at once. */
+  Duration mStartSpread = std::chrono::milliseconds(2500);
   /** VMs named in the settings, asked first after a start. */
   std::vector<VmRecord> mSeeds;
   /** Whether the VM list or another VM has told of the others. */
--- a/modules/wasabispread_decisions/Pause.cpp
+++ b/modules/wasabispread_decisions/Pause.cpp
@@ -36,7 +36,7 @@
   ++aState.mCounters.mPauses;
   aEffects.push_back(LogDecision{ PauseNoticed{ gap } });
   aState.mPlacement.mAwaited.clear();
-  if (gap >= kHoldDelay) {
+  if (gap >= aState.mPlacement.mHoldDelay) {
     ReleaseShares(aState, aNow, aEffects);
   }
 }
--- a/modules/wasabispread_decisions/Placement.cpp
+++ b/modules/wasabispread_decisions/Placement.cpp
@@ -127,7 +127,10 @@
 
 /** Whether others have surely learned of a candidate by now. */
 bool
-IsSettled(const ZoneCandidates& aZone, VmId aVm, TimePoint aNow)
+IsSettled(const ZoneCandidates& aZone,
+          VmId aVm,
+          Duration aHoldDelay,
+          TimePoint aNow)
 {
   const auto place = std::lower_bound(
     aZone.mCandidates.begin(),
@@ -135,7 +138,7 @@
     aVm,
     [](const Candidate& aLeft, VmId aRight) { return aLeft.mVm < aRight; });
   return place != aZone.mCandidates.end() && place->mVm == aVm &&
-         place->mListedAt + kHoldDelay <= aNow;
+         place->mListedAt + aHoldDelay <= aNow;
 }
 
 /** Works out which owners of a group can be given work, best first. */
@@ -155,7 +158,8 @@
     const VmId vm = order.mBest[rank].mVm;
     if (IsLive(aState.mMembership, zone.mZone, vm) &&
         !placement.mAvoided.contains(vm)) {
-      (IsSettled(zone, vm, aNow) ? settled : unsettled).push_back(vm);
+      (IsSettled(zone, vm, placement.mHoldDelay, aNow) ? settled : unsettled)
+        .push_back(vm);
     }
   }
   order.mUsableUntil =
--- a/modules/wasabispread_decisions/PlacementState.h
+++ b/modules/wasabispread_decisions/PlacementState.h
@@ -101,6 +101,9 @@
 struct PlacementState
 {
   ConnectionPolicy mPolicy;
+  /** How long every VM is given to learn of a change of the members; the same
+      on all VMs of a deployment. */
+  Duration mHoldDelay = std::chrono::milliseconds(2500);
   std::vector<ZoneCandidates> mZones;
   std::unordered_map<ZoneName, std::uint32_t> mZoneIndex;
   /** All candidates, sorted. */
--- a/modules/wasabispread_runtime/OperatorInterface.cpp
+++ b/modules/wasabispread_runtime/OperatorInterface.cpp
@@ -81,6 +81,7 @@
         { "zone", member.mZone.Value() },
         { "state", ToText(aState.mMembership.mHealth.at(id).mCondition) } });
   }
+  json["holds_connections"] = NodeRunner::Now() >= aState.mPlacement.mHoldsFrom;
   json["draining"] = aState.mStopping;
   json["in_flight"] = InFlight(aState);
   json["dropped_log_lines"] = LogWriter::DroppedLines();
--- a/tests/processes/ProcessFleet.cpp
+++ b/tests/processes/ProcessFleet.cpp
@@ -223,6 +223,7 @@
              << "\"\npeers = \"" << ToText(PeerAddress(zone))
              << "\"\n[log]\nfile = \"" << mFolder << "/vm-" << zone
              << ".jsonl\"\n[limits]\nbody_bytes = 65536\n"
+             << "start_spread = \"100ms\"\nhold_delay = \"1s\"\n"
                 "stop_notice = \"2500ms\"\nstop_wait = \"10s\"\n";
   }
 }
@@ -258,7 +259,7 @@
         return false;
       }
       const Json json = Json::parse(status->mBody);
-      return json.at("ready") == true &&
+      return json.at("ready") == true && json.at("holds_connections") == true &&
              json.at("members").size() == kZones.size();
     },
     "a daemon is ready and knows the others");
