--- a/tests/processes/HistoryChecker.h
+++ b/tests/processes/HistoryChecker.h
@@ -26,6 +26,7 @@
   std::string mIdempotencyKey;
   /** Empty after an answer, "no-response" when the connection broke. */
   std::string mErrorKind;
+  std::string mErrorMessage;
   /** "no" or "unknown" after an error. */
   std::string mRan;
   std::uint64_t mSnapshot = 0;
--- a/tests/processes/ProcessFleet.cpp
+++ b/tests/processes/ProcessFleet.cpp
@@ -85,6 +85,7 @@
   }
   if (json.contains("kind")) {
     aCall.mErrorKind = json.at("kind");
+    aCall.mErrorMessage = json.at("title");
     aCall.mRan = json.at("ran");
     return;
   }
--- a/tests/processes/StopTests.cpp
+++ b/tests/processes/StopTests.cpp
@@ -109,7 +109,8 @@
     std::size_t answered = 0;
     for (const HistoryCall& call : mFleet->Calls()) {
       const std::string what = call.mRequestId + " " + call.mOperation + " " +
-                               call.mErrorKind + " ran " + call.mRan;
+                               call.mErrorKind + " ran " + call.mRan + ": " +
+                               call.mErrorMessage;
       const bool isRefused =
         call.mRan == "no" &&
         (call.mErrorKind == "no-response" || call.mErrorKind == "not-ready");
