--- a/apps/daemon/Daemon.cpp
+++ b/apps/daemon/Daemon.cpp
@@ -29,13 +29,28 @@
   return identity;
 }
 
+std::vector<VmRecord>
+PeersFrom(const DaemonSettings& aSettings)
+{
+  std::vector<VmRecord> peers;
+  for (const PeerSettings& peer : aSettings.mPeers) {
+    VmRecord record;
+    record.mId = IdFromName<VmId>(peer.mName);
+    record.mName = peer.mName;
+    record.mZone = peer.mZone;
+    record.mPeerAddress = peer.mAddress;
+    peers.push_back(std::move(record));
+  }
+  return peers;
+}
+
 NodeState
 StateFrom(const DaemonSettings& aSettings)
 {
   NodeIdentity identity = IdentityFrom(aSettings);
   const std::uint64_t seed =
     identity.mId.Value() ^ identity.mIncarnation.Value();
-  return MakeNodeState(std::move(identity), seed);
+  return MakeNodeState(std::move(identity), seed, PeersFrom(aSettings));
 }
 
 } // namespace
--- a/modules/wasabispread_decisions/Effect.h
+++ b/modules/wasabispread_decisions/Effect.h
@@ -51,6 +51,14 @@
   TargetRequest mRequest;
 };
 
+/** Tell a target, on an idle connection, that an attempt sent on another one
+    is no longer wanted; answered by TargetReplied or TargetConnectionLost. */
+struct SendCancelToTarget
+{
+  ConnectionId mConnection;
+  AttemptId mAttempt;
+};
+
 /** Wait until the configuration's store version exceeds one; answered by
     StoreWatched. */
 struct WatchConfiguration
@@ -69,6 +77,13 @@
   DecisionRecord mRecord;
 };
 
+/** Tells an operator which VMs have a revision in force. */
+struct AnswerConfirmation
+{
+  CallerToken mToken;
+  ConfirmationReport mReport;
+};
+
 /** Write a claim if its key has the version expected, 0 for none; answered by
     ClaimSwapped. The store forgets it after mLifetime. */
 struct SwapClaim
@@ -95,6 +110,8 @@
                             WatchConfiguration,
                             ReadVmList,
                             LogDecision,
+                            AnswerConfirmation,
+                            SendCancelToTarget,
                             SwapClaim,
                             ReadClaim>;
 
--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -41,17 +41,30 @@
          aShard.mAttempts - aShard.mHedges < kMostUnhedged;
 }
 
+/** Whether an attempt ended without any work at a target, since the target or
+    its owner is leaving: another one in its place is no extra load. */
+bool
+IsReplacement(MissingReason aReason, bool aMayHaveRun)
+{
+  const bool isLeaving = aReason == MissingReason::kDraining ||
+                         aReason == MissingReason::kStopping ||
+                         aReason == MissingReason::kOwnerLost;
+  return isLeaving && !aMayHaveRun;
+}
+
 /** Sends another attempt after a failed one, if there is one to send. */
 bool
 Retry(NodeState& aState,
       const AttemptPlace& aPlace,
       MissingReason aReason,
+      bool aMayHaveRun,
       TimePoint aNow,
       Outgoing& aOutgoing,
       Effects& aEffects)
 {
   Query& query = aState.mEntry.mQueries.at(aPlace.mQuery);
-  if (!PayForExtraAttempt(aState, query, aNow, aEffects)) {
+  const bool isFree = IsReplacement(aReason, aMayHaveRun);
+  if (!isFree && !PayForExtraAttempt(aState, query, aNow, aEffects)) {
     return false;
   }
   const auto target = PlanAttempt(aState,
@@ -62,7 +75,9 @@
                                   aNow,
                                   aOutgoing);
   if (!target) {
-    RefundExtraAttempt(aState, query);
+    if (!isFree) {
+      RefundExtraAttempt(aState, query);
+    }
     return false;
   }
   ++aState.mCounters.mRetries;
@@ -94,7 +109,7 @@
   shard.mReason = aReason;
   const bool isRetried =
     MayRetry(query, shard, aMayHaveRun) &&
-    Retry(aState, aPlace, aReason, aNow, aOutgoing, aEffects);
+    Retry(aState, aPlace, aReason, aMayHaveRun, aNow, aOutgoing, aEffects);
   if (!isRetried) {
     MarkMissing(query, shard, aReason);
     query.mLacksSnapshot =
@@ -250,9 +265,9 @@
   }
   const EntryPolicy& policy = aState.mEntry.mPolicy;
   const ServiceObservation& service = ObservedService(aState, aService);
-  query.mHedgeDelay = HedgeDelay(policy, aService, service.mLatency);
+  query.mHedgeDelay = HedgeDelay(policy, aService, service);
   query.mGrace =
-    EarlyAnswerGrace(policy, LearnedDelay(aService, service.mLatency));
+    EarlyAnswerGrace(policy, LearnedDelay(aService, service).Longest());
   return query;
 }
 
@@ -285,7 +300,7 @@
   constexpr int kSettlingDivisor = 4;
   aState.mTimers.Arm(
     aQuery.mDeadline, TimerKind::kQueryDeadline, aQueryId.Value());
-  if (aQuery.mHedgeDelay > Duration::zero()) {
+  if (aQuery.mHedgeDelay.Longest() > Duration::zero()) {
     ArmHedgeTimer(aState, aQueryId, aQuery, aNow);
   } else if (!aQuery.mIsSettled &&
              aQuery.mRequest.mOperation == Operation::kSearch) {
@@ -458,7 +473,7 @@
   }
   Query& query = place->second;
   Touched touched{ aQuery, {} };
-  if (query.mHedgeDelay > Duration::zero()) {
+  if (query.mHedgeDelay.Longest() > Duration::zero()) {
     HedgeSlowShards(aState, aQuery, query, aNow, touched.mOutgoing, aEffects);
     ArmHedgeTimer(aState, aQuery, query, aNow);
   }
--- a/modules/wasabispread_decisions/NodeState.h
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -5,10 +5,14 @@
 
 #include "ClaimState.h"
 #include "ConfigurationState.h"
+#include "ConfirmationState.h"
 #include "Counters.h"
 #include "EntryState.h"
 #include "MembershipState.h"
 #include "OwnerState.h"
+#include "PauseState.h"
+#include "PlacementState.h"
+#include "PlatformBudget.h"
 #include "Random.h"
 #include "TimerQueue.h"
 
@@ -34,9 +38,13 @@
   Random mRandom;
   ConfigurationState mConfiguration;
   MembershipState mMembership;
+  ConfirmationState mConfirmation;
+  PlatformBudget mPlatformBudget;
   EntryState mEntry;
+  PlacementState mPlacement;
   OwnerState mOwner;
   ClaimState mClaims;
+  PauseState mPause;
   TimerQueue mTimers;
   Counters mCounters;
   /** Messages from this node to itself, handled before Reduce() returns. */
@@ -55,8 +63,11 @@
   TimePoint NextDue() const { return mTimers.NextDue(); }
 };
 
-/** A state for a node that has not started. */
+/** A state for a node that has not started. aPeers are VMs that it asks for
+    the configuration and the members at its start; it may be among them. */
 NodeState
-MakeNodeState(NodeIdentity aSelf, std::uint64_t aSeed);
+MakeNodeState(NodeIdentity aSelf,
+              std::uint64_t aSeed,
+              const std::vector<VmRecord>& aPeers = {});
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/PlatformMessage.h
+++ b/modules/wasabispread_decisions/PlatformMessage.h
@@ -13,6 +13,15 @@
 
 namespace wasabispread {
 
+/** An accepted change, as later ones remember it. */
+struct ChangeRecord
+{
+  std::string mChangeId;
+  Revision mRevision;
+  std::string mAuthor;
+  std::string mTime;
+};
+
 /** A configuration as the store holds it. */
 struct ConfigurationRecord
 {
@@ -23,6 +32,8 @@
   std::string mTime;
   /** The deployment file's text. */
   std::string mText;
+  /** The changes before this one, newest first; bounded. */
+  std::vector<ChangeRecord> mEarlier;
 };
 
 /** How far a claimed action has come. */
--- a/modules/wasabispread_decisions/QueryPlan.cpp
+++ b/modules/wasabispread_decisions/QueryPlan.cpp
@@ -30,7 +30,7 @@
 };
 
 /** A replica that may be asked. */
-struct Candidate
+struct ReplicaCandidate
 {
   std::uint32_t mPosition = 0;
   Grade mGrade = Grade::kGood;
@@ -40,10 +40,11 @@
 
 /** Lower is better. */
 double
-ReplicaScore(const NodeState& aState, const Candidate& aCandidate)
+ReplicaScore(const NodeState& aState, const ReplicaCandidate& aCandidate)
 {
   constexpr double kOtherZonePenalty = 4e6;
   constexpr double kLeastSuccess = 0.05;
+  constexpr double kUsualConcurrency = 4;
   const double zone =
     aCandidate.mTarget->mZone == aState.mSelf.mZone ? 0 : kOtherZonePenalty;
   if (aCandidate.mSeen == nullptr) {
@@ -52,7 +53,8 @@
   const TargetObservation& seen = *aCandidate.mSeen;
   const double latency = seen.mLatency > 0 ? seen.mLatency : kUnknownLatency;
   const double success = std::max(seen.mSuccess, kLeastSuccess);
-  return zone + latency * (seen.mInFlight + 1) / (success * success);
+  const double crowding = 1 + seen.mInFlight / kUsualConcurrency;
+  return zone + latency * crowding / (success * success);
 }
 
 /** Whether a replica said that it does not hold the snapshot. */
@@ -115,7 +117,7 @@
 GradeOf(const NodeState& aState,
         const Query& aQuery,
         const ShardProgress& aShard,
-        const Candidate& aCandidate,
+        const ReplicaCandidate& aCandidate,
         TimePoint aNow)
 {
   constexpr Duration kSnapshotsStaleAfter = std::chrono::milliseconds(200);
@@ -160,7 +162,7 @@
 IsSlowReplicaDue(NodeState& aState,
                  const Query& aQuery,
                  const ShardProgress& aShard,
-                 const Candidate& aSlower,
+                 const ReplicaCandidate& aSlower,
                  TimePoint aNow)
 {
   constexpr Duration kInterval = std::chrono::seconds(1);
@@ -177,7 +179,7 @@
 PickCandidate(NodeState& aState,
               const Query& aQuery,
               const ShardProgress& aShard,
-              const Candidate* aCandidates,
+              const ReplicaCandidate* aCandidates,
               std::size_t aCount,
               TimePoint aNow)
 {
@@ -187,8 +189,8 @@
   }
   const std::size_t second =
     (first + 1 + aState.mRandom.Below(aCount - 1)) % aCount;
-  const Candidate* better = &aCandidates[first];
-  const Candidate* other = &aCandidates[second];
+  const ReplicaCandidate* better = &aCandidates[first];
+  const ReplicaCandidate* other = &aCandidates[second];
   if (ReplicaScore(aState, *other) < ReplicaScore(aState, *better)) {
     std::swap(better, other);
   }
@@ -199,12 +201,12 @@
 
 /** Why no replica of a shard is worth asking. */
 MissingReason
-ReasonForNone(const std::array<Candidate, kMostCandidates>& aCandidates,
+ReasonForNone(const std::array<ReplicaCandidate, kMostCandidates>& aCandidates,
               std::size_t aCount)
 {
   const auto end = aCandidates.begin() + static_cast<std::ptrdiff_t>(aCount);
-  const bool allDrain =
-    std::all_of(aCandidates.begin(), end, [](const Candidate& aCandidate) {
+  const bool allDrain = std::all_of(
+    aCandidates.begin(), end, [](const ReplicaCandidate& aCandidate) {
       return aCandidate.mSeen != nullptr &&
              aCandidate.mSeen->mStanding == TargetStanding::kDraining;
     });
@@ -239,14 +241,14 @@
   const auto& replicas =
     aQuery.mServiceRecord->mReplicas[aShard.mShard.Value()];
   assert(!replicas.empty());
-  std::array<Candidate, kMostCandidates> candidates;
+  std::array<ReplicaCandidate, kMostCandidates> candidates;
   std::size_t count = 0;
   Grade best = Grade::kUnusable;
   for (const std::uint32_t position : replicas) {
     if (count == kMostCandidates) {
       break;
     }
-    Candidate& candidate = candidates[count++];
+    ReplicaCandidate& candidate = candidates[count++];
     candidate.mPosition = position;
     candidate.mTarget = &aQuery.mDeployment->mTargets[position];
     const auto seen = aState.mEntry.mTargets.find(candidate.mTarget->mId);
@@ -273,11 +275,11 @@
 }
 
 tl::expected<VmId, MissingReason>
-ChooseOwner(NodeState& aState,
-            const Query& aQuery,
-            const ShardProgress& aShard,
-            std::uint32_t aTargetPosition,
-            TimePoint aNow)
+PickOwner(NodeState& aState,
+          const Query& aQuery,
+          const ShardProgress& aShard,
+          std::uint32_t aTargetPosition,
+          TimePoint aNow)
 {
   const ConfigurationState& configuration = aState.mConfiguration;
   std::uint32_t position = aTargetPosition;
@@ -290,10 +292,9 @@
     }
     position = place->second;
   }
-  const OwnerGroup& group =
-    configuration.mGroups[configuration.mGroupOfTarget[position]];
-  const std::vector<VmId>& owners = OwnersOf(aState.mMembership, group);
-  if (owners.empty()) {
+  const std::uint64_t spread = aQuery.mRequest.mToken.Value();
+  const auto preferred = ChooseOwner(aState, position, spread, aNow);
+  if (!preferred) {
     return tl::unexpected(MissingReason::kNoOwner);
   }
   const auto isBusy = [&](VmId aOwner) {
@@ -303,13 +304,20 @@
         return aAttempt.mOwner == aOwner;
       });
   };
-  VmId best = owners.front();
-  int bestCost = std::numeric_limits<int>::max();
-  for (const VmId owner : owners) {
+  const auto costOf = [&](VmId aOwner) {
     constexpr int kSuspectedCost = 2;
-    const int cost =
-      (IsOwnerSuspected(aState.mEntry, owner, aNow) ? kSuspectedCost : 0) +
-      (aShard.mAttempts != 0 && isBusy(owner) ? 1 : 0);
+    return (IsOwnerSuspected(aState.mEntry, aOwner, aNow) ? kSuspectedCost
+                                                          : 0) +
+           (isBusy(aOwner) ? 1 : 0);
+  };
+  VmId best = *preferred;
+  int bestCost = costOf(best);
+  if (bestCost == 0) {
+    return best;
+  }
+  const std::uint32_t group = configuration.mGroupOfTarget[position];
+  for (const VmId owner : UsableOwners(aState, group, aNow)) {
+    const int cost = costOf(owner);
     if (cost < bestCost) {
       best = owner;
       bestCost = cost;
--- a/modules/wasabispread_runtime/OperatorInterface.h
+++ b/modules/wasabispread_runtime/OperatorInterface.h
@@ -11,7 +11,7 @@
 
 /** Answers GET /healthz, /readyz, /metrics and /v1/status. */
 HttpResponse
-HandleOperatorRequest(const NodeRunner& aRunner, const HttpRequest& aRequest);
+HandleOperatorRequest(NodeRunner& aRunner, const HttpRequest& aRequest);
 
 /** Whether a request is POST /v1/drain. */
 bool
--- a/tests/processes/ChildProcess.cpp
+++ b/tests/processes/ChildProcess.cpp
@@ -119,6 +119,7 @@
 {
   Kill();
   mPid = aOther.mPid;
+  mIsHarmed = aOther.mIsHarmed;
   aOther.mPid = 0;
   return *this;
 }
@@ -126,6 +127,7 @@
 void
 ChildProcess::Kill()
 {
+  mIsHarmed = true;
   if (mPid == 0) {
     return;
   }
@@ -136,16 +138,18 @@
 }
 
 void
-ChildProcess::Terminate() const
+ChildProcess::Terminate()
 {
+  mIsHarmed = true;
   if (mPid != 0) {
     kill(mPid, SIGTERM);
   }
 }
 
 void
-ChildProcess::Freeze() const
+ChildProcess::Freeze()
 {
+  mIsHarmed = true;
   if (mPid != 0) {
     kill(mPid, SIGSTOP);
   }
--- a/tests/processes/ChildProcess.h
+++ b/tests/processes/ChildProcess.h
@@ -26,6 +26,7 @@
 
   ChildProcess(ChildProcess&& aOther) noexcept
     : mPid(aOther.mPid)
+    , mIsHarmed(aOther.mIsHarmed)
   {
     aOther.mPid = 0;
   }
@@ -34,14 +35,17 @@
   /** Whether it has been started and not yet been waited for. */
   bool IsOwned() const { return mPid != 0; }
 
+  /** Whether it was killed, told to stop or frozen since its start. */
+  bool IsHarmed() const { return mIsHarmed; }
+
   /** SIGKILL; returns once the process has ended. */
   void Kill();
 
   /** SIGTERM, without waiting. */
-  void Terminate() const;
+  void Terminate();
 
   /** SIGSTOP: the process does nothing until thawed. */
-  void Freeze() const;
+  void Freeze();
 
   /** SIGCONT. */
   void Thaw() const;
@@ -56,6 +60,7 @@
 private:
   pid_t mPid = 0;
   int mExitCode = -1;
+  bool mIsHarmed = false;
 };
 
 /** Runs a program to its end; its output and its exit code. */
--- a/tests/processes/IdempotencyTests.cpp
+++ b/tests/processes/IdempotencyTests.cpp
@@ -24,7 +24,12 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void setUp() override { mFleet = std::make_unique<ProcessFleet>(); }
+  void setUp() override
+  {
+    static unsigned tests = 0;
+    mFleet = AcquireFleet();
+    mTest = ++tests;
+  }
 
   void tearDown() override { mFleet.reset(); }
 
@@ -90,7 +95,7 @@
         mFleet->Ask(0, Action("key"));
         return;
       }
-      AwaitCondition([this] { return !mFleet->Executions().empty(); },
+      AwaitCondition([this] { return mFleet->HasExecuted(); },
                      "the action runs");
       mFleet->Daemon(0).Kill();
     });
@@ -111,20 +116,25 @@
     search.mIdempotencyKey = "key";
     CPPUNIT_ASSERT_EQUAL(std::string("malformed-request"),
                          mFleet->Ask(0, search).mErrorKind);
-    CPPUNIT_ASSERT(mFleet->Executions().empty());
+    CPPUNIT_ASSERT(!mFleet->HasExecuted());
   }
 
 private:
-  static ProcessAsk Action(const std::string& aIdempotencyKey)
+  ProcessAsk Action(const std::string& aIdempotencyKey) const
   {
     ProcessAsk ask;
     ask.mOperation = "action";
     ask.mKey = "order-1";
     ask.mIdempotencyKey = aIdempotencyKey;
+    if (!aIdempotencyKey.empty()) {
+      ask.mIdempotencyKey += "-" + std::to_string(mTest);
+    }
     return ask;
   }
 
-  std::unique_ptr<ProcessFleet> mFleet;
+  std::shared_ptr<ProcessFleet> mFleet;
+  /** Part of each key, since tests may share a store. */
+  unsigned mTest = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(IdempotencyTests);
--- a/tests/processes/ProcessFleet.cpp
+++ b/tests/processes/ProcessFleet.cpp
@@ -195,6 +195,66 @@
   for (std::size_t zone = 0; zone < kZones.size(); ++zone) {
     AwaitReady(zone);
   }
+  AwaitOwners();
+}
+
+std::shared_ptr<ProcessFleet>
+AcquireFleet()
+{
+  static std::shared_ptr<ProcessFleet> fleet;
+  if (fleet == nullptr || !fleet->IsReusable()) {
+    fleet.reset();
+    fleet = std::make_shared<ProcessFleet>();
+  }
+  fleet->BeginTest();
+  return fleet;
+}
+
+void
+ProcessFleet::AwaitOwners()
+{
+  for (const char* service : { "stock", "solo" }) {
+    ProcessAsk ask;
+    ask.mService = service;
+    for (std::size_t zone = 0; zone < kZones.size(); ++zone) {
+      AwaitCondition(
+        [&] {
+          const HistoryCall call = Ask(zone, ask);
+          return call.mErrorKind.empty() && call.mMissing.empty();
+        },
+        "each owner holds its targets");
+    }
+  }
+}
+
+void
+ProcessFleet::BeginTest()
+{
+  ControlAllTargets({ { "service_ms", 1 },
+                      { "stragglers", 0 },
+                      { "shed", 0 },
+                      { "draining", false },
+                      { "frozen", false },
+                      { "reset", "never" },
+                      { "reset_share", 1 } });
+  ControlPlatform({ { "outage", false },
+                    { "delay_ms", 0 },
+                    { "jitter_ms", 0 },
+                    { "lose_write_replies", 0 },
+                    { "lose_share", 0 } });
+  mFirstCall = mCalls.size();
+  mFirstExecution = Executions().size();
+}
+
+bool
+ProcessFleet::IsReusable() const
+{
+  const auto isHarmed = [](const ChildProcess& aProcess) {
+    return aProcess.IsHarmed();
+  };
+  return !mIsUsedUp && !mPlatform.IsHarmed() &&
+         std::none_of(mTargets.begin(), mTargets.end(), isHarmed) &&
+         std::none_of(mDaemons.begin(), mDaemons.end(), isHarmed);
 }
 
 ProcessFleet::~ProcessFleet()
--- a/tests/processes/StopTests.cpp
+++ b/tests/processes/StopTests.cpp
@@ -21,7 +21,7 @@
 public:
   void setUp() override
   {
-    mFleet = std::make_unique<ProcessFleet>();
+    mFleet = AcquireFleet();
     mFleet->ControlAllTargets({ { "service_ms", 10 } });
   }
 
@@ -127,7 +127,7 @@
     mFleet->ExpectSoundHistory();
   }
 
-  std::unique_ptr<ProcessFleet> mFleet;
+  std::shared_ptr<ProcessFleet> mFleet;
   std::size_t mRefused = 0;
 };
 
--- a/tests/standins/target/TargetFleet.cpp
+++ b/tests/standins/target/TargetFleet.cpp
@@ -15,13 +15,12 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
 constexpr unsigned kConflict = 409;
 constexpr unsigned kGone = 410;
 constexpr unsigned kUnavailable = 503;
 constexpr Duration kThawPoll = std::chrono::milliseconds(2);
 constexpr Duration kStopLimit = std::chrono::seconds(10);
-constexpr std::size_t kKeptLoads = 4096;
-constexpr std::uint32_t kIllLoad = 1'000'000;
 
 std::string
 JoinVersions(const std::vector<std::uint64_t>& aVersions)
@@ -33,6 +32,24 @@
   return text;
 }
 
+/** What a target says of itself, which may lag or be untrue. */
+std::string
+ReportedHealth(const FleetTarget& aTarget)
+{
+  const TargetBehaviour& behaviour = aTarget.mBehaviour;
+  switch (behaviour.mHealth) {
+    case HealthReport::kAlwaysGood:
+      return "good";
+    case HealthReport::kAlwaysLeaving:
+      return "leaving";
+    case HealthReport::kTruthful:
+      break;
+  }
+  const bool hasLagged =
+    NodeRunner::Now() >= aTarget.mDrainingSince + behaviour.mHealthLag;
+  return behaviour.mDraining == hasLagged ? "leaving" : "good";
+}
+
 } // namespace
 
 TargetFleet::TargetFleet(IoLoop& aLoop, FleetOptions aOptions)
@@ -92,7 +109,11 @@
 {
   for (auto& [name, target] : mTargets) {
     if (aTarget == "*" || aTarget == name) {
+      const bool wasDraining = target.mBehaviour.mDraining;
       ChangeBehaviour(target.mBehaviour, aChange, mRandom, NodeRunner::Now());
+      if (target.mBehaviour.mDraining != wasDraining) {
+        target.mDrainingSince = NodeRunner::Now();
+      }
     }
   }
 }
@@ -109,46 +130,16 @@
   return json.dump();
 }
 
-std::uint32_t
-TargetFleet::ReportedLoad(const FleetTarget& aTarget) const
-{
-  const TargetBehaviour& behaviour = aTarget.mBehaviour;
-  if (behaviour.mHealth == HealthReport::kAlwaysWell) {
-    return 0;
-  }
-  if (behaviour.mHealth == HealthReport::kAlwaysIll) {
-    return kIllLoad;
-  }
-  const TimePoint asOf = NodeRunner::Now() - behaviour.mHealthLag;
-  std::uint32_t load = 0;
-  for (const auto& [time, past] : aTarget.mLoads) {
-    if (time > asOf) {
-      break;
-    }
-    load = past;
-  }
-  return load;
-}
-
 HttpResponse
-TargetFleet::ReportHealth(const FleetTarget& aTarget) const
+TargetFleet::Cancel(FleetTarget& aTarget, const std::string& aAttempt)
 {
-  const TargetBehaviour& behaviour = aTarget.mBehaviour;
-  const bool claimsToServe =
-    behaviour.mHealth == HealthReport::kAlwaysWell || !behaviour.mDraining;
-  const Json json{ { "state", claimsToServe ? "serving" : "draining" },
-                   { "running", ReportedLoad(aTarget) } };
-  return JsonResponse(kOk, json.dump());
-}
-
-void
-TargetFleet::ChangeLoad(FleetTarget& aTarget, std::int32_t aChange)
-{
-  aTarget.mRunning += static_cast<std::uint32_t>(aChange);
-  aTarget.mLoads.emplace_back(NodeRunner::Now(), aTarget.mRunning);
-  if (aTarget.mLoads.size() > kKeptLoads) {
-    aTarget.mLoads.pop_front();
+  const auto place = aTarget.mAttempts.find(aAttempt);
+  if (place == aTarget.mAttempts.end()) {
+    return JsonResponse(kNotFound, "{}");
   }
+  mLog.CountCancelled();
+  place->second->Notify();
+  return JsonResponse(kOk, "{}");
 }
 
 unsigned
@@ -186,14 +177,14 @@
 {
   const auto isCancelled = std::make_shared<bool>(false);
   const auto wake = std::make_shared<FiberEvent>();
+  aTarget.mAttempts[aExecution.mAttempt] = wake;
   aWatch([isCancelled, wake] {
     *isCancelled = true;
     wake->Notify();
   });
   mLog.Add(aExecution);
-  ChangeLoad(aTarget, 1);
   wake->WaitUntil(NodeRunner::Now() + DrawServiceTime(aTarget.mBehaviour));
-  ChangeLoad(aTarget, -1);
+  aTarget.mAttempts.erase(aExecution.mAttempt);
   HttpResponse response;
   if (*isCancelled) {
     mLog.CountCancelled();
@@ -218,9 +209,12 @@
 {
   const HttpPath path = ParsePath(aRequest.mTarget);
   if (path.mSegments.size() < 3) {
-    return path.mSegments.size() == 2 && path.mSegments[1] == "health"
-             ? ReportHealth(aTarget)
-             : JsonResponse(kBadRequest, "{}");
+    return JsonResponse(kBadRequest, "{}");
+  }
+  const bool isCancel =
+    path.mSegments.size() == 4 && path.mSegments[1] == "attempts";
+  if (isCancel) {
+    return Cancel(aTarget, path.mSegments[2]);
   }
   while (aTarget.mBehaviour.mFrozen) {
     boost::this_fiber::sleep_for(kThawPoll);
@@ -254,7 +248,7 @@
   response.mHeaders = { { "X-Attempt-Id", execution.mAttempt },
                         { "X-Snapshot", std::to_string(version) },
                         { "X-Snapshots", held },
-                        { "X-Load", std::to_string(ReportedLoad(aTarget)) } };
+                        { "X-Health", ReportedHealth(aTarget) } };
   return response;
 }
 
--- a/tests/standins/target/TargetFleet.h
+++ b/tests/standins/target/TargetFleet.h
@@ -8,7 +8,6 @@
 
 #include <wasabispread_runtime/wasabispread_runtime.h>
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -34,9 +33,10 @@
   const Target* mTarget = nullptr;
   TargetBehaviour mBehaviour;
   std::unique_ptr<HttpServer> mServer;
-  std::uint32_t mRunning = 0;
-  /** Past loads by time, for reports that lag. */
-  std::deque<std::pair<TimePoint, std::uint32_t>> mLoads;
+  /** When it last began or ceased to drain. */
+  TimePoint mDrainingSince{};
+  /** The attempts that run, by id. */
+  std::map<std::string, std::shared_ptr<FiberEvent>> mAttempts;
 };
 
 /** The targets. All calls come from fibers of one thread. */
@@ -67,11 +67,9 @@
   HttpResponse Run(FleetTarget& aTarget,
                    const RecordedExecution& aExecution,
                    const ClosedWatch& aWatch);
-  HttpResponse ReportHealth(const FleetTarget& aTarget) const;
-  std::uint32_t ReportedLoad(const FleetTarget& aTarget) const;
+  HttpResponse Cancel(FleetTarget& aTarget, const std::string& aAttempt);
   unsigned ReasonToRefuse(const FleetTarget& aTarget, std::uint64_t aVersion);
   Duration DrawServiceTime(const TargetBehaviour& aBehaviour);
-  void ChangeLoad(FleetTarget& aTarget, std::int32_t aChange);
 
   IoLoop& mLoop;
   FleetOptions mOptions;
