--- a/modules/wasabispread_runtime/NodeRunner.cpp
+++ b/modules/wasabispread_runtime/NodeRunner.cpp
@@ -184,9 +184,8 @@
 NodeRunner::Perform(SendToTarget& aEffect)
 {
   TargetLink& link = *mTargetLinks.at(aEffect.mConnection);
-  link.mNext =
-    TargetExchange{ FormatTargetRequest(aEffect.mRequest),
-                    aEffect.mRequest.mBudget + kLateReplyTimeout };
+  link.mNext = TargetExchange{ FormatTargetRequest(aEffect.mRequest),
+                               aEffect.mRequest.mBudget + kLateReplyTimeout };
   link.mWake.Notify();
 }
 
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -297,11 +297,11 @@
                              aEffect.mMessage };
   const int copies = mRandom.Fraction() < mNetwork.mDuplication ? 2 : 1;
   for (int copy = 0; copy < copies; ++copy) {
-    mTimeline.At(last + delay * copy,
-                 [this,
-                  to = aEffect.mPeer,
-                  incarnation = receiver.mIncarnation,
-                  event] { DeliverTo(to, incarnation, event); });
+    mTimeline.At(
+      last + delay * copy,
+      [this, to = aEffect.mPeer, incarnation = receiver.mIncarnation, event] {
+        DeliverTo(to, incarnation, event);
+      });
   }
 }
 
@@ -394,13 +394,12 @@
   mTimeline.After(delay, [this, target, text = ToText(aEffect.mAttempt)] {
     mTargets.at(target)->Cancel(text);
   });
-  mTimeline.After(delay * 2,
-                  [this, aVm, incarnation, key, id = aEffect.mConnection] {
-                    if (mConnections.contains(key)) {
-                      DeliverTo(
-                        aVm, incarnation, TargetReplied{ id, {}, true });
-                    }
-                  });
+  mTimeline.After(
+    delay * 2, [this, aVm, incarnation, key, id = aEffect.mConnection] {
+      if (mConnections.contains(key)) {
+        DeliverTo(aVm, incarnation, TargetReplied{ id, {}, true });
+      }
+    });
 }
 
 void
