--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -41,17 +41,30 @@
          aShard.mAttempts - aShard.mHedges < kMostUnhedged;
 }
 
+/** Whether an attempt ended without any work at a target, since the target or
+    its owner is leaving: another one in its place is no extra load. */
+bool
+IsReplacement(MissingReason aReason, bool aMayHaveRun)
+{
+  const bool isLeaving = aReason == MissingReason::kDraining ||
+                         aReason == MissingReason::kStopping ||
+                         aReason == MissingReason::kOwnerLost;
+  return isLeaving && !aMayHaveRun;
+}
+
 /** Sends another attempt after a failed one, if there is one to send. */
 bool
 Retry(NodeState& aState,
       const AttemptPlace& aPlace,
       MissingReason aReason,
+      bool aMayHaveRun,
       TimePoint aNow,
       Outgoing& aOutgoing,
       Effects& aEffects)
 {
   Query& query = aState.mEntry.mQueries.at(aPlace.mQuery);
-  if (!PayForExtraAttempt(aState, query, aNow, aEffects)) {
+  const bool isFree = IsReplacement(aReason, aMayHaveRun);
+  if (!isFree && !PayForExtraAttempt(aState, query, aNow, aEffects)) {
     return false;
   }
   const auto target = PlanAttempt(aState,
@@ -62,7 +75,9 @@
                                   aNow,
                                   aOutgoing);
   if (!target) {
-    RefundExtraAttempt(aState, query);
+    if (!isFree) {
+      RefundExtraAttempt(aState, query);
+    }
     return false;
   }
   ++aState.mCounters.mRetries;
@@ -94,7 +109,7 @@
   shard.mReason = aReason;
   const bool isRetried =
     MayRetry(query, shard, aMayHaveRun) &&
-    Retry(aState, aPlace, aReason, aNow, aOutgoing, aEffects);
+    Retry(aState, aPlace, aReason, aMayHaveRun, aNow, aOutgoing, aEffects);
   if (!isRetried) {
     MarkMissing(query, shard, aReason);
     query.mLacksSnapshot =
--- a/tests/processes/StopTests.cpp
+++ b/tests/processes/StopTests.cpp
@@ -21,7 +21,7 @@
 public:
   void setUp() override
   {
-    mFleet = std::make_unique<ProcessFleet>();
+    mFleet = AcquireFleet();
     mFleet->ControlAllTargets({ { "service_ms", 10 } });
   }
 
@@ -109,7 +109,8 @@
     std::size_t answered = 0;
     for (const HistoryCall& call : mFleet->Calls()) {
       const std::string what = call.mRequestId + " " + call.mOperation + " " +
-                               call.mErrorKind + " ran " + call.mRan;
+                               call.mErrorKind + " ran " + call.mRan + ": " +
+                               call.mErrorMessage + call.mMissingReasons;
       const bool isRefused =
         call.mRan == "no" &&
         (call.mErrorKind == "no-response" || call.mErrorKind == "not-ready");
@@ -126,7 +127,7 @@
     mFleet->ExpectSoundHistory();
   }
 
-  std::unique_ptr<ProcessFleet> mFleet;
+  std::shared_ptr<ProcessFleet> mFleet;
   std::size_t mRefused = 0;
 };
 
--- a/tests/standins/target/TargetFleet.cpp
+++ b/tests/standins/target/TargetFleet.cpp
@@ -14,16 +14,13 @@
 using Json = nlohmann::ordered_json;
 
 constexpr unsigned kOk = 200;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kServerError = 500;
 constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
 constexpr unsigned kConflict = 409;
 constexpr unsigned kGone = 410;
 constexpr unsigned kUnavailable = 503;
 constexpr Duration kThawPoll = std::chrono::milliseconds(2);
 constexpr Duration kStopLimit = std::chrono::seconds(10);
-constexpr std::size_t kKeptLoads = 4096;
-constexpr std::uint32_t kIllLoad = 1'000'000;
 
 std::string
 JoinVersions(const std::vector<std::uint64_t>& aVersions)
@@ -35,6 +32,24 @@
   return text;
 }
 
+/** What a target says of itself, which may lag or be untrue. */
+std::string
+ReportedHealth(const FleetTarget& aTarget)
+{
+  const TargetBehaviour& behaviour = aTarget.mBehaviour;
+  switch (behaviour.mHealth) {
+    case HealthReport::kAlwaysGood:
+      return "good";
+    case HealthReport::kAlwaysLeaving:
+      return "leaving";
+    case HealthReport::kTruthful:
+      break;
+  }
+  const bool hasLagged =
+    NodeRunner::Now() >= aTarget.mDrainingSince + behaviour.mHealthLag;
+  return behaviour.mDraining == hasLagged ? "leaving" : "good";
+}
+
 } // namespace
 
 TargetFleet::TargetFleet(IoLoop& aLoop, FleetOptions aOptions)
@@ -94,7 +109,11 @@
 {
   for (auto& [name, target] : mTargets) {
     if (aTarget == "*" || aTarget == name) {
+      const bool wasDraining = target.mBehaviour.mDraining;
       ChangeBehaviour(target.mBehaviour, aChange, mRandom, NodeRunner::Now());
+      if (target.mBehaviour.mDraining != wasDraining) {
+        target.mDrainingSince = NodeRunner::Now();
+      }
     }
   }
 }
@@ -111,65 +130,18 @@
   return json.dump();
 }
 
-std::uint32_t
-TargetFleet::ReportedLoad(const FleetTarget& aTarget) const
-{
-  const TargetBehaviour& behaviour = aTarget.mBehaviour;
-  if (behaviour.mHealth == HealthReport::kAlwaysWell) {
-    return 0;
-  }
-  if (behaviour.mHealth == HealthReport::kAlwaysIll) {
-    return kIllLoad;
-  }
-  const TimePoint asOf = NodeRunner::Now() - behaviour.mHealthLag;
-  std::uint32_t load = 0;
-  for (const auto& [time, past] : aTarget.mLoads) {
-    if (time > asOf) {
-      break;
-    }
-    load = past;
-  }
-  return load;
-}
-
-bool
-TargetFleet::ClaimsToServe(const TargetBehaviour& aBehaviour)
-{
-  return aBehaviour.mHealth == HealthReport::kAlwaysWell ||
-         (aBehaviour.mHealth != HealthReport::kAlwaysIll &&
-          !aBehaviour.mDraining);
-}
-
 HttpResponse
-TargetFleet::Cancel(const std::string& aAttempt)
+TargetFleet::Cancel(FleetTarget& aTarget, const std::string& aAttempt)
 {
-  const auto place = mCancels.find(aAttempt);
-  if (place == mCancels.end()) {
+  const auto place = aTarget.mAttempts.find(aAttempt);
+  if (place == aTarget.mAttempts.end()) {
     return JsonResponse(kNotFound, "{}");
   }
-  place->second();
+  mLog.CountCancelled();
+  place->second->Notify();
   return JsonResponse(kOk, "{}");
 }
 
-HttpResponse
-TargetFleet::ReportHealth(const FleetTarget& aTarget) const
-{
-  const bool claimsToServe = ClaimsToServe(aTarget.mBehaviour);
-  const Json json{ { "state", claimsToServe ? "serving" : "draining" },
-                   { "running", ReportedLoad(aTarget) } };
-  return JsonResponse(kOk, json.dump());
-}
-
-void
-TargetFleet::ChangeLoad(FleetTarget& aTarget, std::int32_t aChange)
-{
-  aTarget.mRunning += static_cast<std::uint32_t>(aChange);
-  aTarget.mLoads.emplace_back(NodeRunner::Now(), aTarget.mRunning);
-  if (aTarget.mLoads.size() > kKeptLoads) {
-    aTarget.mLoads.pop_front();
-  }
-}
-
 unsigned
 TargetFleet::ReasonToRefuse(const FleetTarget& aTarget, std::uint64_t aVersion)
 {
@@ -205,21 +177,18 @@
 {
   const auto isCancelled = std::make_shared<bool>(false);
   const auto wake = std::make_shared<FiberEvent>();
-  const auto cancel = [isCancelled, wake] {
+  aTarget.mAttempts[aExecution.mAttempt] = wake;
+  aWatch([isCancelled, wake] {
     *isCancelled = true;
     wake->Notify();
-  };
-  aWatch(cancel);
-  mCancels[aExecution.mAttempt] = cancel;
+  });
   mLog.Add(aExecution);
-  ChangeLoad(aTarget, 1);
   wake->WaitUntil(NodeRunner::Now() + DrawServiceTime(aTarget.mBehaviour));
-  mCancels.erase(aExecution.mAttempt);
-  ChangeLoad(aTarget, -1);
+  aTarget.mAttempts.erase(aExecution.mAttempt);
   HttpResponse response;
   if (*isCancelled) {
     mLog.CountCancelled();
-    response.mStatus = kServerError;
+    response.mStatus = kNoResponse;
     return response;
   }
   const bool isReset = aTarget.mBehaviour.mReset == ResetPoint::kBeforeReply &&
@@ -240,12 +209,12 @@
 {
   const HttpPath path = ParsePath(aRequest.mTarget);
   if (path.mSegments.size() < 3) {
-    return path.mSegments.size() == 2 && path.mSegments[1] == "health"
-             ? ReportHealth(aTarget)
-             : JsonResponse(kBadRequest, "{}");
+    return JsonResponse(kBadRequest, "{}");
   }
-  if (path.mSegments[1] == "attempts") {
-    return Cancel(path.mSegments[2]);
+  const bool isCancel =
+    path.mSegments.size() == 4 && path.mSegments[1] == "attempts";
+  if (isCancel) {
+    return Cancel(aTarget, path.mSegments[2]);
   }
   while (aTarget.mBehaviour.mFrozen) {
     boost::this_fiber::sleep_for(kThawPoll);
@@ -279,9 +248,7 @@
   response.mHeaders = { { "X-Attempt-Id", execution.mAttempt },
                         { "X-Snapshot", std::to_string(version) },
                         { "X-Snapshots", held },
-                        { "X-Health",
-                          ClaimsToServe(behaviour) ? "good" : "leaving" },
-                        { "X-Load", std::to_string(ReportedLoad(aTarget)) } };
+                        { "X-Health", ReportedHealth(aTarget) } };
   return response;
 }
 
