--- a/modules/wasabispread_decisions/ConcurrencyLimit.cpp
+++ b/modules/wasabispread_decisions/ConcurrencyLimit.cpp
@@ -4,50 +4,57 @@
 #include "wasabispread_decisions.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wasabispread {
 
 namespace {
 
 constexpr double kLeastLimit = 1;
-/** A median this many times the best one shows a queue at the target. */
-constexpr double kSlowFactor = 3;
-constexpr double kSlowCut = 0.9;
-constexpr double kShedCut = 0.8;
-constexpr double kMedianStep = 1.02;
-/** How fast the best median gives way to a target that stays slower. */
-constexpr double kBestDrift = 1.0005;
+constexpr double kOverloadCut = 0.8;
+/** A median may be this many times the long-term one without any cut. */
+constexpr double kTolerance = 2;
+constexpr double kLeastGradient = 0.5;
+constexpr double kLongTermWeight = 0.05;
 /** The share of the budget that attempts may wait without any being refused. */
 constexpr double kFreeWait = 0.25;
 
+/** The median of a full window. */
+double
+TakeMedian(ConcurrencyLimit& aLimit)
+{
+  const auto middle = aLimit.mTimes.begin() + ConcurrencyLimit::kWindow / 2;
+  std::nth_element(aLimit.mTimes.begin(), middle, aLimit.mTimes.end());
+  aLimit.mFilled = 0;
+  return *middle;
+}
+
 void
-Cut(ConcurrencyLimit& aLimit, double aFactor, TimePoint aNow)
+UpdateLongTerm(ConcurrencyLimit& aLimit)
 {
-  constexpr Duration kLeastCutInterval = std::chrono::milliseconds(10);
-  const Duration interval =
-    std::max(kLeastCutInterval,
-             Duration(static_cast<std::int64_t>(aLimit.mTypical)));
-  aLimit.mIsRamping = false;
-  if (aNow - aLimit.mCutAt < interval) {
+  if (aLimit.mLongTerm == 0) {
+    aLimit.mLongTerm = aLimit.mTypical;
     return;
   }
-  aLimit.mCutAt = aNow;
-  aLimit.mLimit = std::max(kLeastLimit, aLimit.mLimit * aFactor);
+  aLimit.mLongTerm += (aLimit.mTypical - aLimit.mLongTerm) * kLongTermWeight;
+  // After an overload the long-term median is too high to notice the next.
+  aLimit.mLongTerm = std::min(aLimit.mLongTerm, aLimit.mTypical * kTolerance);
 }
 
+/** Moves the limit by how much slower than usual the target has become. Some
+    room above is always kept, so that the limit never sticks at its least. */
 void
-UpdateMedian(ConcurrencyLimit& aLimit, double aTaken)
+FollowGradient(ConcurrencyLimit& aLimit)
 {
-  if (aLimit.mTypical == 0) {
-    aLimit.mTypical = aTaken;
-  } else if (aTaken > aLimit.mTypical) {
-    aLimit.mTypical *= kMedianStep;
-  } else {
-    aLimit.mTypical /= kMedianStep;
+  const double gradient = std::clamp(
+    kTolerance * aLimit.mLongTerm / aLimit.mTypical, kLeastGradient, 1.0);
+  if (gradient < 1) {
+    aLimit.mIsRamping = false;
   }
-  const bool isBest =
-    aLimit.mBest == 0 || aLimit.mTypical < aLimit.mBest * kBestDrift;
-  aLimit.mBest = isBest ? aLimit.mTypical : aLimit.mBest * kBestDrift;
+  if (gradient < 1 || aLimit.mWasReached) {
+    aLimit.mLimit = aLimit.mLimit * gradient + std::sqrt(aLimit.mLimit);
+  }
+  aLimit.mWasReached = false;
 }
 
 } // namespace
@@ -62,25 +69,35 @@
 ObserveAnswer(ConcurrencyLimit& aLimit,
               Duration aTaken,
               std::uint32_t aInFlight,
-              std::uint32_t aMost,
-              TimePoint aNow)
+              std::uint32_t aMost)
 {
-  UpdateMedian(aLimit, static_cast<double>(aTaken.count()));
-  if (aLimit.mTypical > aLimit.mBest * kSlowFactor) {
-    Cut(aLimit, kSlowCut, aNow);
-    return;
+  aLimit.mTimes[aLimit.mFilled++] = static_cast<float>(aTaken.count());
+  const bool isReached = aInFlight >= AllowedInFlight(aLimit);
+  aLimit.mWasReached = aLimit.mWasReached || isReached;
+  if (isReached && aLimit.mIsRamping) {
+    aLimit.mLimit += 1;
   }
-  if (aInFlight >= AllowedInFlight(aLimit)) {
-    aLimit.mLimit += aLimit.mIsRamping ? 1 : 1 / aLimit.mLimit;
-    aLimit.mLimit =
-      std::max(kLeastLimit, std::min<double>(aLimit.mLimit, aMost));
+  if (aLimit.mFilled == ConcurrencyLimit::kWindow) {
+    aLimit.mTypical = TakeMedian(aLimit);
+    FollowGradient(aLimit);
+    UpdateLongTerm(aLimit);
   }
+  aLimit.mLimit =
+    std::max(kLeastLimit, std::min<double>(aLimit.mLimit, aMost));
 }
 
 void
 ObserveOverload(ConcurrencyLimit& aLimit, TimePoint aNow)
 {
-  Cut(aLimit, kShedCut, aNow);
+  constexpr Duration kLeastCutInterval = std::chrono::milliseconds(10);
+  const Duration interval =
+    std::max(kLeastCutInterval,
+             Duration(static_cast<std::int64_t>(aLimit.mTypical)));
+  aLimit.mIsRamping = false;
+  if (aNow - aLimit.mCutAt >= interval) {
+    aLimit.mCutAt = aNow;
+    aLimit.mLimit = std::max(kLeastLimit, aLimit.mLimit * kOverloadCut);
+  }
 }
 
 bool
--- a/modules/wasabispread_decisions/ConcurrencyLimit.h
+++ b/modules/wasabispread_decisions/ConcurrencyLimit.h
@@ -5,22 +5,33 @@
 
 #include <wasabispread_units/wasabispread_units.h>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace wasabispread {
 
 /** A limit that grows while the target keeps its pace and shrinks when it
-    sheds or slows down. A new target starts low, for its first requests are
-    often slow, and its limit doubles with each round of answers. */
+    sheds, lets requests run out of time or slows down. A new target starts
+    low, for its first requests are often slow, and its limit doubles with each
+    round of answers. Slowness is judged by the median of a window of answers
+    against a mean of earlier medians, so that neither stragglers nor a lucky
+    first answer count. */
 struct ConcurrencyLimit
 {
-  double mLimit = 4;
+  static constexpr std::size_t kWindow = 32;
+
+  double mLimit = 8;
   bool mIsRamping = true;
-  /** The median time from sending to reply, in nanoseconds; 0 before the
-      first. */
+  /** Times from sending to reply, in nanoseconds; the first mFilled count. */
+  std::array<float, kWindow> mTimes{};
+  std::size_t mFilled = 0;
+  /** Whether the limit was reached within the window. */
+  bool mWasReached = false;
+  /** The last window's median, in nanoseconds; 0 before the first. */
   double mTypical = 0;
-  /** The least median of late, in nanoseconds. */
-  double mBest = 0;
+  /** The mean of medians, slow to change; 0 before the first. */
+  double mLongTerm = 0;
   TimePoint mCutAt{};
 };
 
@@ -34,8 +45,7 @@
 ObserveAnswer(ConcurrencyLimit& aLimit,
               Duration aTaken,
               std::uint32_t aInFlight,
-              std::uint32_t aMost,
-              TimePoint aNow);
+              std::uint32_t aMost);
 
 /** Takes in that the target refused a request or let it run out of time. */
 void
--- a/modules/wasabispread_decisions/OwnerReplies.cpp
+++ b/modules/wasabispread_decisions/OwnerReplies.cpp
@@ -92,7 +92,7 @@
             TimePoint aNow,
             Counters& aCounters)
 {
-  constexpr double kNewWeight = 0.1;
+  constexpr double kNewWeight = 0.03;
   if (aStatus == TargetStatus::kShed) {
     ++aCounters.mTargetSheds;
     ObserveOverload(aPool.mLimit, aNow);
@@ -105,7 +105,7 @@
   aPool.mServiceTime += aPool.mServiceTime == 0
                           ? taken
                           : (taken - aPool.mServiceTime) * kNewWeight;
-  ObserveAnswer(aPool.mLimit, aTaken, aPool.mBusy, aPool.mShare, aNow);
+  ObserveAnswer(aPool.mLimit, aTaken, aPool.mBusy, aPool.mShare);
 }
 
 /** Ends the attempt that a reply is for; true when it is the reply due. */
--- a/tests/support/FakePlatform.cpp
+++ b/tests/support/FakePlatform.cpp
@@ -98,6 +98,8 @@
     Result<std::vector<VmRecord>> result = ShownVms();
     if (mIsOut) {
       result = Outage();
+    } else if (mChangeList) {
+      mChangeList(*result);
     }
     done(result);
   });
--- a/tests/support/FakePlatform.h
+++ b/tests/support/FakePlatform.h
@@ -30,6 +30,9 @@
   /** How late the VM list shows a change. */
   Duration mListLag = std::chrono::seconds(1);
 
+  /** Changes the VM list on its way to each reader, when set. */
+  std::function<void(std::vector<VmRecord>&)> mChangeList;
+
   /** Puts a deployment file's text in force as the next revision. */
   Revision Apply(const std::string& aText);
 
