--- a/modules/wasabispread_decisions/Candidates.cpp
+++ b/modules/wasabispread_decisions/Candidates.cpp
@@ -75,21 +75,14 @@
   }
 }
 
-/** Whether a candidate is among the members that may be given work, or is
-    finishing what it holds. */
+/** Whether a candidate may still use its connections. One that leaves does,
+    for what it holds. */
 bool
-IsAlive(const MembershipState& aMembership, const ZoneName& aZone, VmId aVm)
+IsAlive(const MembershipState& aMembership, VmId aVm)
 {
-  const VmRecord* member = FindMember(aMembership, aVm);
-  if (member == nullptr) {
-    return false;
-  }
-  if (member->mLeaving) {
-    return true;
-  }
-  const auto live = aMembership.mLiveByZone.find(aZone);
-  return live != aMembership.mLiveByZone.end() &&
-         std::binary_search(live->second.begin(), live->second.end(), aVm);
+  const auto health = aMembership.mHealth.find(aVm);
+  return health != aMembership.mHealth.end() &&
+         health->second.mCondition != MemberCondition::kDead;
 }
 
 void
@@ -97,9 +90,8 @@
 {
   for (ZoneCandidates& zone : aState.mPlacement.mZones) {
     for (Candidate& candidate : zone.mCandidates) {
-      candidate.mIsAlive =
-        candidate.mVm == aState.mSelf.mId ||
-        IsAlive(aState.mMembership, zone.mZone, candidate.mVm);
+      candidate.mIsAlive = candidate.mVm == aState.mSelf.mId ||
+                           IsAlive(aState.mMembership, candidate.mVm);
       const bool isGone = !candidate.mIsListed || !candidate.mIsAlive;
       candidate.mGoneSince =
         !isGone ? TimePoint::max() : std::min(candidate.mGoneSince, aNow);
@@ -141,27 +133,22 @@
 void
 StartCandidates(NodeState& aState, TimePoint aNow)
 {
-  AddCandidate(
-    aState.mPlacement, aState.mSelf.mZone, aState.mSelf.mId, aNow);
+  AddCandidate(aState.mPlacement, aState.mSelf.mZone, aState.mSelf.mId, aNow);
   aState.mPlacement.mHoldsFrom = aNow + kUnlistedDelay;
 }
 
 void
-ObserveVmList(NodeState& aState,
-              const VmListReceived& aEvent,
-              TimePoint aNow,
-              Effects& aEffects)
+ObserveMembers(NodeState& aState, TimePoint aNow, Effects& aEffects)
 {
   PlacementState& placement = aState.mPlacement;
-  if (aEvent.mResult) {
-    MarkAllUnlisted(aState);
-    for (const VmRecord& vm : *aEvent.mResult) {
-      AddCandidate(placement, vm.mZone, vm.mId, aNow).mIsListed = true;
-      if (vm.mId == aState.mSelf.mId) {
-        placement.mHoldsFrom =
-          std::min(placement.mHoldsFrom, aNow + kHoldDelay);
-      }
-    }
+  const MembershipState& membership = aState.mMembership;
+  placement.mMembersEpoch = membership.mEpoch;
+  MarkAllUnlisted(aState);
+  for (const auto& [id, member] : membership.mMembers) {
+    AddCandidate(placement, member.mZone, id, aNow).mIsListed = true;
+  }
+  if (membership.mHealth.at(aState.mSelf.mId).mIsListed) {
+    placement.mHoldsFrom = std::min(placement.mHoldsFrom, aNow + kHoldDelay);
   }
   ObserveLiveness(aState, aNow);
   RefreshCandidates(aState, aNow, aEffects);
--- a/modules/wasabispread_decisions/Candidates.h
+++ b/modules/wasabispread_decisions/Candidates.h
@@ -1,5 +1,5 @@
 /*
- * Which VMs may hold connections, from the platform's list and from liveness.
+ * Which VMs may hold connections, from the members known and their liveness.
  *
  * A VM's connections may outlive what others believe of it. So a VM counts as
  * a candidate as soon as it is listed, holds connections itself only after it
@@ -28,13 +28,10 @@
 void
 StartCandidates(NodeState& aState, TimePoint aNow);
 
-/** Takes in a reading of the VM list, also a failed one: that still brings
-    liveness up to date. */
+/** Brings the candidates in line with the members known. To be called after
+    each change of the live members and each reading of the VM list. */
 void
-ObserveVmList(NodeState& aState,
-              const VmListReceived& aEvent,
-              TimePoint aNow,
-              Effects& aEffects);
+ObserveMembers(NodeState& aState, TimePoint aNow, Effects& aEffects);
 
 /** Drops the candidates whose time is over, and applies changed shares. */
 void
--- a/modules/wasabispread_decisions/ConcurrencyLimit.cpp
+++ b/modules/wasabispread_decisions/ConcurrencyLimit.cpp
@@ -82,17 +82,15 @@
     FollowGradient(aLimit);
     UpdateLongTerm(aLimit);
   }
-  aLimit.mLimit =
-    std::max(kLeastLimit, std::min<double>(aLimit.mLimit, aMost));
+  aLimit.mLimit = std::max(kLeastLimit, std::min<double>(aLimit.mLimit, aMost));
 }
 
 void
 ObserveOverload(ConcurrencyLimit& aLimit, TimePoint aNow)
 {
   constexpr Duration kLeastCutInterval = std::chrono::milliseconds(10);
-  const Duration interval =
-    std::max(kLeastCutInterval,
-             Duration(static_cast<std::int64_t>(aLimit.mTypical)));
+  const Duration interval = std::max(
+    kLeastCutInterval, Duration(static_cast<std::int64_t>(aLimit.mTypical)));
   aLimit.mIsRamping = false;
   if (aNow - aLimit.mCutAt >= interval) {
     aLimit.mCutAt = aNow;
@@ -103,8 +101,7 @@
 bool
 Admits(const AdmissionLoad& aLoad, Duration aBudget, double aDraw)
 {
-  const double wait = static_cast<double>(aLoad.mWaiting) *
-                      aLoad.mServiceTime /
+  const double wait = static_cast<double>(aLoad.mWaiting) * aLoad.mServiceTime /
                       static_cast<double>(std::max(1U, aLoad.mInFlight));
   const double room = static_cast<double>(aBudget.count()) - aLoad.mServiceTime;
   if (aLoad.mWaiting == 0) {
--- a/modules/wasabispread_decisions/ConnectionPolicy.cpp
+++ b/modules/wasabispread_decisions/ConnectionPolicy.cpp
@@ -23,9 +23,8 @@
 {
   const std::size_t owners =
     std::min<std::size_t>(aPolicy.mOwners, aStanding.mRanked);
-  return aStanding.mRank < owners
-           ? EvenShare(aCap, aStanding.mRank, owners)
-           : 0;
+  return aStanding.mRank < owners ? EvenShare(aCap, aStanding.mRank, owners)
+                                  : 0;
 }
 
 } // namespace
--- a/modules/wasabispread_decisions/Counters.h
+++ b/modules/wasabispread_decisions/Counters.h
@@ -32,6 +32,9 @@
   std::uint64_t mConfigurationsRejected = 0;
   std::uint64_t mPlatformCalls = 0;
   std::uint64_t mPlatformFailures = 0;
+  std::uint64_t mConfigurationsPushed = 0;
+  std::uint64_t mSuspicions = 0;
+  std::uint64_t mDeathsJudged = 0;
   std::uint64_t mItemsOverloaded = 0;
   std::uint64_t mItemsStopping = 0;
   std::uint64_t mItemsWithoutShare = 0;
@@ -42,6 +45,17 @@
   std::uint64_t mTargetConnectionsClosedIdle = 0;
   std::uint64_t mOwnersAvoided = 0;
   std::uint64_t mPauses = 0;
+  std::uint64_t mHedges = 0;
+  std::uint64_t mHedgesWon = 0;
+  std::uint64_t mExtraLoadDenied = 0;
+  std::uint64_t mEarlyAnswers = 0;
+  std::uint64_t mRefusedOverloaded = 0;
+  std::uint64_t mRefusedBudget = 0;
+  std::uint64_t mTargetsEjected = 0;
+  std::uint64_t mTargetsRestored = 0;
+  std::uint64_t mProbes = 0;
+  std::uint64_t mSnapshotRestarts = 0;
+  std::uint64_t mCallersGone = 0;
 };
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Effect.h
+++ b/modules/wasabispread_decisions/Effect.h
@@ -76,6 +76,13 @@
   DecisionRecord mRecord;
 };
 
+/** Tells an operator which VMs have a revision in force. */
+struct AnswerConfirmation
+{
+  CallerToken mToken;
+  ConfirmationReport mReport;
+};
+
 using Effect = std::variant<AnswerCaller,
                             SendToPeer,
                             OpenTargetConnection,
@@ -84,6 +91,7 @@
                             WatchConfiguration,
                             ReadVmList,
                             LogDecision,
+                            AnswerConfirmation,
                             SendCancelToTarget>;
 
 using Effects = std::vector<Effect>;
--- a/modules/wasabispread_decisions/OwnerConnections.cpp
+++ b/modules/wasabispread_decisions/OwnerConnections.cpp
@@ -55,7 +55,10 @@
 
 /** A target's pool after a change of the shares or the configuration. */
 void
-UpdateShare(NodeState& aState, TargetId aTarget, TargetPool& aPool, TimePoint aNow)
+UpdateShare(NodeState& aState,
+            TargetId aTarget,
+            TargetPool& aPool,
+            TimePoint aNow)
 {
   const Deployment& deployment = *aState.mConfiguration.mDeployment;
   const Target* target = deployment.FindTarget(aTarget);
@@ -110,8 +113,8 @@
   if (pool.mAddress != target.mAddress) {
     pool.mAddress = target.mAddress;
   }
-  pool.mShare = OwnShare(
-    aState, group, configuration.mGroups[group].mConnectionCap, aNow);
+  pool.mShare =
+    OwnShare(aState, group, configuration.mGroups[group].mConnectionCap, aNow);
   return &pool;
 }
 
@@ -203,8 +206,7 @@
   connection.mUse = ConnectionUse::kCancel;
   connection.mAttempt = aAttempt;
   connection.mOwedUntil = aNow + kLateReplyWait;
-  aState.mTimers.Arm(
-    connection.mOwedUntil, TimerKind::kReplyOwed, id.Value());
+  aState.mTimers.Arm(connection.mOwedUntil, TimerKind::kReplyOwed, id.Value());
   ++aState.mCounters.mTargetCancels;
   aEffects.push_back(SendCancelToTarget{ id, aAttempt });
 }
@@ -255,8 +257,7 @@
     return;
   }
   pool.mLimit = ConcurrencyLimit{};
-  RefuseQueue(
-    aState, pool, MissingReason::kTargetUnreachable, aNow, aEffects);
+  RefuseQueue(aState, pool, MissingReason::kTargetUnreachable, aNow, aEffects);
 }
 
 void
@@ -356,8 +357,7 @@
     TrimPool(aState, pool, aEffects);
     const auto place = configuration.mDeployment->mTargetIndex.find(id);
     if (place == configuration.mDeployment->mTargetIndex.end()) {
-      RefuseQueue(
-        aState, pool, MissingReason::kUnknownTarget, aNow, aEffects);
+      RefuseQueue(aState, pool, MissingReason::kUnknownTarget, aNow, aEffects);
       if (IsUnused(pool)) {
         aState.mOwner.mPools.erase(id);
       }
--- a/modules/wasabispread_decisions/OwnerQueue.cpp
+++ b/modules/wasabispread_decisions/OwnerQueue.cpp
@@ -253,18 +253,15 @@
     return;
   }
   if (aRequest.mItems.empty()) {
-    AnswerProbe(
-      aState, aEntry, aEntryAddress, aRequest.mIncarnation, aEffects);
+    AnswerProbe(aState, aEntry, aEntryAddress, aRequest.mIncarnation, aEffects);
     return;
   }
   const BatchId batchId(aState.mOwner.mNextBatch++);
-  const Duration budget =
-    aRequest.mBudget - UnreadTime(aState.mPause, aNow);
+  const Duration budget = aRequest.mBudget - UnreadTime(aState.mPause, aNow);
   HeldBatch& batch =
     aState.mOwner.mBatches
-      .emplace(
-        batchId,
-        HeldBatch{ aEntry, aEntryAddress, aRequest, aNow + budget, 0 })
+      .emplace(batchId,
+               HeldBatch{ aEntry, aEntryAddress, aRequest, aNow + budget, 0 })
       .first->second;
   const double draw = AdmissionDraw(aRequest.mRequestId);
   // Counted before any item ends, so that the batch lives through the loop.
--- a/modules/wasabispread_decisions/OwnerReplies.cpp
+++ b/modules/wasabispread_decisions/OwnerReplies.cpp
@@ -102,9 +102,8 @@
     return;
   }
   const auto taken = static_cast<double>(aTaken.count());
-  aPool.mServiceTime += aPool.mServiceTime == 0
-                          ? taken
-                          : (taken - aPool.mServiceTime) * kNewWeight;
+  aPool.mServiceTime +=
+    aPool.mServiceTime == 0 ? taken : (taken - aPool.mServiceTime) * kNewWeight;
   ObserveAnswer(aPool.mLimit, aTaken, aPool.mBusy, aPool.mShare);
 }
 
--- a/modules/wasabispread_decisions/OwnerRoutes.cpp
+++ b/modules/wasabispread_decisions/OwnerRoutes.cpp
@@ -84,17 +84,13 @@
   }
   ++placement.mRoutes;
   ++aState.mCounters.mOwnersAvoided;
-  aState.mTimers.Arm(aNow + AvoidanceTime(place->second),
-                     TimerKind::kProbeOwner,
-                     aVm.Value());
+  aState.mTimers.Arm(
+    aNow + AvoidanceTime(place->second), TimerKind::kProbeOwner, aVm.Value());
   aEffects.push_back(LogDecision{ OwnerAvoided{ aVm, aReason } });
 }
 
 void
-HandleProbeOwner(NodeState& aState,
-                 VmId aVm,
-                 TimePoint aNow,
-                 Effects& aEffects)
+HandleProbeOwner(NodeState& aState, VmId aVm, TimePoint aNow, Effects& aEffects)
 {
   PlacementState& placement = aState.mPlacement;
   const auto place = placement.mAvoided.find(aVm);
@@ -107,9 +103,8 @@
     return;
   }
   ++place->second.mProbes;
-  aState.mTimers.Arm(aNow + AvoidanceTime(place->second),
-                     TimerKind::kProbeOwner,
-                     aVm.Value());
+  aState.mTimers.Arm(
+    aNow + AvoidanceTime(place->second), TimerKind::kProbeOwner, aVm.Value());
   BatchRequest probe;
   probe.mIncarnation = aState.mSelf.mIncarnation;
   probe.mBody = std::make_shared<const std::string>();
--- a/modules/wasabispread_decisions/Pause.cpp
+++ b/modules/wasabispread_decisions/Pause.cpp
@@ -44,9 +44,8 @@
 Duration
 UnreadTime(const PauseState& aPause, TimePoint aNow)
 {
-  const bool isBacklog =
-    aPause.mLength != Duration::zero() &&
-    aNow - aPause.mResumedAt <= kBacklogTime;
+  const bool isBacklog = aPause.mLength != Duration::zero() &&
+                         aNow - aPause.mResumedAt <= kBacklogTime;
   return isBacklog ? aPause.mLength : Duration::zero();
 }
 
--- a/modules/wasabispread_decisions/Placement.cpp
+++ b/modules/wasabispread_decisions/Placement.cpp
@@ -107,8 +107,7 @@
     RankAll(aZone, aGroup, aOrder);
     return;
   }
-  const auto first =
-    aZone.mChanges.end() - static_cast<std::ptrdiff_t>(behind);
+  const auto first = aZone.mChanges.end() - static_cast<std::ptrdiff_t>(behind);
   for (auto change = first; change != aZone.mChanges.end(); ++change) {
     ApplyChange(aGroup, *change, aOrder.mBest);
   }
@@ -146,10 +145,10 @@
   PlacementState& placement = aState.mPlacement;
   GroupRanking& order = placement.mRankings[aGroup];
   const ZoneCandidates& zone = placement.mZones[order.mZone];
-  const std::size_t owners =
-    std::min<std::size_t>({ placement.mPolicy.mOwners,
-                            aState.mConfiguration.mGroups[aGroup].mConnectionCap,
-                            order.mBest.size() });
+  const std::size_t owners = std::min<std::size_t>(
+    { placement.mPolicy.mOwners,
+      aState.mConfiguration.mGroups[aGroup].mConnectionCap,
+      order.mBest.size() });
   std::vector<VmId> settled;
   std::vector<VmId> unsettled;
   for (std::size_t rank = 0; rank < owners; ++rank) {
@@ -167,26 +166,6 @@
   order.mUsableRoutes = placement.mRoutes;
 }
 
-/** The owners of a group that can be given work, best first. */
-const std::vector<VmId>&
-UsableOwners(NodeState& aState, std::uint32_t aGroup, TimePoint aNow)
-{
-  static const std::vector<VmId> kNone;
-  if (RankedCandidates(aState, aGroup).empty()) {
-    return kNone;
-  }
-  const GroupRanking& order = aState.mPlacement.mRankings[aGroup];
-  const bool isCurrent =
-    order.mUsableVersion == order.mVersion &&
-    order.mUsableEpoch == aState.mMembership.mEpoch &&
-    order.mUsableRoutes == aState.mPlacement.mRoutes &&
-    aNow < order.mUsableUntil;
-  if (!isCurrent) {
-    UpdateUsable(aState, aGroup, aNow);
-  }
-  return order.mUsable;
-}
-
 /** Whether this VM can send on its own connection to a target at once. */
 bool
 HasRoom(const OwnerState& aOwner, TargetId aTarget)
@@ -224,9 +203,8 @@
                                  std::to_string(ordinal / kTargetsPerGroup);
         openGroup[zone] =
           static_cast<std::uint32_t>(aConfiguration.mGroups.size());
-        aConfiguration.mGroups.push_back(
-          OwnerGroup{
-            StableHash(name), zone, service.mConnectionCap, service.mId });
+        aConfiguration.mGroups.push_back(OwnerGroup{
+          StableHash(name), zone, service.mConnectionCap, service.mId });
       }
       aConfiguration.mGroupOfTarget[position] = openGroup[zone];
     }
@@ -268,6 +246,24 @@
   return order.mBest;
 }
 
+const std::vector<VmId>&
+UsableOwners(NodeState& aState, std::uint32_t aGroup, TimePoint aNow)
+{
+  static const std::vector<VmId> kNone;
+  if (RankedCandidates(aState, aGroup).empty()) {
+    return kNone;
+  }
+  const GroupRanking& order = aState.mPlacement.mRankings[aGroup];
+  const bool isCurrent = order.mUsableVersion == order.mVersion &&
+                         order.mUsableEpoch == aState.mMembership.mEpoch &&
+                         order.mUsableRoutes == aState.mPlacement.mRoutes &&
+                         aNow < order.mUsableUntil;
+  if (!isCurrent) {
+    UpdateUsable(aState, aGroup, aNow);
+  }
+  return order.mUsable;
+}
+
 std::optional<VmId>
 ChooseOwner(NodeState& aState,
             std::uint32_t aTargetPosition,
@@ -315,8 +311,8 @@
     std::find_if(ranked.begin(), ranked.end(), [self](const RankedVm& aVm) {
       return aVm.mVm == self;
     });
-  const auto position = std::lower_bound(
-    placement.mFleet.begin(), placement.mFleet.end(), self);
+  const auto position =
+    std::lower_bound(placement.mFleet.begin(), placement.mFleet.end(), self);
   ConnectionStanding standing;
   standing.mRank = static_cast<std::size_t>(rank - ranked.begin());
   standing.mRanked = ranked.size();
--- a/modules/wasabispread_decisions/Placement.h
+++ b/modules/wasabispread_decisions/Placement.h
@@ -33,6 +33,10 @@
 const std::vector<RankedVm>&
 RankedCandidates(NodeState& aState, std::uint32_t aGroup);
 
+/** The owners of a group that can be given work, best first. */
+const std::vector<VmId>&
+UsableOwners(NodeState& aState, std::uint32_t aGroup, TimePoint aNow);
+
 /** The owner to send an attempt at a target to, or nothing when none can be
     reached. aSpread selects one of several equals; attempts with the same one
     go to the same owner. */
--- a/modules/wasabispread_decisions/PlacementState.h
+++ b/modules/wasabispread_decisions/PlacementState.h
@@ -105,6 +105,8 @@
   std::unordered_map<ZoneName, std::uint32_t> mZoneIndex;
   /** All candidates, sorted. */
   std::vector<VmId> mFleet;
+  /** MembershipState::mEpoch when the candidates were last brought in line. */
+  std::uint64_t mMembersEpoch = 0;
   /** Rises when a zone gains its first candidate or loses its last. */
   std::uint64_t mHomes = 1;
   /** By position in ConfigurationState::mGroups. */
--- a/modules/wasabispread_decisions/QueryTests.cpp
+++ b/modules/wasabispread_decisions/QueryTests.cpp
@@ -33,7 +33,7 @@
     mFleet->AddVm("vm-b", "zone-b");
     mFleet->AddVm("vm-c", "zone-c");
     mFleet->Apply(DeploymentText({ ServiceText{} }));
-    mFleet->RunFor(std::chrono::seconds(5));
+    mFleet->RunFor(std::chrono::seconds(8));
   }
 
   void AnswersEveryShard()
--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -20,8 +20,7 @@
   {
     StartHeartbeat(mState, mNow);
     StartCandidates(mState, mNow);
-    StartConfiguration(mState, mEffects);
-    StartMembership(mState, mEffects);
+    StartMembership(mState, mNow, mEffects);
   }
 
   void operator()(const CallerRequest& aEvent)
@@ -31,7 +30,7 @@
 
   void operator()(const CallerGone& aEvent)
   {
-    HandleCallerGone(mState, aEvent, mEffects);
+    HandleCallerGone(mState, aEvent, mNow, mEffects);
   }
 
   void operator()(const PeerMessageReceived& aEvent)
@@ -42,9 +41,9 @@
 
   void operator()(const PeerLost& aEvent)
   {
-    AvoidOwner(
-      mState, aEvent.mPeer, AvoidanceReason::kLost, mNow, mEffects);
+    AvoidOwner(mState, aEvent.mPeer, AvoidanceReason::kLost, mNow, mEffects);
     HandleOwnerLost(mState, aEvent.mPeer, mNow, mEffects);
+    HandleMemberLost(mState, aEvent.mPeer, mNow, mEffects);
   }
 
   void operator()(const TargetConnected& aEvent)
@@ -75,15 +74,21 @@
   void operator()(const VmListReceived& aEvent)
   {
     HandleVmListReceived(mState, aEvent, mNow, mEffects);
-    ObserveVmList(mState, aEvent, mNow, mEffects);
+    ObserveMembers(mState, mNow, mEffects);
   }
 
   void operator()(const StopRequested&)
   {
     mState.mStopping = true;
+    AnnounceStop(mState, mNow, mEffects);
     ReleaseIdleConnections(mState, mEffects);
   }
 
+  void operator()(const ConfirmationAsked& aEvent)
+  {
+    HandleConfirmationAsked(mState, aEvent, mNow, mEffects);
+  }
+
   void operator()(const Tick&)
   {
     while (const auto timer = mState.mTimers.PopDue(mNow)) {
@@ -102,6 +107,33 @@
       HandleBatchReply(mState, aPeer, *reply, mNow, mEffects);
     } else if (const auto* cancel = std::get_if<BatchCancel>(&aMessage)) {
       HandleBatchCancel(mState, aPeer, *cancel, mNow, mEffects);
+    } else {
+      HandleControlMessage(aPeer, aAddress, aMessage);
+    }
+  }
+
+  void HandleControlMessage(VmId aPeer,
+                            const Endpoint& aAddress,
+                            const PeerMessage& aMessage)
+  {
+    if (const auto* probe = std::get_if<MemberProbe>(&aMessage)) {
+      HandleProbe(mState, aPeer, aAddress, *probe, mNow, mEffects);
+    } else if (std::holds_alternative<MembersRequest>(aMessage)) {
+      HandleMembersRequest(mState, aPeer, aAddress, mEffects);
+    } else if (const auto* members = std::get_if<MembersReply>(&aMessage)) {
+      HandleMembersReply(mState, *members, mNow, mEffects);
+    } else if (const auto* offer = std::get_if<ConfigurationOffer>(&aMessage)) {
+      HandleOffer(mState, aPeer, aAddress, *offer, mNow, mEffects);
+    } else if (const auto* wanted = std::get_if<SectionsRequest>(&aMessage)) {
+      HandleSectionsRequest(mState, aPeer, aAddress, *wanted, mEffects);
+    } else if (const auto* sections = std::get_if<SectionsReply>(&aMessage)) {
+      HandleSectionsReply(mState, *sections, mNow, mEffects);
+    } else if (const auto* asked =
+                 std::get_if<ConfirmationRequest>(&aMessage)) {
+      HandleConfirmationRequest(
+        mState, aPeer, aAddress, *asked, mNow, mEffects);
+    } else if (const auto* report = std::get_if<ConfirmationReply>(&aMessage)) {
+      HandleConfirmationReply(mState, aPeer, *report, mEffects);
     }
   }
 
@@ -124,10 +156,22 @@
         HandleReconnect(mState, TargetId(aTimer.mKey), mNow, mEffects);
         break;
       case TimerKind::kWatchConfiguration:
-        StartConfiguration(mState, mEffects);
+        StartConfiguration(mState, mNow, mEffects);
         break;
       case TimerKind::kReadVmList:
-        StartMembership(mState, mEffects);
+        ReadMembers(mState, mNow, mEffects);
+        break;
+      case TimerKind::kProbeRound:
+        HandleProbeRound(mState, mNow, mEffects);
+        break;
+      case TimerKind::kSuspicionEnd:
+        HandleSuspicionEnd(mState, VmId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kParseConfiguration:
+        ContinueParsing(mState, mNow, mEffects);
+        break;
+      case TimerKind::kConfirmation:
+        HandleConfirmationDeadline(mState, aTimer.mKey, mEffects);
         break;
       case TimerKind::kRefreshCandidates:
         RefreshCandidates(mState, mNow, mEffects);
@@ -144,6 +188,12 @@
       case TimerKind::kHeartbeat:
         StartHeartbeat(mState, mNow);
         break;
+      case TimerKind::kHedge:
+        HandleHedgeDue(mState, QueryId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kEarlyAnswer:
+        HandleEarlyAnswerDue(mState, QueryId(aTimer.mKey), mNow, mEffects);
+        break;
     }
   }
 };
@@ -154,8 +204,8 @@
 {
   for (const Effect& effect : aEffects) {
     const auto* send = std::get_if<SendToPeer>(&effect);
-    const bool isCancel = send != nullptr &&
-                          std::holds_alternative<BatchCancel>(send->mMessage);
+    const bool isCancel =
+      send != nullptr && std::holds_alternative<BatchCancel>(send->mMessage);
     if (isCancel) {
       AwaitOwner(aState, send->mPeer, aNow);
     }
@@ -177,6 +227,9 @@
     aState.mLoopback.pop_front();
     handler.HandleMessage(aState.mSelf.mId, aState.mSelf.mPeerAddress, message);
   }
+  if (aState.mPlacement.mMembersEpoch != aState.mMembership.mEpoch) {
+    ObserveMembers(aState, aNow, effects);
+  }
   AwaitCancelled(aState, effects, aNow);
   return effects;
 }
--- a/modules/wasabispread_decisions/TimerQueue.h
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -29,6 +29,14 @@
   kWatchConfiguration,
   /** No key. */
   kReadVmList,
+  /** No key. */
+  kProbeRound,
+  /** Key: the VM that is suspected. */
+  kSuspicionEnd,
+  /** No key. */
+  kParseConfiguration,
+  /** Key: the collection of confirmations. */
+  kConfirmation,
   /** No key: candidates whose time is over. */
   kRefreshCandidates,
   /** Key: the owner that is passed over. */
@@ -39,6 +47,10 @@
   kIdleConnections,
   /** No key: shows that the process runs. */
   kHeartbeat,
+  /** Key: the query whose slow attempts may be hedged. */
+  kHedge,
+  /** Key: the query that may be answered early. */
+  kEarlyAnswer,
 };
 
 /** A timer that came due. */
--- a/modules/wasabispread_decisions/wasabispread_decisions.h
+++ b/modules/wasabispread_decisions/wasabispread_decisions.h
@@ -12,6 +12,7 @@
 #include <wasabispread_units/wasabispread_units.h>
 
 #include "Answer.h"
+#include "ControlMessage.h"
 #include "PeerMessage.h"
 #include "PlatformMessage.h"
 #include "TargetMessage.h"
@@ -21,13 +22,19 @@
 #include "Event.h"
 
 #include "Counters.h"
+#include "PlatformBudget.h"
 #include "Random.h"
 #include "TimerQueue.h"
 
-#include "ConfigurationState.h"
-#include "EntryState.h"
+#include "Admission.h"
 #include "ConcurrencyLimit.h"
+#include "ConfigurationState.h"
+#include "ConfirmationState.h"
 #include "ConnectionPolicy.h"
+#include "EntryPolicy.h"
+#include "EntryState.h"
+#include "ExtraLoadBudget.h"
+#include "LatencyHistogram.h"
 #include "MembershipState.h"
 #include "OwnerState.h"
 #include "PauseState.h"
@@ -36,9 +43,15 @@
 
 #include "NodeState.h"
 
+#include "Answering.h"
+#include "Attempts.h"
 #include "Candidates.h"
 #include "Configuration.h"
+#include "ConfigurationSpread.h"
+#include "Confirmation.h"
 #include "Entry.h"
+#include "Hedging.h"
+#include "MemberProbing.h"
 #include "Membership.h"
 #include "Owner.h"
 #include "OwnerRoutes.h"
@@ -46,3 +59,6 @@
 #include "Placement.h"
 #include "QueryPlan.h"
 #include "Reducer.h"
+#include "SnapshotChoice.h"
+#include "SnapshotFollowUp.h"
+#include "TargetHealth.h"
--- a/modules/wasabispread_telemetry/MetricsText.cpp
+++ b/modules/wasabispread_telemetry/MetricsText.cpp
@@ -86,6 +86,42 @@
                    aCounters.mSnapshotMismatches);
 }
 
+void
+AddPolicyCounters(FamilyList& aList, const Counters& aCounters)
+{
+  aList.AddCounter(
+    "hedges_total", "Second attempts at slow shards.", aCounters.mHedges);
+  aList.AddCounter("hedges_won_total",
+                   "Hedges that answered before the first attempt.",
+                   aCounters.mHedgesWon);
+  aList.AddCounter("extra_load_denied_total",
+                   "Hedges and retries not sent because the budget was spent.",
+                   aCounters.mExtraLoadDenied);
+  aList.AddCounter("early_answers_total",
+                   "Answers sent once the least coverage was in.",
+                   aCounters.mEarlyAnswers);
+  aList.AddCounter("refused_overloaded_total",
+                   "Requests refused because targets refuse work.",
+                   aCounters.mRefusedOverloaded);
+  aList.AddCounter("refused_budget_total",
+                   "Requests refused because their time is too short.",
+                   aCounters.mRefusedBudget);
+  aList.AddCounter("targets_ejected_total",
+                   "Times that a target was taken out of use.",
+                   aCounters.mTargetsEjected);
+  aList.AddCounter("targets_restored_total",
+                   "Times that a target was put back to use.",
+                   aCounters.mTargetsRestored);
+  aList.AddCounter(
+    "probes_total", "Attempts at targets out of use.", aCounters.mProbes);
+  aList.AddCounter("snapshot_restarts_total",
+                   "Searches begun again on another snapshot.",
+                   aCounters.mSnapshotRestarts);
+  aList.AddCounter("callers_gone_total",
+                   "Requests whose caller left before the answer.",
+                   aCounters.mCallersGone);
+}
+
 void
 AddOwnerCounters(FamilyList& aList, const Counters& aCounters)
 {
@@ -157,6 +193,15 @@
   aList.AddCounter("platform_failures_total",
                    "Calls to the platform that failed.",
                    counters.mPlatformFailures);
+  aList.AddCounter("configurations_pushed_total",
+                   "Configurations passed on along the tree.",
+                   counters.mConfigurationsPushed);
+  aList.AddCounter("suspicions_total",
+                   "Times that this VM suspected another one.",
+                   counters.mSuspicions);
+  aList.AddCounter("deaths_judged_total",
+                   "Times that this VM held a suspect dead.",
+                   counters.mDeathsJudged);
   aList.AddGauge("configuration_revision",
                  "The revision in force; 0 is none.",
                  static_cast<double>(aState.mConfiguration.mRevision.Value()));
@@ -198,6 +243,7 @@
 {
   FamilyList list;
   AddEntryCounters(list, aState.mCounters);
+  AddPolicyCounters(list, aState.mCounters);
   AddOwnerCounters(list, aState.mCounters);
   AddConfiguration(list, aState, aNow);
   AddGauges(list, aState);
