Ask doubted owners when no other is left; tests of holds and pauses

Ruled out: shares (no dial was refused). Now an owner that is still a candidate, known and not passed over is asked when no live one is left. A first try kept the doubted owners in the order's cache; a member that was forgotten meanwhile tripped an assertion of the entry, so they are worked out anew each time.

--- a/modules/wasabispread_decisions/OwnerTests.cpp
+++ b/modules/wasabispread_decisions/OwnerTests.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(SendsNothingOutOfTimeAfterAPause);
   CPPUNIT_TEST(PlannedStopCutsOffNoRequest);
   CPPUNIT_TEST(LeavingTargetGetsNoNewWork);
+  CPPUNIT_TEST(OwnerItselfHoldsBackALeavingTarget);
   CPPUNIT_TEST(RemovedTargetIsDrainedAndForgotten);
   CPPUNIT_TEST(DistrustsAWrongReportOfLeaving);
   CPPUNIT_TEST(CancelsAtTheTarget);
@@ -107,6 +108,8 @@
 
   void SendsNothingOutOfTimeAfterAPause()
   {
+    Load(300);
+    mFleet->RunFor(std::chrono::seconds(1));
     for (const VmId vm : mVms) {
       if (vm != mVms[0]) {
         mFleet->Pause(vm);
@@ -115,7 +118,8 @@
     for (int round = 0; round < 20; ++round) {
       Ask(0, Operation::kAction);
     }
-    mFleet->RunFor(std::chrono::seconds(3));
+    // Longer than the requests' time, too short to lose the share.
+    mFleet->RunFor(std::chrono::milliseconds(1500));
     const std::size_t before = mFleet->Executions().size();
     for (const VmId vm : mVms) {
       mFleet->Resume(vm);
@@ -160,6 +164,29 @@
     CPPUNIT_ASSERT(target.Arrivals() - before > 100);
   }
 
+  /** Entries that do not heed its refusals make no difference. */
+  void OwnerItselfHoldsBackALeavingTarget()
+  {
+    FakeTarget& target = mFleet->TargetNamed("catalogue-0-0");
+    target.mBehaviour.mIsDraining = true;
+    const VmId owner = RankedCandidates(mFleet->State(mVms[0]), 0)[0].mVm;
+    for (std::uint64_t sequence = 1; sequence <= 400; ++sequence) {
+      BatchRequest batch;
+      batch.mIncarnation = Incarnation(1);
+      batch.mRequestId = RequestId(std::to_string(sequence));
+      batch.mBody = std::make_shared<const std::string>();
+      batch.mBudget = std::chrono::seconds(1);
+      batch.mItems = { BatchItem{ AttemptSequence(sequence),
+                                  IdFromName<TargetId>("catalogue-0-0"),
+                                  ShardIndex(0) } };
+      mFleet->Deliver(
+        owner, PeerMessageReceived{ VmId(1), Endpoint{ "other", 1 }, batch });
+      mFleet->RunFor(std::chrono::milliseconds(10));
+    }
+    CPPUNIT_ASSERT(target.Arrivals() > 0);
+    CPPUNIT_ASSERT(target.Arrivals() <= 2);
+  }
+
   void RemovedTargetIsDrainedAndForgotten()
   {
     FakeTarget& target = mFleet->TargetNamed("catalogue-0-0");
--- a/modules/wasabispread_decisions/Placement.cpp
+++ b/modules/wasabispread_decisions/Placement.cpp
@@ -151,16 +151,28 @@
       order.mBest.size() });
   std::vector<VmId> settled;
   std::vector<VmId> unsettled;
+  std::vector<VmId> doubted;
   for (std::size_t rank = 0; rank < owners; ++rank) {
     const VmId vm = order.mBest[rank].mVm;
-    if (IsLive(aState.mMembership, zone.mZone, vm) &&
-        !placement.mAvoided.contains(vm)) {
+    const VmRecord* member = FindMember(aState.mMembership, vm);
+    if (member == nullptr || placement.mAvoided.contains(vm)) {
+      continue;
+    }
+    if (!IsLive(aState.mMembership, zone.mZone, vm)) {
+      doubted.push_back(vm);
+    } else {
       (IsSettled(zone, vm, aNow) ? settled : unsettled).push_back(vm);
     }
   }
   order.mUsableUntil =
     unsettled.empty() ? TimePoint::max() : aNow + kSettledCheck;
   order.mUsable = settled.empty() ? std::move(unsettled) : std::move(settled);
+  if (order.mUsable.empty()) {
+    // The list or the probes may be wrong; a trial of its own tells. Not kept,
+    // for members found dead are forgotten without a change of the epoch.
+    order.mUsable = std::move(doubted);
+    order.mUsableUntil = aNow;
+  }
   order.mUsableVersion = order.mVersion;
   order.mUsableEpoch = aState.mMembership.mEpoch;
   order.mUsableRoutes = placement.mRoutes;
