--- a/benchmarks/connections.cpp
+++ b/benchmarks/connections.cpp
@@ -380,6 +380,43 @@
   return rivals;
 }
 
+/** The policy chosen, with replies held back for different times. */
+std::vector<Rival>
+FlushRivals()
+{
+  std::vector<Rival> rivals;
+  ConnectionPolicy policy;
+  policy.mFlushDelay = Duration::zero();
+  rivals.push_back({ "no delay", policy });
+  policy.mFlushDelay = std::chrono::microseconds(500);
+  rivals.push_back({ "0.5 ms", policy });
+  policy.mFlushDelay = std::chrono::milliseconds(2);
+  rivals.push_back({ "2 ms", policy });
+  return rivals;
+}
+
+void
+PrintHeader(const char* aTitle)
+{
+  std::printf("\n%s\n\n| policy | load | p50 ms | p99 ms | p99.9 ms | "
+              "complete | refusals | opened | dials refused | peak of cap | "
+              "sub-requests | messages |\n"
+              "|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+              aTitle);
+}
+
+void
+Compare(RunOptions aOptions, const std::vector<Rival>& aRivals)
+{
+  for (const double load : { 0.3, 0.6, 0.9 }) {
+    for (const Rival& rival : aRivals) {
+      aOptions.mLoad = load;
+      aOptions.mRival = rival;
+      Print(aOptions, Run(aOptions).Measure());
+    }
+  }
+}
+
 } // namespace
 
 } // namespace wasabispread::testing
@@ -406,19 +443,12 @@
     { Scenario::kWrongList, "The VM list drops an owner that lives" },
   };
   for (const auto& [scenario, title] : scenarios) {
-    std::printf("\n%s\n\n| policy | load | p50 ms | p99 ms | p99.9 ms | "
-                "complete | refusals | opened | dials refused | peak of cap | "
-                "sub-requests | messages |\n"
-                "|---|---|---|---|---|---|---|---|---|---|---|---|\n",
-                title);
-    for (const double load : { 0.3, 0.6, 0.9 }) {
-      for (const Rival& rival : Rivals()) {
-        options.mScenario = scenario;
-        options.mLoad = load;
-        options.mRival = rival;
-        Print(options, Run(options).Measure());
-      }
-    }
+    PrintHeader(title);
+    options.mScenario = scenario;
+    Compare(options, Rivals());
   }
+  PrintHeader("Replies held back for others to the same entry");
+  options.mScenario = Scenario::kSteady;
+  Compare(options, FlushRivals());
   return 0;
 }
