--- a/modules/wasabispread_decisions/Candidates.cpp
+++ b/modules/wasabispread_decisions/Candidates.cpp
@@ -75,14 +75,13 @@
   }
 }
 
-/** Whether a candidate may still use its connections. One that leaves does,
-    for what it holds. */
-bool
-IsAlive(const MembershipState& aMembership, VmId aVm)
+/** What is known of a candidate's health; a VM that is no member is dead. */
+MemberCondition
+ConditionOf(const MembershipState& aMembership, VmId aVm)
 {
   const auto health = aMembership.mHealth.find(aVm);
-  return health != aMembership.mHealth.end() &&
-         health->second.mCondition != MemberCondition::kDead;
+  return health == aMembership.mHealth.end() ? MemberCondition::kDead
+                                             : health->second.mCondition;
 }
 
 void
@@ -90,9 +89,14 @@
 {
   for (ZoneCandidates& zone : aState.mPlacement.mZones) {
     for (Candidate& candidate : zone.mCandidates) {
-      candidate.mIsAlive = candidate.mVm == aState.mSelf.mId ||
-                           IsAlive(aState.mMembership, candidate.mVm);
-      const bool isGone = !candidate.mIsListed || !candidate.mIsAlive;
+      const bool isSelf = candidate.mVm == aState.mSelf.mId;
+      const MemberCondition condition =
+        isSelf ? MemberCondition::kAlive
+               : ConditionOf(aState.mMembership, candidate.mVm);
+      candidate.mIsAlive = condition != MemberCondition::kDead;
+      candidate.mIsLeaving = condition == MemberCondition::kLeaving;
+      const bool isGone =
+        !candidate.mIsListed || !candidate.mIsAlive || candidate.mIsLeaving;
       candidate.mGoneSince =
         !isGone ? TimePoint::max() : std::min(candidate.mGoneSince, aNow);
     }
@@ -108,7 +112,7 @@
   if (aCandidate.mGoneSince == TimePoint::max()) {
     return TimePoint::max();
   }
-  if (!aCandidate.mIsListed) {
+  if (!aCandidate.mIsListed || aCandidate.mIsLeaving) {
     return aCandidate.mGoneSince + aState.mPlacement.mHoldDelay;
   }
   // A zone that cannot be reached may be alive and cut off.
--- a/modules/wasabispread_decisions/PlacementState.h
+++ b/modules/wasabispread_decisions/PlacementState.h
@@ -22,7 +22,11 @@
   TimePoint mListedAt{};
   bool mIsListed = true;
   bool mIsAlive = true;
-  /** Since when it is not listed, or not alive; max() while it is both. */
+  /** A leaving VM closes its connections by itself; it serves for a short
+      while, for entries that have nobody else to ask. */
+  bool mIsLeaving = false;
+  /** Since when it is not listed, not alive or leaving; max() while it is none
+      of these. */
   TimePoint mGoneSince = TimePoint::max();
 };
 
