A stopping owner closes spare connections when others may take its place

The test stays red: entries and the successor of a zone's only VM change over at slightly different times, and a successor asked too early answers no-owner and is passed over for a while.

--- a/modules/wasabispread_decisions/NodeState.h
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -50,7 +50,10 @@
   /** Messages from this node to itself, handled before Reduce() returns. */
   std::deque<PeerMessage> mLoopback;
   bool mStopping = false;
-  /** When a stopping node begins to refuse callers' requests. */
+  /** When a stopping node begins to close each connection to a target that it
+      does not need; not after mRefusingFrom. */
+  TimePoint mReleasingFrom = TimePoint::max();
+  /** When a stopping node begins to refuse requests. */
   TimePoint mRefusingFrom = TimePoint::max();
 
   /** Whether callers' requests can be taken. */
--- a/modules/wasabispread_decisions/OwnerConnections.cpp
+++ b/modules/wasabispread_decisions/OwnerConnections.cpp
@@ -152,7 +152,7 @@
   connection.mOwedUntil = TimePoint::max();
   pool.mIdle.push_back(IdleConnection{ aConnection, aNow });
   ArmIdleTimer(aState, target, pool, aNow);
-  const bool isStopping = aNow >= aState.mRefusingFrom && pool.mWaiting == 0;
+  const bool isStopping = aNow >= aState.mReleasingFrom && pool.mWaiting == 0;
   if (isStopping || pool.Connections() > pool.mShare) {
     CloseConnection(aState, aConnection, aEffects);
   }
--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -3,6 +3,7 @@
  */
 #include "wasabispread_decisions.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace wasabispread {
@@ -99,8 +100,10 @@
     }
     mState.mStopping = true;
     mState.mRefusingFrom = mNow + aEvent.mNotice;
+    mState.mReleasingFrom =
+      mNow + std::min(aEvent.mNotice, mState.mPlacement.mHoldDelay);
     AnnounceStop(mState, mNow, mEffects);
-    mState.mTimers.Arm(mState.mRefusingFrom, TimerKind::kStopRefusing);
+    mState.mTimers.Arm(mState.mReleasingFrom, TimerKind::kReleaseConnections);
   }
 
   void operator()(const ConfirmationAsked& aEvent)
@@ -207,7 +210,7 @@
       case TimerKind::kHeartbeat:
         StartHeartbeat(mState, mNow);
         break;
-      case TimerKind::kStopRefusing:
+      case TimerKind::kReleaseConnections:
         ReleaseIdleConnections(mState, mEffects);
         break;
       case TimerKind::kClaimDeadline:
--- a/modules/wasabispread_decisions/TimerQueue.h
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -51,8 +51,8 @@
   kHedge,
   /** Key: the query that may be answered early. */
   kEarlyAnswer,
-  /** No key; a stopping node's notice is over. */
-  kStopRefusing,
+  /** No key: others may now take a stopping node's connections. */
+  kReleaseConnections,
   /** Key: the claim. */
   kClaimDeadline,
   /** Key: the claim. */
