Stops that reset no connection in the accept queue; transcript

Cause: a stop closed the port with connections waiting in its queue, and closed connections on which a request was on its way. Before: scripts/transcript, 1 of 4 callers cut off once (RemoteDisconnected).

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -23,6 +23,7 @@
     dropped within these limits, so that it can read the rejection. */
 constexpr std::size_t kMostDiscardedBytes = 64U << 20U;
 constexpr Duration kDiscardLimit = std::chrono::seconds(2);
+constexpr Duration kLastRequestWait = std::chrono::milliseconds(200);
 constexpr Duration kStopPollInterval = std::chrono::milliseconds(2);
 
 HttpRequest
@@ -230,8 +231,7 @@
     boost::this_fiber::sleep_for(aServer.mLimits.mConnectionDelay);
   }
   beast::flat_buffer buffer;
-  while (!aServer.mStopping &&
-         AwaitRequest(aConnection, buffer, aServer.mLimits.mIdleLimit)) {
+  while (AwaitRequest(aConnection, buffer, aServer.mLimits.mIdleLimit)) {
     aConnection.mIsIdle = false;
     if (!ServeRequest(aServer, aConnection, buffer)) {
       return;
@@ -249,6 +249,30 @@
   aStream.close();
 }
 
+/** Serves an accepted connection, unless too many are open. */
+template<class Server>
+void
+Admit(const std::shared_ptr<Server>& aServer,
+      boost::asio::ip::tcp::socket aSocket)
+{
+  if (aServer->mConnections.size() >= aServer->mLimits.mMostConnections) {
+    ++aServer->mRefusedConnections;
+    return;
+  }
+  boost::system::error_code ignored;
+  aSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  auto connection = std::make_shared<ServerConnection>(
+    ServerConnection{ beast::tcp_stream(std::move(aSocket)) });
+  aServer->mConnections.insert(connection);
+  aServer->mPeakConnections =
+    std::max(aServer->mPeakConnections, aServer->mConnections.size());
+  StartFiber([aServer, connection] {
+    ServeConnection(*aServer, *connection);
+    CloseStream(connection->mStream);
+    aServer->mConnections.erase(connection);
+  });
+}
+
 /** Accepts connections until the acceptor closes. */
 template<class Server>
 void
@@ -259,29 +283,28 @@
     const IoResult accepted = Await([&](auto aHandler) {
       aServer->mAcceptor.async_accept(socket, aHandler);
     });
-    if (aServer->mStopping) {
-      return;
-    }
-    if (accepted.mError) {
+    if (!accepted.mError) {
+      Admit(aServer, std::move(socket));
+    } else if (!aServer->mStopping) {
       boost::this_fiber::sleep_for(kStopPollInterval);
-      continue;
     }
-    if (aServer->mConnections.size() >= aServer->mLimits.mMostConnections) {
-      ++aServer->mRefusedConnections;
-      continue;
+  }
+}
+
+/** Takes the connections that the system has accepted already: closing the
+    port would reset them. */
+template<class Server>
+void
+AdmitWaiting(const std::shared_ptr<Server>& aServer)
+{
+  boost::system::error_code error;
+  aServer->mAcceptor.non_blocking(true, error);
+  while (!error) {
+    boost::asio::ip::tcp::socket socket(aServer->mAcceptor.get_executor());
+    aServer->mAcceptor.accept(socket, error);
+    if (!error) {
+      Admit(aServer, std::move(socket));
     }
-    boost::system::error_code ignored;
-    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    auto connection = std::make_shared<ServerConnection>(
-      ServerConnection{ beast::tcp_stream(std::move(socket)) });
-    aServer->mConnections.insert(connection);
-    aServer->mPeakConnections =
-      std::max(aServer->mPeakConnections, aServer->mConnections.size());
-    StartFiber([aServer, connection] {
-      ServeConnection(*aServer, *connection);
-      CloseStream(connection->mStream);
-      aServer->mConnections.erase(connection);
-    });
   }
 }
 
@@ -342,7 +365,12 @@
 {
   mImplementation->mStopping = true;
   boost::system::error_code ignored;
+  AdmitWaiting(mImplementation);
   mImplementation->mAcceptor.close(ignored);
+  // A request may be on its way on a connection that seems idle.
+  if (!mImplementation->mConnections.empty()) {
+    boost::this_fiber::sleep_for(kLastRequestWait);
+  }
   for (const auto& connection : mImplementation->mConnections) {
     if (connection->mIsIdle) {
       CloseStream(connection->mStream);
