--- a/modules/wasabispread_decisions/NodeState.h
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -43,8 +43,8 @@
   EntryState mEntry;
   PlacementState mPlacement;
   OwnerState mOwner;
-  ClaimState mClaims;
   PauseState mPause;
+  ClaimState mClaims;
   TimerQueue mTimers;
   Counters mCounters;
   /** Messages from this node to itself, handled before Reduce() returns. */
