--- a/apps/daemon/Daemon.cpp
+++ b/apps/daemon/Daemon.cpp
@@ -74,7 +74,7 @@
   peerLimits.mMostFrameBytes = mSettings.mMostFrameBytes;
   const auto started = mRunner.Start(peerLimits);
   if (!started) {
-    return started;
+    return tl::unexpected<Error>(started.error());
   }
   HttpServerLimits callerLimits;
   callerLimits.mMostBodyBytes = mSettings.mMostBodyBytes;
--- a/modules/wasabispread_decisions/AtMostOnceTests.cpp
+++ b/modules/wasabispread_decisions/AtMostOnceTests.cpp
@@ -34,6 +34,7 @@
     }
     mFleet.Apply(DeploymentText({ ServiceText{} }));
     mFleet.RunFor(std::chrono::seconds(5));
+    mFleet.mNetwork.mDuplication = 0.1;
   }
 
   /** Each step harms or mends something, or asks, or repeats. */
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -26,8 +26,6 @@
   Duration mBetweenZones = std::chrono::milliseconds(4);
   /** The share of a delay that is random. */
   double mJitter = 0.2;
-  /** The share of messages, 0 to 1, that arrive twice. */
-  double mDuplicates = 0;
   /** The share of messages, 0 to 1, that arrive mRetransmission later. */
   double mLoss = 0;
   Duration mRetransmission = std::chrono::milliseconds(200);
