--- a/modules/wasabispread_decisions/Admission.cpp
+++ b/modules/wasabispread_decisions/Admission.cpp
@@ -20,23 +20,30 @@
   const double elapsed = ToMilliseconds(aNow - aAdmission.mUpdated);
   const double factor = std::exp2(-elapsed / kHalfLifeMs);
   aAdmission.mOffered *= factor;
+  aAdmission.mAdmitted *= factor;
   aAdmission.mAccepted *= factor;
   aAdmission.mUpdated = aNow;
 }
 
 /** The share of requests to refuse, so that those taken are little more than
-    the targets accept. */
+    the targets accept; when they accept nearly all, twice as many are taken,
+    so that service is back soon after a fault. */
 double
 RefusalShare(const AdmissionState& aAdmission)
 {
   constexpr double kLeastOffered = 20;
-  constexpr double kAcceptedMultiple = 1.25;
+  constexpr double kProbingMultiple = 1.25;
+  constexpr double kRecoveringMultiple = 2;
+  constexpr double kNearlyAll = 0.95;
   constexpr double kMostRefused = 0.9;
   if (aAdmission.mOffered < kLeastOffered) {
     return 0;
   }
+  const bool isRecovering =
+    aAdmission.mAccepted >= kNearlyAll * aAdmission.mAdmitted;
+  const double multiple = isRecovering ? kRecoveringMultiple : kProbingMultiple;
   const double wanted =
-    1 - kAcceptedMultiple * aAdmission.mAccepted / aAdmission.mOffered;
+    1 - multiple * aAdmission.mAccepted / aAdmission.mOffered;
   return std::clamp(wanted, 0.0, kMostRefused);
 }
 
@@ -143,6 +150,7 @@
   AdmissionState& admission = place->second.mAdmission;
   Age(admission, aNow);
   admission.mOffered += 1;
+  admission.mAdmitted += 1;
   admission.mAccepted += aShare;
 }
 
--- a/modules/wasabispread_decisions/Admission.h
+++ b/modules/wasabispread_decisions/Admission.h
@@ -12,12 +12,13 @@
 struct CallerRequest;
 struct NodeState;
 
-/** A service's ended or refused requests, and how much of them was not refused
-    under load, weighted towards the present. Invariant: mAccepted never
-    exceeds mOffered by more than rounding. */
+/** A service's requests, those of them that were admitted and have ended, and
+    how much of these was not refused under load; weighted towards the present.
+    Invariant: mAccepted <= mAdmitted <= mOffered, but for rounding. */
 struct AdmissionState
 {
   double mOffered = 0;
+  double mAdmitted = 0;
   double mAccepted = 0;
   TimePoint mUpdated{};
   /** When a request whose budget seems too short may next be tried. */
--- a/modules/wasabispread_decisions/Answering.cpp
+++ b/modules/wasabispread_decisions/Answering.cpp
@@ -99,14 +99,10 @@
 bool
 IsMissingUnderLoad(const EntryState& aEntry, const ShardProgress& aShard)
 {
-  if (aShard.mStatus != ShardStatus::kMissing) {
-    return false;
-  }
-  if (aShard.mReason == MissingReason::kShed ||
-      aShard.mReason == MissingReason::kOverloaded) {
-    return true;
-  }
-  if (aShard.mReason != MissingReason::kTimeout || aShard.mAttempts == 0) {
+  const bool isRefusal = aShard.mReason == MissingReason::kShed ||
+                         aShard.mReason == MissingReason::kOverloaded;
+  if (aShard.mStatus != ShardStatus::kMissing || !isRefusal ||
+      aShard.mAttempts == 0) {
     return false;
   }
   const auto target =
--- a/modules/wasabispread_decisions/Attempts.cpp
+++ b/modules/wasabispread_decisions/Attempts.cpp
@@ -40,8 +40,24 @@
   return cancels.back().mSequences;
 }
 
+/** The time that an owner is given. It leaves enough for the owner to say, when
+    its time is up, whether an attempt ran. */
+Duration
+OwnerBudget(const NodeState& aState, Duration aLeft, const ZoneName& aOwnerZone)
+{
+  constexpr Duration kOwnZoneReserve = std::chrono::milliseconds(2);
+  constexpr Duration kOtherZoneReserve = std::chrono::milliseconds(12);
+  constexpr int kMostDivisor = 8;
+  const Duration reserve =
+    aOwnerZone == aState.mSelf.mZone ? kOwnZoneReserve : kOtherZoneReserve;
+  return aLeft - std::min(reserve, aLeft / kMostDivisor);
+}
+
 BatchRequest
-MakeBatchRequest(const NodeState& aState, const Query& aQuery, TimePoint aNow)
+MakeBatchRequest(const NodeState& aState,
+                 const Query& aQuery,
+                 const VmRecord& aOwner,
+                 TimePoint aNow)
 {
   BatchRequest request;
   request.mIncarnation = aState.mSelf.mIncarnation;
@@ -52,7 +68,7 @@
   request.mSnapshot = aQuery.mSnapshot;
   request.mKey = aQuery.mRequest.mKey;
   request.mBody = aQuery.mRequest.mBody;
-  request.mBudget = aQuery.mDeadline - aNow;
+  request.mBudget = OwnerBudget(aState, aQuery.mDeadline - aNow, aOwner.mZone);
   return request;
 }
 
@@ -173,7 +189,7 @@
   for (OwnerBatch& batch : aOutgoing.mBatches) {
     const VmRecord* member = FindMember(aState.mMembership, batch.mOwner);
     assert(member != nullptr);
-    BatchRequest request = MakeBatchRequest(aState, aQuery, aNow);
+    BatchRequest request = MakeBatchRequest(aState, aQuery, *member, aNow);
     request.mItems = std::move(batch.mItems);
     ++aState.mCounters.mBatchesSent;
     SendToVm(
--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -56,6 +56,16 @@
          aShard.mAttempts - aShard.mHedges < kMostUnhedged;
 }
 
+/** Whether another attempt could still bring a result. */
+bool
+IsTimeForRetry(const NodeState& aState, const Query& aQuery, TimePoint aNow)
+{
+  constexpr double kFastShare = 0.1;
+  const ServiceObservation& service =
+    aState.mEntry.mServices.at(aQuery.mService);
+  return aQuery.mDeadline - aNow > service.mLatency.Quantile(kFastShare);
+}
+
 /** Sends another attempt after a failed one, if there is one to send. */
 bool
 Retry(NodeState& aState,
@@ -108,7 +118,8 @@
   }
   shard.mReason = aReason;
   const bool isRetried =
-    MayRetry(query, shard, aMayHaveRun) &&
+    MayRetry(query, shard, aMayHaveRun) && aReason != MissingReason::kTimeout &&
+    IsTimeForRetry(aState, query, aNow) &&
     Retry(aState, aPlace, aReason, aNow, aOutgoing, aEffects);
   if (!isRetried) {
     MarkMissing(query, shard, aReason);
@@ -226,7 +237,7 @@
     }
     HandleAttemptFailed(aState,
                         *place,
-                        reply.mReason,
+                        ReasonOf(reply),
                         reply.mOutcome == AttemptOutcome::kUnknown,
                         aNow,
                         outgoing,
@@ -265,7 +276,8 @@
   }
   const EntryPolicy& policy = aState.mEntry.mPolicy;
   const ServiceObservation& service = ObservedService(aState, aService);
-  query.mHedgeDelay = HedgeDelay(policy, aService, service);
+  query.mHedgeDelay =
+    HedgeDelay(policy, aService, service, query.mDeadline - aNow);
   query.mGrace =
     EarlyAnswerGrace(policy, LearnedDelay(aService, service).Longest());
   return query;
@@ -391,6 +403,7 @@
     ++aState.mCounters.mForeignReplies;
     return;
   }
+  ObserveOwnerHeard(aState, aOwner);
   EndAttempts(aState, aOwner, aReply.mItems, aNow, aEffects);
 }
 
--- a/modules/wasabispread_decisions/Hedging.cpp
+++ b/modules/wasabispread_decisions/Hedging.cpp
@@ -30,8 +30,10 @@
 DelayByDistance
 HedgeDelay(const EntryPolicy& aPolicy,
            const Service& aService,
-           const ServiceObservation& aObserved)
+           const ServiceObservation& aObserved,
+           Duration aBudget)
 {
+  constexpr int kUnlearnedDivisor = 4;
   switch (aPolicy.mHedge) {
     case HedgeRule::kNone:
       return {};
@@ -40,8 +42,16 @@
     case HedgeRule::kLearnedQuantile:
       break;
   }
-  return aService.mExtraLoad > 0 ? LearnedDelay(aService, aObserved)
-                                 : DelayByDistance{};
+  if (aService.mExtraLoad <= 0) {
+    return {};
+  }
+  DelayByDistance delay = LearnedDelay(aService, aObserved);
+  for (Duration* each : { &delay.mOwnZone, &delay.mOtherZone }) {
+    if (*each == Duration::zero()) {
+      *each = aBudget / kUnlearnedDivisor;
+    }
+  }
+  return delay;
 }
 
 TimePoint
--- a/modules/wasabispread_decisions/Hedging.h
+++ b/modules/wasabispread_decisions/Hedging.h
@@ -14,11 +14,12 @@
 LearnedDelay(const Service& aService, const ServiceObservation& aObserved);
 
 /** How long an attempt of a service may take before it is hedged; zero when it
-    is not. */
+    is not. While nothing is learned, a part of the request's own budget. */
 DelayByDistance
 HedgeDelay(const EntryPolicy& aPolicy,
            const Service& aService,
-           const ServiceObservation& aObserved);
+           const ServiceObservation& aObserved,
+           Duration aBudget);
 
 /** When a shard's attempt has taken long enough to be hedged;
     TimePoint::max() when it is not to be. */
--- a/modules/wasabispread_decisions/QueryPlan.cpp
+++ b/modules/wasabispread_decisions/QueryPlan.cpp
@@ -45,6 +45,7 @@
   constexpr double kOtherZonePenalty = 4e6;
   constexpr double kLeastSuccess = 0.05;
   constexpr double kUsualConcurrency = 4;
+  constexpr double kFailurePenalty = 2e7;
   const double zone =
     aCandidate.mTarget->mZone == aState.mSelf.mZone ? 0 : kOtherZonePenalty;
   if (aCandidate.mSeen == nullptr) {
@@ -54,7 +55,8 @@
   const double latency = seen.mLatency > 0 ? seen.mLatency : kUnknownLatency;
   const double success = std::max(seen.mSuccess, kLeastSuccess);
   const double crowding = 1 + seen.mInFlight / kUsualConcurrency;
-  return zone + latency * crowding / (success * success);
+  const double failures = kFailurePenalty * seen.mFailures;
+  return zone + failures + latency * crowding / (success * success);
 }
 
 /** Whether a replica said that it does not hold the snapshot. */
@@ -105,10 +107,14 @@
 Grade
 GradeOfTried(const NodeState& aState,
              const ShardProgress& aShard,
-             TargetId aTarget)
+             TargetId aTarget,
+             const TargetObservation& aSeen)
 {
+  constexpr std::uint32_t kMostFailures = 1;
   if (!IsInFlight(aState.mEntry, aShard, aTarget)) {
-    return Grade::kTried;
+    const bool isPromising = aSeen.mStanding == TargetStanding::kInUse &&
+                             aSeen.mFailures <= kMostFailures;
+    return isPromising ? Grade::kTried : Grade::kUnusable;
   }
   return WereSeveralTried(aShard) ? Grade::kBusy : Grade::kUnusable;
 }
@@ -129,31 +135,44 @@
   if (seen->mStanding == TargetStanding::kDraining) {
     return Grade::kUnusable;
   }
-  // A hedge must be likely to help; what is left may do for a retry.
+  // Extra attempts must be likely to help; a first one takes what there is.
   const bool isHedge = aShard.mAttemptsInFlight != 0;
+  const bool isExtra = aShard.mAttempts != 0;
   if (LacksSnapshot(*seen, aQuery.mSnapshot)) {
     const bool isFresh = aNow - seen->mSnapshotsSeen < kSnapshotsStaleAfter;
     return isFresh || isHedge ? Grade::kUnusable : Grade::kStale;
   }
   if (WasTried(aShard, target)) {
-    return GradeOfTried(aState, aShard, target);
+    return GradeOfTried(aState, aShard, target, *seen);
   }
   if (seen->mStanding == TargetStanding::kEjected) {
-    return isHedge ? Grade::kUnusable : Grade::kEjected;
+    return isExtra ? Grade::kUnusable : Grade::kEjected;
   }
   return Grade::kGood;
 }
 
+/** Whether a shard's attempt may serve as a probe: a first one, of idempotent
+    work, that can be paid for again should it fail. */
+bool
+MayProbe(const EntryState& aEntry,
+         const Query& aQuery,
+         const ShardProgress& aShard)
+{
+  constexpr double kLeastTokens = 2;
+  return aShard.mAttempts == 0 && IsIdempotent(aQuery.mRequest.mOperation) &&
+         aEntry.mServices.at(aQuery.mService).mBudget.mTokens >= kLeastTokens;
+}
+
 /** Whether a replica out of use is due for a probe. */
 bool
-IsProbeDue(const Query& aQuery,
+IsProbeDue(const EntryState& aEntry,
+           const Query& aQuery,
            const ShardProgress& aShard,
            const TargetObservation* aSeen,
            TimePoint aNow)
 {
   return aSeen != nullptr && aSeen->mStanding != TargetStanding::kInUse &&
-         aNow >= aSeen->mNextProbe && aShard.mAttempts == 0 &&
-         IsIdempotent(aQuery.mRequest.mOperation);
+         aNow >= aSeen->mNextProbe && MayProbe(aEntry, aQuery, aShard);
 }
 
 /** Whether the slower of two replicas should be asked to learn whether it is
@@ -167,10 +186,9 @@
 {
   constexpr Duration kInterval = std::chrono::seconds(1);
   constexpr std::uint64_t kOneIn = 8;
-  return aSlower.mSeen != nullptr && aShard.mAttempts == 0 &&
-         aSlower.mGrade == Grade::kGood &&
+  return aSlower.mSeen != nullptr && aSlower.mGrade == Grade::kGood &&
          aSlower.mSeen->mLastAsked + kInterval < aNow &&
-         IsIdempotent(aQuery.mRequest.mOperation) &&
+         MayProbe(aState.mEntry, aQuery, aShard) &&
          aState.mRandom.Below(kOneIn) == 0;
 }
 
@@ -254,7 +272,7 @@
     const auto seen = aState.mEntry.mTargets.find(candidate.mTarget->mId);
     candidate.mSeen =
       seen == aState.mEntry.mTargets.end() ? nullptr : &seen->second;
-    if (IsProbeDue(aQuery, aShard, candidate.mSeen, aNow)) {
+    if (IsProbeDue(aState.mEntry, aQuery, aShard, candidate.mSeen, aNow)) {
       candidate.mSeen->mNextProbe = aNow + candidate.mSeen->mProbeInterval;
       ++aState.mCounters.mProbes;
       return position;
--- a/modules/wasabispread_decisions/TargetHealth.cpp
+++ b/modules/wasabispread_decisions/TargetHealth.cpp
@@ -200,15 +200,17 @@
   return target;
 }
 
-/** More than an attempt at a service takes when nothing is wrong. */
+/** More than an attempt at a service takes when nothing is wrong. Derived from
+    the median, which a few broken targets cannot move. */
 Duration
 OrdinaryMost(const NodeState& aState, ServiceId aService)
 {
-  constexpr double kHighShare = 0.95;
+  constexpr double kMedian = 0.5;
+  constexpr int kMultiple = 4;
   const auto place = aState.mEntry.mServices.find(aService);
   return place == aState.mEntry.mServices.end()
            ? Duration::zero()
-           : place->second.mLatency.Quantile(kHighShare) * 2;
+           : place->second.mLatency.Quantile(kMedian) * kMultiple;
 }
 
 /** Prefers the other owner for a while when this one answers nothing. */
@@ -273,16 +275,18 @@
 {
   TargetObservation& target = EndObserved(aState, aPlace);
   OwnerObservation& owner = aState.mEntry.mOwners[aPlace.mOwner];
-  if (aReply.mReason != MissingReason::kOwnerLost) {
-    owner.mUnansweredSince = TimePoint{};
-  }
   LearnSnapshots(aState, target, aReply.mHeldSnapshots, aNow);
   if (aReply.mOutcome != AttemptOutcome::kAnswered) {
     if (aReply.mReason == MissingReason::kNoOwner) {
       owner.mAvoidUntil = aNow + kOwnerAvoidance;
     }
-    ObserveFailure(
-      aState, aPlace.mTarget, target, aReply.mReason, aNow, aEffects);
+    const MissingReason reason = ReasonOf(aReply);
+    const bool isTooSoon =
+      reason == MissingReason::kTimeout &&
+      aNow - aPlace.mSent <= OrdinaryMost(aState, target.mService);
+    if (!isTooSoon) {
+      ObserveFailure(aState, aPlace.mTarget, target, reason, aNow, aEffects);
+    }
     return;
   }
   target.mFailures = 0;
@@ -308,8 +312,9 @@
     LearnLatency(target, elapsed);
   }
   // A hedge's time so far says little; a first attempt's tells that it is
-  // beyond the quantile that the hedge waited for.
-  if (!aPlace.mIsHedge) {
+  // beyond the quantile that the hedge waited for. A broken target's time says
+  // nothing about the service's speed.
+  if (!aPlace.mIsHedge && target.mStanding == TargetStanding::kInUse) {
     RecordLatency(aState.mEntry.mServices[target.mService], aPlace, elapsed);
   }
   if (!aIsTimeout) {
@@ -324,6 +329,20 @@
   }
 }
 
+MissingReason
+ReasonOf(const ItemReply& aReply)
+{
+  const bool hasWaited = aReply.mOutcome == AttemptOutcome::kNotRun &&
+                         aReply.mReason == MissingReason::kTimeout;
+  return hasWaited ? MissingReason::kOverloaded : aReply.mReason;
+}
+
+void
+ObserveOwnerHeard(NodeState& aState, VmId aOwner)
+{
+  aState.mEntry.mOwners[aOwner].mUnansweredSince = TimePoint{};
+}
+
 void
 ObserveOwnerLost(NodeState& aState, VmId aOwner, TimePoint aNow)
 {
--- a/modules/wasabispread_decisions/TargetHealth.h
+++ b/modules/wasabispread_decisions/TargetHealth.h
@@ -30,6 +30,11 @@
              TimePoint aNow,
              Effects& aEffects);
 
+/** Why an attempt failed. One that waited its whole time without being sent is
+    a sign of load, not of a slow target. */
+MissingReason
+ReasonOf(const ItemReply& aReply);
+
 /** Takes in that an attempt was given up; its latency is at least the time it
     took so far. aIsTimeout: its target had all the time there was. */
 void
@@ -39,6 +44,10 @@
                  TimePoint aNow,
                  Effects& aEffects);
 
+/** Takes in that an owner sent something. */
+void
+ObserveOwnerHeard(NodeState& aState, VmId aOwner);
+
 /** Takes in that the connection to an owner broke. */
 void
 ObserveOwnerLost(NodeState& aState, VmId aOwner, TimePoint aNow);
