--- a/modules/wasabispread_decisions/Attempts.cpp
+++ b/modules/wasabispread_decisions/Attempts.cpp
@@ -89,7 +89,7 @@
   if (!position) {
     return tl::unexpected(position.error());
   }
-  const auto owner = ChooseOwner(aState, aQuery, shard, *position, aNow);
+  const auto owner = PickOwner(aState, aQuery, shard, *position, aNow);
   if (!owner) {
     return tl::unexpected(owner.error());
   }
--- a/modules/wasabispread_decisions/DecisionRecord.h
+++ b/modules/wasabispread_decisions/DecisionRecord.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include "Answer.h"
+#include "ControlMessage.h"
+#include "PlacementState.h"
 
 #include <string>
 #include <variant>
@@ -85,6 +87,45 @@
   std::uint32_t mLeaving = 0;
 };
 
+/** A VM was suspected or held dead after unanswered probes. */
+struct MemberJudged
+{
+  VmId mVm;
+  MemberCondition mCondition = MemberCondition::kSuspect;
+};
+
+/** An owner is passed over. */
+struct OwnerAvoided
+{
+  VmId mOwner;
+  AvoidanceReason mReason = AvoidanceReason::kLost;
+};
+
+/** This VM's share of a group's connections changed. */
+struct ShareChanged
+{
+  ServiceId mService;
+  ZoneName mZone;
+  std::uint64_t mGroup = 0;
+  /** Connections to each target of the group. */
+  std::uint32_t mPrevious = 0;
+  std::uint32_t mShare = 0;
+};
+
+/** A target gets no new work from this VM, or gets it again. */
+struct TargetHeldBack
+{
+  TargetId mTarget;
+  /** False when it is used again. */
+  bool mIsHeldBack = true;
+};
+
+/** The process stood still, so that what it knew may be out of date. */
+struct PauseNoticed
+{
+  Duration mLength{};
+};
+
 /** A slow shard's second attempt. */
 struct HedgedShard
 {
@@ -140,6 +181,11 @@
                                     ConfigurationAdopted,
                                     ConfigurationRejected,
                                     MembershipChanged,
+                                    MemberJudged,
+                                    OwnerAvoided,
+                                    ShareChanged,
+                                    TargetHeldBack,
+                                    PauseNoticed,
                                     AttemptsHedged,
                                     ExtraLoadExhausted,
                                     TargetEjected,
--- a/modules/wasabispread_decisions/Effect.h
+++ b/modules/wasabispread_decisions/Effect.h
@@ -50,6 +50,14 @@
   TargetRequest mRequest;
 };
 
+/** Tell a target, on an idle connection, that an attempt sent on another one
+    is no longer wanted; answered by TargetReplied or TargetConnectionLost. */
+struct SendCancelToTarget
+{
+  ConnectionId mConnection;
+  AttemptId mAttempt;
+};
+
 /** Wait until the configuration's store version exceeds one; answered by
     StoreWatched. */
 struct WatchConfiguration
@@ -68,6 +76,13 @@
   DecisionRecord mRecord;
 };
 
+/** Tells an operator which VMs have a revision in force. */
+struct AnswerConfirmation
+{
+  CallerToken mToken;
+  ConfirmationReport mReport;
+};
+
 using Effect = std::variant<AnswerCaller,
                             SendToPeer,
                             OpenTargetConnection,
@@ -75,7 +90,9 @@
                             SendToTarget,
                             WatchConfiguration,
                             ReadVmList,
-                            LogDecision>;
+                            LogDecision,
+                            AnswerConfirmation,
+                            SendCancelToTarget>;
 
 using Effects = std::vector<Effect>;
 
--- a/modules/wasabispread_decisions/NodeState.h
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -4,10 +4,14 @@
 #pragma once
 
 #include "ConfigurationState.h"
+#include "ConfirmationState.h"
 #include "Counters.h"
 #include "EntryState.h"
 #include "MembershipState.h"
 #include "OwnerState.h"
+#include "PauseState.h"
+#include "PlacementState.h"
+#include "PlatformBudget.h"
 #include "Random.h"
 #include "TimerQueue.h"
 
@@ -33,8 +37,12 @@
   Random mRandom;
   ConfigurationState mConfiguration;
   MembershipState mMembership;
+  ConfirmationState mConfirmation;
+  PlatformBudget mPlatformBudget;
   EntryState mEntry;
+  PlacementState mPlacement;
   OwnerState mOwner;
+  PauseState mPause;
   TimerQueue mTimers;
   Counters mCounters;
   /** Messages from this node to itself, handled before Reduce() returns. */
@@ -51,8 +59,11 @@
   TimePoint NextDue() const { return mTimers.NextDue(); }
 };
 
-/** A state for a node that has not started. */
+/** A state for a node that has not started. aPeers are VMs that it asks for
+    the configuration and the members at its start; it may be among them. */
 NodeState
-MakeNodeState(NodeIdentity aSelf, std::uint64_t aSeed);
+MakeNodeState(NodeIdentity aSelf,
+              std::uint64_t aSeed,
+              const std::vector<VmRecord>& aPeers = {});
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/QueryPlan.h
+++ b/modules/wasabispread_decisions/QueryPlan.h
@@ -35,10 +35,10 @@
     owner under suspicion, or one that already holds an attempt at the shard,
     is passed over while the other is better. */
 tl::expected<VmId, MissingReason>
-ChooseOwner(NodeState& aState,
-            const Query& aQuery,
-            const ShardProgress& aShard,
-            std::uint32_t aTargetPosition,
-            TimePoint aNow);
+PickOwner(NodeState& aState,
+          const Query& aQuery,
+          const ShardProgress& aShard,
+          std::uint32_t aTargetPosition,
+          TimePoint aNow);
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -18,8 +18,9 @@
 
   void operator()(const Started&)
   {
-    StartConfiguration(mState, mEffects);
-    StartMembership(mState, mEffects);
+    StartHeartbeat(mState, mNow);
+    StartCandidates(mState, mNow);
+    StartMembership(mState, mNow, mEffects);
   }
 
   void operator()(const CallerRequest& aEvent)
@@ -34,12 +35,15 @@
 
   void operator()(const PeerMessageReceived& aEvent)
   {
+    ObserveHeard(mState, aEvent.mPeer);
     HandleMessage(aEvent.mPeer, aEvent.mAddress, aEvent.mMessage);
   }
 
   void operator()(const PeerLost& aEvent)
   {
+    AvoidOwner(mState, aEvent.mPeer, AvoidanceReason::kLost, mNow, mEffects);
     HandleOwnerLost(mState, aEvent.mPeer, mNow, mEffects);
+    HandleMemberLost(mState, aEvent.mPeer, mNow, mEffects);
   }
 
   void operator()(const TargetConnected& aEvent)
@@ -70,9 +74,20 @@
   void operator()(const VmListReceived& aEvent)
   {
     HandleVmListReceived(mState, aEvent, mNow, mEffects);
+    ObserveMembers(mState, mNow, mEffects);
   }
 
-  void operator()(const StopRequested&) { mState.mStopping = true; }
+  void operator()(const StopRequested&)
+  {
+    mState.mStopping = true;
+    AnnounceStop(mState, mNow, mEffects);
+    ReleaseIdleConnections(mState, mEffects);
+  }
+
+  void operator()(const ConfirmationAsked& aEvent)
+  {
+    HandleConfirmationAsked(mState, aEvent, mNow, mEffects);
+  }
 
   void operator()(const Tick&)
   {
@@ -88,9 +103,37 @@
     if (const auto* request = std::get_if<BatchRequest>(&aMessage)) {
       HandleBatchRequest(mState, aPeer, aAddress, *request, mNow, mEffects);
     } else if (const auto* reply = std::get_if<BatchReply>(&aMessage)) {
+      ObserveOwnerReply(mState, aPeer, *reply, mNow, mEffects);
       HandleBatchReply(mState, aPeer, *reply, mNow, mEffects);
     } else if (const auto* cancel = std::get_if<BatchCancel>(&aMessage)) {
       HandleBatchCancel(mState, aPeer, *cancel, mNow, mEffects);
+    } else {
+      HandleControlMessage(aPeer, aAddress, aMessage);
+    }
+  }
+
+  void HandleControlMessage(VmId aPeer,
+                            const Endpoint& aAddress,
+                            const PeerMessage& aMessage)
+  {
+    if (const auto* probe = std::get_if<MemberProbe>(&aMessage)) {
+      HandleProbe(mState, aPeer, aAddress, *probe, mNow, mEffects);
+    } else if (std::holds_alternative<MembersRequest>(aMessage)) {
+      HandleMembersRequest(mState, aPeer, aAddress, mEffects);
+    } else if (const auto* members = std::get_if<MembersReply>(&aMessage)) {
+      HandleMembersReply(mState, *members, mNow, mEffects);
+    } else if (const auto* offer = std::get_if<ConfigurationOffer>(&aMessage)) {
+      HandleOffer(mState, aPeer, aAddress, *offer, mNow, mEffects);
+    } else if (const auto* wanted = std::get_if<SectionsRequest>(&aMessage)) {
+      HandleSectionsRequest(mState, aPeer, aAddress, *wanted, mEffects);
+    } else if (const auto* sections = std::get_if<SectionsReply>(&aMessage)) {
+      HandleSectionsReply(mState, *sections, mNow, mEffects);
+    } else if (const auto* asked =
+                 std::get_if<ConfirmationRequest>(&aMessage)) {
+      HandleConfirmationRequest(
+        mState, aPeer, aAddress, *asked, mNow, mEffects);
+    } else if (const auto* report = std::get_if<ConfirmationReply>(&aMessage)) {
+      HandleConfirmationReply(mState, aPeer, *report, mEffects);
     }
   }
 
@@ -113,10 +156,37 @@
         HandleReconnect(mState, TargetId(aTimer.mKey), mNow, mEffects);
         break;
       case TimerKind::kWatchConfiguration:
-        StartConfiguration(mState, mEffects);
+        StartConfiguration(mState, mNow, mEffects);
         break;
       case TimerKind::kReadVmList:
-        StartMembership(mState, mEffects);
+        ReadMembers(mState, mNow, mEffects);
+        break;
+      case TimerKind::kProbeRound:
+        HandleProbeRound(mState, mNow, mEffects);
+        break;
+      case TimerKind::kSuspicionEnd:
+        HandleSuspicionEnd(mState, VmId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kParseConfiguration:
+        ContinueParsing(mState, mNow, mEffects);
+        break;
+      case TimerKind::kConfirmation:
+        HandleConfirmationDeadline(mState, aTimer.mKey, mEffects);
+        break;
+      case TimerKind::kRefreshCandidates:
+        RefreshCandidates(mState, mNow, mEffects);
+        break;
+      case TimerKind::kProbeOwner:
+        HandleProbeOwner(mState, VmId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kOwnerSilence:
+        HandleOwnerSilence(mState, VmId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kIdleConnections:
+        HandleIdleConnections(mState, TargetId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kHeartbeat:
+        StartHeartbeat(mState, mNow);
         break;
       case TimerKind::kHedge:
         HandleHedgeDue(mState, QueryId(aTimer.mKey), mNow, mEffects);
@@ -128,6 +198,20 @@
   }
 };
 
+/** Whoever is sent a cancellation has attempts to answer for. */
+void
+AwaitCancelled(NodeState& aState, const Effects& aEffects, TimePoint aNow)
+{
+  for (const Effect& effect : aEffects) {
+    const auto* send = std::get_if<SendToPeer>(&effect);
+    const bool isCancel =
+      send != nullptr && std::holds_alternative<BatchCancel>(send->mMessage);
+    if (isCancel) {
+      AwaitOwner(aState, send->mPeer, aNow);
+    }
+  }
+}
+
 } // namespace
 
 Effects
@@ -135,6 +219,7 @@
 {
   assert(aState.mLoopback.empty());
   Effects effects;
+  ObservePresent(aState, aNow, effects);
   EventHandler handler{ aState, aNow, effects };
   std::visit(handler, aEvent);
   while (!aState.mLoopback.empty()) {
@@ -142,6 +227,10 @@
     aState.mLoopback.pop_front();
     handler.HandleMessage(aState.mSelf.mId, aState.mSelf.mPeerAddress, message);
   }
+  if (aState.mPlacement.mMembersEpoch != aState.mMembership.mEpoch) {
+    ObserveMembers(aState, aNow, effects);
+  }
+  AwaitCancelled(aState, effects, aNow);
   return effects;
 }
 
