Leave owners' silence to OwnerRoutes; owners report time-outs in time

Since owners now get a little less time than the entry, a time-out comes back as a reply, so the entry needs no guess whether the owner or the target was silent. Before: two ways to avoid an owner; after: one. Test fixtures wait 10 s at the start, since placement holds connections only some seconds after a VM was listed (was 5 s: attempts were refused as no-owner); CorrelationTests lets the empty batches pass that probe owners, and checks the budget of every batch that carries attempts.

--- a/modules/wasabispread_decisions/Answering.cpp
+++ b/modules/wasabispread_decisions/Answering.cpp
@@ -129,13 +129,12 @@
 void
 CloseAttempts(NodeState& aState,
               Query& aQuery,
-              bool aIsTimeout,
               TimePoint aNow,
               Effects& aEffects)
 {
   Outgoing outgoing;
   for (ShardProgress& shard : aQuery.mShards) {
-    AbandonAttempts(aState, shard, aIsTimeout, aNow, outgoing, aEffects);
+    AbandonAttempts(aState, shard, aNow, outgoing);
   }
   SendOutgoing(aState, aQuery, outgoing, aNow, aEffects);
 }
@@ -250,8 +249,7 @@
       MarkMissing(query, shard, hasAttempt ? aReason : shard.mReason);
     }
   }
-  const bool isTimeout = aReason == MissingReason::kTimeout;
-  CloseAttempts(aState, query, isTimeout, aNow, aEffects);
+  CloseAttempts(aState, query, aNow, aEffects);
   RecordAccepted(
     aState, query.mService, AcceptedShare(aState.mEntry, query), aNow);
   Outcome outcome = BuildOutcome(query);
--- a/modules/wasabispread_decisions/Attempts.cpp
+++ b/modules/wasabispread_decisions/Attempts.cpp
@@ -148,10 +148,8 @@
 void
 AbandonAttempts(NodeState& aState,
                 ShardProgress& aShard,
-                bool aIsTimeout,
                 TimePoint aNow,
-                Outgoing& aOutgoing,
-                Effects& aEffects)
+                Outgoing& aOutgoing)
 {
   for (std::uint8_t index = 0;
        index < aShard.mAttempts && aShard.mAttemptsInFlight != 0;
@@ -163,7 +161,7 @@
     }
     --aShard.mAttemptsInFlight;
     const AttemptPlace& place = attempt.mapped();
-    ObserveAbandoned(aState, place, aIsTimeout, aNow, aEffects);
+    ObserveAbandoned(aState, place, aNow);
     CancelsFor(aOutgoing, place.mOwner).push_back(attempt.key());
   }
 }
--- a/modules/wasabispread_decisions/Attempts.h
+++ b/modules/wasabispread_decisions/Attempts.h
@@ -56,15 +56,12 @@
 void
 RefundExtraAttempt(NodeState& aState, const Query& aQuery);
 
-/** Gives up the attempts in flight at a shard. aIsTimeout: they had all the
-    time there was. */
+/** Gives up the attempts in flight at a shard. */
 void
 AbandonAttempts(NodeState& aState,
                 ShardProgress& aShard,
-                bool aIsTimeout,
                 TimePoint aNow,
-                Outgoing& aOutgoing,
-                Effects& aEffects);
+                Outgoing& aOutgoing);
 
 /** Sends what was collected for a request. */
 void
--- a/modules/wasabispread_decisions/CorrelationTests.cpp
+++ b/modules/wasabispread_decisions/CorrelationTests.cpp
@@ -174,8 +174,8 @@
     if (request == nullptr) {
       return;
     }
-    RC_ASSERT(request->mBudget > Duration::zero());
     for (const BatchItem& item : request->mItems) {
+      RC_ASSERT(request->mBudget > Duration::zero());
       mSent.push_back(
         SentItem{ aSend.mPeer, request->mRequestId, request->mSnapshot, item });
     }
--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -135,8 +135,7 @@
              const AttemptPlace& aPlace,
              const ItemReply& aReply,
              TimePoint aNow,
-             Outgoing& aOutgoing,
-             Effects& aEffects)
+             Outgoing& aOutgoing)
 {
   Query& query = aState.mEntry.mQueries.at(aPlace.mQuery);
   ShardProgress& shard = query.mShards[aPlace.mShardPosition];
@@ -154,7 +153,7 @@
   aState.mCounters.mHedgesWon += aPlace.mIsHedge ? 1 : 0;
   EarnExtraLoad(aState.mEntry.mServices[query.mService].mBudget,
                 *query.mServiceRecord);
-  AbandonAttempts(aState, shard, false, aNow, aOutgoing, aEffects);
+  AbandonAttempts(aState, shard, aNow, aOutgoing);
 }
 
 /** Takes a result into its request, unless it is of another snapshot. */
@@ -174,7 +173,7 @@
   const bool isOther = query.mRequest.mOperation == Operation::kSearch &&
                        query.mIsSettled && aReply.mSnapshot != query.mSnapshot;
   if (!isOther) {
-    AcceptResult(aState, aPlace, aReply, aNow, aOutgoing, aEffects);
+    AcceptResult(aState, aPlace, aReply, aNow, aOutgoing);
     return;
   }
   ++aState.mCounters.mSnapshotMismatches;
@@ -385,7 +384,7 @@
   Query& query = aState.mEntry.mQueries.at(queryId);
   Outgoing outgoing;
   for (ShardProgress& shard : query.mShards) {
-    AbandonAttempts(aState, shard, false, aNow, outgoing, aEffects);
+    AbandonAttempts(aState, shard, aNow, outgoing);
   }
   SendOutgoing(aState, query, outgoing, aNow, aEffects);
   aState.mEntry.mQueryOfCaller.erase(place);
@@ -403,7 +402,6 @@
     ++aState.mCounters.mForeignReplies;
     return;
   }
-  ObserveOwnerHeard(aState, aOwner);
   EndAttempts(aState, aOwner, aReply.mItems, aNow, aEffects);
 }
 
@@ -413,7 +411,6 @@
                 TimePoint aNow,
                 Effects& aEffects)
 {
-  ObserveOwnerLost(aState, aOwner, aNow);
   std::vector<ItemReply> replies;
   for (const AttemptSequence sequence : AttemptsAt(aState.mEntry, aOwner)) {
     ItemReply reply;
--- a/modules/wasabispread_decisions/EntryPolicyTests.cpp
+++ b/modules/wasabispread_decisions/EntryPolicyTests.cpp
@@ -48,7 +48,8 @@
     mFleet.AddVm("vm-b", "zone-b");
     mFleet.AddVm("vm-c", "zone-c");
     mFleet.Apply(mText);
-    mFleet.RunFor(std::chrono::seconds(5));
+    // Owners hold connections only some seconds after they were listed.
+    mFleet.RunFor(std::chrono::seconds(10));
   }
 
   /** Asks often enough that latencies are known. */
@@ -142,7 +143,7 @@
     service.mZones = { "zone-b" };
     Fixture fixture({ service });
     fixture.mFleet.AddVm("vm-b2", "zone-b");
-    fixture.mFleet.RunFor(std::chrono::seconds(5));
+    fixture.mFleet.RunFor(std::chrono::seconds(10));
     fixture.Learn();
     VmId first;
     for (const DecisionRecord& record : fixture.mFleet.Records()) {
--- a/modules/wasabispread_decisions/EntryState.h
+++ b/modules/wasabispread_decisions/EntryState.h
@@ -181,15 +181,6 @@
   std::vector<SnapshotVersion> mHeldSnapshots;
 };
 
-/** What an entry has seen of a VM as target owner. */
-struct OwnerObservation
-{
-  /** The first attempt since the last reply; the epoch when there is none. */
-  TimePoint mUnansweredSince{};
-  /** The other owner is preferred before this time. */
-  TimePoint mAvoidUntil{};
-};
-
 /** What an entry has seen of a service. */
 struct ServiceObservation
 {
@@ -222,7 +213,6 @@
   std::unordered_map<AttemptSequence, AttemptPlace> mAttempts;
   std::unordered_map<TargetId, TargetObservation> mTargets;
   std::unordered_map<ServiceId, ServiceObservation> mServices;
-  std::unordered_map<VmId, OwnerObservation> mOwners;
 };
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/FaultyFleetTests.cpp
+++ b/modules/wasabispread_decisions/FaultyFleetTests.cpp
@@ -47,7 +47,7 @@
         mFleet.AddVm("vm-" + std::to_string(vm), zones[vm % std::size(zones)]));
     }
     mFleet.Apply(DeploymentText({ FaultyService(aIsLatencyFirst) }));
-    mFleet.RunFor(std::chrono::seconds(5));
+    mFleet.RunFor(std::chrono::seconds(10));
   }
 
   void Run(int aSteps)
--- a/modules/wasabispread_decisions/QueryPlan.cpp
+++ b/modules/wasabispread_decisions/QueryPlan.cpp
@@ -315,33 +315,20 @@
   if (!preferred) {
     return tl::unexpected(MissingReason::kNoOwner);
   }
-  const auto isBusy = [&](VmId aOwner) {
+  const auto wasAsked = [&](VmId aOwner) {
     const auto end = aShard.mTried.begin() + aShard.mAttempts;
     return std::any_of(
       aShard.mTried.begin(), end, [aOwner](const ShardAttempt& aAttempt) {
         return aAttempt.mOwner == aOwner;
       });
   };
-  const auto costOf = [&](VmId aOwner) {
-    constexpr int kSuspectedCost = 2;
-    return (IsOwnerSuspected(aState.mEntry, aOwner, aNow) ? kSuspectedCost
-                                                          : 0) +
-           (isBusy(aOwner) ? 1 : 0);
-  };
-  VmId best = *preferred;
-  int bestCost = costOf(best);
-  if (bestCost == 0) {
-    return best;
+  if (!wasAsked(*preferred)) {
+    return *preferred;
   }
   const std::uint32_t group = configuration.mGroupOfTarget[position];
-  for (const VmId owner : UsableOwners(aState, group, aNow)) {
-    const int cost = costOf(owner);
-    if (cost < bestCost) {
-      best = owner;
-      bestCost = cost;
-    }
-  }
-  return best;
+  const auto owners = UsableOwners(aState, group, aNow);
+  const auto other = std::find_if_not(owners.begin(), owners.end(), wasAsked);
+  return other == owners.end() ? *preferred : *other;
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/QueryPlan.h
+++ b/modules/wasabispread_decisions/QueryPlan.h
@@ -32,8 +32,8 @@
               TimePoint aNow);
 
 /** The VM that shall run an attempt at a target, or why there is none. An
-    owner under suspicion, or one that already holds an attempt at the shard,
-    is passed over while the other is better. */
+    owner that was asked for the shard already is passed over while there is
+    another. */
 tl::expected<VmId, MissingReason>
 PickOwner(NodeState& aState,
           const Query& aQuery,
--- a/modules/wasabispread_decisions/SnapshotFollowUp.cpp
+++ b/modules/wasabispread_decisions/SnapshotFollowUp.cpp
@@ -135,7 +135,7 @@
   ++aQuery.mRestarts;
   ++aState.mCounters.mSnapshotRestarts;
   for (ShardProgress& shard : aQuery.mShards) {
-    AbandonAttempts(aState, shard, false, aNow, aOutgoing, aEffects);
+    AbandonAttempts(aState, shard, aNow, aOutgoing);
   }
   ChangeSnapshot(
     aState, aQueryId, aQuery, best.mSnapshot, aNow, aOutgoing, aEffects);
--- a/modules/wasabispread_decisions/TargetHealth.cpp
+++ b/modules/wasabispread_decisions/TargetHealth.cpp
@@ -12,7 +12,6 @@
 constexpr Duration kFirstProbe = std::chrono::milliseconds(250);
 constexpr Duration kLastProbe = std::chrono::seconds(2);
 constexpr Duration kDrainingProbe = std::chrono::seconds(5);
-constexpr Duration kOwnerAvoidance = std::chrono::seconds(1);
 constexpr double kNewWeight = 0.2;
 
 bool
@@ -213,16 +212,21 @@
            : place->second.mLatency.Quantile(kMedian) * kMultiple;
 }
 
-/** Prefers the other owner for a while when this one answers nothing. */
+/** Takes in a latency that would have been longer than the time so far. */
 void
-AvoidSilentOwner(OwnerObservation& aOwner, Duration aOrdinary, TimePoint aNow)
+RecordAtLeast(NodeState& aState,
+              TargetObservation& aTarget,
+              const AttemptPlace& aPlace,
+              bool aIsOfService,
+              TimePoint aNow)
 {
-  constexpr Duration kLeastSilence = std::chrono::milliseconds(100);
-  const Duration limit = std::max(kLeastSilence, aOrdinary);
-  if (aOwner.mUnansweredSince != TimePoint{} &&
-      aNow - aOwner.mUnansweredSince > limit) {
-    aOwner.mAvoidUntil = aNow + kOwnerAvoidance;
-    aOwner.mUnansweredSince = TimePoint{};
+  const Duration elapsed = aNow - aPlace.mSent;
+  if (static_cast<double>(elapsed.count()) > aTarget.mLatency) {
+    LearnLatency(aTarget, elapsed);
+  }
+  // A broken target's time says nothing about the service's speed.
+  if (aIsOfService && aTarget.mStanding == TargetStanding::kInUse) {
+    RecordLatency(aState.mEntry.mServices[aTarget.mService], aPlace, elapsed);
   }
 }
 
@@ -260,10 +264,6 @@
   target.mService = aService;
   target.mLastAsked = aNow;
   ++target.mInFlight;
-  OwnerObservation& owner = aState.mEntry.mOwners[aPlace.mOwner];
-  if (owner.mUnansweredSince == TimePoint{}) {
-    owner.mUnansweredSince = aNow;
-  }
 }
 
 void
@@ -274,13 +274,12 @@
              Effects& aEffects)
 {
   TargetObservation& target = EndObserved(aState, aPlace);
-  OwnerObservation& owner = aState.mEntry.mOwners[aPlace.mOwner];
   LearnSnapshots(aState, target, aReply.mHeldSnapshots, aNow);
   if (aReply.mOutcome != AttemptOutcome::kAnswered) {
-    if (aReply.mReason == MissingReason::kNoOwner) {
-      owner.mAvoidUntil = aNow + kOwnerAvoidance;
-    }
     const MissingReason reason = ReasonOf(aReply);
+    if (reason == MissingReason::kTimeout) {
+      RecordAtLeast(aState, target, aPlace, true, aNow);
+    }
     const bool isTooSoon =
       reason == MissingReason::kTimeout &&
       aNow - aPlace.mSent <= OrdinaryMost(aState, target.mService);
@@ -300,33 +299,12 @@
 }
 
 void
-ObserveAbandoned(NodeState& aState,
-                 const AttemptPlace& aPlace,
-                 bool aIsTimeout,
-                 TimePoint aNow,
-                 Effects& aEffects)
+ObserveAbandoned(NodeState& aState, const AttemptPlace& aPlace, TimePoint aNow)
 {
   TargetObservation& target = EndObserved(aState, aPlace);
-  const Duration elapsed = aNow - aPlace.mSent;
-  if (static_cast<double>(elapsed.count()) > target.mLatency) {
-    LearnLatency(target, elapsed);
-  }
   // A hedge's time so far says little; a first attempt's tells that it is
-  // beyond the quantile that the hedge waited for. A broken target's time says
-  // nothing about the service's speed.
-  if (!aPlace.mIsHedge && target.mStanding == TargetStanding::kInUse) {
-    RecordLatency(aState.mEntry.mServices[target.mService], aPlace, elapsed);
-  }
-  if (!aIsTimeout) {
-    return;
-  }
-  const Duration ordinary = OrdinaryMost(aState, target.mService);
-  AvoidSilentOwner(aState.mEntry.mOwners[aPlace.mOwner], ordinary, aNow);
-  if (elapsed > ordinary &&
-      !IsOwnerSuspected(aState.mEntry, aPlace.mOwner, aNow)) {
-    ObserveFailure(
-      aState, aPlace.mTarget, target, MissingReason::kTimeout, aNow, aEffects);
-  }
+  // beyond the quantile that the hedge waited for.
+  RecordAtLeast(aState, target, aPlace, !aPlace.mIsHedge, aNow);
 }
 
 MissingReason
@@ -337,23 +315,4 @@
   return hasWaited ? MissingReason::kOverloaded : aReply.mReason;
 }
 
-void
-ObserveOwnerHeard(NodeState& aState, VmId aOwner)
-{
-  aState.mEntry.mOwners[aOwner].mUnansweredSince = TimePoint{};
-}
-
-void
-ObserveOwnerLost(NodeState& aState, VmId aOwner, TimePoint aNow)
-{
-  aState.mEntry.mOwners[aOwner].mAvoidUntil = aNow + kOwnerAvoidance;
-}
-
-bool
-IsOwnerSuspected(const EntryState& aEntry, VmId aOwner, TimePoint aNow)
-{
-  const auto place = aEntry.mOwners.find(aOwner);
-  return place != aEntry.mOwners.end() && place->second.mAvoidUntil > aNow;
-}
-
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/TargetHealth.h
+++ b/modules/wasabispread_decisions/TargetHealth.h
@@ -1,6 +1,6 @@
 /*
- * What an entry concludes from its own exchanges about targets and owners. A
- * target's own reports are not consulted.
+ * What an entry concludes from its own exchanges about targets. A target's own
+ * reports are not consulted.
  */
 #pragma once
 
@@ -36,25 +36,9 @@
 ReasonOf(const ItemReply& aReply);
 
 /** Takes in that an attempt was given up; its latency is at least the time it
-    took so far. aIsTimeout: its target had all the time there was. */
+    took so far. That is no failure of the target: an owner that is there says
+    in time when the target is not. */
 void
-ObserveAbandoned(NodeState& aState,
-                 const AttemptPlace& aPlace,
-                 bool aIsTimeout,
-                 TimePoint aNow,
-                 Effects& aEffects);
-
-/** Takes in that an owner sent something. */
-void
-ObserveOwnerHeard(NodeState& aState, VmId aOwner);
-
-/** Takes in that the connection to an owner broke. */
-void
-ObserveOwnerLost(NodeState& aState, VmId aOwner, TimePoint aNow);
-
-/** Whether an owner broke off, or has been silent too long with attempts in
-    flight. */
-bool
-IsOwnerSuspected(const EntryState& aEntry, VmId aOwner, TimePoint aNow);
+ObserveAbandoned(NodeState& aState, const AttemptPlace& aPlace, TimePoint aNow);
 
 } // namespace wasabispread
