--- a/modules/wasabispread_decisions/Admission.cpp
+++ b/modules/wasabispread_decisions/Admission.cpp
@@ -66,9 +66,11 @@
 } // namespace
 
 Result<const Service*>
-CheckRequest(const NodeState& aState, const CallerRequest& aRequest)
+CheckRequest(const NodeState& aState,
+             const CallerRequest& aRequest,
+             TimePoint aNow)
 {
-  if (aState.mStopping) {
+  if (aNow >= aState.mRefusingFrom) {
     return Fail(ErrorKind::kNotReady,
                 "this VM is stopping",
                 "ask another VM of the deployment");
--- a/modules/wasabispread_decisions/Admission.h
+++ b/modules/wasabispread_decisions/Admission.h
@@ -27,7 +27,9 @@
 
 /** The service that a request may use, or why it may not. */
 Result<const Service*>
-CheckRequest(const NodeState& aState, const CallerRequest& aRequest);
+CheckRequest(const NodeState& aState,
+             const CallerRequest& aRequest,
+             TimePoint aNow);
 
 /** The time kept back so that the answer arrives within the caller's wait. */
 Duration
--- a/modules/wasabispread_decisions/DecisionRecord.h
+++ b/modules/wasabispread_decisions/DecisionRecord.h
@@ -174,6 +174,30 @@
   std::uint32_t mAskedAgain = 0;
 };
 
+/** What was decided about a claim on an idempotency key. */
+enum class ClaimDecision : std::uint8_t
+{
+  kMade,
+  /** Another request holds the key. */
+  kDuplicate,
+  /** The store did not take the claim in time, or its writes are spent. */
+  kFailed,
+  /** The claim was made too late and is given up. */
+  kReleased,
+};
+
+/** The name used in logs. */
+std::string_view
+ToText(ClaimDecision aDecision);
+
+/** A claim was decided on. */
+struct ClaimDecided
+{
+  RequestId mRequestId;
+  std::string mService;
+  ClaimDecision mDecision = ClaimDecision::kMade;
+};
+
 using DecisionRecord = std::variant<QueryPlanned,
                                     QueryAnswered,
                                     AttemptRetried,
@@ -190,6 +214,7 @@
                                     ExtraLoadExhausted,
                                     TargetEjected,
                                     TargetRestored,
-                                    SnapshotChanged>;
+                                    SnapshotChanged,
+                                    ClaimDecided>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Effect.h
+++ b/modules/wasabispread_decisions/Effect.h
@@ -5,6 +5,7 @@
 
 #include "DecisionRecord.h"
 #include "PeerMessage.h"
+#include "PlatformMessage.h"
 #include "TargetMessage.h"
 
 #include <variant>
@@ -83,6 +84,24 @@
   ConfirmationReport mReport;
 };
 
+/** Write a claim if its key has the version expected, 0 for none; answered by
+    ClaimSwapped. The store forgets it after mLifetime. */
+struct SwapClaim
+{
+  ClaimToken mToken;
+  std::string mKey;
+  std::uint64_t mExpected = 0;
+  ClaimRecord mRecord;
+  Duration mLifetime{};
+};
+
+/** Read a claim; answered by ClaimRead. */
+struct ReadClaim
+{
+  ClaimToken mToken;
+  std::string mKey;
+};
+
 using Effect = std::variant<AnswerCaller,
                             SendToPeer,
                             OpenTargetConnection,
@@ -92,7 +111,9 @@
                             ReadVmList,
                             LogDecision,
                             AnswerConfirmation,
-                            SendCancelToTarget>;
+                            SendCancelToTarget,
+                            SwapClaim,
+                            ReadClaim>;
 
 using Effects = std::vector<Effect>;
 
--- a/modules/wasabispread_decisions/Event.h
+++ b/modules/wasabispread_decisions/Event.h
@@ -27,6 +27,8 @@
   SharedBytes mBody;
   /** How long the caller will wait. */
   Duration mPatience{};
+  /** Names an action across repeats; empty when the caller gave none. */
+  std::string mIdempotencyKey;
 };
 
 /** A caller went away before its answer. */
@@ -49,6 +51,14 @@
   VmId mPeer;
 };
 
+/** Attempts that were to be sent to another VM, none of whose bytes were
+    written: they did not run. */
+struct AttemptsNotSent
+{
+  VmId mPeer;
+  std::vector<AttemptSequence> mAttempts;
+};
+
 /** A connection that was asked for is ready. */
 struct TargetConnected
 {
@@ -107,12 +117,31 @@
 
 /** The process was asked to stop. */
 struct StopRequested
-{};
+{
+  /** How long it still takes callers' requests, so that everyone can learn of
+      the stop first. */
+  Duration mNotice{};
+};
 
 /** Time has passed; sent when NodeState::NextDue() is reached. */
 struct Tick
 {};
 
+/** A write of a claim ended. */
+struct ClaimSwapped
+{
+  ClaimToken mToken;
+  /** The version written; kConflict when another version was there. */
+  Result<std::uint64_t> mVersion;
+};
+
+/** A claim was read. */
+struct ClaimRead
+{
+  ClaimToken mToken;
+  Result<StoredClaim> mStored;
+};
+
 using Event = std::variant<Started,
                            CallerRequest,
                            CallerGone,
@@ -126,6 +155,9 @@
                            VmListReceived,
                            StopRequested,
                            Tick,
-                           ConfirmationAsked>;
+                           ConfirmationAsked,
+                           AttemptsNotSent,
+                           ClaimSwapped,
+                           ClaimRead>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_platform/PlatformProtocol.h
+++ b/modules/wasabispread_platform/PlatformProtocol.h
@@ -42,6 +42,22 @@
                 std::uint64_t aExpected,
                 std::string aValue);
 
+/** PUT of a claim that the store forgets after its lifetime. */
+HttpRequest
+FormatClaimSwap(const SwapClaim& aSwap);
+
+/** The stored form of a claim. */
+std::string
+EncodeClaim(const ClaimRecord& aRecord);
+
+/** Reads the stored form of a claim. */
+Result<ClaimRecord>
+DecodeClaim(const std::string& aValue);
+
+/** Reads a read's response down to the claim in it. */
+Result<StoredClaim>
+ParseStoredClaim(const HttpResponse& aResponse);
+
 /** Reads the response to a read or a watch. */
 Result<StoreValue>
 ParseStoreValue(const HttpResponse& aResponse);
--- a/modules/wasabispread_runtime/NodeRunner.cpp
+++ b/modules/wasabispread_runtime/NodeRunner.cpp
@@ -58,6 +58,10 @@
     [this](VmId aPeer, const Endpoint& aAddress, PeerMessage aMessage) {
       Deliver(PeerMessageReceived{ aPeer, aAddress, std::move(aMessage) });
     };
+  handlers.mNotSent = [this](VmId aPeer,
+                             std::vector<AttemptSequence> aAttempts) {
+    Deliver(AttemptsNotSent{ aPeer, std::move(aAttempts) });
+  };
   handlers.mLost = [this](VmId aPeer) { Deliver(PeerLost{ aPeer }); };
   handlers.mNote = [this](const std::string& aNote) {
     mLog.Write(FormatMessage(
@@ -96,16 +100,28 @@
   }
 }
 
+void
+NodeRunner::DropCaller(CallerToken aToken)
+{
+  Deliver(CallerGone{ aToken });
+  auto caller = mCallers.extract(aToken);
+  if (!caller.empty()) {
+    caller.mapped().set_value(Error{ ErrorKind::kOutcomeUnknown,
+                                     "the caller closed its connection",
+                                     "keep the connection open while waiting",
+                                     Execution::kUnknown });
+  }
+}
+
 Outcome
-NodeRunner::Ask(CallerRequest aRequest)
+NodeRunner::Ask(CallerRequest aRequest, const ClosedWatch& aWatch)
 {
   aRequest.mToken = CallerToken(mNextToken++);
   const CallerToken token = aRequest.mToken;
   auto future = mCallers[token].get_future();
+  aWatch([this, token] { DropCaller(token); });
   Deliver(std::move(aRequest));
-  Outcome outcome = future.get();
-  mCallers.erase(token);
-  return outcome;
+  return future.get();
 }
 
 ConfirmationReport
@@ -128,9 +144,9 @@
 void
 NodeRunner::Perform(AnswerCaller& aEffect)
 {
-  const auto place = mCallers.find(aEffect.mToken);
-  if (place != mCallers.end()) {
-    place->second.set_value(std::move(aEffect.mOutcome));
+  auto caller = mCallers.extract(aEffect.mToken);
+  if (!caller.empty()) {
+    caller.mapped().set_value(std::move(aEffect.mOutcome));
   }
 }
 
@@ -168,9 +184,8 @@
 NodeRunner::Perform(SendToTarget& aEffect)
 {
   TargetLink& link = *mTargetLinks.at(aEffect.mConnection);
-  link.mNext =
-    TargetExchange{ FormatTargetRequest(aEffect.mRequest),
-                    aEffect.mRequest.mBudget + kLateReplyTimeout };
+  link.mNext = TargetExchange{ FormatTargetRequest(aEffect.mRequest),
+                               aEffect.mRequest.mBudget + kLateReplyTimeout };
   link.mWake.Notify();
 }
 
@@ -205,6 +220,26 @@
   });
 }
 
+void
+NodeRunner::Perform(SwapClaim& aEffect)
+{
+  StartFiber([this, effect = aEffect] {
+    const auto response =
+      ExchangeOnce(mLoop, mPlatform, FormatClaimSwap(effect), kPlatformTimeout);
+    Deliver(ClaimSwapped{ effect.mToken, response.and_then(ParseStoreSwap) });
+  });
+}
+
+void
+NodeRunner::Perform(ReadClaim& aEffect)
+{
+  StartFiber([this, effect = aEffect] {
+    const auto response = ExchangeOnce(
+      mLoop, mPlatform, FormatStoreRead(effect.mKey), kPlatformTimeout);
+    Deliver(ClaimRead{ effect.mToken, response.and_then(ParseStoredClaim) });
+  });
+}
+
 void
 NodeRunner::Perform(LogDecision& aEffect)
 {
@@ -252,6 +287,8 @@
   Deliver(TargetConnected{ aConnection });
   while (!aLink.mIsClosed) {
     if (!aLink.mNext) {
+      aLink.mConnection.WatchIdle(
+        [this, aConnection] { LoseIdleConnection(aConnection); });
       aLink.mWake.Wait();
       continue;
     }
@@ -265,6 +302,16 @@
   }
 }
 
+void
+NodeRunner::LoseIdleConnection(ConnectionId aConnection)
+{
+  const auto place = mTargetLinks.find(aConnection);
+  // With a request waiting to be written, the write itself finds the end.
+  if (place != mTargetLinks.end() && !place->second->mNext) {
+    Deliver(TargetConnectionLost{ aConnection, false });
+  }
+}
+
 void
 NodeRunner::DeliverTargetResult(ConnectionId aConnection,
                                 const Result<HttpResponse>& aResponse)
