--- a/modules/wasabispread_decisions/Answering.cpp
+++ b/modules/wasabispread_decisions/Answering.cpp
@@ -197,14 +197,18 @@
 }
 
 Duration
-EarlyAnswerGrace(const EntryPolicy& aPolicy, Duration aLearnedDelay)
+EarlyAnswerGrace(const EntryPolicy& aPolicy,
+                 Duration aLearnedDelay,
+                 Duration aMedian)
 {
+  constexpr int kMostMedians = 4;
   if (aPolicy.mEarlyAnswer == EarlyAnswerRule::kAtOnce) {
     return Duration::zero();
   }
   const double grace =
     aPolicy.mGraceFactor * static_cast<double>(aLearnedDelay.count());
-  return Duration(static_cast<std::int64_t>(grace));
+  return std::min(Duration(static_cast<std::int64_t>(grace)),
+                  aMedian * kMostMedians);
 }
 
 void
--- a/modules/wasabispread_decisions/Answering.h
+++ b/modules/wasabispread_decisions/Answering.h
@@ -19,9 +19,12 @@
 HasLeastCoverage(const Query& aQuery);
 
 /** How long after its start an early answer is held back, so that shards of
-    ordinary speed are still taken in. */
+    ordinary speed are still taken in. Broken targets raise the learned delay
+    but hardly the median, which therefore bounds it. */
 Duration
-EarlyAnswerGrace(const EntryPolicy& aPolicy, Duration aLearnedDelay);
+EarlyAnswerGrace(const EntryPolicy& aPolicy,
+                 Duration aLearnedDelay,
+                 Duration aMedian);
 
 /** Answers when nothing is pending, or when the answer may go early; arms a
     timer when it may go later. */
--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -258,12 +258,16 @@
     query.mSnapshot = PlanSnapshot(aState, query);
     query.mIsSettled = query.mSnapshot.Value() != 0;
   }
+  constexpr double kMedian = 0.5;
   const EntryPolicy& policy = aState.mEntry.mPolicy;
   const ServiceObservation& service = ObservedService(aState, aService);
   query.mHedgeDelay =
     HedgeDelay(policy, aService, service, query.mDeadline - aNow);
   query.mGrace =
-    EarlyAnswerGrace(policy, LearnedDelay(aService, service).Longest());
+    EarlyAnswerGrace(policy,
+                     LearnedDelay(aService, service).Longest(),
+                     std::max(service.mOwnZoneLatency.Quantile(kMedian),
+                              service.mOtherZoneLatency.Quantile(kMedian)));
   return query;
 }
 
