--- a/modules/wasabispread_decisions/Answering.cpp
+++ b/modules/wasabispread_decisions/Answering.cpp
@@ -99,14 +99,10 @@
 bool
 IsMissingUnderLoad(const EntryState& aEntry, const ShardProgress& aShard)
 {
-  if (aShard.mStatus != ShardStatus::kMissing) {
-    return false;
-  }
-  if (aShard.mReason == MissingReason::kShed ||
-      aShard.mReason == MissingReason::kOverloaded) {
-    return true;
-  }
-  if (aShard.mReason != MissingReason::kTimeout || aShard.mAttempts == 0) {
+  const bool isRefusal = aShard.mReason == MissingReason::kShed ||
+                         aShard.mReason == MissingReason::kOverloaded;
+  if (aShard.mStatus != ShardStatus::kMissing || !isRefusal ||
+      aShard.mAttempts == 0) {
     return false;
   }
   const auto target =
@@ -133,13 +129,12 @@
 void
 CloseAttempts(NodeState& aState,
               Query& aQuery,
-              bool aIsTimeout,
               TimePoint aNow,
               Effects& aEffects)
 {
   Outgoing outgoing;
   for (ShardProgress& shard : aQuery.mShards) {
-    AbandonAttempts(aState, shard, aIsTimeout, aNow, outgoing, aEffects);
+    AbandonAttempts(aState, shard, aNow, outgoing);
   }
   SendOutgoing(aState, aQuery, outgoing, aNow, aEffects);
 }
@@ -202,14 +197,18 @@
 }
 
 Duration
-EarlyAnswerGrace(const EntryPolicy& aPolicy, Duration aLearnedDelay)
+EarlyAnswerGrace(const EntryPolicy& aPolicy,
+                 Duration aLearnedDelay,
+                 Duration aMedian)
 {
+  constexpr int kMostMedians = 4;
   if (aPolicy.mEarlyAnswer == EarlyAnswerRule::kAtOnce) {
     return Duration::zero();
   }
   const double grace =
     aPolicy.mGraceFactor * static_cast<double>(aLearnedDelay.count());
-  return Duration(static_cast<std::int64_t>(grace));
+  return std::min(Duration(static_cast<std::int64_t>(grace)),
+                  aMedian * kMostMedians);
 }
 
 void
@@ -254,8 +253,7 @@
       MarkMissing(query, shard, hasAttempt ? aReason : shard.mReason);
     }
   }
-  const bool isTimeout = aReason == MissingReason::kTimeout;
-  CloseAttempts(aState, query, isTimeout, aNow, aEffects);
+  CloseAttempts(aState, query, aNow, aEffects);
   RecordAccepted(
     aState, query.mService, AcceptedShare(aState.mEntry, query), aNow);
   Outcome outcome = BuildOutcome(query);
--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -52,6 +52,16 @@
   return isLeaving && !aMayHaveRun;
 }
 
+/** Whether another attempt could still bring a result. */
+bool
+IsTimeForRetry(const NodeState& aState, const Query& aQuery, TimePoint aNow)
+{
+  constexpr double kFastShare = 0.1;
+  const ServiceObservation& service =
+    aState.mEntry.mServices.at(aQuery.mService);
+  return aQuery.mDeadline - aNow > service.mLatency.Quantile(kFastShare);
+}
+
 /** Sends another attempt after a failed one, if there is one to send. */
 bool
 Retry(NodeState& aState,
@@ -108,7 +118,8 @@
   }
   shard.mReason = aReason;
   const bool isRetried =
-    MayRetry(query, shard, aMayHaveRun) &&
+    MayRetry(query, shard, aMayHaveRun) && aReason != MissingReason::kTimeout &&
+    IsTimeForRetry(aState, query, aNow) &&
     Retry(aState, aPlace, aReason, aMayHaveRun, aNow, aOutgoing, aEffects);
   if (!isRetried) {
     MarkMissing(query, shard, aReason);
@@ -124,8 +135,7 @@
              const AttemptPlace& aPlace,
              const ItemReply& aReply,
              TimePoint aNow,
-             Outgoing& aOutgoing,
-             Effects& aEffects)
+             Outgoing& aOutgoing)
 {
   Query& query = aState.mEntry.mQueries.at(aPlace.mQuery);
   ShardProgress& shard = query.mShards[aPlace.mShardPosition];
@@ -143,7 +153,7 @@
   aState.mCounters.mHedgesWon += aPlace.mIsHedge ? 1 : 0;
   EarnExtraLoad(aState.mEntry.mServices[query.mService].mBudget,
                 *query.mServiceRecord);
-  AbandonAttempts(aState, shard, false, aNow, aOutgoing, aEffects);
+  AbandonAttempts(aState, shard, aNow, aOutgoing);
 }
 
 /** Takes a result into its request, unless it is of another snapshot. */
@@ -163,7 +173,7 @@
   const bool isOther = query.mRequest.mOperation == Operation::kSearch &&
                        query.mIsSettled && aReply.mSnapshot != query.mSnapshot;
   if (!isOther) {
-    AcceptResult(aState, aPlace, aReply, aNow, aOutgoing, aEffects);
+    AcceptResult(aState, aPlace, aReply, aNow, aOutgoing);
     return;
   }
   ++aState.mCounters.mSnapshotMismatches;
@@ -226,7 +236,7 @@
     }
     HandleAttemptFailed(aState,
                         *place,
-                        reply.mReason,
+                        ReasonOf(reply),
                         reply.mOutcome == AttemptOutcome::kUnknown,
                         aNow,
                         outgoing,
@@ -263,11 +273,16 @@
     query.mSnapshot = PlanSnapshot(aState, query);
     query.mIsSettled = query.mSnapshot.Value() != 0;
   }
+  constexpr double kMedian = 0.5;
   const EntryPolicy& policy = aState.mEntry.mPolicy;
   const ServiceObservation& service = ObservedService(aState, aService);
-  query.mHedgeDelay = HedgeDelay(policy, aService, service);
+  query.mHedgeDelay =
+    HedgeDelay(policy, aService, service, query.mDeadline - aNow);
   query.mGrace =
-    EarlyAnswerGrace(policy, LearnedDelay(aService, service).Longest());
+    EarlyAnswerGrace(policy,
+                     LearnedDelay(aService, service).Longest(),
+                     std::max(service.mOwnZoneLatency.Quantile(kMedian),
+                              service.mOtherZoneLatency.Quantile(kMedian)));
   return query;
 }
 
@@ -392,7 +407,7 @@
   Query& query = aState.mEntry.mQueries.at(queryId);
   Outgoing outgoing;
   for (ShardProgress& shard : query.mShards) {
-    AbandonAttempts(aState, shard, false, aNow, outgoing, aEffects);
+    AbandonAttempts(aState, shard, aNow, outgoing);
   }
   SendOutgoing(aState, query, outgoing, aNow, aEffects);
   aState.mEntry.mQueryOfCaller.erase(place);
@@ -419,7 +434,6 @@
                 TimePoint aNow,
                 Effects& aEffects)
 {
-  ObserveOwnerLost(aState, aOwner, aNow);
   std::vector<ItemReply> replies;
   for (const AttemptSequence sequence : AttemptsAt(aState.mEntry, aOwner)) {
     ItemReply reply;
--- a/modules/wasabispread_decisions/TargetHealth.cpp
+++ b/modules/wasabispread_decisions/TargetHealth.cpp
@@ -12,7 +12,6 @@
 constexpr Duration kFirstProbe = std::chrono::milliseconds(250);
 constexpr Duration kLastProbe = std::chrono::seconds(2);
 constexpr Duration kDrainingProbe = std::chrono::seconds(5);
-constexpr Duration kOwnerAvoidance = std::chrono::seconds(1);
 constexpr double kNewWeight = 0.2;
 
 bool
@@ -116,13 +115,14 @@
 void
 RecordLatency(ServiceObservation& aService,
               const AttemptPlace& aPlace,
-              Duration aLatency)
+              Duration aLatency,
+              TimePoint aNow)
 {
-  aService.mLatency.Add(aLatency);
+  aService.mLatency.Add(aLatency, aNow);
   if (aPlace.mDistance == Distance::kOwnZone) {
-    aService.mOwnZoneLatency.Add(aLatency);
+    aService.mOwnZoneLatency.Add(aLatency, aNow);
   } else {
-    aService.mOtherZoneLatency.Add(aLatency);
+    aService.mOtherZoneLatency.Add(aLatency, aNow);
   }
 }
 
@@ -200,27 +200,35 @@
   return target;
 }
 
-/** More than an attempt at a service takes when nothing is wrong. */
+/** More than an attempt at a service takes when nothing is wrong. Derived from
+    the median, which a few broken targets cannot move. */
 Duration
 OrdinaryMost(const NodeState& aState, ServiceId aService)
 {
-  constexpr double kHighShare = 0.95;
+  constexpr double kMedian = 0.5;
+  constexpr int kMultiple = 4;
   const auto place = aState.mEntry.mServices.find(aService);
   return place == aState.mEntry.mServices.end()
            ? Duration::zero()
-           : place->second.mLatency.Quantile(kHighShare) * 2;
+           : place->second.mLatency.Quantile(kMedian) * kMultiple;
 }
 
-/** Prefers the other owner for a while when this one answers nothing. */
+/** Takes in a latency that would have been longer than the time so far. */
 void
-AvoidSilentOwner(OwnerObservation& aOwner, Duration aOrdinary, TimePoint aNow)
+RecordAtLeast(NodeState& aState,
+              TargetObservation& aTarget,
+              const AttemptPlace& aPlace,
+              bool aIsOfService,
+              TimePoint aNow)
 {
-  constexpr Duration kLeastSilence = std::chrono::milliseconds(100);
-  const Duration limit = std::max(kLeastSilence, aOrdinary);
-  if (aOwner.mUnansweredSince != TimePoint{} &&
-      aNow - aOwner.mUnansweredSince > limit) {
-    aOwner.mAvoidUntil = aNow + kOwnerAvoidance;
-    aOwner.mUnansweredSince = TimePoint{};
+  const Duration elapsed = aNow - aPlace.mSent;
+  if (static_cast<double>(elapsed.count()) > aTarget.mLatency) {
+    LearnLatency(aTarget, elapsed);
+  }
+  // A broken target's time says nothing about the service's speed.
+  if (aIsOfService && aTarget.mStanding == TargetStanding::kInUse) {
+    RecordLatency(
+      aState.mEntry.mServices[aTarget.mService], aPlace, elapsed, aNow);
   }
 }
 
@@ -258,10 +266,6 @@
   target.mService = aService;
   target.mLastAsked = aNow;
   ++target.mInFlight;
-  OwnerObservation& owner = aState.mEntry.mOwners[aPlace.mOwner];
-  if (owner.mUnansweredSince == TimePoint{}) {
-    owner.mUnansweredSince = aNow;
-  }
 }
 
 void
@@ -272,17 +276,18 @@
              Effects& aEffects)
 {
   TargetObservation& target = EndObserved(aState, aPlace);
-  OwnerObservation& owner = aState.mEntry.mOwners[aPlace.mOwner];
-  if (aReply.mReason != MissingReason::kOwnerLost) {
-    owner.mUnansweredSince = TimePoint{};
-  }
   LearnSnapshots(aState, target, aReply.mHeldSnapshots, aNow);
   if (aReply.mOutcome != AttemptOutcome::kAnswered) {
-    if (aReply.mReason == MissingReason::kNoOwner) {
-      owner.mAvoidUntil = aNow + kOwnerAvoidance;
+    const MissingReason reason = ReasonOf(aReply);
+    if (reason == MissingReason::kTimeout) {
+      RecordAtLeast(aState, target, aPlace, true, aNow);
+    }
+    const bool isTooSoon =
+      reason == MissingReason::kTimeout &&
+      aNow - aPlace.mSent <= OrdinaryMost(aState, target.mService);
+    if (!isTooSoon) {
+      ObserveFailure(aState, aPlace.mTarget, target, reason, aNow, aEffects);
     }
-    ObserveFailure(
-      aState, aPlace.mTarget, target, aReply.mReason, aNow, aEffects);
     return;
   }
   target.mFailures = 0;
@@ -292,49 +297,25 @@
   target.mSuccess += (1 - target.mSuccess) * kNewWeight;
   const Duration latency = aNow - aPlace.mSent;
   LearnLatency(target, latency);
-  RecordLatency(aState.mEntry.mServices[target.mService], aPlace, latency);
+  RecordLatency(
+    aState.mEntry.mServices[target.mService], aPlace, latency, aNow);
 }
 
 void
-ObserveAbandoned(NodeState& aState,
-                 const AttemptPlace& aPlace,
-                 bool aIsTimeout,
-                 TimePoint aNow,
-                 Effects& aEffects)
+ObserveAbandoned(NodeState& aState, const AttemptPlace& aPlace, TimePoint aNow)
 {
   TargetObservation& target = EndObserved(aState, aPlace);
-  const Duration elapsed = aNow - aPlace.mSent;
-  if (static_cast<double>(elapsed.count()) > target.mLatency) {
-    LearnLatency(target, elapsed);
-  }
   // A hedge's time so far says little; a first attempt's tells that it is
   // beyond the quantile that the hedge waited for.
-  if (!aPlace.mIsHedge) {
-    RecordLatency(aState.mEntry.mServices[target.mService], aPlace, elapsed);
-  }
-  if (!aIsTimeout) {
-    return;
-  }
-  const Duration ordinary = OrdinaryMost(aState, target.mService);
-  AvoidSilentOwner(aState.mEntry.mOwners[aPlace.mOwner], ordinary, aNow);
-  if (elapsed > ordinary &&
-      !IsOwnerSuspected(aState.mEntry, aPlace.mOwner, aNow)) {
-    ObserveFailure(
-      aState, aPlace.mTarget, target, MissingReason::kTimeout, aNow, aEffects);
-  }
-}
-
-void
-ObserveOwnerLost(NodeState& aState, VmId aOwner, TimePoint aNow)
-{
-  aState.mEntry.mOwners[aOwner].mAvoidUntil = aNow + kOwnerAvoidance;
+  RecordAtLeast(aState, target, aPlace, !aPlace.mIsHedge, aNow);
 }
 
-bool
-IsOwnerSuspected(const EntryState& aEntry, VmId aOwner, TimePoint aNow)
+MissingReason
+ReasonOf(const ItemReply& aReply)
 {
-  const auto place = aEntry.mOwners.find(aOwner);
-  return place != aEntry.mOwners.end() && place->second.mAvoidUntil > aNow;
+  const bool hasWaited = aReply.mOutcome == AttemptOutcome::kNotRun &&
+                         aReply.mReason == MissingReason::kTimeout;
+  return hasWaited ? MissingReason::kOverloaded : aReply.mReason;
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/TargetHealth.h
+++ b/modules/wasabispread_decisions/TargetHealth.h
@@ -1,6 +1,6 @@
 /*
- * What an entry concludes from its own exchanges about targets and owners. A
- * target's own reports are not consulted.
+ * What an entry concludes from its own exchanges about targets. A target's own
+ * reports are not consulted.
  */
 #pragma once
 
@@ -30,22 +30,15 @@
              TimePoint aNow,
              Effects& aEffects);
 
-/** Takes in that an attempt was given up; its latency is at least the time it
-    took so far. aIsTimeout: its target had all the time there was. */
-void
-ObserveAbandoned(NodeState& aState,
-                 const AttemptPlace& aPlace,
-                 bool aIsTimeout,
-                 TimePoint aNow,
-                 Effects& aEffects);
+/** Why an attempt failed. One that waited its whole time without being sent is
+    a sign of load, not of a slow target. */
+MissingReason
+ReasonOf(const ItemReply& aReply);
 
-/** Takes in that the connection to an owner broke. */
+/** Takes in that an attempt was given up; its latency is at least the time it
+    took so far. That is no failure of the target: an owner that is there says
+    in time when the target is not. */
 void
-ObserveOwnerLost(NodeState& aState, VmId aOwner, TimePoint aNow);
-
-/** Whether an owner broke off, or has been silent too long with attempts in
-    flight. */
-bool
-IsOwnerSuspected(const EntryState& aEntry, VmId aOwner, TimePoint aNow);
+ObserveAbandoned(NodeState& aState, const AttemptPlace& aPlace, TimePoint aNow);
 
 } // namespace wasabispread
