--- a/benchmarks/overload.cpp
+++ b/benchmarks/overload.cpp
@@ -11,7 +11,8 @@
 {
   using namespace wasabispread::testing;
   std::printf("| load | goodput | naive goodput |\n|---|---|---|\n");
-  for (const double load : { 0.2, 0.4, 0.5, 0.8, 0.9, 1.0, 1.2, 1.5, 2.0, 3.0 }) {
+  for (const double load :
+       { 0.2, 0.4, 0.5, 0.8, 0.9, 1.0, 1.2, 1.5, 2.0, 3.0 }) {
     OverloadOptions options;
     options.mLoad = load;
     const double ours = MeasureGoodput(options);
--- a/modules/wasabispread_config/DaemonSettings.cpp
+++ b/modules/wasabispread_config/DaemonSettings.cpp
@@ -3,15 +3,42 @@
  */
 #include "TableReader.h"
 
+#include <algorithm>
+#include <initializer_list>
+
 namespace wasabispread {
 
 namespace {
 
 constexpr std::int64_t kMostConfigurableBytes = 64LL << 20;
 constexpr std::int64_t kLeastConfigurableBytes = 1024;
+constexpr DurationRange kStartSpreadRange{ Duration::zero(),
+                                           std::chrono::minutes(1) };
+constexpr DurationRange kHoldDelayRange{ std::chrono::milliseconds(500),
+                                         std::chrono::minutes(1) };
+constexpr DurationRange kStopNoticeRange{ Duration::zero(),
+                                          std::chrono::minutes(1) };
 constexpr DurationRange kStopWaitRange{ std::chrono::seconds(1),
                                         std::chrono::minutes(10) };
 
+/** Reports an address under [listen] that an earlier key has already. */
+void
+RejectSameAddress(TableReader& aListen,
+                  const toml::table& aTable,
+                  std::string_view aKey,
+                  const Endpoint& aAddress,
+                  std::initializer_list<Endpoint> aEarlier)
+{
+  const bool isTaken =
+    aAddress.mPort != 0 &&
+    std::find(aEarlier.begin(), aEarlier.end(), aAddress) != aEarlier.end();
+  if (isTaken) {
+    aListen.AddFault(*aTable.get(aKey),
+                     "the address " + ToText(aAddress) + " is listed twice",
+                     "give each interface an address of its own");
+  }
+}
+
 void
 ReadListen(TableReader& aReader,
            const std::string& aFile,
@@ -30,6 +57,11 @@
     listen.RequiredEndpoint("operators").value_or(Endpoint{});
   aSettings.mPeerAddress =
     listen.RequiredEndpoint("peers").value_or(Endpoint{});
+  const Endpoint& callers = aSettings.mCallerAddress;
+  const Endpoint& operators = aSettings.mOperatorAddress;
+  RejectSameAddress(listen, *table, "operators", operators, { callers });
+  RejectSameAddress(
+    listen, *table, "peers", aSettings.mPeerAddress, { callers, operators });
   listen.RejectUnknownKeys();
 }
 
@@ -69,8 +101,9 @@
   } else if (level == "error") {
     aSettings.mLogLevel = LogLevel::kError;
   } else if (level != "info") {
-    log.AddTableFault("the log level '" + level + "' is unknown",
-                      R"(use "debug", "info", "warning" or "error")");
+    log.AddFault(*table->get("level"),
+                 "the log level '" + level + "' is unknown",
+                 R"(use "debug", "info", "warning" or "error")");
   }
 }
 
@@ -93,8 +126,16 @@
   aSettings.mMostFrameBytes =
     static_cast<std::uint32_t>(limits.OptionalInteger("frame_bytes", kBytes)
                                  .value_or(aSettings.mMostFrameBytes));
+  aSettings.mStopNotice =
+    limits.OptionalDuration("stop_notice", kStopNoticeRange)
+      .value_or(aSettings.mStopNotice);
   aSettings.mStopWait = limits.OptionalDuration("stop_wait", kStopWaitRange)
                           .value_or(aSettings.mStopWait);
+  aSettings.mStartSpread =
+    limits.OptionalDuration("start_spread", kStartSpreadRange)
+      .value_or(aSettings.mStartSpread);
+  aSettings.mHoldDelay = limits.OptionalDuration("hold_delay", kHoldDelayRange)
+                           .value_or(aSettings.mHoldDelay);
   limits.RejectUnknownKeys();
 }
 
--- a/modules/wasabispread_decisions/Entry.h
+++ b/modules/wasabispread_decisions/Entry.h
@@ -16,6 +16,21 @@
                     TimePoint aNow,
                     Effects& aEffects);
 
+/** Refuses a request of which nothing was sent. */
+void
+RefuseRequest(NodeState& aState,
+              const CallerRequest& aRequest,
+              Error aError,
+              Effects& aEffects);
+
+/** Plans an admitted request and sends it out. */
+void
+StartQuery(NodeState& aState,
+           const CallerRequest& aRequest,
+           const Service& aService,
+           TimePoint aNow,
+           Effects& aEffects);
+
 /** Drops a request whose caller has gone. */
 void
 HandleCallerGone(NodeState& aState,
@@ -38,6 +53,13 @@
                 TimePoint aNow,
                 Effects& aEffects);
 
+/** Ends attempts that never left this VM as not run. */
+void
+HandleAttemptsNotSent(NodeState& aState,
+                      const AttemptsNotSent& aEvent,
+                      TimePoint aNow,
+                      Effects& aEffects);
+
 /** Answers a request with what is there. */
 void
 HandleQueryDeadline(NodeState& aState,
--- a/modules/wasabispread_decisions/OwnerTargetHealth.cpp
+++ b/modules/wasabispread_decisions/OwnerTargetHealth.cpp
@@ -17,10 +17,7 @@
 constexpr std::uint32_t kAnswersToDistrust = 3;
 
 void
-EndTrial(NodeState& aState,
-         TargetId aTarget,
-         TargetPool& aPool,
-         Effects& aEffects)
+EndTrial(TargetId aTarget, TargetPool& aPool, Effects& aEffects)
 {
   aPool.mIsOnTrial = false;
   aPool.mLimit = ConcurrencyLimit{};
@@ -63,13 +60,13 @@
   if (!saysLeaving) {
     pool.mAnswersWhileLeaving = 0;
     if (isTrial) {
-      EndTrial(aState, aTarget, pool, aEffects);
+      EndTrial(aTarget, pool, aEffects);
     }
     return;
   }
   if (pool.mAnswersWhileLeaving >= kAnswersToDistrust) {
     if (isTrial) {
-      EndTrial(aState, aTarget, pool, aEffects);
+      EndTrial(aTarget, pool, aEffects);
     }
     return;
   }
--- a/modules/wasabispread_decisions/PlacementTests.cpp
+++ b/modules/wasabispread_decisions/PlacementTests.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr TimePoint kStart{ std::chrono::hours(1) };
+const Duration kHoldDelay = PlacementState{}.mHoldDelay;
 
 VmRecord
 ListedVm(int aNumber)
--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -46,6 +46,21 @@
     HandleMemberLost(mState, aEvent.mPeer, mNow, mEffects);
   }
 
+  void operator()(const AttemptsNotSent& aEvent)
+  {
+    HandleAttemptsNotSent(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const ClaimSwapped& aEvent)
+  {
+    HandleClaimSwapped(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const ClaimRead& aEvent)
+  {
+    HandleClaimRead(mState, aEvent, mNow, mEffects);
+  }
+
   void operator()(const TargetConnected& aEvent)
   {
     HandleTargetConnected(mState, aEvent, mNow, mEffects);
@@ -77,9 +92,13 @@
     ObserveMembers(mState, mNow, mEffects);
   }
 
-  void operator()(const StopRequested&)
+  void operator()(const StopRequested& aEvent)
   {
+    if (mState.mStopping) {
+      return;
+    }
     mState.mStopping = true;
+    mState.mRefusingFrom = mNow + aEvent.mNotice;
     AnnounceStop(mState, mNow, mEffects);
     ReleaseIdleConnections(mState, mEffects);
   }
@@ -188,6 +207,12 @@
       case TimerKind::kHeartbeat:
         StartHeartbeat(mState, mNow);
         break;
+      case TimerKind::kClaimDeadline:
+        HandleClaimDeadline(mState, ClaimToken(aTimer.mKey), mEffects);
+        break;
+      case TimerKind::kClaimRetry:
+        HandleClaimRetry(mState, ClaimToken(aTimer.mKey), mEffects);
+        break;
       case TimerKind::kHedge:
         HandleHedgeDue(mState, QueryId(aTimer.mKey), mNow, mEffects);
         break;
--- a/modules/wasabispread_telemetry/LogFormat.cpp
+++ b/modules/wasabispread_telemetry/LogFormat.cpp
@@ -199,6 +199,14 @@
     mLine["to"] = aRecord.mTo.Value();
     mLine["asked_again"] = aRecord.mAskedAgain;
   }
+
+  void operator()(const ClaimDecided& aRecord)
+  {
+    mLine["event"] = "claim-decided";
+    mLine["request_id"] = aRecord.mRequestId.Value();
+    mLine["service"] = aRecord.mService;
+    mLine["decision"] = ToText(aRecord.mDecision);
+  }
 };
 
 std::string_view
--- a/modules/wasabispread_units/Error.cpp
+++ b/modules/wasabispread_units/Error.cpp
@@ -73,7 +73,7 @@
      Execution aExecution)
 {
   return tl::unexpected<Error>(
-    Error{ aKind, std::move(aMessage), std::move(aRemedy), aExecution });
+    Error{ aKind, std::move(aMessage), std::move(aRemedy), aExecution, {} });
 }
 
 } // namespace wasabispread
--- a/tests/support/FakePlatform.h
+++ b/tests/support/FakePlatform.h
@@ -50,6 +50,24 @@
   /** Calls aDone with the list as shown at present. */
   void ReadVms(std::function<void(Result<std::vector<VmRecord>>)> aDone);
 
+  /** Writes a claim; aDone learns how that ended. */
+  void Swap(const SwapClaim& aSwap,
+            std::function<void(Result<std::uint64_t>)> aDone);
+
+  /** Reads a claim. */
+  void Read(const ReadClaim& aRead,
+            std::function<void(Result<StoredClaim>)> aDone);
+
+  /** The share of writes, 0 to 1, whose reply is lost after the effect, and of
+      those lost on their way. A caller of either learns of it after
+      mLossNoticed. */
+  double mLoseReplies = 0;
+  double mLoseWrites = 0;
+  Duration mLossNoticed = std::chrono::milliseconds(40);
+  /** Writes tried so far. */
+  std::uint64_t mSwaps = 0;
+  Random mRandom;
+
   /** Calls taken, failed ones included. */
   std::uint64_t Calls() const { return mCalls; }
 
@@ -72,6 +90,7 @@
   std::map<std::uint64_t, Watcher> mWatchers;
   std::uint64_t mNextWatcher = 0;
   std::uint64_t mCalls = 0;
+  std::map<std::string, StoredClaim> mClaims;
 };
 
 } // namespace wasabispread::testing
