--- a/modules/wasabispread_decisions/PlacementTests.cpp
+++ b/modules/wasabispread_decisions/PlacementTests.cpp
@@ -21,6 +21,7 @@
 const Duration kHoldDelay = PlacementState{}.mHoldDelay;
 
 constexpr TimePoint kStart{ std::chrono::hours(1) };
+const Duration kHoldDelay = PlacementState{}.mHoldDelay;
 
 VmRecord
 ListedVm(int aNumber)
