Test spread and membership on hundreds of node states; mend news and back-off

News of a change waited behind 120 starts' news; a refutation took a VM out of the live list and back (epoch 266 to 356 in 10 min under 5% loss); all VMs restarted in an outage made 232 calls a second for 300 VMs; one Tick parsed all slices. Now: news sent least often goes first and stays for 12 + log2(n) sends, a higher version changes a member in place, first retries wait 1 to 2 s, and slices pause 1 ms.

--- a/modules/wasabispread_decisions/Configuration.cpp
+++ b/modules/wasabispread_decisions/Configuration.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t kWatchersPerZone = 2;
 /** How much text is parsed before other events have their turn. */
 constexpr std::size_t kParseBytes = 16U << 10U;
+constexpr Duration kParsePause = std::chrono::milliseconds(1);
 
 void
 Reject(NodeState& aState,
@@ -128,7 +129,7 @@
 Duration
 RetryDelay(std::uint32_t aFailures, Random& aRandom)
 {
-  constexpr Duration kLeastDelay = std::chrono::milliseconds(200);
+  constexpr Duration kLeastDelay = std::chrono::seconds(1);
   constexpr Duration kMostDelay = std::chrono::seconds(10);
   constexpr std::uint32_t kMostDoublings = 6;
   const std::uint32_t doublings = std::min(aFailures, kMostDoublings);
@@ -257,7 +258,7 @@
     FinishStaged(aState, aEffects);
     return;
   }
-  aState.mTimers.Arm(aNow, TimerKind::kParseConfiguration);
+  aState.mTimers.Arm(aNow + kParsePause, TimerKind::kParseConfiguration);
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Configuration.h
+++ b/modules/wasabispread_decisions/Configuration.h
@@ -35,7 +35,7 @@
 ContinueParsing(NodeState& aState, TimePoint aNow, Effects& aEffects);
 
 /** How long to wait after aFailures failed calls in a row: doubling from
-    200 ms to 10 s, with half of it random. */
+    1 s to 10 s, with half of it random. */
 Duration
 RetryDelay(std::uint32_t aFailures, Random& aRandom);
 
--- a/modules/wasabispread_decisions/MemberProbing.cpp
+++ b/modules/wasabispread_decisions/MemberProbing.cpp
@@ -108,7 +108,7 @@
   MemberNews news = NewsOf(aState.mMembership, aVm);
   news.mCondition = aCondition;
   const std::uint64_t epoch = aState.mMembership.mEpoch;
-  ApplyNews(aState, news, PassOn::kYes, aNow);
+  ApplyNews(aState, news, PassOn::kYes);
   aEffects.push_back(LogDecision{ MemberJudged{ aVm, aCondition } });
   ReviewMembership(aState, epoch, aNow, aEffects);
 }
@@ -339,14 +339,14 @@
   MembershipState& membership = aState.mMembership;
   const std::uint64_t epoch = membership.mEpoch;
   for (const MemberNews& news : aProbe.mNews) {
-    ApplyNews(aState, news, PassOn::kYes, aNow);
+    ApplyNews(aState, news, PassOn::kYes);
   }
   if (membership.mHealth.contains(aPeer)) {
     MemberNews news = NewsOf(membership, aPeer);
     news.mVersion = aProbe.mVersion;
     news.mCondition = aProbe.mCondition;
     news.mPeerAddress = aAddress;
-    ApplyNews(aState, news, PassOn::kYes, aNow);
+    ApplyNews(aState, news, PassOn::kYes);
   }
   NoteAnswer(aState, aPeer, aNow);
   CompareViews(aState, aPeer, aAddress, aProbe.mMembersHash, aNow, aEffects);
@@ -414,7 +414,7 @@
   MemberNews news = NewsOf(membership, aState.mSelf.mId);
   news.mCondition = MemberCondition::kLeaving;
   const std::uint64_t epoch = membership.mEpoch;
-  ApplyNews(aState, news, PassOn::kYes, aNow);
+  ApplyNews(aState, news, PassOn::kYes);
   ReviewNeighbours(aState);
   ProbeNeighbours(aState, aNow, aEffects);
   for (std::size_t zone = 0; zone < membership.mOtherZones.size(); ++zone) {
--- a/modules/wasabispread_decisions/Membership.cpp
+++ b/modules/wasabispread_decisions/Membership.cpp
@@ -109,6 +109,17 @@
   aMembership.mMembers.erase(aVm);
 }
 
+/** Gives a member the address and the zone of its newest start. */
+void
+MoveMember(MembershipState& aMembership, VmRecord aRecord)
+{
+  VmRecord& member = aMembership.mMembers.at(aRecord.mId);
+  if (member.mZone != aRecord.mZone) {
+    SetLive(aMembership, member, false);
+  }
+  member = std::move(aRecord);
+}
+
 VmRecord
 RecordFrom(const MemberNews& aNews)
 {
@@ -121,14 +132,13 @@
   return record;
 }
 
-/** How often each VM repeats a piece of news: enough to reach all with high
-    probability. */
+/** How often each VM repeats a piece of news: once to each VM that it probes
+    or is probed by, and some more to reach all with high probability. */
 std::uint32_t
 SendsFor(std::size_t aMembers)
 {
-  constexpr std::uint32_t kSendsPerDoubling = 3;
-  return kSendsPerDoubling *
-         static_cast<std::uint32_t>(std::bit_width(aMembers) + 1);
+  constexpr std::uint32_t kLeastSends = 12;
+  return kLeastSends + static_cast<std::uint32_t>(std::bit_width(aMembers));
 }
 
 void
@@ -141,7 +151,7 @@
     news.pop_back();
   }
   const std::uint32_t sends = SendsFor(aMembership.mMembers.size());
-  news.insert(news.begin(), PendingNews{ aVm, sends });
+  news.push_back(PendingNews{ aVm, sends });
 }
 
 bool
@@ -325,7 +335,7 @@
 }
 
 void
-ApplyNews(NodeState& aState, const MemberNews& aNews, PassOn aPassOn, TimePoint)
+ApplyNews(NodeState& aState, const MemberNews& aNews, PassOn aPassOn)
 {
   MembershipState& membership = aState.mMembership;
   if (aNews.mVm == aState.mSelf.mId) {
@@ -346,21 +356,12 @@
       return;
     }
     MemberHealth health = place->second;
+    health.mCondition = aNews.mCondition;
     if (aNews.mVersion > health.mVersion) {
-      // A new start may have a new address; its zone decides its list.
-      const bool isListed = health.mIsListed;
-      const bool isListedLeaving = health.mIsListedLeaving;
-      RemoveMember(membership, aNews.mVm);
-      health = MemberHealth{};
-      health.mIsListed = isListed;
-      health.mIsListedLeaving = isListedLeaving;
       health.mVersion = aNews.mVersion;
-      health.mCondition = aNews.mCondition;
-      AddMember(membership, RecordFrom(aNews), health);
-    } else {
-      health.mCondition = aNews.mCondition;
-      SetHealth(membership, aNews.mVm, health);
+      MoveMember(membership, RecordFrom(aNews));
     }
+    SetHealth(membership, aNews.mVm, health);
   }
   if (aPassOn == PassOn::kYes) {
     QueueNews(membership, aNews.mVm);
@@ -399,14 +400,17 @@
   });
   const std::size_t count =
     std::min(news.size(), kMostNewsPerProbe - taken.size());
+  // What was sent least often goes first.
+  std::partial_sort(news.begin(),
+                    news.begin() + static_cast<std::ptrdiff_t>(count),
+                    news.end(),
+                    [](const PendingNews& aLeft, const PendingNews& aRight) {
+                      return aLeft.mSendsLeft > aRight.mSendsLeft;
+                    });
   for (std::size_t index = 0; index < count; ++index) {
     taken.push_back(NewsOf(aMembership, news[index].mVm));
     --news[index].mSendsLeft;
   }
-  // What was sent less often comes first next time.
-  std::rotate(news.begin(),
-              news.begin() + static_cast<std::ptrdiff_t>(count),
-              news.end());
   std::erase_if(news,
                 [](const PendingNews& aItem) { return aItem.mSendsLeft == 0; });
   return taken;
@@ -438,7 +442,7 @@
   const std::uint64_t epoch = aState.mMembership.mEpoch;
   aState.mMembership.mIsInformed = true;
   for (const MemberNews& news : aReply.mMembers) {
-    ApplyNews(aState, news, PassOn::kNo, aNow);
+    ApplyNews(aState, news, PassOn::kNo);
   }
   ReviewMembership(aState, epoch, aNow, aEffects);
 }
--- a/modules/wasabispread_decisions/Membership.h
+++ b/modules/wasabispread_decisions/Membership.h
@@ -36,10 +36,7 @@
 /** Takes in news of a VM unless something newer is known; refutes it when it
     wrongly speaks of this one. */
 void
-ApplyNews(NodeState& aState,
-          const MemberNews& aNews,
-          PassOn aPassOn,
-          TimePoint aNow);
+ApplyNews(NodeState& aState, const MemberNews& aNews, PassOn aPassOn);
 
 /** What this node knows of a VM, which must be a member. */
 MemberNews
--- /dev/null
+++ b/modules/wasabispread_decisions/MembershipTests.cpp
@@ -0,0 +1,254 @@
+/*
+ * Tests of which VMs are held alive, suspect, leaving or dead.
+ */
+#include <tests/support/FakeFleet.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace wasabispread;
+using namespace wasabispread::testing;
+
+class MembershipTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(MembershipTests);
+  CPPUNIT_TEST(DoesNotFlapUnderLoss);
+  CPPUNIT_TEST(FindsDeathWithoutTheList);
+  CPPUNIT_TEST(TakesBackAVmThatWasPaused);
+  CPPUNIT_TEST(LearnsOfStopWithinSeconds);
+  CPPUNIT_TEST(LearnsOfLeavingFromTheList);
+  CPPUNIT_TEST(HoldsNobodyDeadAcrossACut);
+  CPPUNIT_TEST(AcceptsAStartWhoseClockIsBehind);
+  CPPUNIT_TEST(LearnsOfNewVmDuringOutage);
+  CPPUNIT_TEST(OrderOfNewsDoesNotMatter);
+  CPPUNIT_TEST(NeighboursAreFewAndStable);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    mFleet = std::make_unique<FakeFleet>(kSeed);
+    mVms.clear();
+    mFleet->mNetwork.mBetweenZones = std::chrono::milliseconds(5);
+    for (unsigned index = 0; index < kVmsPerZone; ++index) {
+      for (const char* zone : { "zone-a", "zone-b", "zone-c" }) {
+        mVms.push_back(
+          mFleet->AddVm(zone + ("-" + std::to_string(index)), zone));
+      }
+    }
+    mFleet->RunFor(std::chrono::seconds(6));
+  }
+
+  void DoesNotFlapUnderLoss()
+  {
+    mFleet->mNetwork.mLoss = 0.05;
+    std::vector<std::uint64_t> epochs;
+    for (const VmId vm : mVms) {
+      epochs.push_back(Members(vm).mEpoch);
+    }
+    mFleet->RunFor(std::chrono::minutes(10));
+    for (std::size_t index = 0; index < mVms.size(); ++index) {
+      CPPUNIT_ASSERT_EQUAL(epochs[index], Members(mVms[index]).mEpoch);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, Deaths());
+  }
+
+  void FindsDeathWithoutTheList()
+  {
+    mFleet->mNetwork.mLoss = 0.05;
+    const VmId dead = mVms[10];
+    mFleet->Kill(dead);
+    CPPUNIT_ASSERT(AllHold(dead, false, std::chrono::seconds(12)));
+    mFleet->Restart(dead);
+    CPPUNIT_ASSERT(AllHold(dead, true, std::chrono::seconds(8)));
+  }
+
+  void TakesBackAVmThatWasPaused()
+  {
+    const VmId paused = mVms[10];
+    mFleet->Pause(paused);
+    CPPUNIT_ASSERT(AllHold(paused, false, std::chrono::seconds(20)));
+    mFleet->RunFor(std::chrono::minutes(1));
+    mFleet->Resume(paused);
+    CPPUNIT_ASSERT(AllHold(paused, true, std::chrono::seconds(20)));
+    // It did not take the others for dead.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 },
+                         mFleet->State(paused).mCounters.mDeathsJudged);
+  }
+
+  void LearnsOfStopWithinSeconds()
+  {
+    mFleet->mNetwork.mLoss = 0.05;
+    mFleet->mPlatform.mIsOut = true;
+    const VmId stopped = mVms[4];
+    mFleet->Stop(stopped);
+    CPPUNIT_ASSERT(AllHold(stopped, false, std::chrono::seconds(4)));
+  }
+
+  void LearnsOfLeavingFromTheList()
+  {
+    const VmId leaving = mVms[4];
+    VmRecord record = *FindMember(Members(leaving), leaving);
+    record.mLeaving = true;
+    mFleet->mPlatform.SetVm(record);
+    // The list's lag, its next read, and the news.
+    CPPUNIT_ASSERT(AllHold(leaving, false, std::chrono::seconds(1 + 2 + 3)));
+  }
+
+  void HoldsNobodyDeadAcrossACut()
+  {
+    mFleet->SetCut("zone-a", "zone-b", true);
+    mFleet->SetCut("zone-a", "zone-c", true);
+    mFleet->RunFor(std::chrono::minutes(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, Deaths());
+    for (const VmId vm : mVms) {
+      const bool isCutOff = mFleet->State(vm).mSelf.mZone == ZoneName("zone-a");
+      CPPUNIT_ASSERT_EQUAL(!isCutOff,
+                           IsZoneReachable(Members(vm), ZoneName("zone-b")));
+    }
+    mFleet->SetCut("zone-a", "zone-b", false);
+    mFleet->SetCut("zone-a", "zone-c", false);
+    mFleet->RunFor(std::chrono::seconds(5));
+    CPPUNIT_ASSERT(IsZoneReachable(Members(mVms[0]), ZoneName("zone-b")));
+  }
+
+  void AcceptsAStartWhoseClockIsBehind()
+  {
+    const VmId vm = mVms[7];
+    mFleet->Kill(vm);
+    mFleet->Restart(vm, Incarnation(1000));
+    CPPUNIT_ASSERT(AllHold(vm, true, std::chrono::seconds(12)));
+    mFleet->Kill(vm);
+    CPPUNIT_ASSERT(AllHold(vm, false, std::chrono::seconds(12)));
+    mFleet->Restart(vm, Incarnation(3));
+    CPPUNIT_ASSERT(AllHold(vm, true, std::chrono::seconds(12)));
+  }
+
+  void LearnsOfNewVmDuringOutage()
+  {
+    mFleet->mPlatform.mIsOut = true;
+    mFleet->mSettingsPeers = { *FindMember(Members(mVms[1]), mVms[1]) };
+    const VmId started = mFleet->AddVm("started", "zone-a");
+    CPPUNIT_ASSERT(AllHold(started, true, std::chrono::seconds(8)));
+    CPPUNIT_ASSERT_EQUAL(mVms.size() + 1, Members(started).mMembers.size());
+  }
+
+  void OrderOfNewsDoesNotMatter()
+  {
+    const bool holds = rc::check("news commutes", [] {
+      using Line = std::pair<unsigned, unsigned>;
+      const auto lines = *rc::gen::container<std::vector<Line>>(
+        rc::gen::pair(rc::gen::inRange(1U, 5U), rc::gen::inRange(0U, 4U)));
+      auto shuffled = lines;
+      const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+      Random random(seed);
+      for (std::size_t index = shuffled.size(); index > 1; --index) {
+        std::swap(shuffled[index - 1], shuffled[random.Below(index)]);
+      }
+      const MemberHealth left = HealthAfter(lines);
+      const MemberHealth right = HealthAfter(shuffled);
+      RC_ASSERT(left.mVersion == right.mVersion);
+      RC_ASSERT(left.mCondition == right.mCondition);
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  void NeighboursAreFewAndStable()
+  {
+    for (const VmId vm : mVms) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, Members(vm).mNeighbours.size());
+    }
+    const auto before = Members(mVms[0]).mNeighbours;
+    std::size_t changed = 0;
+    const VmId dead = mVms[10];
+    std::map<VmId, std::set<VmId>> old;
+    for (const VmId vm : mVms) {
+      old[vm] = NeighboursOf(vm);
+    }
+    mFleet->Kill(dead);
+    mFleet->RunFor(std::chrono::seconds(15));
+    for (const VmId vm : mVms) {
+      const bool isTouched = old[vm].contains(dead) || vm == dead;
+      changed += !isTouched && NeighboursOf(vm) != old[vm] ? 1U : 0U;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, changed);
+  }
+
+private:
+  static constexpr std::uint64_t kSeed = 23;
+  static constexpr unsigned kVmsPerZone = 40;
+
+  const MembershipState& Members(VmId aVm) const
+  {
+    return mFleet->State(aVm).mMembership;
+  }
+
+  std::set<VmId> NeighboursOf(VmId aVm) const
+  {
+    std::set<VmId> vms;
+    for (const ProbedNeighbour& neighbour : Members(aVm).mNeighbours) {
+      vms.insert(neighbour.mVm);
+    }
+    return vms;
+  }
+
+  static MemberHealth HealthAfter(
+    const std::vector<std::pair<unsigned, unsigned>>& aLines)
+  {
+    NodeIdentity identity;
+    identity.mId = VmId(1);
+    NodeState state = MakeNodeState(identity, kSeed);
+    MemberNews first;
+    first.mVm = VmId(2);
+    ApplyNews(state, first, PassOn::kNo);
+    for (const auto& [version, condition] : aLines) {
+      MemberNews news = first;
+      news.mVersion = MemberVersion(version);
+      news.mCondition = static_cast<MemberCondition>(condition);
+      ApplyNews(state, news, PassOn::kYes);
+    }
+    return state.mMembership.mHealth.at(VmId(2));
+  }
+
+  std::size_t Deaths() const
+  {
+    std::size_t deaths = 0;
+    for (const DecisionRecord& record : mFleet->Records()) {
+      const auto* judged = std::get_if<MemberJudged>(&record);
+      const bool isDeath =
+        judged != nullptr && judged->mCondition == MemberCondition::kDead;
+      deaths += isDeath ? 1U : 0U;
+    }
+    return deaths;
+  }
+
+  /** Whether a VM gives work to another one. */
+  bool Holds(VmId aVm, VmId aOther) const
+  {
+    const ZoneName& zone = mFleet->State(aOther).mSelf.mZone;
+    const auto live = Members(aVm).mLiveByZone.find(zone);
+    return live != Members(aVm).mLiveByZone.end() &&
+           std::binary_search(live->second.begin(), live->second.end(), aOther);
+  }
+
+  /** Whether all others come to agree within a span, and stay so. */
+  bool AllHold(VmId aOther, bool aIsLive, Duration aSpan)
+  {
+    const auto agree = [this, aOther, aIsLive] {
+      return std::all_of(
+        mVms.begin(), mVms.end(), [this, aOther, aIsLive](VmId aVm) {
+          return aVm == aOther || !mFleet->IsAlive(aVm) ||
+                 mFleet->IsPaused(aVm) || Holds(aVm, aOther) == aIsLive;
+        });
+    };
+    const bool isReached =
+      mFleet->mTimeline.RunUntil(agree, mFleet->mTimeline.Now() + aSpan);
+    mFleet->RunFor(std::chrono::seconds(3));
+    return isReached && agree();
+  }
+
+  std::unique_ptr<FakeFleet> mFleet;
+  std::vector<VmId> mVms;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTests);
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -29,17 +29,20 @@
 }
 
 void
-FakeFleet::StartNode(VmId aVm, const std::string& aName, const ZoneName& aZone)
+FakeFleet::StartNode(VmId aVm,
+                     const std::string& aName,
+                     const ZoneName& aZone,
+                     std::optional<Incarnation> aByItsClock)
 {
   Node& node = mNodes.at(aVm);
   NodeIdentity identity;
   identity.mId = aVm;
   identity.mName = aName;
   identity.mZone = aZone;
-  identity.mIncarnation = Incarnation(node.mIncarnation);
+  identity.mIncarnation = aByItsClock.value_or(Incarnation(node.mIncarnation));
   identity.mPeerAddress = Endpoint{ aName, 1 };
   node.mState = std::make_unique<NodeState>(
-    MakeNodeState(std::move(identity), mRandom.Next()));
+    MakeNodeState(std::move(identity), mRandom.Next(), mSettingsPeers));
   node.mIsAlive = true;
   node.mIsPaused = false;
   node.mHeld.clear();
@@ -129,10 +132,10 @@
 }
 
 void
-FakeFleet::Restart(VmId aVm)
+FakeFleet::Restart(VmId aVm, std::optional<Incarnation> aByItsClock)
 {
   const NodeIdentity identity = mNodes.at(aVm).mState->mSelf;
-  StartNode(aVm, identity.mName, identity.mZone);
+  StartNode(aVm, identity.mName, identity.mZone, aByItsClock);
 }
 
 void
@@ -253,6 +256,8 @@
     PerformReadVms(aVm);
   } else if (const auto* record = std::get_if<LogDecision>(&aEffect)) {
     mRecords.push_back(record->mRecord);
+  } else if (const auto* report = std::get_if<AnswerConfirmation>(&aEffect)) {
+    mReports.push_back(report->mReport);
   }
 }
 
@@ -260,6 +265,9 @@
 FakeFleet::PerformSend(VmId aVm, const SendToPeer& aEffect)
 {
   ++mMessagesSent;
+  if (mOnMessage) {
+    mOnMessage(aVm, aEffect.mPeer, aEffect.mMessage);
+  }
   const Node& sender = mNodes.at(aVm);
   const auto place = mNodes.find(aEffect.mPeer);
   const auto report =
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -10,6 +10,7 @@
 
 #include <wasabispread_decisions/wasabispread_decisions.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -74,6 +75,10 @@
   Timeline mTimeline;
   NetworkBehaviour mNetwork;
   FakePlatform mPlatform;
+  /** VMs that every VM's settings name from now on. */
+  std::vector<VmRecord> mSettingsPeers;
+  /** Sees each message that is sent, when set. */
+  std::function<void(VmId, VmId, const PeerMessage&)> mOnMessage;
 
   /** Starts a VM and puts it on the platform's list. */
   VmId AddVm(const std::string& aName, const std::string& aZone);
@@ -96,8 +101,9 @@
   /** Ends a VM at once; its links and connections break. */
   void Kill(VmId aVm);
 
-  /** Starts a killed VM again, with nothing but its settings. */
-  void Restart(VmId aVm);
+  /** Starts a killed VM again, with nothing but its settings. Its clock may
+      give it another incarnation than the next. */
+  void Restart(VmId aVm, std::optional<Incarnation> aByItsClock = {});
 
   /** Holds back everything that happens to a VM. */
   void Pause(VmId aVm);
@@ -117,6 +123,11 @@
   /** Delivers an event to a VM now. */
   void Deliver(VmId aVm, Event aEvent);
 
+  bool IsAlive(VmId aVm) const { return mNodes.at(aVm).mIsAlive; }
+  bool IsPaused(VmId aVm) const { return mNodes.at(aVm).mIsPaused; }
+  /** Operators' reports in the order of their ends. */
+  const std::vector<ConfirmationReport>& Reports() const { return mReports; }
+
   const NodeState& State(VmId aVm) const { return *mNodes.at(aVm).mState; }
   NodeState& State(VmId aVm) { return *mNodes.at(aVm).mState; }
   const std::vector<Exchange>& Exchanges() const { return mExchanges; }
@@ -149,7 +160,10 @@
 
   using ConnectionKey = std::tuple<VmId, std::uint64_t, ConnectionId>;
 
-  void StartNode(VmId aVm, const std::string& aName, const ZoneName& aZone);
+  void StartNode(VmId aVm,
+                 const std::string& aName,
+                 const ZoneName& aZone,
+                 std::optional<Incarnation> aByItsClock = {});
   void DeliverTo(VmId aVm, std::uint64_t aIncarnation, Event aEvent);
   void ScheduleTick(VmId aVm);
   void Perform(VmId aVm, const Effect& aEffect);
@@ -177,6 +191,7 @@
   std::vector<Exchange> mExchanges;
   std::vector<ExecutionRecord> mExecutions;
   std::vector<DecisionRecord> mRecords;
+  std::vector<ConfirmationReport> mReports;
   std::uint64_t mMessagesSent = 0;
 };
 
--- a/tests/support/FakePlatform.cpp
+++ b/tests/support/FakePlatform.cpp
@@ -19,6 +19,7 @@
 FakePlatform::Apply(const std::string& aText)
 {
   ConfigurationRecord record;
+  mBefore = mStored;
   ++mStored.mStoreVersion;
   record.mRevision = Revision(mStored.mStoreVersion);
   record.mChangeId = "change-" + std::to_string(mStored.mStoreVersion);
@@ -31,6 +32,12 @@
   return record.mRevision;
 }
 
+void
+FakePlatform::Falsify(const std::string& aText)
+{
+  mStored.mRecord->mText = aText;
+}
+
 void
 FakePlatform::SetVm(const VmRecord& aVm)
 {
@@ -59,7 +66,7 @@
   ++mCalls;
   const std::uint64_t id = mNextWatcher++;
   mWatchers[id] = Watcher{ aWatch.mAfterVersion, std::move(aDone) };
-  const bool isDue = mIsOut || mStored.mStoreVersion > aWatch.mAfterVersion;
+  const bool isDue = mIsOut || Shown().mStoreVersion > aWatch.mAfterVersion;
   mTimeline.After(isDue ? mDelay : aWatch.mWait, [this, id] { EndWatch(id); });
 }
 
@@ -70,7 +77,7 @@
   if (watcher.empty()) {
     return;
   }
-  Result<StoredConfiguration> result = mStored;
+  Result<StoredConfiguration> result = Shown();
   if (mIsOut) {
     result = Outage();
   }
--- a/tests/support/FakePlatform.h
+++ b/tests/support/FakePlatform.h
@@ -30,6 +30,12 @@
   /** How late the VM list shows a change. */
   Duration mListLag = std::chrono::seconds(1);
 
+  /** Watches answer with what was stored before the newest change. */
+  bool mIsStale = false;
+
+  /** Puts another content under the newest revision, as no operator can. */
+  void Falsify(const std::string& aText);
+
   /** Puts a deployment file's text in force as the next revision. */
   Revision Apply(const std::string& aText);
 
@@ -61,9 +67,14 @@
 
   void EndWatch(std::uint64_t aWatcher);
   std::vector<VmRecord> ShownVms() const;
+  const StoredConfiguration& Shown() const
+  {
+    return mIsStale ? mBefore : mStored;
+  }
 
   Timeline& mTimeline;
   StoredConfiguration mStored;
+  StoredConfiguration mBefore;
   std::map<VmId, VmRecord> mVms;
   std::vector<std::pair<TimePoint, std::vector<VmRecord>>> mEditions;
   std::map<std::uint64_t, Watcher> mWatchers;
