--- a/modules/wasabispread_decisions/Membership.cpp
+++ b/modules/wasabispread_decisions/Membership.cpp
@@ -27,8 +27,9 @@
          aCondition == MemberCondition::kSuspect;
 }
 
-/** A member's part of mMembersHash. Suspicion is left out: it comes and goes
-    while the news of it travels. */
+/** A member's part of mMembersHash. Suspicions and versions are left out: the
+    first come and go while the news of them travels, and the second are not
+    always passed on. */
 std::uint64_t
 Fingerprint(VmId aVm, const MemberHealth& aHealth)
 {
@@ -36,8 +37,7 @@
     return 0;
   }
   const bool isLeaving = aHealth.mCondition == MemberCondition::kLeaving;
-  Random mixer(aVm.Value() ^ (aHealth.mVersion.Value() << 1U) ^
-               (isLeaving ? 1U : 0U));
+  Random mixer(aVm.Value() ^ (isLeaving ? 1U : 0U));
   return mixer.Next();
 }
 
@@ -132,6 +132,33 @@
   return record;
 }
 
+/** Puts newer news of a member in place. */
+void
+UpdateMember(MembershipState& aMembership, const MemberNews& aNews)
+{
+  MemberHealth health = aMembership.mHealth.at(aNews.mVm);
+  health.mCondition = aNews.mCondition;
+  if (aNews.mVersion > health.mVersion) {
+    health.mVersion = aNews.mVersion;
+    MoveMember(aMembership, RecordFrom(aNews));
+  }
+  SetHealth(aMembership, aNews.mVm, health);
+}
+
+/** The version of a VM that the list showed, and that answers where the list
+    says, is known to those who probe it; others need not hear of it. */
+bool
+IsWorthPassingOn(const MembershipState& aMembership, const MemberNews& aNews)
+{
+  const MemberHealth& health = aMembership.mHealth.at(aNews.mVm);
+  const VmRecord& record = aMembership.mMembers.at(aNews.mVm);
+  const bool isFirstVersion =
+    health.mVersion == MemberVersion{} && health.mCondition == aNews.mCondition;
+  const bool isSamePlace =
+    record.mPeerAddress == aNews.mPeerAddress && record.mZone == aNews.mZone;
+  return !isFirstVersion || !isSamePlace;
+}
+
 /** How often each VM repeats a piece of news: once to each VM that it probes
     or is probed by, and some more to reach all with high probability. */
 std::uint32_t
@@ -343,27 +370,22 @@
     return;
   }
   const auto place = membership.mHealth.find(aNews.mVm);
-  if (place == membership.mHealth.end()) {
-    if (aNews.mCondition == MemberCondition::kDead) {
-      return;
-    }
+  const bool isKnown = place != membership.mHealth.end();
+  const bool isOfUse = isKnown ? Supersedes(aNews, place->second)
+                               : aNews.mCondition != MemberCondition::kDead;
+  if (!isOfUse) {
+    return;
+  }
+  const bool isNews = !isKnown || IsWorthPassingOn(membership, aNews);
+  if (isKnown) {
+    UpdateMember(membership, aNews);
+  } else {
     MemberHealth health;
     health.mVersion = aNews.mVersion;
     health.mCondition = aNews.mCondition;
     AddMember(membership, RecordFrom(aNews), health);
-  } else {
-    if (!Supersedes(aNews, place->second)) {
-      return;
-    }
-    MemberHealth health = place->second;
-    health.mCondition = aNews.mCondition;
-    if (aNews.mVersion > health.mVersion) {
-      health.mVersion = aNews.mVersion;
-      MoveMember(membership, RecordFrom(aNews));
-    }
-    SetHealth(membership, aNews.mVm, health);
   }
-  if (aPassOn == PassOn::kYes) {
+  if (isNews && aPassOn == PassOn::kYes) {
     QueueNews(membership, aNews.mVm);
   }
 }
--- a/modules/wasabispread_decisions/Membership.h
+++ b/modules/wasabispread_decisions/Membership.h
@@ -73,6 +73,6 @@
 FindMember(const MembershipState& aMembership, VmId aVm);
 
 /** The most news that a probe carries. */
-inline constexpr std::size_t kMostNewsPerProbe = 8;
+inline constexpr std::size_t kMostNewsPerProbe = 6;
 
 } // namespace wasabispread
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -255,7 +255,9 @@
   } else if (std::holds_alternative<ReadVmList>(aEffect)) {
     PerformReadVms(aVm);
   } else if (const auto* record = std::get_if<LogDecision>(&aEffect)) {
-    mRecords.push_back(record->mRecord);
+    if (mKeepsRecords) {
+      mRecords.push_back(record->mRecord);
+    }
   } else if (const auto* report = std::get_if<AnswerConfirmation>(&aEffect)) {
     mReports.push_back(report->mReport);
   }
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -79,6 +79,8 @@
   std::vector<VmRecord> mSettingsPeers;
   /** Sees each message that is sent, when set. */
   std::function<void(VmId, VmId, const PeerMessage&)> mOnMessage;
+  /** Whether log records are kept for Records(). */
+  bool mKeepsRecords = true;
 
   /** Starts a VM and puts it on the platform's list. */
   VmId AddVm(const std::string& aName, const std::string& aZone);
--- a/tests/support/FakePlatform.cpp
+++ b/tests/support/FakePlatform.cpp
@@ -41,23 +41,15 @@
 void
 FakePlatform::SetVm(const VmRecord& aVm)
 {
+  AddEdition();
   mVms[aVm.mId] = aVm;
-  std::vector<VmRecord> edition;
-  for (const auto& [id, vm] : mVms) {
-    edition.push_back(vm);
-  }
-  mEditions.emplace_back(mTimeline.Now() + mListLag, std::move(edition));
 }
 
 void
 FakePlatform::RemoveVm(VmId aVm)
 {
+  AddEdition();
   mVms.erase(aVm);
-  std::vector<VmRecord> edition;
-  for (const auto& [id, vm] : mVms) {
-    edition.push_back(vm);
-  }
-  mEditions.emplace_back(mTimeline.Now() + mListLag, std::move(edition));
 }
 
 void
@@ -85,16 +77,41 @@
                   [done = watcher.mapped().mDone, result] { done(result); });
 }
 
+void
+FakePlatform::AddEdition()
+{
+  const TimePoint shownFrom = mTimeline.Now() + mListLag;
+  if (mEditions.empty() || mEditions.back().first != shownFrom) {
+    BuildNewestEdition();
+    mEditions.emplace_back(shownFrom, std::vector<VmRecord>{});
+  }
+  mIsNewestEditionBuilt = false;
+}
+
+void
+FakePlatform::BuildNewestEdition()
+{
+  if (mIsNewestEditionBuilt || mEditions.empty()) {
+    return;
+  }
+  std::vector<VmRecord>& edition = mEditions.back().second;
+  edition.clear();
+  for (const auto& [id, vm] : mVms) {
+    edition.push_back(vm);
+  }
+  mIsNewestEditionBuilt = true;
+}
+
 std::vector<VmRecord>
-FakePlatform::ShownVms() const
+FakePlatform::ShownVms()
 {
-  std::vector<VmRecord> shown;
-  for (const auto& [from, edition] : mEditions) {
-    if (from <= mTimeline.Now()) {
-      shown = edition;
-    }
+  BuildNewestEdition();
+  while (mEditions.size() > 1 && mEditions[1].first <= mTimeline.Now()) {
+    mEditions.erase(mEditions.begin());
   }
-  return shown;
+  const bool isShown =
+    !mEditions.empty() && mEditions.front().first <= mTimeline.Now();
+  return isShown ? mEditions.front().second : std::vector<VmRecord>{};
 }
 
 void
--- a/tests/support/FakePlatform.h
+++ b/tests/support/FakePlatform.h
@@ -66,7 +66,11 @@
   };
 
   void EndWatch(std::uint64_t aWatcher);
-  std::vector<VmRecord> ShownVms() const;
+  /** The newest edition is built when it is first needed, so that many
+      changes at one time cost one list. */
+  void AddEdition();
+  void BuildNewestEdition();
+  std::vector<VmRecord> ShownVms();
   const StoredConfiguration& Shown() const
   {
     return mIsStale ? mBefore : mStored;
@@ -77,6 +81,7 @@
   StoredConfiguration mBefore;
   std::map<VmId, VmRecord> mVms;
   std::vector<std::pair<TimePoint, std::vector<VmRecord>>> mEditions;
+  bool mIsNewestEditionBuilt = false;
   std::map<std::uint64_t, Watcher> mWatchers;
   std::uint64_t mNextWatcher = 0;
   std::uint64_t mCalls = 0;
