Apply as a pure state machine; store text compressed; compare deployments

Cause: an apply whose reply was lost ended in 'unknown' at once, and one that lost a race learnt only that it had. Now each step is decided by ApplyMachine: a change id and the last 64 changes travel with the value, so a read settles a lost reply even after later changes; the same write is sent again, never another; the loser is given the record that won. Refused attempts get a key of their own, so that watchers don't see them and the head doesn't grow. Parts beside the head were ruled out: one value fits, and there is then nothing to clean up.

--- a/modules/wasabispread_config/wasabispread_config.h
+++ b/modules/wasabispread_config/wasabispread_config.h
@@ -12,5 +12,6 @@
 
 #include "DaemonSettings.h"
 #include "Deployment.h"
+#include "DeploymentDiff.h"
 #include "DeploymentParser.h"
 #include "DeploymentSections.h"
--- /dev/null
+++ b/modules/wasabispread_platform/ApplyMachine.cpp
@@ -0,0 +1,266 @@
+/*
+ * The steps of an apply.
+ */
+#include "wasabispread_platform.h"
+
+namespace wasabispread {
+
+namespace {
+
+ApplyReport
+Accepted(Revision aRevision, bool aWasInForce)
+{
+  ApplyReport report;
+  report.mOutcome = ApplyOutcome::kAccepted;
+  report.mRevision = aRevision;
+  report.mWasInForce = aWasInForce;
+  return report;
+}
+
+ApplyReport
+Ended(ApplyOutcome aOutcome,
+      ErrorKind aKind,
+      std::string aMessage,
+      std::string aRemedy)
+{
+  ApplyReport report;
+  report.mOutcome = aOutcome;
+  report.mError =
+    Error{ aKind,
+           std::move(aMessage),
+           std::move(aRemedy),
+           aOutcome == ApplyOutcome::kUnknown ? Execution::kUnknown
+                                              : Execution::kNotRun };
+  return report;
+}
+
+/** Asks again after a while, or ends when the time allowed is spent. */
+ApplyStep
+TryAgain(ApplyState& aState, const std::string& aReason, TimePoint aNow)
+{
+  ++aState.mFailures;
+  const TimePoint next = aNow + RetryDelay(aState.mFailures, aState.mRandom);
+  if (next <= aState.mDeadline) {
+    return WaitUntil{ next };
+  }
+  if (aState.mMayBeWritten) {
+    return Ended(ApplyOutcome::kUnknown,
+                 ErrorKind::kPlatformUnavailable,
+                 aReason + "; the change may have taken effect",
+                 "repeat it under the same change id to settle it");
+  }
+  return Ended(ApplyOutcome::kRefused,
+               ErrorKind::kPlatformUnavailable,
+               aReason + "; nothing was written",
+               "apply the file again when the platform answers");
+}
+
+/** The revision under which a change was accepted, if the record tells. */
+std::optional<Revision>
+FindChange(const ConfigurationRecord& aRecord, const std::string& aChangeId)
+{
+  if (aRecord.mChangeId == aChangeId) {
+    return aRecord.mRevision;
+  }
+  for (const ChangeRecord& change : aRecord.mEarlier) {
+    if (change.mChangeId == aChangeId) {
+      return change.mRevision;
+    }
+  }
+  return std::nullopt;
+}
+
+ApplyReport
+Conflict(const ConfigurationRecord& aWinner, Revision aBase)
+{
+  const std::string base = std::to_string(aBase.Value());
+  const std::string winner = std::to_string(aWinner.mRevision.Value());
+  ApplyReport report = Ended(
+    ApplyOutcome::kRefused,
+    ErrorKind::kConflict,
+    "the file was built on revision " + base + ", but revision " + winner +
+      " by " + aWinner.mAuthor + " of " + aWinner.mTime + " is in force",
+    "look at the differences, merge, and apply with --base-revision " + winner);
+  report.mWinner = aWinner;
+  return report;
+}
+
+/** Decides when an earlier write of this apply may have reached the store. */
+ApplyStep
+SettleWrite(ApplyState& aState,
+            const StoredConfiguration& aStored,
+            TimePoint aNow)
+{
+  if (aStored.mStoreVersion <= aState.mSwap.mExpected) {
+    // Not there yet, or the store answers with what is old. Writing again is
+    // safe: only one write can find the version that both expect.
+    return aState.mSwap;
+  }
+  if (!aStored.mRecord) {
+    return TryAgain(aState, "the store shows no configuration", aNow);
+  }
+  const ConfigurationRecord& winner = *aStored.mRecord;
+  const std::uint64_t since =
+    winner.mRevision.Value() - aState.mSwapRevision.Value();
+  if (since > winner.mEarlier.size()) {
+    return Ended(ApplyOutcome::kUnknown,
+                 ErrorKind::kOutcomeUnknown,
+                 "more changes have followed than the store remembers",
+                 "look at the differences with 'wasabispread diff'");
+  }
+  return Conflict(winner, aState.mRequest.mBase);
+}
+
+/** The record that follows the one in force. */
+ConfigurationRecord
+NextRecord(const ApplyRequest& aRequest,
+           const std::optional<ConfigurationRecord>& aCurrent)
+{
+  ConfigurationRecord record;
+  record.mRevision = Revision(1);
+  record.mChangeId = aRequest.mChangeId;
+  record.mAuthor = aRequest.mAuthor;
+  record.mTime = aRequest.mTime;
+  record.mText = aRequest.mText;
+  if (aCurrent) {
+    record.mRevision = Revision(aCurrent->mRevision.Value() + 1);
+    record.mEarlier = aCurrent->mEarlier;
+    record.mEarlier.insert(record.mEarlier.begin(),
+                           ChangeRecord{ aCurrent->mChangeId,
+                                         aCurrent->mRevision,
+                                         aCurrent->mAuthor,
+                                         aCurrent->mTime });
+    if (record.mEarlier.size() > kMostEarlierChanges) {
+      record.mEarlier.resize(kMostEarlierChanges);
+    }
+  }
+  return record;
+}
+
+/** The first write of an apply. */
+ApplyStep
+Write(ApplyState& aState, const StoredConfiguration& aStored)
+{
+  const ConfigurationRecord record =
+    NextRecord(aState.mRequest, aStored.mRecord);
+  aState.mSwap =
+    SwapStore{ aStored.mStoreVersion, EncodeConfiguration(record) };
+  aState.mSwapRevision = record.mRevision;
+  aState.mIsSent = true;
+  if (aState.mSwap.mValue.size() > kMostValueBytes) {
+    return Ended(ApplyOutcome::kRefused,
+                 ErrorKind::kValueTooLarge,
+                 "the file takes " +
+                   std::to_string(aState.mSwap.mValue.size()) +
+                   " bytes in the store, which takes " +
+                   std::to_string(kMostValueBytes) + " at most",
+                 "declare fewer targets in one deployment");
+  }
+  return aState.mSwap;
+}
+
+} // namespace
+
+std::string_view
+ToText(ApplyOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case ApplyOutcome::kAccepted:
+      return "accepted";
+    case ApplyOutcome::kRefused:
+      return "refused";
+    case ApplyOutcome::kUnknown:
+      return "unknown";
+  }
+  return "";
+}
+
+ApplyStep
+BeginApply(ApplyState& aState,
+           ApplyRequest aRequest,
+           std::uint64_t aSeed,
+           TimePoint aNow)
+{
+  aState = ApplyState{};
+  aState.mDeadline = aNow + aRequest.mPatience;
+  aState.mRequest = std::move(aRequest);
+  aState.mRandom = Random(aSeed);
+  return ReadStore{};
+}
+
+ApplyStep
+HandleStoreRead(ApplyState& aState,
+                const Result<StoredConfiguration>& aStored,
+                TimePoint aNow)
+{
+  if (!aStored && aStored.error().mKind == ErrorKind::kInvalidFile) {
+    return Ended(aState.mMayBeWritten ? ApplyOutcome::kUnknown
+                                      : ApplyOutcome::kRefused,
+                 ErrorKind::kInvalidFile,
+                 aStored.error().mMessage,
+                 aStored.error().mRemedy);
+  }
+  if (!aStored) {
+    return TryAgain(aState, aStored.error().mMessage, aNow);
+  }
+  const auto& current = aStored->mRecord;
+  if (current) {
+    const auto revision = FindChange(*current, aState.mRequest.mChangeId);
+    if (revision) {
+      return Accepted(*revision, false);
+    }
+  }
+  if (aState.mIsSent) {
+    return SettleWrite(aState, *aStored, aNow);
+  }
+  if (current && current->mText == aState.mRequest.mText) {
+    return Accepted(current->mRevision, true);
+  }
+  const Revision revision = current ? current->mRevision : Revision{};
+  if (revision < aState.mRequest.mBase) {
+    return TryAgain(aState,
+                    "the store shows revision " +
+                      std::to_string(revision.Value()) +
+                      ", older than the base revision",
+                    aNow);
+  }
+  if (revision > aState.mRequest.mBase) {
+    return Conflict(*current, aState.mRequest.mBase);
+  }
+  return Write(aState, *aStored);
+}
+
+ApplyStep
+HandleStoreSwapped(ApplyState& aState,
+                   const Result<std::uint64_t>& aWritten,
+                   TimePoint aNow)
+{
+  if (aWritten) {
+    return Accepted(aState.mSwapRevision, false);
+  }
+  const Error& error = aWritten.error();
+  if (error.mKind == ErrorKind::kConflict) {
+    // Another change came first, or this one did and its reply was lost.
+    const bool isFirst = !aState.mIsContested;
+    aState.mIsContested = true;
+    return isFirst ? ApplyStep(ReadStore{})
+                   : TryAgain(aState, error.mMessage, aNow);
+  }
+  if (error.mKind == ErrorKind::kValueTooLarge) {
+    return Ended(ApplyOutcome::kRefused,
+                 ErrorKind::kValueTooLarge,
+                 error.mMessage,
+                 error.mRemedy);
+  }
+  const bool mayBeWritten = error.mExecution == Execution::kUnknown;
+  aState.mMayBeWritten = aState.mMayBeWritten || mayBeWritten;
+  return TryAgain(aState, error.mMessage, aNow);
+}
+
+ApplyStep
+HandleWaited()
+{
+  return ReadStore{};
+}
+
+} // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_platform/ConfigurationFormat.cpp
@@ -0,0 +1,217 @@
+/*
+ * Configurations and attempts as JSON.
+ */
+#include "wasabispread_platform.h"
+
+#include <algorithm>
+#include <optional>
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <nlohmann/json.hpp>
+
+namespace wasabispread {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/** A text larger than this is not read. */
+constexpr std::uint64_t kMostTextBytes = 64U << 20U;
+constexpr int kBase64Bits = 6;
+constexpr int kByteBits = 8;
+
+tl::unexpected<Error>
+Unreadable()
+{
+  return Fail(ErrorKind::kInvalidFile,
+              "the stored configuration cannot be read",
+              "compare the release of this program with that of the one that "
+              "wrote it");
+}
+
+/** Base64 without padding. */
+std::string
+ToBase64(const std::string& aBytes)
+{
+  using namespace boost::archive::iterators;
+  using Iterator = base64_from_binary<
+    transform_width<std::string::const_iterator, kBase64Bits, kByteBits>>;
+  return { Iterator(aBytes.begin()), Iterator(aBytes.end()) };
+}
+
+std::optional<std::string>
+FromBase64(const std::string& aText)
+{
+  using namespace boost::archive::iterators;
+  using Iterator =
+    transform_width<binary_from_base64<std::string::const_iterator>,
+                    kByteBits,
+                    kBase64Bits>;
+  const std::size_t size = aText.size() * kBase64Bits / kByteBits;
+  std::string bytes;
+  bytes.reserve(size);
+  try {
+    Iterator place(aText.begin());
+    for (std::size_t index = 0; index < size; ++index) {
+      bytes.push_back(static_cast<char>(*place));
+      ++place;
+    }
+  } catch (const dataflow_exception&) {
+    return std::nullopt;
+  }
+  return bytes;
+}
+
+std::string
+StringOr(const Json& aJson, const char* aKey)
+{
+  const auto place = aJson.find(aKey);
+  const bool isString = place != aJson.end() && place->is_string();
+  return isString ? place->get<std::string>() : std::string();
+}
+
+std::optional<std::uint64_t>
+NumberAt(const Json& aJson, const char* aKey)
+{
+  const auto place = aJson.find(aKey);
+  if (place == aJson.end() || !place->is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return place->get<std::uint64_t>();
+}
+
+std::string
+Dump(const Json& aJson)
+{
+  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+/** The text, whether compressed or, as first releases wrote it, plain. */
+std::optional<std::string>
+TextOf(const Json& aJson)
+{
+  const auto plain = aJson.find("text");
+  if (plain != aJson.end() && plain->is_string()) {
+    return plain->get<std::string>();
+  }
+  const auto size = NumberAt(aJson, "text_bytes");
+  const auto compressed = FromBase64(StringOr(aJson, "text_zlib"));
+  if (!size || *size > kMostTextBytes || !compressed) {
+    return std::nullopt;
+  }
+  auto text = Decompress(*compressed, *size);
+  return text ? std::optional(std::move(*text)) : std::nullopt;
+}
+
+} // namespace
+
+std::string
+EncodeConfiguration(const ConfigurationRecord& aRecord)
+{
+  Json json;
+  json["revision"] = aRecord.mRevision.Value();
+  json["change_id"] = aRecord.mChangeId;
+  json["author"] = aRecord.mAuthor;
+  json["time"] = aRecord.mTime;
+  json["earlier"] = Json::array();
+  for (const ChangeRecord& change : aRecord.mEarlier) {
+    json["earlier"].push_back({ { "change_id", change.mChangeId },
+                                { "revision", change.mRevision.Value() },
+                                { "author", change.mAuthor },
+                                { "time", change.mTime } });
+  }
+  json["text_bytes"] = aRecord.mText.size();
+  json["text_zlib"] =
+    ToBase64(Compress(aRecord.mText, CompressionEffort::kClose));
+  return Dump(json);
+}
+
+Result<ConfigurationRecord>
+DecodeConfiguration(const std::string& aValue)
+{
+  const Json json = Json::parse(aValue, nullptr, false);
+  if (!json.is_object()) {
+    return Unreadable();
+  }
+  const auto revision = NumberAt(json, "revision");
+  auto text = TextOf(json);
+  if (!revision || !text) {
+    return Unreadable();
+  }
+  ConfigurationRecord record;
+  record.mRevision = Revision(*revision);
+  record.mChangeId = StringOr(json, "change_id");
+  record.mAuthor = StringOr(json, "author");
+  record.mTime = StringOr(json, "time");
+  record.mText = std::move(*text);
+  for (const Json& change : json.value("earlier", Json::array())) {
+    const auto number = NumberAt(change, "revision");
+    if (!number) {
+      return Unreadable();
+    }
+    record.mEarlier.push_back({ StringOr(change, "change_id"),
+                                Revision(*number),
+                                StringOr(change, "author"),
+                                StringOr(change, "time") });
+  }
+  return record;
+}
+
+void
+AddAttempt(std::vector<RefusedAttempt>& aAttempts, RefusedAttempt aAttempt)
+{
+  const bool isThere =
+    std::any_of(aAttempts.begin(),
+                aAttempts.end(),
+                [&aAttempt](const RefusedAttempt& aOther) {
+                  return aOther.mChangeId == aAttempt.mChangeId &&
+                         aOther.mWinner == aAttempt.mWinner;
+                });
+  if (isThere) {
+    return;
+  }
+  aAttempts.insert(aAttempts.begin(), std::move(aAttempt));
+  if (aAttempts.size() > kMostAttempts) {
+    aAttempts.resize(kMostAttempts);
+  }
+}
+
+std::string
+EncodeAttempts(const std::vector<RefusedAttempt>& aAttempts)
+{
+  Json json = Json::array();
+  for (const RefusedAttempt& attempt : aAttempts) {
+    json.push_back({ { "change_id", attempt.mChangeId },
+                     { "author", attempt.mAuthor },
+                     { "time", attempt.mTime },
+                     { "base", attempt.mBase.Value() },
+                     { "winner", attempt.mWinner.Value() } });
+  }
+  return Dump(json);
+}
+
+std::vector<RefusedAttempt>
+DecodeAttempts(const std::string& aValue)
+{
+  std::vector<RefusedAttempt> attempts;
+  const Json json = Json::parse(aValue, nullptr, false);
+  if (!json.is_array()) {
+    return attempts;
+  }
+  for (const Json& element : json) {
+    const auto base = NumberAt(element, "base");
+    const auto winner = NumberAt(element, "winner");
+    if (base && winner) {
+      attempts.push_back({ StringOr(element, "change_id"),
+                           StringOr(element, "author"),
+                           StringOr(element, "time"),
+                           Revision(*base),
+                           Revision(*winner) });
+    }
+  }
+  return attempts;
+}
+
+} // namespace wasabispread
--- a/modules/wasabispread_platform/PlatformProtocol.cpp
+++ b/modules/wasabispread_platform/PlatformProtocol.cpp
@@ -186,39 +186,6 @@
   return vms;
 }
 
-std::string
-EncodeConfiguration(const ConfigurationRecord& aRecord)
-{
-  Json json;
-  json["revision"] = aRecord.mRevision.Value();
-  json["change_id"] = aRecord.mChangeId;
-  json["author"] = aRecord.mAuthor;
-  json["time"] = aRecord.mTime;
-  json["text"] = aRecord.mText;
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
-Result<ConfigurationRecord>
-DecodeConfiguration(const std::string& aValue)
-{
-  const Json json = ParseObject(aValue);
-  const auto revision =
-    json.is_discarded() ? std::nullopt : NumberAt(json, "revision");
-  const auto text = json.is_discarded() ? std::nullopt : StringAt(json, "text");
-  if (!revision || !text) {
-    return Fail(ErrorKind::kInvalidFile,
-                "the stored configuration cannot be read",
-                "apply the deployment file again");
-  }
-  ConfigurationRecord record;
-  record.mRevision = Revision(*revision);
-  record.mChangeId = StringAt(json, "change_id").value_or("");
-  record.mAuthor = StringAt(json, "author").value_or("");
-  record.mTime = StringAt(json, "time").value_or("");
-  record.mText = *text;
-  return record;
-}
-
 Result<StoredConfiguration>
 ParseStoredConfiguration(const HttpResponse& aResponse)
 {
--- a/modules/wasabispread_platform/PlatformProtocol.h
+++ b/modules/wasabispread_platform/PlatformProtocol.h
@@ -58,14 +58,6 @@
 Result<std::vector<VmRecord>>
 ParseVmList(const HttpResponse& aResponse);
 
-/** The stored form of a configuration. */
-std::string
-EncodeConfiguration(const ConfigurationRecord& aRecord);
-
-/** Reads the stored form of a configuration. */
-Result<ConfigurationRecord>
-DecodeConfiguration(const std::string& aValue);
-
 /** Reads a watch's response down to the configuration in it. */
 Result<StoredConfiguration>
 ParseStoredConfiguration(const HttpResponse& aResponse);
--- a/modules/wasabispread_platform/wasabispread_platform.h
+++ b/modules/wasabispread_platform/wasabispread_platform.h
@@ -9,3 +9,6 @@
 #include <wasabispread_wire/wasabispread_wire.h>
 
 #include "PlatformProtocol.h"
+
+#include "ApplyMachine.h"
+#include "ConfigurationFormat.h"
