--- a/modules/wasabispread_decisions/Placement.cpp
+++ b/modules/wasabispread_decisions/Placement.cpp
@@ -166,25 +166,6 @@
   order.mUsableRoutes = placement.mRoutes;
 }
 
-/** The owners of a group that can be given work, best first. */
-const std::vector<VmId>&
-UsableOwners(NodeState& aState, std::uint32_t aGroup, TimePoint aNow)
-{
-  static const std::vector<VmId> kNone;
-  if (RankedCandidates(aState, aGroup).empty()) {
-    return kNone;
-  }
-  const GroupRanking& order = aState.mPlacement.mRankings[aGroup];
-  const bool isCurrent = order.mUsableVersion == order.mVersion &&
-                         order.mUsableEpoch == aState.mMembership.mEpoch &&
-                         order.mUsableRoutes == aState.mPlacement.mRoutes &&
-                         aNow < order.mUsableUntil;
-  if (!isCurrent) {
-    UpdateUsable(aState, aGroup, aNow);
-  }
-  return order.mUsable;
-}
-
 /** Whether this VM can send on its own connection to a target at once. */
 bool
 HasRoom(const OwnerState& aOwner, TargetId aTarget)
@@ -265,6 +246,24 @@
   return order.mBest;
 }
 
+const std::vector<VmId>&
+UsableOwners(NodeState& aState, std::uint32_t aGroup, TimePoint aNow)
+{
+  static const std::vector<VmId> kNone;
+  if (RankedCandidates(aState, aGroup).empty()) {
+    return kNone;
+  }
+  const GroupRanking& order = aState.mPlacement.mRankings[aGroup];
+  const bool isCurrent = order.mUsableVersion == order.mVersion &&
+                         order.mUsableEpoch == aState.mMembership.mEpoch &&
+                         order.mUsableRoutes == aState.mPlacement.mRoutes &&
+                         aNow < order.mUsableUntil;
+  if (!isCurrent) {
+    UpdateUsable(aState, aGroup, aNow);
+  }
+  return order.mUsable;
+}
+
 std::optional<VmId>
 ChooseOwner(NodeState& aState,
             std::uint32_t aTargetPosition,
