--- a/apps/command_line/Commands.cpp
+++ b/apps/command_line/Commands.cpp
@@ -29,20 +29,6 @@
   return text.str();
 }
 
-void
-PrintError(const Error& aError, bool aJson)
-{
-  if (!aJson) {
-    std::cerr << ToText(aError) << "\n";
-    return;
-  }
-  const Json json{ { "kind", ToText(aError.mKind) },
-                   { "message", aError.mMessage },
-                   { "remedy", aError.mRemedy },
-                   { "ran", ToText(aError.mExecution) } };
-  std::cout << json.dump() << "\n";
-}
-
 void
 PrintFaults(const Faults& aFaults, bool aJson)
 {
@@ -62,26 +48,6 @@
   }
 }
 
-/** The checked text of the file named, or nothing once faults are printed. */
-std::optional<std::string>
-ReadCheckedFile(const CommandOptions& aOptions)
-{
-  auto text = ReadFile(aOptions.mFile);
-  if (!text) {
-    PrintError(Error{ ErrorKind::kUsage,
-                      "the file '" + aOptions.mFile + "' cannot be read",
-                      "check its name" },
-               aOptions.mJson);
-    return std::nullopt;
-  }
-  const auto deployment = ParseDeployment(*text, aOptions.mFile);
-  if (!deployment) {
-    PrintFaults(deployment.error(), aOptions.mJson);
-    return std::nullopt;
-  }
-  return text;
-}
-
 ExitCode
 ExitFor(const Error& aError)
 {
@@ -92,30 +58,6 @@
                                                   : ExitCode::kFailure;
 }
 
-/** The record that follows the one in the store. */
-Result<std::pair<std::uint64_t, ConfigurationRecord>>
-NextRecord(IoLoop& aLoop, const Endpoint& aPlatform, std::string aText)
-{
-  const auto stored =
-    ExchangeOnce(aLoop, aPlatform, FormatStoreRead(kConfigurationKey), kTimeout)
-      .and_then(ParseStoredConfiguration);
-  if (!stored) {
-    Error error = stored.error();
-    error.mExecution = Execution::kNotRun;
-    return tl::unexpected<Error>(std::move(error));
-  }
-  const std::uint64_t previous =
-    stored->mRecord ? stored->mRecord->mRevision.Value() : 0;
-  ConfigurationRecord record;
-  record.mRevision = Revision(previous + 1);
-  record.mTime = WallClockText();
-  const char* author = std::getenv("USER");
-  record.mAuthor = author == nullptr ? "unknown" : author;
-  record.mChangeId = record.mTime + "-" + std::to_string(previous + 1);
-  record.mText = std::move(aText);
-  return std::pair(stored->mStoreVersion, std::move(record));
-}
-
 ExitCode
 PrintResponse(const Result<HttpResponse>& aResponse, bool aJson)
 {
@@ -136,51 +78,48 @@
 
 } // namespace
 
-ExitCode
-RunCheck(const CommandOptions& aOptions)
+void
+PrintError(const Error& aError, bool aJson)
 {
-  if (!ReadCheckedFile(aOptions)) {
-    return ExitCode::kUsage;
+  if (!aJson) {
+    std::cerr << ToText(aError) << "\n";
+    return;
   }
-  std::cout << (aOptions.mJson ? R"({"faults":[]})"
-                               : aOptions.mFile + ": no fault found")
-            << "\n";
-  return ExitCode::kSuccess;
+  const Json json{ { "kind", ToText(aError.mKind) },
+                   { "message", aError.mMessage },
+                   { "remedy", aError.mRemedy },
+                   { "ran", ToText(aError.mExecution) } };
+  std::cout << json.dump() << "\n";
 }
 
-ExitCode
-RunApply(IoLoop& aLoop, const CommandOptions& aOptions)
+std::optional<std::string>
+ReadCheckedFile(const CommandOptions& aOptions)
 {
-  auto text = ReadCheckedFile(aOptions);
+  auto text = ReadFile(aOptions.mFile);
   if (!text) {
-    return ExitCode::kUsage;
-  }
-  const auto next = NextRecord(aLoop, aOptions.mPlatform, std::move(*text));
-  if (!next) {
-    PrintError(next.error(), aOptions.mJson);
-    return ExitFor(next.error());
+    PrintError(Error{ ErrorKind::kUsage,
+                      "the file '" + aOptions.mFile + "' cannot be read",
+                      "check its name" },
+               aOptions.mJson);
+    return std::nullopt;
   }
-  const auto written =
-    ExchangeOnce(aLoop,
-                 aOptions.mPlatform,
-                 FormatStoreSwap(kConfigurationKey,
-                                 next->first,
-                                 EncodeConfiguration(next->second)),
-                 kTimeout)
-      .and_then(ParseStoreSwap);
-  if (!written) {
-    PrintError(written.error(), aOptions.mJson);
-    return ExitFor(written.error());
+  const auto deployment = ParseDeployment(*text, aOptions.mFile);
+  if (!deployment) {
+    PrintFaults(deployment.error(), aOptions.mJson);
+    return std::nullopt;
   }
-  const std::uint64_t revision = next->second.mRevision.Value();
-  if (aOptions.mJson) {
-    const Json json{ { "outcome", "accepted" },
-                     { "revision", revision },
-                     { "change_id", next->second.mChangeId } };
-    std::cout << json.dump() << "\n";
-  } else {
-    std::cout << "accepted as revision " << revision << "\n";
+  return text;
+}
+
+ExitCode
+RunCheck(const CommandOptions& aOptions)
+{
+  if (!ReadCheckedFile(aOptions)) {
+    return ExitCode::kUsage;
   }
+  std::cout << (aOptions.mJson ? R"({"faults":[]})"
+                               : aOptions.mFile + ": no fault found")
+            << "\n";
   return ExitCode::kSuccess;
 }
 
--- a/apps/command_line/Commands.h
+++ b/apps/command_line/Commands.h
@@ -5,6 +5,7 @@
 
 #include <wasabispread_runtime/wasabispread_runtime.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,16 +38,27 @@
   std::string mBody;
   std::uint32_t mPatienceMs = 1000;
   bool mJson = false;
+  /** The revision that an applied file was built on; 0 for none. */
+  std::uint64_t mBaseRevision = 0;
+  /** Empty for a new change. */
+  std::string mChangeId;
+  /** The revision waited for; 0 for no wait. */
+  std::uint64_t mRevision = 0;
+  std::uint32_t mWaitMs = 20'000;
 };
 
+/** Prints an error in the form asked for. */
+void
+PrintError(const Error& aError, bool aJson);
+
+/** The checked text of the file named, or nothing once faults are printed. */
+std::optional<std::string>
+ReadCheckedFile(const CommandOptions& aOptions);
+
 /** Checks a deployment file. */
 ExitCode
 RunCheck(const CommandOptions& aOptions);
 
-/** Puts a deployment file in force. */
-ExitCode
-RunApply(IoLoop& aLoop, const CommandOptions& aOptions);
-
 /** Shows a daemon's view of the deployment. */
 ExitCode
 RunStatus(IoLoop& aLoop, const CommandOptions& aOptions);
--- a/apps/command_line/main.cpp
+++ b/apps/command_line/main.cpp
@@ -1,7 +1,7 @@
 /*
  * wasabispread: the operators' tool.
  */
-#include "Commands.h"
+#include "ConfigurationCommands.h"
 
 #include <iostream>
 
@@ -15,8 +15,12 @@
   "Usage: wasabispread COMMAND [options]\n\n"
   "Commands:\n"
   "  check FILE                 check a deployment file\n"
-  "  apply FILE --platform A    put a deployment file in force\n"
+  "  diff FILE --platform A     show what a file would change\n"
+  "  apply FILE --platform A --base-revision N\n"
+  "                             put a file, built on revision N, in force\n"
+  "  history --platform A       show accepted and refused changes\n"
   "  status --daemon A          show a daemon's operator status\n"
+  "  status --wait N --daemon A wait until revision N is in force everywhere\n"
   "  query --daemon A --service S\n"
   "                             ask a service at a daemon's caller address\n\n"
   "Exit codes: 0 success, 1 refused or unreachable, 2 wrong usage or file,\n"
@@ -53,13 +57,21 @@
     return static_cast<int>(RunCheck(aOptions));
   }
   IoLoop loop;
-  if (aOptions.mCommand == "apply") {
+  const bool usesPlatform = aOptions.mCommand == "apply" ||
+                            aOptions.mCommand == "diff" ||
+                            aOptions.mCommand == "history";
+  if (usesPlatform) {
     const auto platform = ParseAddress(aPlatform, "--platform");
     if (!platform) {
       return Usage(platform.error().mMessage);
     }
     aOptions.mPlatform = *platform;
-    return static_cast<int>(RunApply(loop, aOptions));
+    if (aOptions.mCommand == "diff") {
+      return static_cast<int>(RunDiff(loop, aOptions));
+    }
+    return static_cast<int>(aOptions.mCommand == "apply"
+                              ? RunApply(loop, aOptions)
+                              : RunHistory(loop, aOptions));
   }
   const auto daemon = ParseAddress(aDaemon, "--daemon");
   if (!daemon) {
@@ -67,7 +79,8 @@
   }
   aOptions.mDaemon = *daemon;
   if (aOptions.mCommand == "status") {
-    return static_cast<int>(RunStatus(loop, aOptions));
+    return static_cast<int>(aOptions.mRevision == 0 ? RunStatus(loop, aOptions)
+                                                    : RunWait(loop, aOptions));
   }
   if (aOptions.mCommand == "query") {
     return static_cast<int>(RunQuery(loop, aOptions));
@@ -93,6 +106,16 @@
   add("key", options::value(&command.mKey), "the key of a lookup or action");
   add("body", options::value(&command.mBody), "the request's body");
   add("patience-ms", options::value(&command.mPatienceMs), "time to wait");
+  add("base-revision",
+      options::value(&command.mBaseRevision),
+      "the revision that the file was built on; 0 when none is in force");
+  add("change-id",
+      options::value(&command.mChangeId),
+      "repeat an earlier apply, to learn what became of it");
+  add("wait", options::value(&command.mRevision), "the revision to wait for");
+  add("wait-ms",
+      options::value(&command.mWaitMs),
+      "how long to wait for the platform or for all VMs");
   add("output", options::value(&output), "text or json");
   options::options_description hidden;
   hidden.add(description)
--- a/modules/wasabispread_platform/ApplyMachineTests.cpp
+++ b/modules/wasabispread_platform/ApplyMachineTests.cpp
@@ -260,16 +260,16 @@
   void KeepsAttemptsBounded()
   {
     std::vector<RefusedAttempt> attempts;
-    for (std::uint64_t index = 0; index < 3 * kMostAttempts; ++index) {
+    for (std::uint64_t index = 0; index < 3 * kMostRefusedAttempts; ++index) {
       RefusedAttempt attempt;
       attempt.mChangeId = std::to_string(index);
       AddAttempt(attempts, attempt);
       AddAttempt(attempts, attempt);
     }
-    CPPUNIT_ASSERT_EQUAL(kMostAttempts, attempts.size());
+    CPPUNIT_ASSERT_EQUAL(kMostRefusedAttempts, attempts.size());
     const auto read = DecodeAttempts(EncodeAttempts(attempts));
-    CPPUNIT_ASSERT_EQUAL(kMostAttempts, read.size());
-    CPPUNIT_ASSERT_EQUAL(std::to_string(3 * kMostAttempts - 1),
+    CPPUNIT_ASSERT_EQUAL(kMostRefusedAttempts, read.size());
+    CPPUNIT_ASSERT_EQUAL(std::to_string(3 * kMostRefusedAttempts - 1),
                          read.front().mChangeId);
     CPPUNIT_ASSERT(DecodeAttempts("{").empty());
   }
--- a/modules/wasabispread_platform/ConfigurationFormat.cpp
+++ b/modules/wasabispread_platform/ConfigurationFormat.cpp
@@ -173,8 +173,8 @@
     return;
   }
   aAttempts.insert(aAttempts.begin(), std::move(aAttempt));
-  if (aAttempts.size() > kMostAttempts) {
-    aAttempts.resize(kMostAttempts);
+  if (aAttempts.size() > kMostRefusedAttempts) {
+    aAttempts.resize(kMostRefusedAttempts);
   }
 }
 
--- a/modules/wasabispread_platform/ConfigurationFormat.h
+++ b/modules/wasabispread_platform/ConfigurationFormat.h
@@ -14,7 +14,7 @@
 inline constexpr std::size_t kMostEarlierChanges = 64;
 
 /** How many refused attempts are kept. */
-inline constexpr std::size_t kMostAttempts = 64;
+inline constexpr std::size_t kMostRefusedAttempts = 64;
 
 /** The key that holds refused attempts. */
 inline constexpr std::string_view kAttemptsKey = "wasabispread/attempts";
@@ -40,7 +40,7 @@
 };
 
 /** Adds an attempt unless it is there, and drops the oldest beyond
-    kMostAttempts. */
+    kMostRefusedAttempts. */
 void
 AddAttempt(std::vector<RefusedAttempt>& aAttempts, RefusedAttempt aAttempt);
 
