Stay two seconds after a stop is announced

Cause: with 9 real daemons a stopped one left before its news was sent, so others suspected it (state 'suspect' at all 7 after 1.28 s) and gave it work until it was held dead. Now a node counts as drained only when the news has had time to reach all.

--- a/modules/wasabispread_decisions/MemberProbing.cpp
+++ b/modules/wasabispread_decisions/MemberProbing.cpp
@@ -23,6 +23,8 @@
 constexpr Duration kPauseTime = std::chrono::seconds(1);
 /** One round in this many also probes a VM held dead. */
 constexpr std::uint64_t kRoundsPerDeadProbe = 8;
+/** News of a stop reaches all VMs in about this long. */
+constexpr Duration kAnnounceTime = std::chrono::seconds(2);
 constexpr Duration kDifferenceTime = std::chrono::seconds(15);
 constexpr Duration kMembersInterval = std::chrono::minutes(1);
 
@@ -421,6 +423,10 @@
     ProbeOtherZone(aState, aNow, aEffects);
   }
   ReviewMembership(aState, epoch, aNow, aEffects);
+  aState.mIsStopAnnounced = membership.mMembers.size() == 1;
+  if (!aState.mIsStopAnnounced) {
+    aState.mTimers.Arm(aNow + kAnnounceTime, TimerKind::kStopAnnounced);
+  }
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/MembershipTests.cpp
+++ b/modules/wasabispread_decisions/MembershipTests.cpp
@@ -82,7 +82,10 @@
     mFleet->mPlatform.mIsOut = true;
     const VmId stopped = mVms[4];
     mFleet->Stop(stopped);
+    // It stays to take what others send before they know.
+    CPPUNIT_ASSERT(!mFleet->State(stopped).IsDrained());
     CPPUNIT_ASSERT(AllHold(stopped, false, std::chrono::seconds(4)));
+    CPPUNIT_ASSERT(mFleet->State(stopped).IsDrained());
   }
 
   void LearnsOfLeavingFromTheList()
--- a/modules/wasabispread_decisions/NodeState.cpp
+++ b/modules/wasabispread_decisions/NodeState.cpp
@@ -14,7 +14,7 @@
 bool
 NodeState::IsDrained() const
 {
-  return mStopping && mEntry.mQueries.empty() && mOwner.mItems.empty() &&
+  return mStopping && mIsStopAnnounced && mEntry.mQueries.empty() && mOwner.mItems.empty() &&
          mOwner.mOutboxes.empty();
 }
 
--- a/modules/wasabispread_decisions/NodeState.h
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -48,6 +48,8 @@
   /** Messages from this node to itself, handled before Reduce() returns. */
   std::deque<PeerMessage> mLoopback;
   bool mStopping = false;
+  /** Whether other VMs have had time to learn of the stop. */
+  bool mIsStopAnnounced = false;
 
   /** Whether callers' requests can be taken. */
   bool IsReady() const;
--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -161,6 +161,9 @@
       case TimerKind::kReadVmList:
         ReadMembers(mState, mNow, mEffects);
         break;
+      case TimerKind::kStopAnnounced:
+        mState.mIsStopAnnounced = true;
+        break;
       case TimerKind::kProbeRound:
         HandleProbeRound(mState, mNow, mEffects);
         break;
--- a/modules/wasabispread_decisions/TimerQueue.h
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -51,6 +51,8 @@
   kHedge,
   /** Key: the query that may be answered early. */
   kEarlyAnswer,
+  /** No key. */
+  kStopAnnounced,
 };
 
 /** A timer that came due. */
