--- a/modules/wasabispread_decisions/Counters.h
+++ b/modules/wasabispread_decisions/Counters.h
@@ -56,6 +56,10 @@
   std::uint64_t mProbes = 0;
   std::uint64_t mSnapshotRestarts = 0;
   std::uint64_t mCallersGone = 0;
+  std::uint64_t mClaimsMade = 0;
+  std::uint64_t mClaimsDuplicate = 0;
+  std::uint64_t mClaimsFailed = 0;
+  std::uint64_t mClaimsReleased = 0;
 };
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -30,21 +30,6 @@
   return aTouched.back().mOutgoing;
 }
 
-void
-Refuse(NodeState& aState,
-       const CallerRequest& aRequest,
-       Error aError,
-       Effects& aEffects)
-{
-  ++aState.mCounters.mRequestsRefused;
-  aEffects.push_back(
-    LogDecision{ RequestRefused{ aRequest.mRequestId,
-                                 aRequest.mService,
-                                 std::string(ToText(aError.mKind)) } });
-  aEffects.push_back(
-    AnswerCaller{ aRequest.mToken, aRequest.mRequestId, std::move(aError) });
-}
-
 /** Whether a failed attempt may be followed by another one. */
 bool
 MayRetry(const Query& aQuery, const ShardProgress& aShard, bool aMayHaveRun)
@@ -309,7 +294,23 @@
   }
 }
 
-/** Plans and sends a request that was admitted. */
+} // namespace
+
+void
+RefuseRequest(NodeState& aState,
+              const CallerRequest& aRequest,
+              Error aError,
+              Effects& aEffects)
+{
+  ++aState.mCounters.mRequestsRefused;
+  aEffects.push_back(
+    LogDecision{ RequestRefused{ aRequest.mRequestId,
+                                 aRequest.mService,
+                                 std::string(ToText(aError.mKind)) } });
+  aEffects.push_back(
+    AnswerCaller{ aRequest.mToken, aRequest.mRequestId, std::move(aError) });
+}
+
 void
 StartQuery(NodeState& aState,
            const CallerRequest& aRequest,
@@ -337,8 +338,6 @@
   FinishIfDone(aState, queryId, aNow, aEffects);
 }
 
-} // namespace
-
 void
 HandleCallerRequest(NodeState& aState,
                     const CallerRequest& aRequest,
@@ -346,13 +345,17 @@
                     Effects& aEffects)
 {
   ++aState.mCounters.mRequests;
-  const auto service = CheckRequest(aState, aRequest);
+  const auto service = CheckRequest(aState, aRequest, aNow);
   if (!service) {
-    Refuse(aState, aRequest, service.error(), aEffects);
+    RefuseRequest(aState, aRequest, service.error(), aEffects);
     return;
   }
   if (auto error = CheckAdmission(aState, **service, aRequest, aNow)) {
-    Refuse(aState, aRequest, std::move(*error), aEffects);
+    RefuseRequest(aState, aRequest, std::move(*error), aEffects);
+    return;
+  }
+  if (NeedsClaim(aRequest)) {
+    BeginClaim(aState, aRequest, **service, aNow, aEffects);
     return;
   }
   StartQuery(aState, aRequest, **service, aNow, aEffects);
@@ -364,6 +367,7 @@
                  TimePoint aNow,
                  Effects& aEffects)
 {
+  LeaveClaim(aState, aEvent.mToken, aEffects);
   const auto place = aState.mEntry.mQueryOfCaller.find(aEvent.mToken);
   if (place == aState.mEntry.mQueryOfCaller.end()) {
     return;
@@ -412,6 +416,23 @@
   EndAttempts(aState, aOwner, replies, aNow, aEffects);
 }
 
+void
+HandleAttemptsNotSent(NodeState& aState,
+                      const AttemptsNotSent& aEvent,
+                      TimePoint aNow,
+                      Effects& aEffects)
+{
+  std::vector<ItemReply> replies;
+  for (const AttemptSequence sequence : aEvent.mAttempts) {
+    ItemReply reply;
+    reply.mSequence = sequence;
+    reply.mOutcome = AttemptOutcome::kNotRun;
+    reply.mReason = MissingReason::kOwnerLost;
+    replies.push_back(std::move(reply));
+  }
+  EndAttempts(aState, aEvent.mPeer, replies, aNow, aEffects);
+}
+
 void
 HandleQueryDeadline(NodeState& aState,
                     QueryId aQuery,
--- a/modules/wasabispread_decisions/MembershipState.h
+++ b/modules/wasabispread_decisions/MembershipState.h
@@ -91,6 +91,8 @@
   std::uint64_t mNextSequence = 1;
   /** When any VM last answered a probe. */
   TimePoint mLastAnswer{};
+  /** Spreads the first reads of the list when all VMs start at once. */
+  Duration mStartSpread = std::chrono::milliseconds(2500);
   /** VMs named in the settings, asked first after a start. */
   std::vector<VmRecord> mSeeds;
   /** Whether the VM list or another VM has told of the others. */
--- a/modules/wasabispread_decisions/TimerQueue.h
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -53,6 +53,10 @@
   kEarlyAnswer,
   /** No key. */
   kStopAnnounced,
+  /** Key: the claim. */
+  kClaimDeadline,
+  /** Key: the claim. */
+  kClaimRetry,
 };
 
 /** A timer that came due. */
--- a/tests/support/FakePlatform.cpp
+++ b/tests/support/FakePlatform.cpp
@@ -127,4 +127,50 @@
   });
 }
 
+void
+FakePlatform::Swap(const SwapClaim& aSwap,
+                   std::function<void(Result<std::uint64_t>)> aDone)
+{
+  ++mCalls;
+  ++mSwaps;
+  const Result<std::uint64_t> lost =
+    Fail(ErrorKind::kPlatformUnavailable, "lost", "ask", Execution::kUnknown);
+  if (mRandom.Fraction() < mLoseWrites) {
+    mTimeline.After(mLossNoticed,
+                    [done = std::move(aDone), lost] { done(lost); });
+    return;
+  }
+  mTimeline.After(mDelay, [this, swap = aSwap, done = std::move(aDone), lost] {
+    if (mIsOut) {
+      done(Outage());
+      return;
+    }
+    StoredClaim& stored = mClaims[swap.mKey];
+    if (stored.mVersion != swap.mExpected) {
+      done(Fail(ErrorKind::kConflict, "conflict", "read"));
+      return;
+    }
+    stored = StoredClaim{ stored.mVersion + 1, swap.mRecord };
+    if (mRandom.Fraction() < mLoseReplies) {
+      mTimeline.After(mLossNoticed, [done, lost] { done(lost); });
+      return;
+    }
+    done(stored.mVersion);
+  });
+}
+
+void
+FakePlatform::Read(const ReadClaim& aRead,
+                   std::function<void(Result<StoredClaim>)> aDone)
+{
+  ++mCalls;
+  mTimeline.After(mDelay, [this, key = aRead.mKey, done = std::move(aDone)] {
+    if (mIsOut) {
+      done(Outage());
+      return;
+    }
+    done(mClaims[key]);
+  });
+}
+
 } // namespace wasabispread::testing
