--- a/modules/wasabispread_config/DeploymentDiff.cpp
+++ b/modules/wasabispread_config/DeploymentDiff.cpp
@@ -80,7 +80,11 @@
     }
     const std::string fields = ChangedFields(*before, thing);
     if (!fields.empty()) {
-      aLines.push_back("~ " + aKind + " " + thing.mName + ": " + fields);
+      std::string line = "~ " + aKind + " ";
+      line += thing.mName;
+      line += ": ";
+      line += fields;
+      aLines.push_back(std::move(line));
     }
   }
 }
--- a/modules/wasabispread_decisions/ConfigurationSpread.cpp
+++ b/modules/wasabispread_decisions/ConfigurationSpread.cpp
@@ -180,6 +180,7 @@
   }
   const auto sections = SplitIntoSections(aRecord.mText);
   std::vector<std::uint64_t> hashes;
+  hashes.reserve(sections.size());
   for (const DeploymentSection& section : sections) {
     hashes.push_back(section.mHash);
   }
--- a/modules/wasabispread_decisions/Membership.cpp
+++ b/modules/wasabispread_decisions/Membership.cpp
@@ -242,6 +242,7 @@
 {
   MembershipState& membership = aState.mMembership;
   std::vector<VmId> listed;
+  listed.reserve(aList.size());
   for (const VmRecord& vm : aList) {
     listed.push_back(vm.mId);
   }
