--- a/modules/wasabispread_decisions/MemberProbing.cpp
+++ b/modules/wasabispread_decisions/MemberProbing.cpp
@@ -16,13 +16,13 @@
 constexpr std::uint32_t kMissesToSuspect = 2;
 constexpr std::uint32_t kMissesToLoseZone = 3;
 constexpr Duration kSuspicionTime = std::chrono::seconds(4);
-/** Without any answer for this long, this VM is cut off itself and judges
-    nobody. */
+/** Without any answer for this long, this VM is cut off itself, or was
+    paused, and judges nobody. */
 constexpr Duration kIsolationTime = std::chrono::seconds(3);
-/** A round this late means that this VM was paused. */
-constexpr Duration kPauseTime = std::chrono::seconds(1);
 /** One round in this many also probes a VM held dead. */
 constexpr std::uint64_t kRoundsPerDeadProbe = 8;
+/** News of a stop reaches all VMs in about this long. */
+constexpr Duration kAnnounceTime = std::chrono::seconds(2);
 constexpr Duration kDifferenceTime = std::chrono::seconds(15);
 constexpr Duration kMembersInterval = std::chrono::minutes(1);
 
@@ -108,7 +108,7 @@
   MemberNews news = NewsOf(aState.mMembership, aVm);
   news.mCondition = aCondition;
   const std::uint64_t epoch = aState.mMembership.mEpoch;
-  ApplyNews(aState, news, PassOn::kYes, aNow);
+  ApplyNews(aState, news, PassOn::kYes);
   aEffects.push_back(LogDecision{ MemberJudged{ aVm, aCondition } });
   ReviewMembership(aState, epoch, aNow, aEffects);
 }
@@ -288,22 +288,12 @@
 {
   const auto delay = Duration(static_cast<std::int64_t>(
     aState.mRandom.Below(static_cast<std::uint64_t>(kRoundInterval.count()))));
-  aState.mMembership.mRoundDue = aNow + delay;
   aState.mTimers.Arm(aNow + delay, TimerKind::kProbeRound);
 }
 
 void
 HandleProbeRound(NodeState& aState, TimePoint aNow, Effects& aEffects)
 {
-  MembershipState& membership = aState.mMembership;
-  if (aNow - membership.mRoundDue > kPauseTime) {
-    membership.mLastAnswer = aNow;
-    membership.mSuspicions.clear();
-    for (ProbedNeighbour& neighbour : membership.mNeighbours) {
-      neighbour.mMisses = 0;
-      neighbour.mOutstanding = 0;
-    }
-  }
   ReviewNeighbours(aState);
   ProbeNeighbours(aState, aNow, aEffects);
   ProbeOtherZone(aState, aNow, aEffects);
@@ -312,8 +302,7 @@
     Duration(static_cast<std::int64_t>(aState.mRandom.Below(
       static_cast<std::uint64_t>(2 * kRoundJitter.count())))) -
     kRoundJitter;
-  membership.mRoundDue = aNow + kRoundInterval + jitter;
-  aState.mTimers.Arm(membership.mRoundDue, TimerKind::kProbeRound);
+  aState.mTimers.Arm(aNow + kRoundInterval + jitter, TimerKind::kProbeRound);
 }
 
 void
@@ -339,14 +328,14 @@
   MembershipState& membership = aState.mMembership;
   const std::uint64_t epoch = membership.mEpoch;
   for (const MemberNews& news : aProbe.mNews) {
-    ApplyNews(aState, news, PassOn::kYes, aNow);
+    ApplyNews(aState, news, PassOn::kYes);
   }
   if (membership.mHealth.contains(aPeer)) {
     MemberNews news = NewsOf(membership, aPeer);
     news.mVersion = aProbe.mVersion;
     news.mCondition = aProbe.mCondition;
     news.mPeerAddress = aAddress;
-    ApplyNews(aState, news, PassOn::kYes, aNow);
+    ApplyNews(aState, news, PassOn::kYes);
   }
   NoteAnswer(aState, aPeer, aNow);
   CompareViews(aState, aPeer, aAddress, aProbe.mMembersHash, aNow, aEffects);
@@ -414,13 +403,17 @@
   MemberNews news = NewsOf(membership, aState.mSelf.mId);
   news.mCondition = MemberCondition::kLeaving;
   const std::uint64_t epoch = membership.mEpoch;
-  ApplyNews(aState, news, PassOn::kYes, aNow);
+  ApplyNews(aState, news, PassOn::kYes);
   ReviewNeighbours(aState);
   ProbeNeighbours(aState, aNow, aEffects);
   for (std::size_t zone = 0; zone < membership.mOtherZones.size(); ++zone) {
     ProbeOtherZone(aState, aNow, aEffects);
   }
   ReviewMembership(aState, epoch, aNow, aEffects);
+  aState.mIsStopAnnounced = membership.mMembers.size() == 1;
+  if (!aState.mIsStopAnnounced) {
+    aState.mTimers.Arm(aNow + kAnnounceTime, TimerKind::kStopAnnounced);
+  }
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/MembershipState.h
+++ b/modules/wasabispread_decisions/MembershipState.h
@@ -91,8 +91,6 @@
   std::uint64_t mNextSequence = 1;
   /** When any VM last answered a probe. */
   TimePoint mLastAnswer{};
-  /** When the next round of probes was due. */
-  TimePoint mRoundDue{};
   /** Spreads the first reads of the list when all VMs start at once. */
   Duration mStartSpread = std::chrono::milliseconds(2500);
   /** VMs named in the settings, asked first after a start. */
--- a/modules/wasabispread_decisions/NodeState.cpp
+++ b/modules/wasabispread_decisions/NodeState.cpp
@@ -14,7 +14,7 @@
 bool
 NodeState::IsDrained() const
 {
-  return mStopping && mEntry.mQueries.empty() &&
+  return mStopping && mIsStopAnnounced && mEntry.mQueries.empty() &&
          mClaims.mTokenOfCaller.empty() && mClaims.mOutcomeWrites.empty() &&
          mOwner.mItems.empty() && mOwner.mOutboxes.empty();
 }
--- a/modules/wasabispread_decisions/NodeState.h
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -53,6 +53,8 @@
   /** When a stopping node begins to close each connection to a target that it
       does not need; not after mRefusingFrom. */
   TimePoint mReleasingFrom = TimePoint::max();
+  /** Whether other VMs have had time to learn of the stop. */
+  bool mIsStopAnnounced = false;
   /** When a stopping node begins to refuse requests. */
   TimePoint mRefusingFrom = TimePoint::max();
 
--- a/modules/wasabispread_decisions/TimerQueue.h
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -53,6 +53,8 @@
   kEarlyAnswer,
   /** No key: others may now take a stopping node's connections. */
   kReleaseConnections,
+  /** No key. */
+  kStopAnnounced,
   /** Key: the claim. */
   kClaimDeadline,
   /** Key: the claim. */
--- a/tests/support/FakePlatform.h
+++ b/tests/support/FakePlatform.h
@@ -32,6 +32,11 @@
 
   /** Changes the VM list on its way to each reader, when set. */
   std::function<void(std::vector<VmRecord>&)> mChangeList;
+  /** Watches answer with what was stored before the newest change. */
+  bool mIsStale = false;
+
+  /** Puts another content under the newest revision, as no operator can. */
+  void Falsify(const std::string& aText);
 
   /** Puts a deployment file's text in force as the next revision. */
   Revision Apply(const std::string& aText);
@@ -81,12 +86,22 @@
   };
 
   void EndWatch(std::uint64_t aWatcher);
-  std::vector<VmRecord> ShownVms() const;
+  /** The newest edition is built when it is first needed, so that many
+      changes at one time cost one list. */
+  void AddEdition();
+  void BuildNewestEdition();
+  std::vector<VmRecord> ShownVms();
+  const StoredConfiguration& Shown() const
+  {
+    return mIsStale ? mBefore : mStored;
+  }
 
   Timeline& mTimeline;
   StoredConfiguration mStored;
+  StoredConfiguration mBefore;
   std::map<VmId, VmRecord> mVms;
   std::vector<std::pair<TimePoint, std::vector<VmRecord>>> mEditions;
+  bool mIsNewestEditionBuilt = false;
   std::map<std::uint64_t, Watcher> mWatchers;
   std::uint64_t mNextWatcher = 0;
   std::uint64_t mCalls = 0;
