--- /dev/null
+++ b/benchmarks/support/DirectFleet.cpp
@@ -0,0 +1,212 @@
+/*
+ * Delivery of events between the nodes of a direct fleet.
+ */
+#include "DirectFleet.h"
+
+#include <stdexcept>
+
+namespace wasabispread::benchmarks {
+
+namespace {
+
+constexpr Duration kStep = std::chrono::microseconds(1);
+constexpr Duration kFlushWait = std::chrono::milliseconds(1);
+constexpr unsigned kPortsPerHost = 60000;
+
+} // namespace
+
+std::string
+ZoneOf(unsigned aOrdinal, unsigned aZones)
+{
+  return "zone-" + std::to_string(aOrdinal % aZones);
+}
+
+std::string
+ServiceNameOf(unsigned aPosition)
+{
+  return "service-" + std::to_string(aPosition);
+}
+
+std::string
+DeploymentOf(const FleetShape& aShape)
+{
+  std::string text = "format = 1\ndeployment = \"benchmark\"\n";
+  unsigned ordinal = 0;
+  for (unsigned service = 0; service < aShape.mServices; ++service) {
+    const std::string name = ServiceNameOf(service);
+    text += "[[service]]\nname = \"" + name +
+            "\"\nshards = " + std::to_string(aShape.mShards) +
+            "\noperations = [\"search\", \"lookup\", \"action\"]\n"
+            "prefer = \"coverage\"\nleast_coverage = 1.0\n"
+            "max_wait = \"180ms\"\nconnection_cap = " +
+            std::to_string(aShape.mConnectionCap) +
+            "\nextra_load_percent = 5\n";
+    for (unsigned shard = 0; shard < aShape.mShards; ++shard) {
+      for (unsigned replica = 0; replica < aShape.mReplicas; ++replica) {
+        const unsigned host = ordinal / kPortsPerHost;
+        const unsigned port = ordinal % kPortsPerHost + 1;
+        text += "[[service.target]]\nname = \"" + name + "-" +
+                std::to_string(shard) + "-" + std::to_string(replica) +
+                "\"\naddress = \"10.0.0." + std::to_string(host + 1) + ":" +
+                std::to_string(port) + "\"\nzone = \"" +
+                ZoneOf(shard + replica, aShape.mZones) + "\"\nshards = [" +
+                std::to_string(shard) + "]\n";
+        ++ordinal;
+      }
+    }
+  }
+  return text;
+}
+
+std::vector<VmRecord>
+VmsOf(const FleetShape& aShape)
+{
+  std::vector<VmRecord> vms;
+  for (unsigned vm = 0; vm < aShape.mVms; ++vm) {
+    VmRecord record;
+    record.mName = "vm-" + std::to_string(vm);
+    record.mId = IdFromName<VmId>(record.mName);
+    record.mZone = ZoneName(ZoneOf(vm, aShape.mZones));
+    record.mPeerAddress =
+      Endpoint{ "10.1." + std::to_string(vm / 250) + "." +
+                  std::to_string(vm % 250 + 1),
+                7000 };
+    vms.push_back(std::move(record));
+  }
+  return vms;
+}
+
+DirectFleet::DirectFleet(const FleetShape& aShape)
+  : mShape(aShape)
+  , mResult(std::make_shared<const std::string>(aShape.mResultBytes, 'r'))
+  , mBody(std::make_shared<const std::string>("query"))
+{
+  const std::vector<VmRecord> vms = VmsOf(aShape);
+  ConfigurationRecord record;
+  record.mRevision = Revision(1);
+  record.mText = DeploymentOf(aShape);
+  for (const VmRecord& vm : vms) {
+    NodeIdentity identity;
+    identity.mId = vm.mId;
+    identity.mName = vm.mName;
+    identity.mZone = vm.mZone;
+    identity.mIncarnation = Incarnation(1);
+    identity.mPeerAddress = vm.mPeerAddress;
+    mNodeOf[vm.mId] = static_cast<std::uint32_t>(mNodes.size());
+    mNodes.push_back(std::make_unique<NodeState>(
+      MakeNodeState(std::move(identity), vm.mId.Value())));
+  }
+  for (const auto& node : mNodes) {
+    Reduce(*node, Started{}, mNow);
+    Reduce(*node, VmListReceived{ vms }, mNow);
+    Reduce(*node, StoreWatched{ StoredConfiguration{ 1, record } }, mNow);
+    if (!node->IsReady()) {
+      throw std::runtime_error("the benchmark's deployment was not adopted");
+    }
+  }
+}
+
+void
+DirectFleet::Post(std::uint32_t aNode, Event aEvent)
+{
+  mQueue.push_back(Delivery{ aNode, std::move(aEvent) });
+}
+
+void
+DirectFleet::Run()
+{
+  while (!mQueue.empty()) {
+    const Delivery delivery = std::move(mQueue.front());
+    mQueue.pop_front();
+    ++mTraffic.mEvents;
+    Effects effects = Reduce(*mNodes[delivery.mNode], delivery.mEvent, mNow);
+    Perform(delivery.mNode, effects);
+  }
+}
+
+void
+DirectFleet::RunTimers()
+{
+  mNow += kFlushWait;
+  for (std::uint32_t node = 0; node < mNodes.size(); ++node) {
+    if (mNodes[node]->NextDue() <= mNow) {
+      Post(node, Tick{});
+    }
+  }
+  Run();
+}
+
+void
+DirectFleet::Perform(std::uint32_t aNode, Effects& aEffects)
+{
+  for (Effect& effect : aEffects) {
+    PerformOne(aNode, effect);
+  }
+}
+
+void
+DirectFleet::PerformOne(std::uint32_t aNode, Effect& aEffect)
+{
+  if (auto* send = std::get_if<SendToPeer>(&aEffect)) {
+    ++mTraffic.mPeerMessages;
+    const NodeIdentity& self = mNodes[aNode]->mSelf;
+    Post(mNodeOf.at(send->mPeer),
+         PeerMessageReceived{
+           self.mId, self.mPeerAddress, std::move(send->mMessage) });
+  } else if (auto* open = std::get_if<OpenTargetConnection>(&aEffect)) {
+    Post(aNode, TargetConnected{ open->mConnection });
+  } else if (auto* request = std::get_if<SendToTarget>(&aEffect)) {
+    ++mTraffic.mTargetRequests;
+    if (mTargetsReply) {
+      TargetReply reply;
+      reply.mAttempt = ToText(request->mRequest.mAttempt);
+      reply.mStatus = TargetStatus::kAnswered;
+      reply.mSnapshot = SnapshotVersion(1);
+      reply.mHeldSnapshots = { SnapshotVersion(1) };
+      reply.mBody = mResult;
+      Post(aNode, TargetReplied{ request->mConnection, std::move(reply), true });
+    }
+  } else if (auto* answer = std::get_if<AnswerCaller>(&aEffect)) {
+    ++mTraffic.mAnswers;
+    const Answer* whole = std::get_if<Answer>(&answer->mOutcome);
+    if (whole == nullptr || !whole->IsComplete()) {
+      ++mTraffic.mIncomplete;
+    }
+  }
+}
+
+void
+DirectFleet::Ask(unsigned aVm, unsigned aService)
+{
+  CallerRequest request;
+  request.mToken = CallerToken(mNextToken++);
+  request.mRequestId =
+    RequestId("request-" + std::to_string(request.mToken.Value()));
+  request.mService = ServiceNameOf(aService);
+  request.mOperation = Operation::kSearch;
+  request.mBody = mBody;
+  request.mPatience = std::chrono::seconds(1);
+  Post(aVm, std::move(request));
+  Run();
+  mNow += kStep;
+}
+
+void
+DirectFleet::Search(unsigned aVm, unsigned aService)
+{
+  mTargetsReply = true;
+  const std::uint64_t answered = mTraffic.mAnswers;
+  Ask(aVm, aService);
+  while (mTraffic.mAnswers == answered) {
+    RunTimers();
+  }
+}
+
+void
+DirectFleet::SearchWithoutReplies(unsigned aVm, unsigned aService)
+{
+  mTargetsReply = false;
+  Ask(aVm, aService);
+}
+
+} // namespace wasabispread::benchmarks
