Write attempt ids without temporary strings; look a target up once when its deployment is in force

perf showed std::to_string and string concatenation at 15% of a search's decisions. Instructions by callgrind for start plus 21 searches of 490 targets, fixed work: 158.7 M before, 148.2 M after (0.5 M fewer a search). Time on the shared machine spreads by 30%, so instructions are the evidence.

--- a/benchmarks/support/DirectFleet.cpp
+++ b/benchmarks/support/DirectFleet.cpp
@@ -67,10 +67,9 @@
     record.mName = "vm-" + std::to_string(vm);
     record.mId = IdFromName<VmId>(record.mName);
     record.mZone = ZoneName(ZoneOf(vm, aShape.mZones));
-    record.mPeerAddress =
-      Endpoint{ "10.1." + std::to_string(vm / 250) + "." +
-                  std::to_string(vm % 250 + 1),
-                7000 };
+    record.mPeerAddress = Endpoint{ "10.1." + std::to_string(vm / 250) + "." +
+                                      std::to_string(vm % 250 + 1),
+                                    7000 };
     vms.push_back(std::move(record));
   }
   return vms;
@@ -164,7 +163,8 @@
       reply.mSnapshot = SnapshotVersion(1);
       reply.mHeldSnapshots = { SnapshotVersion(1) };
       reply.mBody = mResult;
-      Post(aNode, TargetReplied{ request->mConnection, std::move(reply), true });
+      Post(aNode,
+           TargetReplied{ request->mConnection, std::move(reply), true });
     }
   } else if (auto* answer = std::get_if<AnswerCaller>(&aEffect)) {
     ++mTraffic.mAnswers;
--- a/modules/wasabispread_decisions/Entry.cpp
+++ b/modules/wasabispread_decisions/Entry.cpp
@@ -77,6 +77,24 @@
 /** Attempts to be sent, by owner. */
 using Batches = std::map<VmId, std::vector<BatchItem>>;
 
+/** Where a target of a query's deployment stands in the one in force. */
+std::optional<std::uint32_t>
+PositionInForce(const NodeState& aState,
+                const Query& aQuery,
+                std::uint32_t aPosition)
+{
+  const DeploymentPointer& current = aState.mConfiguration.mDeployment;
+  if (aQuery.mDeployment == current) {
+    return aPosition;
+  }
+  const TargetId target = aQuery.mDeployment->mTargets[aPosition].mId;
+  const auto place = current->mTargetIndex.find(target);
+  if (place == current->mTargetIndex.end()) {
+    return std::nullopt;
+  }
+  return place->second;
+}
+
 /** Plans one more attempt at a shard; false when there is no owner. */
 bool
 PlanAttempt(NodeState& aState,
@@ -91,15 +109,14 @@
   const std::uint32_t position =
     ChooseReplica(aState, aQuery, shard.mShard, aExclude, aNow);
   const Target& target = aQuery.mDeployment->mTargets[position];
-  const Deployment* current = aState.mConfiguration.mDeployment.get();
-  const auto place = current->mTargetIndex.find(target.mId);
-  if (place == current->mTargetIndex.end()) {
+  const auto inForce = PositionInForce(aState, aQuery, position);
+  if (!inForce) {
     shard.mReason = MissingReason::kUnknownTarget;
     return false;
   }
   const OwnerGroup& group =
     aState.mConfiguration
-      .mGroups[aState.mConfiguration.mGroupOfTarget[place->second]];
+      .mGroups[aState.mConfiguration.mGroupOfTarget[*inForce]];
   const std::vector<VmId>& owners = OwnersOf(aState.mMembership, group);
   if (owners.empty()) {
     shard.mReason = MissingReason::kNoOwner;
--- a/modules/wasabispread_units/Identifiers.cpp
+++ b/modules/wasabispread_units/Identifiers.cpp
@@ -3,6 +3,9 @@
  */
 #include "wasabispread_units.h"
 
+#include <array>
+#include <charconv>
+
 #include <xxhash.h>
 
 namespace wasabispread {
@@ -16,9 +19,17 @@
 std::string
 ToText(const AttemptId& aAttempt)
 {
-  return std::to_string(aAttempt.mEntry.Value()) + "." +
-         std::to_string(aAttempt.mIncarnation.Value()) + "." +
-         std::to_string(aAttempt.mSequence.Value());
+  constexpr std::size_t kMostDigits = 20;
+  constexpr std::size_t kParts = 3;
+  std::array<char, kParts*(kMostDigits + 1)> text;
+  char* end = text.data();
+  for (const std::uint64_t part : { aAttempt.mEntry.Value(),
+                                    aAttempt.mIncarnation.Value(),
+                                    aAttempt.mSequence.Value() }) {
+    end = std::to_chars(end, end + kMostDigits, part).ptr;
+    *end++ = '.';
+  }
+  return { text.data(), end - 1 };
 }
 
 std::string
