--- /dev/null
+++ b/benchmarks/runtime_throughput.cpp
@@ -0,0 +1,206 @@
+/*
+ * Daemons against a bare Beast client loop, in one run: exchanges with targets
+ * for each second of processor time, and the latency that a daemon adds.
+ * scripts/measure-runtime starts the daemons that this program loads.
+ */
+#include <benchmarks/support/EchoTargets.h>
+#include <benchmarks/support/HttpLoad.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace wasabispread::benchmarks {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/** What the command line sets. */
+struct Options
+{
+  std::uint16_t mFirstTarget = 0;
+  unsigned mTargets = 0;
+  std::uint16_t mCaller = 0;
+  std::vector<int> mDaemons;
+  unsigned mCallers = 4;
+  unsigned mRounds = 5;
+  double mSeconds = 2;
+};
+
+/** Processor time of other processes so far, all threads, in seconds. */
+double
+ProcessorSecondsOf(const std::vector<int>& aProcesses)
+{
+  constexpr unsigned kFieldsBeforeUserTime = 11;
+  double ticks = 0;
+  for (const int process : aProcesses) {
+    std::ifstream stream("/proc/" + std::to_string(process) + "/stat");
+    std::string line;
+    std::getline(stream, line);
+    std::istringstream fields(line.substr(line.rfind(')') + 1));
+    std::string skipped;
+    for (unsigned index = 0; index < kFieldsBeforeUserTime; ++index) {
+      fields >> skipped;
+    }
+    double user = 0;
+    double system = 0;
+    fields >> user >> system;
+    ticks += user + system;
+  }
+  return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+/** Exchanges for each second of processor time. */
+struct Rate
+{
+  std::uint64_t mExchanges = 0;
+  double mProcessorSeconds = 0;
+  std::uint64_t mFailed = 0;
+
+  double PerCore() const
+  {
+    return static_cast<double>(mExchanges) / mProcessorSeconds;
+  }
+};
+
+std::vector<std::uint16_t>
+TargetPorts(const Options& aOptions)
+{
+  std::vector<std::uint16_t> ports;
+  for (unsigned index = 0; index < aOptions.mTargets; ++index) {
+    ports.push_back(static_cast<std::uint16_t>(aOptions.mFirstTarget + index));
+  }
+  return ports;
+}
+
+Rate
+MeasureBare(const Options& aOptions)
+{
+  LoadPlan plan;
+  plan.mPorts = TargetPorts(aOptions);
+  plan.mConnections = aOptions.mTargets;
+  plan.mPath = "/v1/shards/0/search";
+  plan.mSeconds = aOptions.mSeconds;
+  const LoadResult result = RunLoad(plan);
+  return { result.mSucceeded, result.mProcessorSeconds, result.mFailed };
+}
+
+LoadPlan
+CallerPlan(const Options& aOptions, const std::string& aOperation)
+{
+  LoadPlan plan;
+  plan.mPorts = { aOptions.mCaller };
+  plan.mConnections = aOptions.mCallers;
+  plan.mPath = "/v1/services/benchmark/" + aOperation;
+  plan.mSeconds = aOptions.mSeconds;
+  return plan;
+}
+
+Rate
+MeasureDaemons(const Options& aOptions, const EchoTargets& aTargets)
+{
+  const double before = ProcessorSecondsOf(aOptions.mDaemons);
+  const std::uint64_t exchanges = aTargets.Exchanges();
+  const LoadResult result = RunLoad(CallerPlan(aOptions, "search"));
+  return { aTargets.Exchanges() - exchanges,
+           ProcessorSecondsOf(aOptions.mDaemons) - before,
+           result.mFailed };
+}
+
+Json
+Describe(const LoadResult& aResult)
+{
+  constexpr double kMedian = 0.5;
+  constexpr double kHigh = 0.99;
+  return { { "requests", aResult.mSucceeded },
+           { "failed", aResult.mFailed },
+           { "median_ms", aResult.Quantile(kMedian) },
+           { "p99_ms", aResult.Quantile(kHigh) } };
+}
+
+/** Latency through the daemons and directly, at a quarter of the rate that the
+    daemons reach at most. */
+Json
+MeasureLatency(const Options& aOptions)
+{
+  constexpr double kShareOfCapacity = 0.25;
+  constexpr unsigned kOpenConnections = 64;
+  const std::string lookup = "lookup?key=batch-17";
+  LoadPlan through = CallerPlan(aOptions, lookup);
+  through.mConnections = kOpenConnections;
+  const LoadResult most = RunLoad(through);
+  through.mRate =
+    kShareOfCapacity * static_cast<double>(most.mSucceeded) / aOptions.mSeconds;
+  LoadPlan direct = through;
+  direct.mPorts = TargetPorts(aOptions);
+  direct.mPath = "/v1/shards/0/lookup";
+  Json line;
+  line["capacity_per_second"] =
+    static_cast<double>(most.mSucceeded) / aOptions.mSeconds;
+  line["rate_per_second"] = through.mRate;
+  line["direct"] = Describe(RunLoad(direct));
+  line["through"] = Describe(RunLoad(through));
+  return line;
+}
+
+int
+Run(const Options& aOptions)
+{
+  const EchoTargets targets(aOptions.mFirstTarget, aOptions.mTargets);
+  MeasureDaemons(aOptions, targets);
+  Json report;
+  report["targets"] = aOptions.mTargets;
+  report["daemons"] = aOptions.mDaemons.size();
+  for (unsigned round = 0; round < aOptions.mRounds; ++round) {
+    const Rate bare = MeasureBare(aOptions);
+    const Rate daemons = MeasureDaemons(aOptions, targets);
+    report["throughput"].push_back(
+      { { "bare_per_core", bare.PerCore() },
+        { "daemon_per_core", daemons.PerCore() },
+        { "ratio", daemons.PerCore() / bare.PerCore() },
+        { "daemon_exchanges", daemons.mExchanges },
+        { "daemon_processor_seconds", daemons.mProcessorSeconds },
+        { "failed", bare.mFailed + daemons.mFailed } });
+  }
+  for (unsigned round = 0; round < aOptions.mRounds; ++round) {
+    report["latency"].push_back(MeasureLatency(aOptions));
+  }
+  std::cout << report.dump(2) << "\n";
+  return 0;
+}
+
+} // namespace
+
+} // namespace wasabispread::benchmarks
+
+int
+main(int aCount, char** aArguments)
+{
+  namespace options = boost::program_options;
+  wasabispread::benchmarks::Options wanted;
+  options::options_description description("Options");
+  description.add_options()("first-target-port",
+                            options::value(&wanted.mFirstTarget)->required(),
+                            "port of the first target")(
+    "targets", options::value(&wanted.mTargets)->required(), "how many")(
+    "caller-port",
+    options::value(&wanted.mCaller)->required(),
+    "where the entry takes callers")(
+    "daemon-pid",
+    options::value(&wanted.mDaemons)->required(),
+    "each daemon's process")(
+    "callers", options::value(&wanted.mCallers), "searches at a time")(
+    "rounds", options::value(&wanted.mRounds), "how often to repeat")(
+    "seconds", options::value(&wanted.mSeconds), "how long each part runs");
+  options::variables_map values;
+  options::store(options::parse_command_line(aCount, aArguments, description),
+                 values);
+  options::notify(values);
+  return wasabispread::benchmarks::Run(wanted);
+}
