--- /dev/null
+++ b/benchmarks/component_cost.cpp
@@ -0,0 +1,311 @@
+/*
+ * Processor time of the parts of a request's way and of control, against their
+ * sizes: frames, log lines, responses, configurations, owner ranking.
+ */
+#include <benchmarks/support/DirectFleet.h>
+
+#include <wasabispread_telemetry/wasabispread_telemetry.h>
+#include <wasabispread_wire/wasabispread_wire.h>
+
+#include <benchmark/benchmark.h>
+
+#include <span>
+
+namespace wasabispread::benchmarks {
+
+namespace {
+
+constexpr std::size_t kResultBytes = 64;
+const TimePoint kNow{ std::chrono::hours(1) };
+
+BatchRequest
+MakeBatchRequest(std::size_t aItems)
+{
+  BatchRequest request;
+  request.mIncarnation = Incarnation(1);
+  request.mRequestId = RequestId("vm-0-1700000000000000-1");
+  request.mBody = std::make_shared<const std::string>("query");
+  request.mBudget = std::chrono::milliseconds(170);
+  for (std::size_t item = 0; item < aItems; ++item) {
+    request.mItems.push_back(
+      BatchItem{ AttemptSequence(item + 1),
+                 TargetId(item),
+                 ShardIndex(static_cast<std::uint32_t>(item)) });
+  }
+  return request;
+}
+
+BatchReply
+MakeBatchReply(std::size_t aItems)
+{
+  const auto body =
+    std::make_shared<const std::string>(std::string(kResultBytes, 'r'));
+  BatchReply reply;
+  reply.mIncarnation = Incarnation(1);
+  for (std::size_t item = 0; item < aItems; ++item) {
+    ItemReply ended;
+    ended.mSequence = AttemptSequence(item + 1);
+    ended.mOutcome = AttemptOutcome::kAnswered;
+    ended.mSnapshot = SnapshotVersion(1);
+    ended.mHeldSnapshots = { SnapshotVersion(1) };
+    ended.mBody = body;
+    reply.mItems.push_back(std::move(ended));
+  }
+  return reply;
+}
+
+void
+MeasureEncoding(benchmark::State& aState, const PeerMessage& aMessage)
+{
+  std::size_t bytes = 0;
+  for (auto _ : aState) {
+    const std::string frame = EncodeMessage(aMessage);
+    bytes = frame.size();
+    benchmark::DoNotOptimize(frame.data());
+  }
+  aState.counters["frame_bytes"] = static_cast<double>(bytes);
+}
+
+void
+MeasureDecoding(benchmark::State& aState, const PeerMessage& aMessage)
+{
+  const std::string frame = EncodeMessage(aMessage);
+  const std::vector<std::uint8_t> bytes(frame.begin() + kFrameLengthBytes,
+                                        frame.end());
+  for (auto _ : aState) {
+    auto decoded = DecodeFrame(bytes);
+    benchmark::DoNotOptimize(decoded);
+  }
+}
+
+void
+EncodeBatch(benchmark::State& aState)
+{
+  MeasureEncoding(aState,
+                  MakeBatchRequest(static_cast<std::size_t>(aState.range(0))));
+}
+
+void
+DecodeBatch(benchmark::State& aState)
+{
+  MeasureDecoding(aState,
+                  MakeBatchRequest(static_cast<std::size_t>(aState.range(0))));
+}
+
+void
+EncodeReplies(benchmark::State& aState)
+{
+  MeasureEncoding(aState,
+                  MakeBatchReply(static_cast<std::size_t>(aState.range(0))));
+}
+
+void
+DecodeReplies(benchmark::State& aState)
+{
+  MeasureDecoding(aState,
+                  MakeBatchReply(static_cast<std::size_t>(aState.range(0))));
+}
+
+/** A response of so many shards' results. */
+void
+FormatAnswer(benchmark::State& aState)
+{
+  FleetShape shape;
+  shape.mShards = static_cast<unsigned>(aState.range(0));
+  const auto deployment = ParseDeployment(DeploymentOf(shape), "benchmark");
+  const auto body =
+    std::make_shared<const std::string>(std::string(kResultBytes, 'r'));
+  Answer answer;
+  answer.mService = deployment->mServices.front().mId;
+  answer.mSnapshot = SnapshotVersion(1);
+  answer.mShardsAsked = shape.mShards;
+  for (const Target& target : deployment->mTargets) {
+    answer.mResults.push_back(
+      ShardResult{ target.mShards.front(), target.mId, body });
+  }
+  const Outcome outcome(std::move(answer));
+  std::size_t bytes = 0;
+  for (auto _ : aState) {
+    const HttpResponse response =
+      FormatOutcome(RequestId("request-1"), outcome, &*deployment);
+    bytes = response.mBody.size();
+  }
+  aState.counters["response_bytes"] = static_cast<double>(bytes);
+}
+
+/** A plan's log line of so many batches. */
+void
+FormatPlanLine(benchmark::State& aState)
+{
+  NodeIdentity self;
+  self.mName = "vm-0";
+  const NodeState node = MakeNodeState(std::move(self), 1);
+  QueryPlanned plan;
+  plan.mRequestId = RequestId("vm-0-1700000000000000-1");
+  for (std::int64_t batch = 0; batch < aState.range(0); ++batch) {
+    plan.mBatches.push_back(
+      PlannedBatch{ VmId(static_cast<std::uint64_t>(batch)), 10 });
+  }
+  const DecisionRecord record(plan);
+  std::size_t bytes = 0;
+  for (auto _ : aState) {
+    bytes = FormatRecord(record, node, WallClockText()).size();
+  }
+  aState.counters["line_bytes"] = static_cast<double>(bytes);
+}
+
+FleetShape
+ShapeOfTargets(std::int64_t aTargets)
+{
+  FleetShape shape;
+  shape.mVms = 1;
+  shape.mZones = 8;
+  shape.mShards = static_cast<unsigned>(aTargets);
+  return shape;
+}
+
+/** Reading and checking a deployment's text. */
+void
+ParseText(benchmark::State& aState)
+{
+  const std::string text = DeploymentOf(ShapeOfTargets(aState.range(0)));
+  for (auto _ : aState) {
+    auto deployment = ParseDeployment(text, "benchmark");
+    benchmark::DoNotOptimize(deployment);
+  }
+}
+
+/** A node's whole event that brings a higher revision into force. */
+void
+AdoptRevision(benchmark::State& aState)
+{
+  const std::string text = DeploymentOf(ShapeOfTargets(aState.range(0)));
+  NodeIdentity self;
+  self.mName = "vm-0";
+  self.mZone = ZoneName("zone-0");
+  NodeState node = MakeNodeState(std::move(self), 1);
+  std::uint64_t version = 0;
+  for (auto _ : aState) {
+    ConfigurationRecord record;
+    record.mRevision = Revision(++version);
+    record.mText = text;
+    Reduce(node, StoreWatched{ StoredConfiguration{ version, record } }, kNow);
+  }
+  if (node.mConfiguration.mRevision.Value() != version) {
+    aState.SkipWithError("a revision was not adopted");
+  }
+}
+
+MembershipState
+MembersOf(std::int64_t aVms)
+{
+  FleetShape shape;
+  shape.mVms = static_cast<unsigned>(aVms);
+  shape.mZones = 1;
+  MembershipState membership;
+  for (VmRecord& vm : VmsOf(shape)) {
+    membership.mLiveByZone[vm.mZone].push_back(vm.mId);
+  }
+  return membership;
+}
+
+/** Ranking one group's owners among the VMs of its zone, as after a change of
+    membership. */
+void
+RankOwners(benchmark::State& aState)
+{
+  MembershipState membership = MembersOf(aState.range(0));
+  const OwnerGroup group{ 42, ZoneName("zone-0") };
+  for (auto _ : aState) {
+    ++membership.mEpoch;
+    benchmark::DoNotOptimize(OwnersOf(membership, group).data());
+  }
+}
+
+/** Asking for a group's owners when membership has not changed. */
+void
+RecallOwners(benchmark::State& aState)
+{
+  MembershipState membership = MembersOf(aState.range(0));
+  const OwnerGroup group{ 42, ZoneName("zone-0") };
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(OwnersOf(membership, group).data());
+  }
+}
+
+/** A node's whole event for a VM list, in which one VM differs each time. */
+void
+ReadVms(benchmark::State& aState)
+{
+  FleetShape shape;
+  shape.mVms = static_cast<unsigned>(aState.range(0));
+  shape.mZones = 8;
+  const std::vector<VmRecord> all = VmsOf(shape);
+  std::vector<VmRecord> fewer = all;
+  fewer.pop_back();
+  NodeIdentity self;
+  self.mId = all.front().mId;
+  self.mName = all.front().mName;
+  self.mZone = all.front().mZone;
+  NodeState node = MakeNodeState(std::move(self), 1);
+  bool isWhole = false;
+  for (auto _ : aState) {
+    isWhole = !isWhole;
+    Reduce(node, VmListReceived{ isWhole ? all : fewer }, kNow);
+  }
+}
+
+/** Sizes that span a batch between two VMs. */
+void
+BatchSizes(benchmark::internal::Benchmark* aBenchmark)
+{
+  aBenchmark->Unit(benchmark::kMicrosecond)->Arg(1)->Arg(10)->Arg(24)->Arg(100);
+}
+
+void
+FanOutSizes(benchmark::internal::Benchmark* aBenchmark)
+{
+  aBenchmark->Unit(benchmark::kMicrosecond)
+    ->Arg(10)
+    ->Arg(100)
+    ->Arg(490)
+    ->Arg(2000);
+}
+
+void
+TargetSizes(benchmark::internal::Benchmark* aBenchmark)
+{
+  aBenchmark->Unit(benchmark::kMicrosecond)
+    ->Arg(100)
+    ->Arg(1000)
+    ->Arg(4000)
+    ->Arg(13000);
+}
+
+void
+VmSizes(benchmark::internal::Benchmark* aBenchmark)
+{
+  aBenchmark->Unit(benchmark::kMicrosecond)
+    ->Arg(8)
+    ->Arg(100)
+    ->Arg(1000)
+    ->Arg(3000);
+}
+
+BENCHMARK(EncodeBatch)->Apply(BatchSizes);
+BENCHMARK(DecodeBatch)->Apply(BatchSizes);
+BENCHMARK(EncodeReplies)->Apply(BatchSizes);
+BENCHMARK(DecodeReplies)->Apply(BatchSizes);
+BENCHMARK(FormatAnswer)->Apply(FanOutSizes);
+BENCHMARK(FormatPlanLine)->Apply(BatchSizes);
+BENCHMARK(ParseText)->Apply(TargetSizes);
+BENCHMARK(AdoptRevision)->Apply(TargetSizes);
+BENCHMARK(RankOwners)->Apply(VmSizes);
+BENCHMARK(RecallOwners)->Apply(VmSizes);
+BENCHMARK(ReadVms)->Apply(VmSizes);
+
+} // namespace
+
+} // namespace wasabispread::benchmarks
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/benchmarks/memory_slopes.cpp
@@ -0,0 +1,209 @@
+/*
+ * Bytes that a node's state takes, against what it holds. Each benchmark runs
+ * once; its counter is the figure, its time is of no interest.
+ */
+#include <benchmarks/support/DirectFleet.h>
+#include <benchmarks/support/HeapCount.h>
+
+#include <benchmark/benchmark.h>
+
+namespace wasabispread::benchmarks {
+
+namespace {
+
+constexpr unsigned kRequestsHeld = 50;
+const TimePoint kNow{ std::chrono::hours(1) };
+
+/** A node in zone-0 that knows a shape's VMs and deployment. */
+NodeState
+MakeNode(const FleetShape& aShape, const std::string& aText)
+{
+  const std::vector<VmRecord> vms = VmsOf(aShape);
+  NodeIdentity identity;
+  identity.mId = vms.front().mId;
+  identity.mName = vms.front().mName;
+  identity.mZone = vms.front().mZone;
+  identity.mIncarnation = Incarnation(1);
+  identity.mPeerAddress = vms.front().mPeerAddress;
+  NodeState node = MakeNodeState(std::move(identity), 1);
+  Reduce(node, Started{}, kNow);
+  Reduce(node, VmListReceived{ vms }, kNow);
+  ConfigurationRecord record;
+  record.mRevision = Revision(1);
+  record.mText = aText;
+  Reduce(node, StoreWatched{ StoredConfiguration{ 1, record } }, kNow);
+  return node;
+}
+
+/** Reports the bytes that aGrow adds, divided by aParts. */
+template<class Grow>
+void
+ReportGrowth(benchmark::State& aState, double aParts, Grow aGrow)
+{
+  for (auto _ : aState) {
+    const std::size_t before = gHeapBytes;
+    aGrow();
+    aState.counters["bytes"] =
+      static_cast<double>(gHeapBytes - before) / aParts;
+  }
+}
+
+/** Two VMs in one zone. */
+FleetShape
+SmallShape(unsigned aShards)
+{
+  FleetShape shape;
+  shape.mVms = 2;
+  shape.mZones = 1;
+  shape.mShards = aShards;
+  return shape;
+}
+
+CallerRequest
+MakeSearch(std::uint64_t aToken)
+{
+  CallerRequest request;
+  request.mToken = CallerToken(aToken);
+  request.mRequestId =
+    RequestId("vm-0-1700000000000000-" + std::to_string(aToken));
+  request.mService = ServiceNameOf(0);
+  request.mBody = std::make_shared<const std::string>("query");
+  request.mPatience = std::chrono::seconds(1);
+  return request;
+}
+
+/** At the entry, one search in flight against the targets it asks. */
+void
+EntryBytesOfSearch(benchmark::State& aState)
+{
+  FleetShape shape = SmallShape(static_cast<unsigned>(aState.range(0)));
+  NodeState node = MakeNode(shape, DeploymentOf(shape));
+  // No longer one of the VMs that rank for targets: every batch leaves it.
+  node.mSelf.mId = IdFromName<VmId>("entry");
+  Reduce(node, MakeSearch(0), kNow);
+  ReportGrowth(aState, kRequestsHeld, [&node] {
+    for (unsigned request = 1; request <= kRequestsHeld; ++request) {
+      Reduce(node, MakeSearch(request), kNow);
+    }
+  });
+}
+
+/** At the owner, one batch in flight against its items. */
+void
+OwnerBytesOfBatch(benchmark::State& aState)
+{
+  const auto items = static_cast<unsigned>(aState.range(0));
+  FleetShape shape = SmallShape(items);
+  shape.mVms = 1;
+  NodeState node = MakeNode(shape, DeploymentOf(shape));
+  const VmId entry = IdFromName<VmId>("entry");
+  const Endpoint address{ "10.2.0.1", 7000 };
+  std::uint64_t sequence = 1;
+  const auto take = [&] {
+    BatchRequest batch;
+    batch.mIncarnation = Incarnation(1);
+    batch.mRequestId = RequestId("vm-0-1700000000000000-1");
+    batch.mService = IdFromName<ServiceId>(ServiceNameOf(0));
+    batch.mRevision = Revision(1);
+    batch.mBody = std::make_shared<const std::string>("query");
+    batch.mBudget = std::chrono::milliseconds(170);
+    for (const Target& target : node.mConfiguration.mDeployment->mTargets) {
+      batch.mItems.push_back(BatchItem{
+        AttemptSequence(sequence++), target.mId, target.mShards.front() });
+    }
+    Reduce(node, PeerMessageReceived{ entry, address, std::move(batch) }, kNow);
+  };
+  take();
+  ReportGrowth(aState, kRequestsHeld, [&take] {
+    for (unsigned request = 0; request < kRequestsHeld; ++request) {
+      take();
+    }
+  });
+}
+
+/** A deployment in force against its targets. */
+void
+BytesOfTargets(benchmark::State& aState)
+{
+  FleetShape shape = SmallShape(static_cast<unsigned>(aState.range(0)));
+  const std::string text = DeploymentOf(shape);
+  std::unique_ptr<NodeState> node;
+  ReportGrowth(aState, 1, [&] {
+    node = std::make_unique<NodeState>(MakeNode(shape, text));
+  });
+  aState.counters["text_bytes"] = static_cast<double>(text.size());
+}
+
+/** A deployment in force against its services, of ten targets each. */
+void
+BytesOfServices(benchmark::State& aState)
+{
+  FleetShape shape = SmallShape(10);
+  shape.mServices = static_cast<unsigned>(aState.range(0));
+  const std::string text = DeploymentOf(shape);
+  std::unique_ptr<NodeState> node;
+  ReportGrowth(aState, 1, [&] {
+    node = std::make_unique<NodeState>(MakeNode(shape, text));
+  });
+}
+
+/** What an entry has seen of targets, against the targets it asked. */
+void
+BytesOfObservations(benchmark::State& aState)
+{
+  FleetShape shape = SmallShape(static_cast<unsigned>(aState.range(0)));
+  DirectFleet fleet(shape);
+  ReportGrowth(aState, 1, [&fleet] { fleet.Search(0, 0); });
+}
+
+/** The VM list against its VMs. */
+void
+BytesOfMembers(benchmark::State& aState)
+{
+  FleetShape shape;
+  shape.mVms = 1;
+  shape.mShards = 1;
+  NodeState node = MakeNode(shape, DeploymentOf(shape));
+  shape.mVms = static_cast<unsigned>(aState.range(0));
+  shape.mZones = 8;
+  std::vector<VmRecord> vms = VmsOf(shape);
+  ReportGrowth(aState, 1, [&] { Reduce(node, VmListReceived{ vms }, kNow); });
+}
+
+BENCHMARK(EntryBytesOfSearch)
+  ->Iterations(1)
+  ->Arg(10)
+  ->Arg(100)
+  ->Arg(490)
+  ->Arg(2000);
+BENCHMARK(OwnerBytesOfBatch)
+  ->Iterations(1)
+  ->Arg(10)
+  ->Arg(24)
+  ->Arg(100)
+  ->Arg(490);
+BENCHMARK(BytesOfTargets)
+  ->Iterations(1)
+  ->Arg(100)
+  ->Arg(1000)
+  ->Arg(4000)
+  ->Arg(13000);
+BENCHMARK(BytesOfServices)->Iterations(1)->Arg(1)->Arg(10)->Arg(30)->Arg(100);
+BENCHMARK(BytesOfObservations)
+  ->Iterations(1)
+  ->Arg(100)
+  ->Arg(1000)
+  ->Arg(4000)
+  ->Arg(13000);
+BENCHMARK(BytesOfMembers)
+  ->Iterations(1)
+  ->Arg(100)
+  ->Arg(300)
+  ->Arg(1000)
+  ->Arg(3000);
+
+} // namespace
+
+} // namespace wasabispread::benchmarks
+
+BENCHMARK_MAIN();
