Target exchanges with one pending read, one timer and no promises

perf showed a daemon's exchange spread over type-erased executors (6%), fiber promises, locks and condition variables, a timer set twice for each exchange, and Beast's write composed over buffer lists (8%); the kernel took 22%.

--- a/modules/wasabispread_runtime/AsioSupport.h
+++ b/modules/wasabispread_runtime/AsioSupport.h
@@ -5,8 +5,9 @@
 
 #include <utility>
 
+#include "FiberEvent.h"
+
 #include <boost/asio.hpp>
-#include <boost/fiber/future.hpp>
 
 #include <wasabispread_units/wasabispread_units.h>
 
@@ -25,12 +26,15 @@
 IoResult
 Await(Start&& aStart)
 {
-  boost::fibers::promise<IoResult> promise;
-  auto future = promise.get_future();
-  aStart([&promise](boost::system::error_code aError, std::size_t aBytes = 0) {
-    promise.set_value(IoResult{ aError, aBytes });
+  IoResult result;
+  FiberEvent completed;
+  aStart([&result, &completed](boost::system::error_code aError,
+                               std::size_t aBytes = 0) {
+    result = IoResult{ aError, aBytes };
+    completed.Notify();
   });
-  return future.get();
+  completed.Wait();
+  return result;
 }
 
 /** The Asio form of an endpoint; its host must be a dotted address. */
@@ -41,8 +45,9 @@
 }
 
 /** Whether the other side has closed a connection; reads nothing. */
-inline bool
-IsClosedByPeer(boost::asio::ip::tcp::socket& aSocket)
+template<class Socket>
+bool
+IsClosedByPeer(Socket& aSocket)
 {
   char byte = 0;
   boost::system::error_code error;
--- a/modules/wasabispread_runtime/FiberEvent.h
+++ b/modules/wasabispread_runtime/FiberEvent.h
@@ -5,46 +5,29 @@
 
 #include <wasabispread_units/wasabispread_units.h>
 
-#include <boost/fiber/condition_variable.hpp>
-#include <boost/fiber/mutex.hpp>
+namespace boost::fibers {
+class context;
+}
 
 namespace wasabispread {
 
-/** A flag to wait for. A wake before the wait is not lost. */
+/** A flag that one fiber at a time waits for. A wake before the wait is not
+    lost. Used from one thread; no lock is needed or taken. */
 class FiberEvent
 {
 public:
-  /** Lets one waiter, present or next, go on. */
-  void Notify()
-  {
-    const std::lock_guard<boost::fibers::mutex> lock(mMutex);
-    mIsSet = true;
-    mCondition.notify_one();
-  }
+  /** Lets the waiter, present or next, go on. */
+  void Notify();
 
   /** Waits for a wake and takes it. */
-  void Wait()
-  {
-    std::unique_lock<boost::fibers::mutex> lock(mMutex);
-    mCondition.wait(lock, [this] { return mIsSet; });
-    mIsSet = false;
-  }
+  void Wait();
 
   /** Waits for a wake, or until a time. */
-  void WaitUntil(TimePoint aTime)
-  {
-    if (aTime == TimePoint::max()) {
-      Wait();
-      return;
-    }
-    std::unique_lock<boost::fibers::mutex> lock(mMutex);
-    mCondition.wait_until(lock, aTime, [this] { return mIsSet; });
-    mIsSet = false;
-  }
+  void WaitUntil(TimePoint aTime);
 
 private:
-  boost::fibers::mutex mMutex;
-  boost::fibers::condition_variable mCondition;
+  /** The fiber that waits; null while none does. */
+  boost::fibers::context* mWaiter = nullptr;
   bool mIsSet = false;
 };
 
--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -12,10 +12,23 @@
 
 namespace {
 
+namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+// The context's own executor type: a type-erased one costs each operation
+// several copies.
+using Executor = asio::io_context::executor_type;
+using Socket = asio::basic_stream_socket<Tcp, Executor>;
+using ExpiryTimer =
+  asio::basic_waitable_timer<std::chrono::steady_clock,
+                             asio::wait_traits<std::chrono::steady_clock>,
+                             Executor>;
+using ResponseParser = http::response_parser<http::string_body>;
 
 constexpr std::uint64_t kMostResponseBytes = 64ULL << 20U;
+constexpr std::size_t kReadBytes = 4096;
 
 http::request<http::string_body>
 ToBeast(const HttpRequest& aRequest, const std::string& aHost)
@@ -32,6 +45,27 @@
   return request;
 }
 
+/** A whole message in one piece, to be written by one call. */
+std::string
+Serialize(const http::request<http::string_body>& aRequest)
+{
+  http::request_serializer<http::string_body> serializer(aRequest);
+  std::string bytes;
+  error_code error;
+  while (!error && !serializer.is_done()) {
+    serializer.next(error, [&](error_code&, const auto& aBuffers) {
+      std::size_t size = 0;
+      for (const asio::const_buffer buffer :
+           beast::buffers_range_ref(aBuffers)) {
+        bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
+        size += buffer.size();
+      }
+      serializer.consume(size);
+    });
+  }
+  return bytes;
+}
+
 HttpResponse
 FromBeast(http::response<http::string_body>&& aResponse)
 {
@@ -59,99 +93,207 @@
 
 } // namespace
 
+/** The socket, with one read always pending on it once it is connected: in an
+    exchange for the response, between exchanges to see the connection close.
+    The handlers of pending operations keep it alive. */
 struct HttpConnection::Implementation
+  : std::enable_shared_from_this<HttpConnection::Implementation>
 {
-  beast::tcp_stream mStream;
+  explicit Implementation(asio::io_context& aContext)
+    : mSocket(aContext)
+    , mTimer(aContext)
+  {
+  }
+
+  /** Closes the socket at a time unless a later call moves that time. The
+      timer runs on from one exchange to the next; it is set again when it
+      fires too early, not with every exchange. */
+  void ExpireAt(TimePoint aTime)
+  {
+    mExpiry = aTime;
+    if (aTime < mTimerDue) {
+      ArmTimer(aTime);
+    }
+  }
+
+  void ArmTimer(TimePoint aTime)
+  {
+    mTimerDue = aTime;
+    mTimer.expires_at(aTime);
+    mTimer.async_wait([self = shared_from_this()](error_code aError) {
+      if (!aError) {
+        self->HandleTimer();
+      }
+    });
+  }
+
+  void HandleTimer()
+  {
+    mTimerDue = TimePoint::max();
+    if (mExpiry == TimePoint::max()) {
+      return;
+    }
+    if (std::chrono::steady_clock::now() < mExpiry) {
+      ArmTimer(mExpiry);
+    } else {
+      CloseSocket();
+    }
+  }
+
+  void CloseSocket()
+  {
+    error_code ignored;
+    mSocket.shutdown(Tcp::socket::shutdown_both, ignored);
+    mSocket.close(ignored);
+  }
+
+  void StartRead()
+  {
+    mIsReading = true;
+    mSocket.async_read_some(
+      mBuffer.prepare(kReadBytes),
+      [self = shared_from_this()](error_code aError, std::size_t aBytes) {
+        self->HandleRead(aError, aBytes);
+      });
+  }
+
+  void HandleRead(const error_code& aError, std::size_t aBytes)
+  {
+    mIsReading = false;
+    mReadError = aError;
+    mBuffer.commit(aBytes);
+    mReadDone.Notify();
+    if (mIdleAction) {
+      StartFiber(std::exchange(mIdleAction, nullptr));
+    }
+  }
+
+  /** Whether the connection cannot carry an exchange any more. */
+  bool IsSpent() { return !mIsReading || IsClosedByPeer(mSocket); }
+
+  /** Writes all bytes, without waiting when the socket takes them at once. */
+  IoResult Write(const std::string& aBytes)
+  {
+    IoResult result;
+    result.mBytes = mSocket.write_some(asio::buffer(aBytes), result.mError);
+    if (result.mError == asio::error::would_block) {
+      result.mError = {};
+    }
+    if (result.mError || result.mBytes == aBytes.size()) {
+      return result;
+    }
+    const auto rest = asio::buffer(aBytes) + result.mBytes;
+    const IoResult more =
+      Await([&](auto aHandler) { asio::async_write(mSocket, rest, aHandler); });
+    return { more.mError, result.mBytes + more.mBytes };
+  }
+
+  /** Reads until a whole response is in. */
+  error_code Read(ResponseParser& aParser)
+  {
+    error_code error;
+    while (!aParser.is_done()) {
+      while (mIsReading) {
+        mReadDone.Wait();
+      }
+      if (mReadError == asio::error::eof && aParser.got_some()) {
+        aParser.put_eof(error);
+        return aParser.is_done() ? error_code{} : mReadError;
+      }
+      if (mReadError) {
+        return mReadError;
+      }
+      const std::size_t used = aParser.put(mBuffer.data(), error);
+      mBuffer.consume(used);
+      if (error && error != http::error::need_more) {
+        return error;
+      }
+      StartRead();
+    }
+    return {};
+  }
+
+  Socket mSocket;
+  ExpiryTimer mTimer;
+  /** When the timer fires; TimePoint::max() while it is not set. */
+  TimePoint mTimerDue = TimePoint::max();
+  /** When to close the socket; TimePoint::max() between exchanges. */
+  TimePoint mExpiry = TimePoint::max();
   beast::flat_buffer mBuffer;
+  bool mIsReading = false;
+  /** How the last read ended; set while none is pending. */
+  error_code mReadError;
+  FiberEvent mReadDone;
   std::string mPeer;
-  /** True while a watch on the idle connection stands. */
-  std::shared_ptr<bool> mIsWatching;
+  std::function<void()> mIdleAction;
 };
 
 HttpConnection::HttpConnection(IoLoop& aLoop)
-  : mImplementation(std::make_unique<Implementation>(
-      Implementation{ beast::tcp_stream(aLoop.Context()), {}, {}, {} }))
+  : mImplementation(std::make_shared<Implementation>(aLoop.Context()))
 {
 }
 
 HttpConnection::~HttpConnection()
 {
-  EndWatch();
+  Close();
 }
 
 void
 HttpConnection::WatchIdle(std::function<void()> aAction)
 {
-  EndWatch();
-  auto isWatching = std::make_shared<bool>(true);
-  mImplementation->mIsWatching = isWatching;
-  mImplementation->mStream.socket().async_wait(
-    boost::asio::ip::tcp::socket::wait_read,
-    [isWatching, action = std::move(aAction)](auto aError) {
-      if (!aError && *isWatching) {
-        *isWatching = false;
-        StartFiber(action);
-      }
-    });
-}
-
-void
-HttpConnection::EndWatch()
-{
-  if (mImplementation->mIsWatching == nullptr) {
-    return;
+  if (mImplementation->mIsReading) {
+    mImplementation->mIdleAction = std::move(aAction);
+  } else {
+    StartFiber(std::move(aAction));
   }
-  *mImplementation->mIsWatching = false;
-  mImplementation->mIsWatching.reset();
-  boost::system::error_code ignored;
-  mImplementation->mStream.socket().cancel(ignored);
 }
 
 Result<std::monostate>
 HttpConnection::Connect(const Endpoint& aAddress, Duration aTimeout)
 {
-  mImplementation->mPeer = ToText(aAddress);
-  auto& stream = mImplementation->mStream;
-  stream.expires_after(aTimeout);
-  const IoResult connected = Await(
-    [&](auto aHandler) { stream.async_connect(ToAsio(aAddress), aHandler); });
+  Implementation& connection = *mImplementation;
+  connection.mPeer = ToText(aAddress);
+  connection.ExpireAt(std::chrono::steady_clock::now() + aTimeout);
+  const IoResult connected = Await([&](auto aHandler) {
+    connection.mSocket.async_connect(ToAsio(aAddress), aHandler);
+  });
+  connection.ExpireAt(TimePoint::max());
   if (connected.mError) {
     return ConnectionFailure(
-      connected.mError, mImplementation->mPeer, Execution::kNotRun);
+      connected.mError, connection.mPeer, Execution::kNotRun);
   }
-  boost::system::error_code ignored;
-  stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  error_code ignored;
+  connection.mSocket.set_option(Tcp::no_delay(true), ignored);
+  connection.mSocket.non_blocking(true, ignored);
+  connection.StartRead();
   return std::monostate{};
 }
 
 Result<HttpResponse>
 HttpConnection::Exchange(const HttpRequest& aRequest, Duration aTimeout)
 {
-  EndWatch();
-  auto& stream = mImplementation->mStream;
-  if (IsClosedByPeer(stream.socket())) {
-    return ConnectionFailure(boost::asio::error::eof,
-                             mImplementation->mPeer,
-                             Execution::kNotRun);
-  }
-  const auto request = ToBeast(aRequest, mImplementation->mPeer);
-  stream.expires_after(aTimeout);
+  Implementation& connection = *mImplementation;
+  connection.mIdleAction = nullptr;
+  if (connection.IsSpent()) {
+    return ConnectionFailure(
+      asio::error::eof, connection.mPeer, Execution::kNotRun);
+  }
+  connection.ExpireAt(std::chrono::steady_clock::now() + aTimeout);
   const IoResult written =
-    Await([&](auto aHandler) { http::async_write(stream, request, aHandler); });
+    connection.Write(Serialize(ToBeast(aRequest, connection.mPeer)));
   if (written.mError) {
     return ConnectionFailure(written.mError,
-                             mImplementation->mPeer,
+                             connection.mPeer,
                              written.mBytes == 0 ? Execution::kNotRun
                                                  : Execution::kUnknown);
   }
-  http::response_parser<http::string_body> parser;
+  ResponseParser parser;
+  parser.eager(true);
   parser.body_limit(kMostResponseBytes);
-  const IoResult read = Await([&](auto aHandler) {
-    http::async_read(stream, mImplementation->mBuffer, parser, aHandler);
-  });
-  if (read.mError) {
-    return ConnectionFailure(
-      read.mError, mImplementation->mPeer, Execution::kUnknown);
+  const error_code failure = connection.Read(parser);
+  connection.ExpireAt(TimePoint::max());
+  if (failure) {
+    return ConnectionFailure(failure, connection.mPeer, Execution::kUnknown);
   }
   return FromBeast(parser.release());
 }
@@ -159,11 +301,9 @@
 void
 HttpConnection::Close()
 {
-  EndWatch();
-  boost::system::error_code ignored;
-  mImplementation->mStream.socket().shutdown(
-    boost::asio::ip::tcp::socket::shutdown_both, ignored);
-  mImplementation->mStream.close();
+  mImplementation->mIdleAction = nullptr;
+  mImplementation->mTimer.cancel();
+  mImplementation->CloseSocket();
 }
 
 Result<HttpResponse>
--- a/modules/wasabispread_runtime/HttpClient.h
+++ b/modules/wasabispread_runtime/HttpClient.h
@@ -39,9 +39,7 @@
 private:
   struct Implementation;
 
-  void EndWatch();
-
-  std::unique_ptr<Implementation> mImplementation;
+  std::shared_ptr<Implementation> mImplementation;
 };
 
 /** One exchange on a connection of its own. */
--- a/modules/wasabispread_runtime/NodeRunner.cpp
+++ b/modules/wasabispread_runtime/NodeRunner.cpp
@@ -100,9 +100,9 @@
   auto caller = mCallers.extract(aToken);
   if (!caller.empty()) {
     caller.mapped().set_value(Error{ ErrorKind::kOutcomeUnknown,
-                                   "the caller closed its connection",
-                                   "keep the connection open while waiting",
-                                   Execution::kUnknown });
+                                     "the caller closed its connection",
+                                     "keep the connection open while waiting",
+                                     Execution::kUnknown });
   }
 }
 
@@ -230,9 +230,8 @@
   Deliver(TargetConnected{ aConnection });
   while (!aLink.mIsClosed) {
     if (!aLink.mNext) {
-      aLink.mConnection.WatchIdle([this, aConnection] {
-        LoseIdleConnection(aConnection);
-      });
+      aLink.mConnection.WatchIdle(
+        [this, aConnection] { LoseIdleConnection(aConnection); });
       aLink.mWake.Wait();
       continue;
     }
--- a/modules/wasabispread_runtime/PeerTransport.cpp
+++ b/modules/wasabispread_runtime/PeerTransport.cpp
@@ -228,8 +228,7 @@
 {
   std::vector<AttemptSequence> unsent;
   for (const QueuedFrame& frame : aLink.mQueue) {
-    unsent.insert(
-      unsent.end(), frame.mAttempts.begin(), frame.mAttempts.end());
+    unsent.insert(unsent.end(), frame.mAttempts.begin(), frame.mAttempts.end());
   }
   aLink.mQueue.clear();
   return unsent;
