--- a/modules/wasabispread_telemetry/LogFormat.cpp
+++ b/modules/wasabispread_telemetry/LogFormat.cpp
@@ -58,11 +58,14 @@
     mLine["snapshot"] = aRecord.mSnapshot.Value();
     mLine["budget_ms"] = ToMilliseconds(aRecord.mBudget);
     mLine["unroutable"] = aRecord.mUnroutable;
-    mLine["batches"] = Json::array();
+    Json::array_t batches;
+    batches.reserve(aRecord.mBatches.size());
     for (const PlannedBatch& batch : aRecord.mBatches) {
-      mLine["batches"].push_back(
-        { { "owner", VmName(batch.mOwner) }, { "items", batch.mItems } });
+      Json& line = batches.emplace_back(Json::object());
+      line["owner"] = VmName(batch.mOwner);
+      line["items"] = batch.mItems;
     }
+    mLine["batches"] = std::move(batches);
   }
 
   void operator()(const QueryAnswered& aRecord)
--- a/modules/wasabispread_wire/CallerProtocol.cpp
+++ b/modules/wasabispread_wire/CallerProtocol.cpp
@@ -95,14 +95,16 @@
                                     { "reason", ToText(missing.mReason) } });
   }
   json["coverage"] = std::move(coverage);
-  json["results"] = Json::array();
+  Json::array_t results;
+  results.reserve(aAnswer.mResults.size());
   for (const ShardResult& result : aAnswer.mResults) {
     const Target* target = aDeployment.FindTarget(result.mTarget);
-    json["results"].push_back(
-      { { "shard", result.mShard.Value() },
-        { "target", target == nullptr ? "" : target->mName },
-        { "body", *result.mBody } });
+    Json& line = results.emplace_back(Json::object());
+    line["shard"] = result.mShard.Value();
+    line["target"] = target == nullptr ? std::string() : target->mName;
+    line["body"] = *result.mBody;
   }
+  json["results"] = std::move(results);
   return json;
 }
 
