--- a/modules/wasabispread_decisions/Event.h
+++ b/modules/wasabispread_decisions/Event.h
@@ -106,6 +106,13 @@
   Result<std::vector<VmRecord>> mResult;
 };
 
+/** An operator asks whether a revision is in force everywhere. */
+struct ConfirmationAsked
+{
+  CallerToken mToken;
+  Revision mRevision;
+};
+
 /** The process was asked to stop. */
 struct StopRequested
 {};
@@ -127,6 +134,7 @@
                            VmListReceived,
                            StopRequested,
                            Tick,
-                           AttemptsNotSent>;
+                           AttemptsNotSent,
+                           ConfirmationAsked>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_runtime/NodeRunner.h
+++ b/modules/wasabispread_runtime/NodeRunner.h
@@ -45,6 +45,10 @@
       here. */
   Outcome Ask(CallerRequest aRequest, const ClosedWatch& aWatch);
 
+  /** Asks the fleet on an operator's behalf whether a revision is in force,
+      and blocks its fiber until the report. */
+  ConfirmationReport Confirm(Revision aRevision);
+
   /** The node's present state. */
   const NodeState& State() const { return mState; }
 
@@ -63,6 +67,7 @@
   void Perform(WatchConfiguration& aEffect);
   void Perform(ReadVmList& aEffect);
   void Perform(LogDecision& aEffect);
+  void Perform(AnswerConfirmation& aEffect);
 
   void DropCaller(CallerToken aToken);
   void RunTimers();
@@ -84,6 +89,8 @@
   TimePoint mTimerDue = TimePoint::max();
   std::uint64_t mNextToken = 1;
   std::unordered_map<CallerToken, boost::fibers::promise<Outcome>> mCallers;
+  std::unordered_map<CallerToken, boost::fibers::promise<ConfirmationReport>>
+    mOperators;
   std::unordered_map<ConnectionId, std::shared_ptr<TargetLink>> mTargetLinks;
 };
 
