--- /dev/null
+++ b/benchmarks/control_cost.cpp
@@ -0,0 +1,128 @@
+/*
+ * Control's traffic, platform calls and processor time against the VMs of a
+ * fleet, all of them in one process and in virtual time. Each benchmark runs
+ * once; its counters are the figures.
+ */
+#include <benchmarks/support/ControlFleet.h>
+#include <benchmarks/support/HeapCount.h>
+
+#include <benchmark/benchmark.h>
+
+namespace wasabispread::benchmarks {
+
+namespace {
+
+constexpr unsigned kZones = 8;
+constexpr Duration kSettling = std::chrono::seconds(120);
+constexpr unsigned kIdleSeconds = 20;
+constexpr Duration kStep = std::chrono::milliseconds(20);
+constexpr unsigned kMostSteps = 3000;
+
+FleetShape
+DeploymentShape()
+{
+  FleetShape shape;
+  shape.mZones = kZones;
+  shape.mServices = 8;
+  shape.mShards = 10;
+  return shape;
+}
+
+/** The same with a service more: one section is new. */
+FleetShape
+ChangedShape()
+{
+  FleetShape shape = DeploymentShape();
+  shape.mServices = 9;
+  return shape;
+}
+
+/** Steps until aIsDone; the seconds that it took. */
+template<class IsDone>
+double
+StepUntil(ControlFleet& aFleet, IsDone aIsDone)
+{
+  unsigned steps = 0;
+  while (!aIsDone() && steps < kMostSteps) {
+    aFleet.RunFor(kStep);
+    ++steps;
+  }
+  return steps * std::chrono::duration<double>(kStep).count();
+}
+
+/** Adds the counters of one phase, for each VM where that makes sense. */
+void
+Report(benchmark::State& aState,
+       const std::string& aPhase,
+       const ControlTraffic& aTraffic,
+       double aVms,
+       double aSeconds)
+{
+  const double share = 1.0 / (aVms * aSeconds);
+  auto& counters = aState.counters;
+  counters[aPhase + "_messages"] =
+    static_cast<double>(aTraffic.mMessages) * share;
+  counters[aPhase + "_bytes"] = static_cast<double>(aTraffic.mBytes) * share;
+  counters[aPhase + "_platform_calls"] =
+    static_cast<double>(aTraffic.mPlatformCalls) / aSeconds;
+  counters[aPhase + "_processor_us"] = aTraffic.mProcessorSeconds * 1e6 * share;
+}
+
+/** A fleet's start, an idle time, a change of configuration, and the loss of a
+    VM. Idle figures are for each VM and second, platform calls for the whole
+    fleet and second; figures of the others are for each VM and occurrence,
+    platform calls for the whole fleet. */
+void
+Control(benchmark::State& aState)
+{
+  const auto vms = static_cast<unsigned>(aState.range(0));
+  const double count = vms;
+  for (auto _ : aState) {
+    const std::size_t heap = gHeapBytes;
+    ControlFleet fleet(vms, DeploymentShape());
+    ControlTraffic before = fleet.Seen();
+    aState.counters["start_seconds"] =
+      StepUntil(fleet, [&fleet] { return fleet.IsInForceEverywhere(); });
+    fleet.RunFor(kSettling);
+    Report(aState, "start", fleet.Seen() - before, count, 1);
+    aState.counters["start_busiest_second"] =
+      static_cast<double>(fleet.BusiestSecond());
+    aState.counters["bytes_per_node"] =
+      static_cast<double>(gHeapBytes - heap) / count;
+
+    before = fleet.Seen();
+    fleet.RunFor(std::chrono::seconds(kIdleSeconds));
+    const ControlTraffic idle = fleet.Seen() - before;
+    Report(aState, "idle", idle, count, kIdleSeconds);
+    aState.counters["idle_event_us"] =
+      idle.mProcessorSeconds * 1e6 / static_cast<double>(idle.mEvents);
+
+    before = fleet.Seen();
+    fleet.Apply(ChangedShape());
+    const double spread =
+      StepUntil(fleet, [&fleet] { return fleet.IsInForceEverywhere(); });
+    aState.counters["change_seconds"] = spread;
+    Report(aState, "change", fleet.Seen() - before, count, 1);
+
+    before = fleet.Seen();
+    fleet.Kill(vms / 2);
+    const double known =
+      StepUntil(fleet, [&] { return fleet.IsKnownDead(vms / 2); });
+    aState.counters["loss_seconds"] = known;
+    Report(aState, "loss", fleet.Seen() - before, count, known);
+  }
+}
+
+BENCHMARK(Control)
+  ->Unit(benchmark::kMillisecond)
+  ->Iterations(1)
+  ->Arg(100)
+  ->Arg(300)
+  ->Arg(1000)
+  ->Arg(2000);
+
+} // namespace
+
+} // namespace wasabispread::benchmarks
+
+BENCHMARK_MAIN();
