--- a/benchmarks/component_cost.cpp
+++ b/benchmarks/component_cost.cpp
@@ -175,61 +175,69 @@
   }
 }
 
-/** A node's whole event that brings a higher revision into force. */
+/** All of a node's events that bring a higher revision into force, when every
+    section of it is new. */
 void
 AdoptRevision(benchmark::State& aState)
 {
-  const std::string text = DeploymentOf(ShapeOfTargets(aState.range(0)));
-  NodeIdentity self;
-  self.mName = "vm-0";
-  self.mZone = ZoneName("zone-0");
-  NodeState node = MakeNodeState(std::move(self), 1);
-  std::uint64_t version = 0;
+  FleetShape shape = ShapeOfTargets(aState.range(0));
+  const std::string text = DeploymentOf(shape);
+  NodeState node = MakeReadyNode(shape, text, kNow);
+  std::uint64_t revision = 1;
   for (auto _ : aState) {
-    ConfigurationRecord record;
-    record.mRevision = Revision(++version);
-    record.mText = text;
-    Reduce(node, StoreWatched{ StoredConfiguration{ version, record } }, kNow);
+    // Another first section makes every parsed part another one.
+    std::string changed = text;
+    changed.insert(0, "# " + std::to_string(++revision) + "\n");
+    BringIntoForce(node, changed, revision, kNow);
   }
-  if (node.mConfiguration.mRevision.Value() != version) {
-    aState.SkipWithError("a revision was not adopted");
+}
+
+/** The same when one service of eight is new. */
+void
+AdoptSection(benchmark::State& aState)
+{
+  constexpr unsigned kServices = 8;
+  FleetShape shape = ShapeOfTargets(aState.range(0) / kServices);
+  shape.mServices = kServices;
+  const std::string text = DeploymentOf(shape);
+  NodeState node = MakeReadyNode(shape, text, kNow);
+  std::uint64_t revision = 1;
+  for (auto _ : aState) {
+    // The last section alone has this comment.
+    const std::string changed = text + "# " + std::to_string(++revision) + "\n";
+    BringIntoForce(node, changed, revision, kNow);
   }
 }
 
-MembershipState
-MembersOf(std::int64_t aVms)
+/** A node that knows the VMs of one zone and a deployment of one group. */
+NodeState
+MakeOwner(std::int64_t aVms)
 {
   FleetShape shape;
   shape.mVms = static_cast<unsigned>(aVms);
   shape.mZones = 1;
-  MembershipState membership;
-  for (VmRecord& vm : VmsOf(shape)) {
-    membership.mLiveByZone[vm.mZone].push_back(vm.mId);
-  }
-  return membership;
+  shape.mShards = 1;
+  return MakeReadyNode(shape, DeploymentOf(shape), kNow);
 }
 
-/** Ranking one group's owners among the VMs of its zone, as after a change of
-    membership. */
+/** Ranking one group's owners among the VMs of its zone from nothing. */
 void
 RankOwners(benchmark::State& aState)
 {
-  MembershipState membership = MembersOf(aState.range(0));
-  const OwnerGroup group{ 42, ZoneName("zone-0") };
+  NodeState node = MakeOwner(aState.range(0));
   for (auto _ : aState) {
-    ++membership.mEpoch;
-    benchmark::DoNotOptimize(OwnersOf(membership, group).data());
+    ResetRankings(node);
+    benchmark::DoNotOptimize(RankedCandidates(node, 0).data());
   }
 }
 
-/** Asking for a group's owners when membership has not changed. */
+/** Asking for a group's order when no VM has come or gone. */
 void
 RecallOwners(benchmark::State& aState)
 {
-  MembershipState membership = MembersOf(aState.range(0));
-  const OwnerGroup group{ 42, ZoneName("zone-0") };
+  NodeState node = MakeOwner(aState.range(0));
   for (auto _ : aState) {
-    benchmark::DoNotOptimize(OwnersOf(membership, group).data());
+    benchmark::DoNotOptimize(RankedCandidates(node, 0).data());
   }
 }
 
@@ -300,6 +308,7 @@
 BENCHMARK(FormatPlanLine)->Apply(BatchSizes);
 BENCHMARK(ParseText)->Apply(TargetSizes);
 BENCHMARK(AdoptRevision)->Apply(TargetSizes);
+BENCHMARK(AdoptSection)->Apply(TargetSizes);
 BENCHMARK(RankOwners)->Apply(VmSizes);
 BENCHMARK(RecallOwners)->Apply(VmSizes);
 BENCHMARK(ReadVms)->Apply(VmSizes);
--- a/benchmarks/memory_slopes.cpp
+++ b/benchmarks/memory_slopes.cpp
@@ -18,21 +18,7 @@
 NodeState
 MakeNode(const FleetShape& aShape, const std::string& aText)
 {
-  const std::vector<VmRecord> vms = VmsOf(aShape);
-  NodeIdentity identity;
-  identity.mId = vms.front().mId;
-  identity.mName = vms.front().mName;
-  identity.mZone = vms.front().mZone;
-  identity.mIncarnation = Incarnation(1);
-  identity.mPeerAddress = vms.front().mPeerAddress;
-  NodeState node = MakeNodeState(std::move(identity), 1);
-  Reduce(node, Started{}, kNow);
-  Reduce(node, VmListReceived{ vms }, kNow);
-  ConfigurationRecord record;
-  record.mRevision = Revision(1);
-  record.mText = aText;
-  Reduce(node, StoreWatched{ StoredConfiguration{ 1, record } }, kNow);
-  return node;
+  return MakeReadyNode(aShape, aText, kNow);
 }
 
 /** Reports the bytes that aGrow adds, divided by aParts. */
@@ -48,6 +34,22 @@
   }
 }
 
+/** Lets time pass, with the VM list read now and then, until connections are
+    shared out in full; returns when that is. */
+TimePoint
+Settle(NodeState& aNode, const FleetShape& aShape)
+{
+  constexpr Duration kStep = std::chrono::milliseconds(500);
+  constexpr unsigned kSteps = 240;
+  TimePoint now = kNow;
+  for (unsigned step = 0; step < kSteps; ++step) {
+    now += kStep;
+    Reduce(aNode, Tick{}, now);
+    Reduce(aNode, VmListReceived{ VmsOf(aShape) }, now);
+  }
+  return now;
+}
+
 /** Two VMs in one zone. */
 FleetShape
 SmallShape(unsigned aShards)
@@ -96,6 +98,7 @@
   FleetShape shape = SmallShape(items);
   shape.mVms = 1;
   NodeState node = MakeNode(shape, DeploymentOf(shape));
+  const TimePoint now = Settle(node, shape);
   const VmId entry = IdFromName<VmId>("entry");
   const Endpoint address{ "10.2.0.1", 7000 };
   std::uint64_t sequence = 1;
@@ -111,7 +114,7 @@
       batch.mItems.push_back(BatchItem{
         AttemptSequence(sequence++), target.mId, target.mShards.front() });
     }
-    Reduce(node, PeerMessageReceived{ entry, address, std::move(batch) }, kNow);
+    Reduce(node, PeerMessageReceived{ entry, address, std::move(batch) }, now);
   };
   take();
   ReportGrowth(aState, kRequestsHeld, [&take] {
--- a/benchmarks/support/DirectFleet.cpp
+++ b/benchmarks/support/DirectFleet.cpp
@@ -11,6 +11,8 @@
 
 constexpr Duration kStep = std::chrono::microseconds(1);
 constexpr Duration kFlushWait = std::chrono::milliseconds(1);
+constexpr Duration kSettlingStep = std::chrono::milliseconds(500);
+constexpr unsigned kSettlingSteps = 240;
 constexpr unsigned kPortsPerHost = 60000;
 
 } // namespace
@@ -75,33 +77,76 @@
   return vms;
 }
 
+void
+BringIntoForce(NodeState& aNode,
+               const std::string& aText,
+               std::uint64_t aRevision,
+               TimePoint aNow)
+{
+  ConfigurationRecord record;
+  record.mRevision = Revision(aRevision);
+  record.mText = aText;
+  Reduce(aNode,
+         StoreWatched{ StoredConfiguration{ aRevision, std::move(record) } },
+         aNow);
+  // A long text is parsed in parts, one for each timer.
+  constexpr unsigned kMostParts = 10000;
+  for (unsigned part = 0; part < kMostParts; ++part) {
+    if (aNode.mConfiguration.mRevision == Revision(aRevision)) {
+      return;
+    }
+    Reduce(aNode, Tick{}, aNow);
+  }
+  throw std::runtime_error("the benchmark's deployment was not adopted");
+}
+
+namespace {
+
+NodeState
+MakeUnstartedNode(const VmRecord& aVm)
+{
+  NodeIdentity identity;
+  identity.mId = aVm.mId;
+  identity.mName = aVm.mName;
+  identity.mZone = aVm.mZone;
+  identity.mIncarnation = Incarnation(1);
+  identity.mPeerAddress = aVm.mPeerAddress;
+  return MakeNodeState(std::move(identity), aVm.mId.Value());
+}
+
+} // namespace
+
+NodeState
+MakeReadyNode(const FleetShape& aShape,
+              const std::string& aText,
+              TimePoint aNow)
+{
+  const std::vector<VmRecord> vms = VmsOf(aShape);
+  NodeState node = MakeUnstartedNode(vms.front());
+  Reduce(node, Started{}, aNow);
+  Reduce(node, VmListReceived{ vms }, aNow);
+  BringIntoForce(node, aText, 1, aNow);
+  return node;
+}
+
 DirectFleet::DirectFleet(const FleetShape& aShape)
   : mShape(aShape)
   , mResult(std::make_shared<const std::string>(aShape.mResultBytes, 'r'))
   , mBody(std::make_shared<const std::string>("query"))
 {
   const std::vector<VmRecord> vms = VmsOf(aShape);
-  ConfigurationRecord record;
-  record.mRevision = Revision(1);
-  record.mText = DeploymentOf(aShape);
+  const std::string text = DeploymentOf(aShape);
   for (const VmRecord& vm : vms) {
-    NodeIdentity identity;
-    identity.mId = vm.mId;
-    identity.mName = vm.mName;
-    identity.mZone = vm.mZone;
-    identity.mIncarnation = Incarnation(1);
-    identity.mPeerAddress = vm.mPeerAddress;
     mNodeOf[vm.mId] = static_cast<std::uint32_t>(mNodes.size());
-    mNodes.push_back(std::make_unique<NodeState>(
-      MakeNodeState(std::move(identity), vm.mId.Value())));
+    mNodes.push_back(std::make_unique<NodeState>(MakeUnstartedNode(vm)));
+    NodeState& node = *mNodes.back();
+    Reduce(node, Started{}, mNow);
+    Reduce(node, VmListReceived{ vms }, mNow);
+    BringIntoForce(node, text, 1, mNow);
   }
-  for (const auto& node : mNodes) {
-    Reduce(*node, Started{}, mNow);
-    Reduce(*node, VmListReceived{ vms }, mNow);
-    Reduce(*node, StoreWatched{ StoredConfiguration{ 1, record } }, mNow);
-    if (!node->IsReady()) {
-      throw std::runtime_error("the benchmark's deployment was not adopted");
-    }
+  // Connections are shared out in full only once the VM list has been stable.
+  for (unsigned step = 0; step < kSettlingSteps; ++step) {
+    RunTimers(kSettlingStep);
   }
 }
 
@@ -124,9 +169,9 @@
 }
 
 void
-DirectFleet::RunTimers()
+DirectFleet::RunTimers(Duration aStep)
 {
-  mNow += kFlushWait;
+  mNow += aStep;
   for (std::uint32_t node = 0; node < mNodes.size(); ++node) {
     if (mNodes[node]->NextDue() <= mNow) {
       Post(node, Tick{});
@@ -166,6 +211,8 @@
       Post(aNode,
            TargetReplied{ request->mConnection, std::move(reply), true });
     }
+  } else if (std::holds_alternative<ReadVmList>(aEffect)) {
+    Post(aNode, VmListReceived{ VmsOf(mShape) });
   } else if (auto* answer = std::get_if<AnswerCaller>(&aEffect)) {
     ++mTraffic.mAnswers;
     const Answer* whole = std::get_if<Answer>(&answer->mOutcome);
@@ -198,7 +245,7 @@
   const std::uint64_t answered = mTraffic.mAnswers;
   Ask(aVm, aService);
   while (mTraffic.mAnswers == answered) {
-    RunTimers();
+    RunTimers(kFlushWait);
   }
 }
 
--- a/benchmarks/support/DirectFleet.h
+++ b/benchmarks/support/DirectFleet.h
@@ -46,6 +46,19 @@
 std::vector<VmRecord>
 VmsOf(const FleetShape& aShape);
 
+/** Puts a deployment's text in force at a node; throws if that fails. */
+void
+BringIntoForce(NodeState& aNode,
+               const std::string& aText,
+               std::uint64_t aRevision,
+               TimePoint aNow);
+
+/** The first VM of a shape, with the VM list and a deployment in force. */
+NodeState
+MakeReadyNode(const FleetShape& aShape,
+              const std::string& aText,
+              TimePoint aNow);
+
 /** Counts of what crossed between nodes. */
 struct Traffic
 {
@@ -83,7 +96,7 @@
 
   void Post(std::uint32_t aNode, Event aEvent);
   void Run();
-  void RunTimers();
+  void RunTimers(Duration aStep);
   void Perform(std::uint32_t aNode, Effects& aEffects);
   void PerformOne(std::uint32_t aNode, Effect& aEffect);
   void Ask(unsigned aVm, unsigned aService);
--- a/modules/wasabispread_decisions/DecisionRecord.h
+++ b/modules/wasabispread_decisions/DecisionRecord.h
@@ -5,6 +5,7 @@
 
 #include "Answer.h"
 #include "ControlMessage.h"
+#include "PlacementState.h"
 
 #include <string>
 #include <variant>
@@ -93,6 +94,86 @@
   MemberCondition mCondition = MemberCondition::kSuspect;
 };
 
+/** An owner is passed over. */
+struct OwnerAvoided
+{
+  VmId mOwner;
+  AvoidanceReason mReason = AvoidanceReason::kLost;
+};
+
+/** This VM's share of a group's connections changed. */
+struct ShareChanged
+{
+  ServiceId mService;
+  ZoneName mZone;
+  std::uint64_t mGroup = 0;
+  /** Connections to each target of the group. */
+  std::uint32_t mPrevious = 0;
+  std::uint32_t mShare = 0;
+};
+
+/** A target gets no new work from this VM, or gets it again. */
+struct TargetHeldBack
+{
+  TargetId mTarget;
+  /** False when it is used again. */
+  bool mIsHeldBack = true;
+};
+
+/** The process stood still, so that what it knew may be out of date. */
+struct PauseNoticed
+{
+  Duration mLength{};
+};
+
+/** A slow shard's second attempt. */
+struct HedgedShard
+{
+  ShardIndex mShard;
+  TargetId mFrom;
+  TargetId mTo;
+};
+
+/** Slow shards of a request were asked once more. */
+struct AttemptsHedged
+{
+  RequestId mRequestId;
+  Duration mDelay{};
+  std::vector<HedgedShard> mHedges;
+};
+
+/** A hedge or retry was not sent because the service's budget is spent. */
+struct ExtraLoadExhausted
+{
+  RequestId mRequestId;
+  ServiceId mService;
+  double mExtraLoad = 0;
+};
+
+/** A target gets no more work, but for probes. */
+struct TargetEjected
+{
+  TargetId mTarget;
+  MissingReason mReason = MissingReason::kTimeout;
+  std::uint32_t mFailures = 0;
+};
+
+/** A target answered again and gets work. */
+struct TargetRestored
+{
+  TargetId mTarget;
+};
+
+/** A request changed to another version of the index. */
+struct SnapshotChanged
+{
+  RequestId mRequestId;
+  SnapshotVersion mFrom;
+  SnapshotVersion mTo;
+  /** Shards asked again. */
+  std::uint32_t mAskedAgain = 0;
+};
+
 using DecisionRecord = std::variant<QueryPlanned,
                                     QueryAnswered,
                                     AttemptRetried,
@@ -100,6 +181,15 @@
                                     ConfigurationAdopted,
                                     ConfigurationRejected,
                                     MembershipChanged,
-                                    MemberJudged>;
+                                    MemberJudged,
+                                    OwnerAvoided,
+                                    ShareChanged,
+                                    TargetHeldBack,
+                                    PauseNoticed,
+                                    AttemptsHedged,
+                                    ExtraLoadExhausted,
+                                    TargetEjected,
+                                    TargetRestored,
+                                    SnapshotChanged>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/Reducer.cpp
+++ b/modules/wasabispread_decisions/Reducer.cpp
@@ -16,7 +16,12 @@
   TimePoint mNow;
   Effects& mEffects;
 
-  void operator()(const Started&) { StartMembership(mState, mNow, mEffects); }
+  void operator()(const Started&)
+  {
+    StartHeartbeat(mState, mNow);
+    StartCandidates(mState, mNow);
+    StartMembership(mState, mNow, mEffects);
+  }
 
   void operator()(const CallerRequest& aEvent)
   {
@@ -25,16 +30,18 @@
 
   void operator()(const CallerGone& aEvent)
   {
-    HandleCallerGone(mState, aEvent, mEffects);
+    HandleCallerGone(mState, aEvent, mNow, mEffects);
   }
 
   void operator()(const PeerMessageReceived& aEvent)
   {
+    ObserveHeard(mState, aEvent.mPeer);
     HandleMessage(aEvent.mPeer, aEvent.mAddress, aEvent.mMessage);
   }
 
   void operator()(const PeerLost& aEvent)
   {
+    AvoidOwner(mState, aEvent.mPeer, AvoidanceReason::kLost, mNow, mEffects);
     HandleOwnerLost(mState, aEvent.mPeer, mNow, mEffects);
     HandleMemberLost(mState, aEvent.mPeer, mNow, mEffects);
   }
@@ -72,12 +79,14 @@
   void operator()(const VmListReceived& aEvent)
   {
     HandleVmListReceived(mState, aEvent, mNow, mEffects);
+    ObserveMembers(mState, mNow, mEffects);
   }
 
   void operator()(const StopRequested&)
   {
     mState.mStopping = true;
     AnnounceStop(mState, mNow, mEffects);
+    ReleaseIdleConnections(mState, mEffects);
   }
 
   void operator()(const ConfirmationAsked& aEvent)
@@ -99,6 +108,7 @@
     if (const auto* request = std::get_if<BatchRequest>(&aMessage)) {
       HandleBatchRequest(mState, aPeer, aAddress, *request, mNow, mEffects);
     } else if (const auto* reply = std::get_if<BatchReply>(&aMessage)) {
+      ObserveOwnerReply(mState, aPeer, *reply, mNow, mEffects);
       HandleBatchReply(mState, aPeer, *reply, mNow, mEffects);
     } else if (const auto* cancel = std::get_if<BatchCancel>(&aMessage)) {
       HandleBatchCancel(mState, aPeer, *cancel, mNow, mEffects);
@@ -168,10 +178,45 @@
       case TimerKind::kConfirmation:
         HandleConfirmationDeadline(mState, aTimer.mKey, mEffects);
         break;
+      case TimerKind::kRefreshCandidates:
+        RefreshCandidates(mState, mNow, mEffects);
+        break;
+      case TimerKind::kProbeOwner:
+        HandleProbeOwner(mState, VmId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kOwnerSilence:
+        HandleOwnerSilence(mState, VmId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kIdleConnections:
+        HandleIdleConnections(mState, TargetId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kHeartbeat:
+        StartHeartbeat(mState, mNow);
+        break;
+      case TimerKind::kHedge:
+        HandleHedgeDue(mState, QueryId(aTimer.mKey), mNow, mEffects);
+        break;
+      case TimerKind::kEarlyAnswer:
+        HandleEarlyAnswerDue(mState, QueryId(aTimer.mKey), mNow, mEffects);
+        break;
     }
   }
 };
 
+/** Whoever is sent a cancellation has attempts to answer for. */
+void
+AwaitCancelled(NodeState& aState, const Effects& aEffects, TimePoint aNow)
+{
+  for (const Effect& effect : aEffects) {
+    const auto* send = std::get_if<SendToPeer>(&effect);
+    const bool isCancel =
+      send != nullptr && std::holds_alternative<BatchCancel>(send->mMessage);
+    if (isCancel) {
+      AwaitOwner(aState, send->mPeer, aNow);
+    }
+  }
+}
+
 } // namespace
 
 Effects
@@ -179,6 +224,7 @@
 {
   assert(aState.mLoopback.empty());
   Effects effects;
+  ObservePresent(aState, aNow, effects);
   EventHandler handler{ aState, aNow, effects };
   std::visit(handler, aEvent);
   while (!aState.mLoopback.empty()) {
@@ -186,6 +232,10 @@
     aState.mLoopback.pop_front();
     handler.HandleMessage(aState.mSelf.mId, aState.mSelf.mPeerAddress, message);
   }
+  if (aState.mPlacement.mMembersEpoch != aState.mMembership.mEpoch) {
+    ObserveMembers(aState, aNow, effects);
+  }
+  AwaitCancelled(aState, effects, aNow);
   return effects;
 }
 
--- a/modules/wasabispread_telemetry/MetricsText.cpp
+++ b/modules/wasabispread_telemetry/MetricsText.cpp
@@ -86,6 +86,42 @@
                    aCounters.mSnapshotMismatches);
 }
 
+void
+AddPolicyCounters(FamilyList& aList, const Counters& aCounters)
+{
+  aList.AddCounter(
+    "hedges_total", "Second attempts at slow shards.", aCounters.mHedges);
+  aList.AddCounter("hedges_won_total",
+                   "Hedges that answered before the first attempt.",
+                   aCounters.mHedgesWon);
+  aList.AddCounter("extra_load_denied_total",
+                   "Hedges and retries not sent because the budget was spent.",
+                   aCounters.mExtraLoadDenied);
+  aList.AddCounter("early_answers_total",
+                   "Answers sent once the least coverage was in.",
+                   aCounters.mEarlyAnswers);
+  aList.AddCounter("refused_overloaded_total",
+                   "Requests refused because targets refuse work.",
+                   aCounters.mRefusedOverloaded);
+  aList.AddCounter("refused_budget_total",
+                   "Requests refused because their time is too short.",
+                   aCounters.mRefusedBudget);
+  aList.AddCounter("targets_ejected_total",
+                   "Times that a target was taken out of use.",
+                   aCounters.mTargetsEjected);
+  aList.AddCounter("targets_restored_total",
+                   "Times that a target was put back to use.",
+                   aCounters.mTargetsRestored);
+  aList.AddCounter(
+    "probes_total", "Attempts at targets out of use.", aCounters.mProbes);
+  aList.AddCounter("snapshot_restarts_total",
+                   "Searches begun again on another snapshot.",
+                   aCounters.mSnapshotRestarts);
+  aList.AddCounter("callers_gone_total",
+                   "Requests whose caller left before the answer.",
+                   aCounters.mCallersGone);
+}
+
 void
 AddOwnerCounters(FamilyList& aList, const Counters& aCounters)
 {
@@ -110,6 +146,35 @@
   aList.AddCounter("items_refused_total",
                    "Attempts refused as not run.",
                    aCounters.mItemsRefused);
+  aList.AddCounter("items_overloaded_total",
+                   "Attempts refused because the wait would be too long.",
+                   aCounters.mItemsOverloaded);
+  aList.AddCounter("items_stopping_total",
+                   "Attempts refused because this VM stops.",
+                   aCounters.mItemsStopping);
+  aList.AddCounter("items_without_share_total",
+                   "Attempts refused because this VM has no share.",
+                   aCounters.mItemsWithoutShare);
+  aList.AddCounter("items_out_of_time_total",
+                   "Attempts refused because their time was up.",
+                   aCounters.mItemsOutOfTime);
+  aList.AddCounter("items_held_back_total",
+                   "Attempts refused because the target is leaving.",
+                   aCounters.mItemsHeldBack);
+  aList.AddCounter("target_sheds_total",
+                   "Sub-requests that a target shed.",
+                   aCounters.mTargetSheds);
+  aList.AddCounter("target_cancels_total",
+                   "Cancellations sent to targets.",
+                   aCounters.mTargetCancels);
+  aList.AddCounter("target_connections_closed_idle_total",
+                   "Connections closed after being idle.",
+                   aCounters.mTargetConnectionsClosedIdle);
+  aList.AddCounter("owners_avoided_total",
+                   "Times that an owner was passed over.",
+                   aCounters.mOwnersAvoided);
+  aList.AddCounter(
+    "pauses_total", "Pauses of this process noticed.", aCounters.mPauses);
 }
 
 void
@@ -161,6 +226,12 @@
   aList.AddGauge("target_connections",
                  "Connections to targets, open or opening.",
                  static_cast<double>(aState.mOwner.mConnections.size()));
+  aList.AddGauge("target_pools",
+                 "Targets that this VM has a connection pool for.",
+                 static_cast<double>(aState.mOwner.mPools.size()));
+  aList.AddGauge("owners_avoided",
+                 "Owners passed over at present.",
+                 static_cast<double>(aState.mPlacement.mAvoided.size()));
   aList.AddGauge(
     "ready", "1 while this VM takes requests.", aState.IsReady() ? 1.0 : 0.0);
 }
@@ -172,6 +243,7 @@
 {
   FamilyList list;
   AddEntryCounters(list, aState.mCounters);
+  AddPolicyCounters(list, aState.mCounters);
   AddOwnerCounters(list, aState.mCounters);
   AddConfiguration(list, aState, aNow);
   AddGauges(list, aState);
