--- a/benchmarks/decision_cost.cpp
+++ b/benchmarks/decision_cost.cpp
@@ -36,6 +36,9 @@
     perSearch(fleet.Seen().mPeerMessages - before.mPeerMessages);
   aState.counters["sub_requests"] =
     perSearch(fleet.Seen().mTargetRequests - before.mTargetRequests);
+  const std::chrono::duration<double, std::micro> deciding =
+    fleet.Seen().mDeciding - before.mDeciding;
+  aState.counters["decisions_us"] = deciding.count() / searches;
   if (fleet.Seen().mIncomplete != 0) {
     aState.SkipWithError("an answer was incomplete");
   }
--- a/benchmarks/support/DirectFleet.cpp
+++ b/benchmarks/support/DirectFleet.cpp
@@ -163,7 +163,9 @@
     const Delivery delivery = std::move(mQueue.front());
     mQueue.pop_front();
     ++mTraffic.mEvents;
+    const auto before = std::chrono::steady_clock::now();
     Effects effects = Reduce(*mNodes[delivery.mNode], delivery.mEvent, mNow);
+    mTraffic.mDeciding += std::chrono::steady_clock::now() - before;
     Perform(delivery.mNode, effects);
   }
 }
--- a/benchmarks/support/DirectFleet.h
+++ b/benchmarks/support/DirectFleet.h
@@ -67,6 +67,8 @@
   std::uint64_t mTargetRequests = 0;
   std::uint64_t mAnswers = 0;
   std::uint64_t mIncomplete = 0;
+  /** Time within Reduce(), reading the clock included. */
+  Duration mDeciding{};
 };
 
 /** All nodes of a shape, ready for requests. */
