--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -10,6 +10,7 @@
 
 #include <wasabispread_decisions/wasabispread_decisions.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -76,6 +77,12 @@
   Timeline mTimeline;
   NetworkBehaviour mNetwork;
   FakePlatform mPlatform;
+  /** VMs that every VM's settings name from now on. */
+  std::vector<VmRecord> mSettingsPeers;
+  /** Sees each message that is sent, when set. */
+  std::function<void(VmId, VmId, const PeerMessage&)> mOnMessage;
+  /** Whether log records are kept for Records(). */
+  bool mKeepsRecords = true;
 
   /** Starts a VM and puts it on the platform's list. */
   VmId AddVm(const std::string& aName, const std::string& aZone);
@@ -98,8 +105,9 @@
   /** Ends a VM at once; its links and connections break. */
   void Kill(VmId aVm);
 
-  /** Starts a killed VM again, with nothing but its settings. */
-  void Restart(VmId aVm);
+  /** Starts a killed VM again, with nothing but its settings. Its clock may
+      give it another incarnation than the next. */
+  void Restart(VmId aVm, std::optional<Incarnation> aByItsClock = {});
 
   /** Holds back everything that happens to a VM. */
   void Pause(VmId aVm);
@@ -119,6 +127,11 @@
   /** Delivers an event to a VM now. */
   void Deliver(VmId aVm, Event aEvent);
 
+  bool IsAlive(VmId aVm) const { return mNodes.at(aVm).mIsAlive; }
+  bool IsPaused(VmId aVm) const { return mNodes.at(aVm).mIsPaused; }
+  /** Operators' reports in the order of their ends. */
+  const std::vector<ConfirmationReport>& Reports() const { return mReports; }
+
   const NodeState& State(VmId aVm) const { return *mNodes.at(aVm).mState; }
   NodeState& State(VmId aVm) { return *mNodes.at(aVm).mState; }
   const std::vector<Exchange>& Exchanges() const { return mExchanges; }
@@ -151,7 +164,10 @@
 
   using ConnectionKey = std::tuple<VmId, std::uint64_t, ConnectionId>;
 
-  void StartNode(VmId aVm, const std::string& aName, const ZoneName& aZone);
+  void StartNode(VmId aVm,
+                 const std::string& aName,
+                 const ZoneName& aZone,
+                 std::optional<Incarnation> aByItsClock = {});
   void DeliverTo(VmId aVm, std::uint64_t aIncarnation, Event aEvent);
   void ScheduleTick(VmId aVm);
   void Perform(VmId aVm, const Effect& aEffect);
@@ -180,6 +196,7 @@
   std::vector<Exchange> mExchanges;
   std::vector<ExecutionRecord> mExecutions;
   std::vector<DecisionRecord> mRecords;
+  std::vector<ConfirmationReport> mReports;
   std::uint64_t mMessagesSent = 0;
 };
 
--- a/tests/support/FakePlatform.cpp
+++ b/tests/support/FakePlatform.cpp
@@ -19,6 +19,7 @@
 FakePlatform::Apply(const std::string& aText)
 {
   ConfigurationRecord record;
+  mBefore = mStored;
   ++mStored.mStoreVersion;
   record.mRevision = Revision(mStored.mStoreVersion);
   record.mChangeId = "change-" + std::to_string(mStored.mStoreVersion);
@@ -31,26 +32,24 @@
   return record.mRevision;
 }
 
+void
+FakePlatform::Falsify(const std::string& aText)
+{
+  mStored.mRecord->mText = aText;
+}
+
 void
 FakePlatform::SetVm(const VmRecord& aVm)
 {
+  AddEdition();
   mVms[aVm.mId] = aVm;
-  std::vector<VmRecord> edition;
-  for (const auto& [id, vm] : mVms) {
-    edition.push_back(vm);
-  }
-  mEditions.emplace_back(mTimeline.Now() + mListLag, std::move(edition));
 }
 
 void
 FakePlatform::RemoveVm(VmId aVm)
 {
+  AddEdition();
   mVms.erase(aVm);
-  std::vector<VmRecord> edition;
-  for (const auto& [id, vm] : mVms) {
-    edition.push_back(vm);
-  }
-  mEditions.emplace_back(mTimeline.Now() + mListLag, std::move(edition));
 }
 
 void
@@ -59,7 +58,7 @@
   ++mCalls;
   const std::uint64_t id = mNextWatcher++;
   mWatchers[id] = Watcher{ aWatch.mAfterVersion, std::move(aDone) };
-  const bool isDue = mIsOut || mStored.mStoreVersion > aWatch.mAfterVersion;
+  const bool isDue = mIsOut || Shown().mStoreVersion > aWatch.mAfterVersion;
   mTimeline.After(isDue ? mDelay : aWatch.mWait, [this, id] { EndWatch(id); });
 }
 
@@ -70,7 +69,7 @@
   if (watcher.empty()) {
     return;
   }
-  Result<StoredConfiguration> result = mStored;
+  Result<StoredConfiguration> result = Shown();
   if (mIsOut) {
     result = Outage();
   }
@@ -78,16 +77,41 @@
                   [done = watcher.mapped().mDone, result] { done(result); });
 }
 
+void
+FakePlatform::AddEdition()
+{
+  const TimePoint shownFrom = mTimeline.Now() + mListLag;
+  if (mEditions.empty() || mEditions.back().first != shownFrom) {
+    BuildNewestEdition();
+    mEditions.emplace_back(shownFrom, std::vector<VmRecord>{});
+  }
+  mIsNewestEditionBuilt = false;
+}
+
+void
+FakePlatform::BuildNewestEdition()
+{
+  if (mIsNewestEditionBuilt || mEditions.empty()) {
+    return;
+  }
+  std::vector<VmRecord>& edition = mEditions.back().second;
+  edition.clear();
+  for (const auto& [id, vm] : mVms) {
+    edition.push_back(vm);
+  }
+  mIsNewestEditionBuilt = true;
+}
+
 std::vector<VmRecord>
-FakePlatform::ShownVms() const
+FakePlatform::ShownVms()
 {
-  std::vector<VmRecord> shown;
-  for (const auto& [from, edition] : mEditions) {
-    if (from <= mTimeline.Now()) {
-      shown = edition;
-    }
+  BuildNewestEdition();
+  while (mEditions.size() > 1 && mEditions[1].first <= mTimeline.Now()) {
+    mEditions.erase(mEditions.begin());
   }
-  return shown;
+  const bool isShown =
+    !mEditions.empty() && mEditions.front().first <= mTimeline.Now();
+  return isShown ? mEditions.front().second : std::vector<VmRecord>{};
 }
 
 void
