--- a/benchmarks/component_cost.cpp
+++ b/benchmarks/component_cost.cpp
@@ -106,6 +106,22 @@
                   MakeBatchReply(static_cast<std::size_t>(aState.range(0))));
 }
 
+/** An offer that carries a section of so many targets, as pushed along a
+    zone's tree. */
+void
+EncodeOffer(benchmark::State& aState)
+{
+  FleetShape shape;
+  shape.mShards = static_cast<unsigned>(aState.range(0));
+  ConfigurationOffer offer;
+  offer.mIsPush = true;
+  offer.mSections = SplitIntoSections(DeploymentOf(shape));
+  for (const DeploymentSection& section : offer.mSections) {
+    offer.mSectionHashes.push_back(section.mHash);
+  }
+  MeasureEncoding(aState, offer);
+}
+
 /** A response of so many shards' results. */
 void
 FormatAnswer(benchmark::State& aState)
@@ -304,6 +320,7 @@
 BENCHMARK(DecodeBatch)->Apply(BatchSizes);
 BENCHMARK(EncodeReplies)->Apply(BatchSizes);
 BENCHMARK(DecodeReplies)->Apply(BatchSizes);
+BENCHMARK(EncodeOffer)->Apply(FanOutSizes);
 BENCHMARK(FormatAnswer)->Apply(FanOutSizes);
 BENCHMARK(FormatPlanLine)->Apply(BatchSizes);
 BENCHMARK(ParseText)->Apply(TargetSizes);
--- a/modules/wasabispread_decisions/Answering.cpp
+++ b/modules/wasabispread_decisions/Answering.cpp
@@ -261,6 +261,7 @@
   Outcome outcome = BuildOutcome(query);
   CountOutcome(aState.mCounters, outcome);
   aEffects.push_back(LogDecision{ DescribeAnswered(query, outcome, aNow) });
+  EndClaim(aState, query.mRequest.mToken, outcome, aEffects);
   aEffects.push_back(AnswerCaller{
     query.mRequest.mToken, query.mRequest.mRequestId, std::move(outcome) });
   aState.mEntry.mQueryOfCaller.erase(query.mRequest.mToken);
--- a/modules/wasabispread_decisions/Entry.h
+++ b/modules/wasabispread_decisions/Entry.h
@@ -16,6 +16,21 @@
                     TimePoint aNow,
                     Effects& aEffects);
 
+/** Refuses a request of which nothing was sent. */
+void
+RefuseRequest(NodeState& aState,
+              const CallerRequest& aRequest,
+              Error aError,
+              Effects& aEffects);
+
+/** Plans an admitted request and sends it out. */
+void
+StartQuery(NodeState& aState,
+           const CallerRequest& aRequest,
+           const Service& aService,
+           TimePoint aNow,
+           Effects& aEffects);
+
 /** Drops a request whose caller has gone. */
 void
 HandleCallerGone(NodeState& aState,
--- a/modules/wasabispread_decisions/Event.h
+++ b/modules/wasabispread_decisions/Event.h
@@ -27,6 +27,8 @@
   SharedBytes mBody;
   /** How long the caller will wait. */
   Duration mPatience{};
+  /** Names an action across repeats; empty when the caller gave none. */
+  std::string mIdempotencyKey;
 };
 
 /** A caller went away before its answer. */
@@ -115,12 +117,31 @@
 
 /** The process was asked to stop. */
 struct StopRequested
-{};
+{
+  /** How long it still takes callers' requests, so that everyone can learn of
+      the stop first. */
+  Duration mNotice{};
+};
 
 /** Time has passed; sent when NodeState::NextDue() is reached. */
 struct Tick
 {};
 
+/** A write of a claim ended. */
+struct ClaimSwapped
+{
+  ClaimToken mToken;
+  /** The version written; kConflict when another version was there. */
+  Result<std::uint64_t> mVersion;
+};
+
+/** A claim was read. */
+struct ClaimRead
+{
+  ClaimToken mToken;
+  Result<StoredClaim> mStored;
+};
+
 using Event = std::variant<Started,
                            CallerRequest,
                            CallerGone,
@@ -134,7 +155,9 @@
                            VmListReceived,
                            StopRequested,
                            Tick,
+                           ConfirmationAsked,
                            AttemptsNotSent,
-                           ConfirmationAsked>;
+                           ClaimSwapped,
+                           ClaimRead>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/NodeState.cpp
+++ b/modules/wasabispread_decisions/NodeState.cpp
@@ -14,8 +14,9 @@
 bool
 NodeState::IsDrained() const
 {
-  return mStopping && mEntry.mQueries.empty() && mOwner.mItems.empty() &&
-         mOwner.mOutboxes.empty();
+  return mStopping && mEntry.mQueries.empty() &&
+         mClaims.mTokenOfCaller.empty() && mClaims.mOutcomeWrites.empty() &&
+         mOwner.mItems.empty() && mOwner.mOutboxes.empty();
 }
 
 NodeState
--- a/modules/wasabispread_decisions/NodeState.h
+++ b/modules/wasabispread_decisions/NodeState.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "ClaimState.h"
 #include "ConfigurationState.h"
 #include "ConfirmationState.h"
 #include "Counters.h"
@@ -43,11 +44,14 @@
   PlacementState mPlacement;
   OwnerState mOwner;
   PauseState mPause;
+  ClaimState mClaims;
   TimerQueue mTimers;
   Counters mCounters;
   /** Messages from this node to itself, handled before Reduce() returns. */
   std::deque<PeerMessage> mLoopback;
   bool mStopping = false;
+  /** When a stopping node begins to refuse callers' requests. */
+  TimePoint mRefusingFrom = TimePoint::max();
 
   /** Whether callers' requests can be taken. */
   bool IsReady() const;
--- a/modules/wasabispread_runtime/NodeRunner.cpp
+++ b/modules/wasabispread_runtime/NodeRunner.cpp
@@ -184,9 +184,8 @@
 NodeRunner::Perform(SendToTarget& aEffect)
 {
   TargetLink& link = *mTargetLinks.at(aEffect.mConnection);
-  link.mNext =
-    TargetExchange{ FormatTargetRequest(aEffect.mRequest),
-                    aEffect.mRequest.mBudget + kLateReplyTimeout };
+  link.mNext = TargetExchange{ FormatTargetRequest(aEffect.mRequest),
+                               aEffect.mRequest.mBudget + kLateReplyTimeout };
   link.mWake.Notify();
 }
 
@@ -221,6 +220,26 @@
   });
 }
 
+void
+NodeRunner::Perform(SwapClaim& aEffect)
+{
+  StartFiber([this, effect = aEffect] {
+    const auto response =
+      ExchangeOnce(mLoop, mPlatform, FormatClaimSwap(effect), kPlatformTimeout);
+    Deliver(ClaimSwapped{ effect.mToken, response.and_then(ParseStoreSwap) });
+  });
+}
+
+void
+NodeRunner::Perform(ReadClaim& aEffect)
+{
+  StartFiber([this, effect = aEffect] {
+    const auto response = ExchangeOnce(
+      mLoop, mPlatform, FormatStoreRead(effect.mKey), kPlatformTimeout);
+    Deliver(ClaimRead{ effect.mToken, response.and_then(ParseStoredClaim) });
+  });
+}
+
 void
 NodeRunner::Perform(LogDecision& aEffect)
 {
--- a/modules/wasabispread_runtime/NodeRunner.h
+++ b/modules/wasabispread_runtime/NodeRunner.h
@@ -67,6 +67,8 @@
   void Perform(SendCancelToTarget& aEffect);
   void Perform(WatchConfiguration& aEffect);
   void Perform(ReadVmList& aEffect);
+  void Perform(SwapClaim& aEffect);
+  void Perform(ReadClaim& aEffect);
   void Perform(LogDecision& aEffect);
   void Perform(AnswerConfirmation& aEffect);
 
--- a/tests/standins/target/TargetFleet.h
+++ b/tests/standins/target/TargetFleet.h
@@ -67,7 +67,9 @@
   HttpResponse Run(FleetTarget& aTarget,
                    const RecordedExecution& aExecution,
                    const ClosedWatch& aWatch);
+  HttpResponse Cancel(const std::string& aAttempt);
   HttpResponse ReportHealth(const FleetTarget& aTarget) const;
+  static bool ClaimsToServe(const TargetBehaviour& aBehaviour);
   std::uint32_t ReportedLoad(const FleetTarget& aTarget) const;
   unsigned ReasonToRefuse(const FleetTarget& aTarget, std::uint64_t aVersion);
   Duration DrawServiceTime(const TargetBehaviour& aBehaviour);
@@ -78,6 +80,8 @@
   Random mRandom;
   ExecutionLog mLog;
   std::map<std::string, FleetTarget> mTargets;
+  /** Ends a running attempt early; by attempt. */
+  std::map<std::string, std::function<void()>> mCancels;
 };
 
 } // namespace wasabispread
