--- a/benchmarks/component_cost.cpp
+++ b/benchmarks/component_cost.cpp
@@ -199,12 +199,13 @@
   FleetShape shape = ShapeOfTargets(aState.range(0));
   const std::string text = DeploymentOf(shape);
   NodeState node = MakeReadyNode(shape, text, kNow);
+  TimePoint now = kNow;
   std::uint64_t revision = 1;
   for (auto _ : aState) {
     // Another first section makes every parsed part another one.
     std::string changed = text;
     changed.insert(0, "# " + std::to_string(++revision) + "\n");
-    BringIntoForce(node, changed, revision, kNow);
+    BringIntoForce(node, changed, revision, now);
   }
 }
 
@@ -217,11 +218,12 @@
   shape.mServices = kServices;
   const std::string text = DeploymentOf(shape);
   NodeState node = MakeReadyNode(shape, text, kNow);
+  TimePoint now = kNow;
   std::uint64_t revision = 1;
   for (auto _ : aState) {
     // The last section alone has this comment.
     const std::string changed = text + "# " + std::to_string(++revision) + "\n";
-    BringIntoForce(node, changed, revision, kNow);
+    BringIntoForce(node, changed, revision, now);
   }
 }
 
--- a/benchmarks/support/DirectFleet.cpp
+++ b/benchmarks/support/DirectFleet.cpp
@@ -11,6 +11,7 @@
 
 constexpr Duration kStep = std::chrono::microseconds(1);
 constexpr Duration kFlushWait = std::chrono::milliseconds(1);
+constexpr Duration kAdoptionTime = std::chrono::seconds(10);
 constexpr Duration kSettlingStep = std::chrono::milliseconds(500);
 constexpr unsigned kSettlingSteps = 240;
 constexpr unsigned kPortsPerHost = 60000;
@@ -81,7 +82,7 @@
 BringIntoForce(NodeState& aNode,
                const std::string& aText,
                std::uint64_t aRevision,
-               TimePoint aNow)
+               TimePoint& aNow)
 {
   ConfigurationRecord record;
   record.mRevision = Revision(aRevision);
@@ -95,6 +96,7 @@
     if (aNode.mConfiguration.mRevision == Revision(aRevision)) {
       return;
     }
+    aNow = std::max(aNow, aNode.NextDue());
     Reduce(aNode, Tick{}, aNow);
   }
   throw std::runtime_error("the benchmark's deployment was not adopted");
@@ -123,9 +125,10 @@
 {
   const std::vector<VmRecord> vms = VmsOf(aShape);
   NodeState node = MakeUnstartedNode(vms.front());
-  Reduce(node, Started{}, aNow);
-  Reduce(node, VmListReceived{ vms }, aNow);
-  BringIntoForce(node, aText, 1, aNow);
+  TimePoint now = aNow - kAdoptionTime;
+  Reduce(node, Started{}, now);
+  Reduce(node, VmListReceived{ vms }, now);
+  BringIntoForce(node, aText, 1, now);
   return node;
 }
 
@@ -136,14 +139,18 @@
 {
   const std::vector<VmRecord> vms = VmsOf(aShape);
   const std::string text = DeploymentOf(aShape);
+  TimePoint latest = mNow;
   for (const VmRecord& vm : vms) {
     mNodeOf[vm.mId] = static_cast<std::uint32_t>(mNodes.size());
     mNodes.push_back(std::make_unique<NodeState>(MakeUnstartedNode(vm)));
     NodeState& node = *mNodes.back();
     Reduce(node, Started{}, mNow);
     Reduce(node, VmListReceived{ vms }, mNow);
-    BringIntoForce(node, text, 1, mNow);
+    TimePoint now = mNow;
+    BringIntoForce(node, text, 1, now);
+    latest = std::max(latest, now);
   }
+  mNow = latest;
   // Connections are shared out in full only once the VM list has been stable.
   for (unsigned step = 0; step < kSettlingSteps; ++step) {
     RunTimers(kSettlingStep);
--- a/benchmarks/support/DirectFleet.h
+++ b/benchmarks/support/DirectFleet.h
@@ -46,14 +46,16 @@
 std::vector<VmRecord>
 VmsOf(const FleetShape& aShape);
 
-/** Puts a deployment's text in force at a node; throws if that fails. */
+/** Puts a deployment's text in force at a node, for which aNow moves on;
+    throws if that fails. */
 void
 BringIntoForce(NodeState& aNode,
                const std::string& aText,
                std::uint64_t aRevision,
-               TimePoint aNow);
+               TimePoint& aNow);
 
-/** The first VM of a shape, with the VM list and a deployment in force. */
+/** The first VM of a shape, with the VM list and a deployment in force by
+    aNow. */
 NodeState
 MakeReadyNode(const FleetShape& aShape,
               const std::string& aText,
