--- a/tests/processes/BadInputTests.cpp
+++ b/tests/processes/BadInputTests.cpp
@@ -24,7 +24,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void setUp() override { mFleet = std::make_unique<ProcessFleet>(); }
+  void setUp() override { mFleet = AcquireFleet(); }
 
   void tearDown() override { mFleet.reset(); }
 
@@ -174,7 +174,7 @@
 
   void ExpectUnharmed()
   {
-    CPPUNIT_ASSERT(mFleet->Executions().empty());
+    CPPUNIT_ASSERT(!mFleet->HasExecuted());
     const HistoryCall call = mFleet->Ask(0, ProcessAsk{});
     CPPUNIT_ASSERT_EQUAL(std::string(), call.mErrorKind);
     CPPUNIT_ASSERT(call.mMissing.empty());
@@ -208,7 +208,7 @@
                            run.mOutput.find("; ") != std::string::npos);
   }
 
-  std::unique_ptr<ProcessFleet> mFleet;
+  std::shared_ptr<ProcessFleet> mFleet;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BadInputTests);
--- a/tests/processes/ProcessFleet.cpp
+++ b/tests/processes/ProcessFleet.cpp
@@ -85,6 +85,7 @@
   }
   if (json.contains("kind")) {
     aCall.mErrorKind = json.at("kind");
+    aCall.mErrorMessage = json.at("title");
     aCall.mRan = json.at("ran");
     return;
   }
@@ -92,6 +93,7 @@
   aCall.mShardsAsked = json.at("coverage").at("shards");
   for (const Json& missing : json.at("coverage").at("missing")) {
     aCall.mMissing.push_back(missing.at("shard"));
+    aCall.mMissingReasons += " " + missing.at("reason").get<std::string>();
   }
   for (const Json& result : json.at("results")) {
     aCall.mResults.push_back(
@@ -194,6 +196,66 @@
   for (std::size_t zone = 0; zone < kZones.size(); ++zone) {
     AwaitReady(zone);
   }
+  AwaitOwners();
+}
+
+std::shared_ptr<ProcessFleet>
+AcquireFleet()
+{
+  static std::shared_ptr<ProcessFleet> fleet;
+  if (fleet == nullptr || !fleet->IsReusable()) {
+    fleet.reset();
+    fleet = std::make_shared<ProcessFleet>();
+  }
+  fleet->BeginTest();
+  return fleet;
+}
+
+void
+ProcessFleet::AwaitOwners()
+{
+  for (const char* service : { "stock", "solo" }) {
+    ProcessAsk ask;
+    ask.mService = service;
+    for (std::size_t zone = 0; zone < kZones.size(); ++zone) {
+      AwaitCondition(
+        [&] {
+          const HistoryCall call = Ask(zone, ask);
+          return call.mErrorKind.empty() && call.mMissing.empty();
+        },
+        "each owner holds its targets");
+    }
+  }
+}
+
+void
+ProcessFleet::BeginTest()
+{
+  ControlAllTargets({ { "service_ms", 1 },
+                      { "stragglers", 0 },
+                      { "shed", 0 },
+                      { "draining", false },
+                      { "frozen", false },
+                      { "reset", "never" },
+                      { "reset_share", 1 } });
+  ControlPlatform({ { "outage", false },
+                    { "delay_ms", 0 },
+                    { "jitter_ms", 0 },
+                    { "lose_write_replies", 0 },
+                    { "lose_share", 0 } });
+  mFirstCall = mCalls.size();
+  mFirstExecution = Executions().size();
+}
+
+bool
+ProcessFleet::IsReusable() const
+{
+  const auto isHarmed = [](const ChildProcess& aProcess) {
+    return aProcess.IsHarmed();
+  };
+  return !mIsUsedUp && !mPlatform.IsHarmed() &&
+         std::none_of(mTargets.begin(), mTargets.end(), isHarmed) &&
+         std::none_of(mDaemons.begin(), mDaemons.end(), isHarmed);
 }
 
 ProcessFleet::~ProcessFleet()
@@ -223,6 +285,7 @@
              << "\"\npeers = \"" << ToText(PeerAddress(zone))
              << "\"\n[log]\nfile = \"" << mFolder << "/vm-" << zone
              << ".jsonl\"\n[limits]\nbody_bytes = 65536\n"
+             << "start_spread = \"100ms\"\nhold_delay = \"1s\"\n"
                 "stop_notice = \"2500ms\"\nstop_wait = \"10s\"\n";
   }
 }
@@ -258,7 +321,7 @@
         return false;
       }
       const Json json = Json::parse(status->mBody);
-      return json.at("ready") == true &&
+      return json.at("ready") == true && json.at("holds_connections") == true &&
              json.at("members").size() == kZones.size();
     },
     "a daemon is ready and knows the others");
