--- a/modules/wasabispread_decisions/OwnerQueue.cpp
+++ b/modules/wasabispread_decisions/OwnerQueue.cpp
@@ -38,7 +38,7 @@
           TimePoint aNow,
           Effects& aEffects)
 {
-  const Duration fastest(static_cast<std::int64_t>(aPool.mLimit.mBest / 2));
+  const Duration fastest(static_cast<std::int64_t>(aPool.mLimit.mTypical / 4));
   while (!aPool.mQueue.empty()) {
     const AttemptId attempt = aPool.mQueue.front();
     aPool.mQueue.pop_front();
@@ -105,7 +105,8 @@
                double aDraw,
                TimePoint aNow)
 {
-  if (aState.mStopping && aBatch.mEntry != aState.mSelf.mId) {
+  // Until then its place as owner passes to others, who need time for it.
+  if (aNow >= aState.mRefusingFrom && aBatch.mEntry != aState.mSelf.mId) {
     return MissingReason::kStopping;
   }
   if (aBatch.mDeadline <= aNow) {
--- a/modules/wasabispread_decisions/TimerQueue.h
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -53,6 +53,8 @@
   kEarlyAnswer,
   /** No key. */
   kStopAnnounced,
+  /** No key; a stopping node's notice is over. */
+  kStopRefusing,
   /** Key: the claim. */
   kClaimDeadline,
   /** Key: the claim. */
--- a/modules/wasabispread_runtime/OperatorInterface.cpp
+++ b/modules/wasabispread_runtime/OperatorInterface.cpp
@@ -74,6 +74,9 @@
   json["store_silence_ms"] =
     MillisecondsSince(aState.mConfiguration.mStoreSeen);
   json["ready"] = aState.IsReady();
+  json["draining"] = aState.mStopping;
+  json["in_flight"] = InFlight(aState);
+  json["dropped_log_lines"] = LogWriter::DroppedLines();
   json["members"] = Json::array();
   for (const auto& [id, member] : aState.mMembership.mMembers) {
     json["members"].push_back(
--- a/tests/processes/DeliveryTests.cpp
+++ b/tests/processes/DeliveryTests.cpp
@@ -27,7 +27,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void setUp() override { mFleet = std::make_unique<ProcessFleet>(); }
+  void setUp() override { mFleet = AcquireFleet(); }
 
   void tearDown() override { mFleet.reset(); }
 
@@ -171,6 +171,7 @@
         mFleet->Ask(aCaller % 3, ProcessAsk{});
       }
     });
+    mFleet->UseUp();
     std::set<std::uint64_t> snapshots;
     for (const HistoryCall& call : mFleet->Calls()) {
       snapshots.insert(call.mSnapshot);
@@ -246,7 +247,7 @@
     mFleet->Daemon(2).Kill();
   }
 
-  std::unique_ptr<ProcessFleet> mFleet;
+  std::shared_ptr<ProcessFleet> mFleet;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DeliveryTests);
--- a/tests/processes/HistoryChecker.h
+++ b/tests/processes/HistoryChecker.h
@@ -26,11 +26,14 @@
   std::string mIdempotencyKey;
   /** Empty after an answer, "no-response" when the connection broke. */
   std::string mErrorKind;
+  std::string mErrorMessage;
   /** "no" or "unknown" after an error. */
   std::string mRan;
   std::uint64_t mSnapshot = 0;
   unsigned mShardsAsked = 0;
   std::vector<unsigned> mMissing;
+  /** Why, in the same order, joined by spaces. */
+  std::string mMissingReasons;
   std::vector<HistoryResult> mResults;
 };
 
--- a/tests/processes/ProcessFleet.h
+++ b/tests/processes/ProcessFleet.h
@@ -10,6 +10,8 @@
 #include <wasabispread_runtime/wasabispread_runtime.h>
 
 #include <functional>
+#include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -37,7 +39,8 @@
 class ProcessFleet
 {
 public:
-  /** Starts everything, applies the file, and waits until all is ready. */
+  /** Starts everything, applies the file, and waits until all is ready and
+      each zone's daemon holds its targets. */
   ProcessFleet();
   ~ProcessFleet();
 
@@ -86,8 +89,23 @@
   /** Every execution recorded so far, also by processes since killed. */
   std::vector<HistoryExecution> Executions() const;
 
-  /** Every request asked so far. */
-  const std::vector<HistoryCall>& Calls() const { return mCalls; }
+  /** Every request asked since the present test began. */
+  std::span<const HistoryCall> Calls() const
+  {
+    return std::span(mCalls).subspan(mFirstCall);
+  }
+
+  /** Whether anything was executed since the present test began. */
+  bool HasExecuted() const { return Executions().size() > mFirstExecution; }
+
+  /** Begins another test: every fault is switched off. */
+  void BeginTest();
+
+  /** Whether another test may use the fleet: no process was harmed. */
+  bool IsReusable() const;
+
+  /** Keeps other tests from using the fleet. */
+  void UseUp() { mIsUsedUp = true; }
 
   /** Waits until no execution is added, then fails unless the history is
       sound; then nothing is left to be checked again. */
@@ -97,6 +115,7 @@
   const std::string& DeploymentFile() const { return mDeploymentFile; }
 
 private:
+  void AwaitOwners();
   void WriteFiles();
   void StartDaemon(std::size_t aZone);
   std::string SettingsFile(std::size_t aZone) const;
@@ -114,8 +133,15 @@
   std::vector<ChildProcess> mTargets;
   std::vector<ChildProcess> mDaemons;
   std::vector<HistoryCall> mCalls;
+  std::size_t mFirstCall = 0;
+  std::size_t mFirstExecution = 0;
+  bool mIsUsedUp = false;
 };
 
+/** The fleet of the test before, if it is reusable, or else a new one. */
+std::shared_ptr<ProcessFleet>
+AcquireFleet();
+
 /** The loop that all callers of this program share. */
 IoLoop&
 TestLoop();
--- a/tests/standins/target/TargetBehaviour.cpp
+++ b/tests/standins/target/TargetBehaviour.cpp
@@ -32,11 +32,11 @@
 HealthReport
 HealthReportNamed(const std::string& aName)
 {
-  if (aName == "always-well") {
-    return HealthReport::kAlwaysWell;
+  if (aName == "good") {
+    return HealthReport::kAlwaysGood;
   }
-  return aName == "always-ill" ? HealthReport::kAlwaysIll
-                               : HealthReport::kTruthful;
+  return aName == "leaving" ? HealthReport::kAlwaysLeaving
+                            : HealthReport::kTruthful;
 }
 
 } // namespace
--- a/tests/standins/target/TargetBehaviour.h
+++ b/tests/standins/target/TargetBehaviour.h
@@ -27,10 +27,10 @@
 enum class HealthReport : std::uint8_t
 {
   kTruthful,
-  /** Always idle and serving. */
-  kAlwaysWell,
-  /** Always overloaded. */
-  kAlwaysIll,
+  /** Always serving. */
+  kAlwaysGood,
+  /** Always leaving. */
+  kAlwaysLeaving,
 };
 
 /** One target's behaviour. Shares run from 0 to 1. */
@@ -49,7 +49,7 @@
   ResetPoint mReset = ResetPoint::kNever;
   double mResetShare = 1;
   HealthReport mHealth = HealthReport::kTruthful;
-  /** How old a health report is. */
+  /** How old a report is. */
   Duration mHealthLag{};
   /** Rising; the last one is the newest. */
   std::vector<std::uint64_t> mSnapshots{ 1 };
--- a/tests/support/FakePlatform.h
+++ b/tests/support/FakePlatform.h
@@ -36,6 +36,9 @@
   /** Puts another content under the newest revision, as no operator can. */
   void Falsify(const std::string& aText);
 
+  /** Changes the VM list on its way to each reader, when set. */
+  std::function<void(std::vector<VmRecord>&)> mChangeList;
+
   /** Puts a deployment file's text in force as the next revision. */
   Revision Apply(const std::string& aText);
 
