--- a/modules/wasabispread_decisions/PlacementTests.cpp
+++ b/modules/wasabispread_decisions/PlacementTests.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-const Duration kHoldDelay = PlacementState{}.mHoldDelay;
-
 constexpr TimePoint kStart{ std::chrono::hours(1) };
 const Duration kHoldDelay = PlacementState{}.mHoldDelay;
 
