--- a/modules/wasabispread_decisions/PlacementTests.cpp
+++ b/modules/wasabispread_decisions/PlacementTests.cpp
@@ -68,6 +68,7 @@
 ShowList(NodeState& aState, const std::set<int>& aListed, TimePoint aPresent)
 {
   std::vector<VmRecord> list;
+  list.reserve(aListed.size());
   for (const int vm : aListed) {
     list.push_back(ListedVm(vm));
   }
