Admit a tenth more than the targets accept under overload, not a quarter

Cause: after the merge of the entry's and the owner's admission, goodput at twice capacity was 86.9% against a peak of 97.2% at capacity (89.4% kept); OwnerTests::KeepsItsGoodputAtTwiceTheCapacity asks for 90%. Ruled out: the bound; it is the stated target and stays. All 86 decision tests pass.

--- a/modules/wasabispread_decisions/Admission.cpp
+++ b/modules/wasabispread_decisions/Admission.cpp
@@ -32,7 +32,7 @@
 RefusalShare(const AdmissionState& aAdmission)
 {
   constexpr double kLeastOffered = 20;
-  constexpr double kProbingMultiple = 1.25;
+  constexpr double kProbingMultiple = 1.1;
   constexpr double kRecoveringMultiple = 2;
   constexpr double kNearlyAll = 0.95;
   constexpr double kMostRefused = 0.9;
--- a/modules/wasabispread_decisions/SnapshotChoice.cpp
+++ b/modules/wasabispread_decisions/SnapshotChoice.cpp
@@ -182,7 +182,7 @@
   if (aQuery.mPending == 0) {
     return true;
   }
-  return MostCovered(aQuery.mTallies).mShards * 2 > aQuery.mShards.size();
+  return MostCovered(aQuery.mTallies).mShards > aQuery.mShards.size() / 2;
 }
 
 void
