--- a/benchmarks/memory_slopes.cpp
+++ b/benchmarks/memory_slopes.cpp
@@ -5,6 +5,8 @@
 #include <benchmarks/support/DirectFleet.h>
 #include <benchmarks/support/HeapCount.h>
 
+#include <wasabispread_platform/wasabispread_platform.h>
+
 #include <benchmark/benchmark.h>
 
 namespace wasabispread::benchmarks {
@@ -135,6 +137,11 @@
     node = std::make_unique<NodeState>(MakeNode(shape, text));
   });
   aState.counters["text_bytes"] = static_cast<double>(text.size());
+  ConfigurationRecord record;
+  record.mRevision = Revision(1);
+  record.mText = text;
+  aState.counters["stored_bytes"] =
+    static_cast<double>(EncodeConfiguration(record).size());
 }
 
 /** A deployment in force against its services, of ten targets each. */
--- a/modules/wasabispread_platform/ApplyMachineTests.cpp
+++ b/modules/wasabispread_platform/ApplyMachineTests.cpp
@@ -42,7 +42,7 @@
     mTimeline.RunUntil([&one] { return one.Report().has_value(); },
                        mTimeline.Now() + std::chrono::minutes(5));
     CPPUNIT_ASSERT(one.Report().has_value());
-    const ApplyReport report = *one.Report();
+    ApplyReport report = *one.Report();
     // What is still under way must find its operator.
     mKept.push_back(std::make_unique<FakeOperator>(one));
     return report;
--- a/tests/processes/ProcessFleet.cpp
+++ b/tests/processes/ProcessFleet.cpp
@@ -452,7 +452,7 @@
 }
 
 FinishedProcess
-ProcessFleet::RunTool(std::vector<std::string> aArguments)
+ProcessFleet::RunTool(const std::vector<std::string>& aArguments)
 {
   return RunToEnd("wasabispread", aArguments, mFolder + "/tool.log");
 }
--- a/tests/processes/ProcessFleet.h
+++ b/tests/processes/ProcessFleet.h
@@ -81,7 +81,7 @@
   void ShowVms(const std::vector<std::size_t>& aLeaving);
 
   /** Runs the operators' tool. */
-  FinishedProcess RunTool(std::vector<std::string> aArguments);
+  FinishedProcess RunTool(const std::vector<std::string>& aArguments);
 
   /** A GET of a daemon's operator address. */
   Result<HttpResponse> GetOperator(std::size_t aZone, const std::string& aPath);
