--- a/modules/wasabispread_config/DaemonSettings.cpp
+++ b/modules/wasabispread_config/DaemonSettings.cpp
@@ -144,16 +144,13 @@
 tl::expected<DaemonSettings, Faults>
 ParseDaemonSettings(std::string_view aText, const std::string& aFile)
 {
-  Faults faults;
-  toml::table root;
-  try {
-    root = toml::parse(aText, aFile);
-  } catch (const toml::parse_error& error) {
-    faults.push_back(SyntaxFault(error, aFile));
-    return tl::unexpected<Faults>(std::move(faults));
+  const auto root = ParseToml(aText, aFile);
+  if (!root) {
+    return tl::unexpected<Faults>(root.error());
   }
+  Faults faults;
   DaemonSettings settings;
-  TableReader reader(root, aFile, "the file", faults);
+  TableReader reader(*root, aFile, "the file", faults);
   settings.mName = reader.RequiredString("name").value_or("");
   settings.mZone = ZoneName(reader.RequiredString("zone").value_or(""));
   settings.mPlatformAddress =
--- a/modules/wasabispread_config/DeploymentParser.cpp
+++ b/modules/wasabispread_config/DeploymentParser.cpp
@@ -249,16 +249,13 @@
 tl::expected<Deployment, Faults>
 ParseDeployment(std::string_view aText, const std::string& aFile)
 {
-  Faults faults;
-  toml::table root;
-  try {
-    root = toml::parse(aText, aFile);
-  } catch (const toml::parse_error& error) {
-    faults.push_back(SyntaxFault(error, aFile));
-    return tl::unexpected<Faults>(std::move(faults));
+  const auto root = ParseToml(aText, aFile);
+  if (!root) {
+    return tl::unexpected<Faults>(root.error());
   }
+  Faults faults;
   DeploymentBuilder builder(aFile, faults);
-  Deployment deployment = builder.Build(root);
+  Deployment deployment = builder.Build(*root);
   if (!faults.empty()) {
     const auto before = [](const Fault& aLeft, const Fault& aRight) {
       return std::pair(aLeft.mLine, aLeft.mColumn) <
--- a/modules/wasabispread_config/TableReader.cpp
+++ b/modules/wasabispread_config/TableReader.cpp
@@ -113,15 +113,20 @@
   return std::nullopt;
 }
 
-Fault
-SyntaxFault(const toml::parse_error& aError, const std::string& aFile)
+tl::expected<toml::table, Faults>
+ParseToml(std::string_view aText, const std::string& aFile)
 {
-  const toml::source_position place = aError.source().begin;
-  return Fault{ aFile,
-                place.line,
-                place.column,
-                "not valid TOML: " + std::string(aError.description()),
-                "correct the syntax at this place" };
+  try {
+    return toml::parse(aText, aFile);
+  } catch (const toml::parse_error& error) {
+    const toml::source_position place = error.source().begin;
+    return tl::unexpected<Faults>(
+      Faults{ Fault{ aFile,
+                     place.line,
+                     place.column,
+                     "not valid TOML: " + std::string(error.description()),
+                     "correct the syntax at this place" } });
+  }
 }
 
 TableReader::TableReader(const toml::table& aTable,
--- a/modules/wasabispread_config/TableReader.h
+++ b/modules/wasabispread_config/TableReader.h
@@ -103,8 +103,8 @@
 std::optional<Duration>
 ParseDuration(std::string_view aText);
 
-/** The fault that a TOML syntax error amounts to. */
-Fault
-SyntaxFault(const toml::parse_error& aError, const std::string& aFile);
+/** A whole file's table, or the fault that its syntax error amounts to. */
+tl::expected<toml::table, Faults>
+ParseToml(std::string_view aText, const std::string& aFile);
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/PlacementTests.cpp
+++ b/modules/wasabispread_decisions/PlacementTests.cpp
@@ -56,9 +56,10 @@
   service.mConnectionCap = aCap;
   StoredConfiguration stored;
   stored.mStoreVersion = 1;
-  stored.mRecord = ConfigurationRecord{
-    Revision(1), "c1", "", "", DeploymentText({ service })
-  };
+  stored.mRecord = ConfigurationRecord{};
+  stored.mRecord->mRevision = Revision(1);
+  stored.mRecord->mChangeId = "c1";
+  stored.mRecord->mText = DeploymentText({ service });
   Reduce(state, StoreWatched{ stored }, aNow);
   return state;
 }
