--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -3,10 +3,10 @@
  */
 #include "Daemon.h"
 
+#include <platform/platform.h>
+
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <boost/program_options.hpp>
 
@@ -21,6 +21,7 @@
 {
   std::string mSettingsFile;
   bool mCheckOnly = false;
+  bool mForwards = false;
   bool mShowHelp = false;
   bool mShowVersion = false;
 };
@@ -34,6 +35,9 @@
   description.add_options()("settings,s",
                             options::value<std::string>(&line.mSettingsFile),
                             "the settings file, in TOML")(
+    "forward",
+    options::bool_switch(&line.mForwards),
+    "forward whole requests to the targets that register on the platform")(
     "check-settings",
     options::bool_switch(&line.mCheckOnly),
     "check the settings file and exit")(
@@ -62,17 +66,28 @@
   return line;
 }
 
-tl::expected<DaemonSettings, Faults>
-ReadSettings(const std::string& aFile)
+/** Reads a settings file with the parser of its kind. */
+template<class Settings>
+tl::expected<Settings, Faults>
+ReadSettings(const std::string& aFile,
+             tl::expected<Settings, Faults> (*aParse)(std::string_view,
+                                                      const std::string&))
 {
-  std::ifstream stream(aFile);
-  if (!stream) {
-    return tl::unexpected<Faults>(Faults{
-      Fault{ aFile, 0, 0, "the file cannot be read", "check its name" } });
+  const auto text = forwarding::ReadFile(aFile);
+  if (!text) {
+    return tl::unexpected<Faults>(Faults{ Fault{
+      aFile, 0, 0, text.error().mMessage, text.error().mRemedy } });
   }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return ParseDaemonSettings(text.str(), aFile);
+  return aParse(*text, aFile);
+}
+
+int
+ReportFaults(const Faults& aFaults)
+{
+  for (const Fault& fault : aFaults) {
+    std::cerr << ToText(fault) << "\n";
+  }
+  return kExitUsage;
 }
 
 int
@@ -101,6 +116,41 @@
   std::quick_exit(EXIT_SUCCESS);
 }
 
+int
+RunForwarder(const ForwarderSettings& aSettings, const std::string& aFile)
+{
+  IoLoop loop;
+  LogWriter log(kStandardOutput, aSettings.mLogLevel);
+  const auto adapter = platform::MakeAdapter();
+  forwarding::ForwarderDaemon daemon(loop, log, aSettings, aFile, *adapter);
+  const auto started = daemon.Start();
+  if (!started) {
+    std::quick_exit(Report(started.error(), EXIT_FAILURE));
+  }
+  loop.WaitForStopSignal();
+  daemon.Stop();
+  log.Flush();
+  // As in RunDaemon().
+  std::quick_exit(EXIT_SUCCESS);
+}
+
+/** Checks the settings and, unless only that was asked for, runs. */
+template<class Settings, class Function>
+int
+CheckAndRun(const CommandLine& aLine,
+            const tl::expected<Settings, Faults>& aSettings,
+            Function aRun)
+{
+  if (!aSettings) {
+    return ReportFaults(aSettings.error());
+  }
+  if (aLine.mCheckOnly) {
+    std::cout << aLine.mSettingsFile << ": no fault found\n";
+    return EXIT_SUCCESS;
+  }
+  return aRun(*aSettings);
+}
+
 int
 Main(int aCount, char** aArguments)
 {
@@ -111,18 +161,16 @@
   if (line->mShowHelp || line->mShowVersion) {
     return EXIT_SUCCESS;
   }
-  const auto settings = ReadSettings(line->mSettingsFile);
-  if (!settings) {
-    for (const Fault& fault : settings.error()) {
-      std::cerr << ToText(fault) << "\n";
-    }
-    return kExitUsage;
-  }
-  if (line->mCheckOnly) {
-    std::cout << line->mSettingsFile << ": no fault found\n";
-    return EXIT_SUCCESS;
+  if (line->mForwards) {
+    return CheckAndRun(
+      *line,
+      ReadSettings(line->mSettingsFile, ParseForwarderSettings),
+      [&](const ForwarderSettings& aSettings) {
+        return RunForwarder(aSettings, line->mSettingsFile);
+      });
   }
-  return RunDaemon(*settings);
+  return CheckAndRun(
+    *line, ReadSettings(line->mSettingsFile, ParseDaemonSettings), RunDaemon);
 }
 
 } // namespace
--- a/modules/wasabispread_config/DaemonSettings.cpp
+++ b/modules/wasabispread_config/DaemonSettings.cpp
@@ -80,31 +80,12 @@
   aSettings.mPeers.push_back(std::move(peer));
 }
 
-void
-ReadLog(TableReader& aReader,
-        const std::string& aFile,
-        Faults& aFaults,
-        DaemonSettings& aSettings)
+/** The file of the optional table [log]; ReadLog() reads the rest. */
+std::string
+ReadLogFile(TableReader& aReader)
 {
   const toml::table* table = aReader.OptionalTable("log");
-  if (table == nullptr) {
-    return;
-  }
-  TableReader log(*table, aFile, "[log]", aFaults);
-  aSettings.mLogFile = log.OptionalString("file").value_or("");
-  const std::string level = log.OptionalString("level").value_or("info");
-  log.RejectUnknownKeys();
-  if (level == "debug") {
-    aSettings.mLogLevel = LogLevel::kDebug;
-  } else if (level == "warning") {
-    aSettings.mLogLevel = LogLevel::kWarning;
-  } else if (level == "error") {
-    aSettings.mLogLevel = LogLevel::kError;
-  } else if (level != "info") {
-    log.AddFault(*table->get("level"),
-                 "the log level '" + level + "' is unknown",
-                 R"(use "debug", "info", "warning" or "error")");
-  }
+  return table == nullptr ? "" : (*table)["file"].value_or(std::string());
 }
 
 void
@@ -159,7 +140,8 @@
   for (const toml::table* peer : reader.Tables("peer")) {
     ReadPeer(*peer, aFile, faults, settings);
   }
-  ReadLog(reader, aFile, faults, settings);
+  ReadLog(reader, aFile, faults, settings.mLogLevel);
+  settings.mLogFile = ReadLogFile(reader);
   ReadLimits(reader, aFile, faults, settings);
   reader.RejectUnknownKeys();
   if (!faults.empty()) {
--- a/modules/wasabispread_config/TableReader.cpp
+++ b/modules/wasabispread_config/TableReader.cpp
@@ -372,4 +372,31 @@
   AddFault(mTable, std::move(aMessage), std::move(aRemedy));
 }
 
+void
+ReadLog(TableReader& aReader,
+        const std::string& aFile,
+        Faults& aFaults,
+        LogLevel& aLevel)
+{
+  const toml::table* table = aReader.OptionalTable("log");
+  if (table == nullptr) {
+    return;
+  }
+  TableReader log(*table, aFile, "[log]", aFaults);
+  static_cast<void>(log.OptionalString("file"));
+  const std::string level = log.OptionalString("level").value_or("info");
+  log.RejectUnknownKeys();
+  if (level == "debug") {
+    aLevel = LogLevel::kDebug;
+  } else if (level == "warning") {
+    aLevel = LogLevel::kWarning;
+  } else if (level == "error") {
+    aLevel = LogLevel::kError;
+  } else if (level != "info") {
+    log.AddFault(*table->get("level"),
+                 "the log level '" + level + "' is unknown",
+                 R"(use "debug", "info", "warning" or "error")");
+  }
+}
+
 } // namespace wasabispread
--- a/modules/wasabispread_config/TableReader.h
+++ b/modules/wasabispread_config/TableReader.h
@@ -95,6 +95,13 @@
   std::set<std::string, std::less<>> mKnownKeys;
 };
 
+/** Reads the level from the optional table [log]. */
+void
+ReadLog(TableReader& aReader,
+        const std::string& aFile,
+        Faults& aFaults,
+        LogLevel& aLevel);
+
 /** Parses "host:port" with a dotted IPv4 host and a port from 1 to 65535. */
 std::optional<Endpoint>
 ParseEndpoint(std::string_view aText);
--- a/modules/wasabispread_config/wasabispread_config.h
+++ b/modules/wasabispread_config/wasabispread_config.h
@@ -15,3 +15,4 @@
 #include "DeploymentDiff.h"
 #include "DeploymentParser.h"
 #include "DeploymentSections.h"
+#include "ForwarderSettings.h"
--- a/modules/wasabispread_decisions/TimerQueue.h
+++ b/modules/wasabispread_decisions/TimerQueue.h
@@ -62,19 +62,23 @@
 };
 
 /** A timer that came due. */
-struct Timer
+template<class Kind>
+struct TimerOf
 {
   TimePoint mDue;
-  TimerKind mKind = TimerKind::kQueryDeadline;
+  Kind mKind{};
   std::uint64_t mKey = 0;
 };
 
 /** Timers by due time. A timer is never taken back: whoever handles it looks
     whether its subject still exists. */
-class TimerQueue
+template<class Kind>
+class TimerQueueOf
 {
 public:
-  void Arm(TimePoint aDue, TimerKind aKind, std::uint64_t aKey = 0)
+  using Timer = TimerOf<Kind>;
+
+  void Arm(TimePoint aDue, Kind aKind, std::uint64_t aKey = 0)
   {
     mTimers.push(Timer{ aDue, aKind, aKey });
   }
@@ -108,4 +112,7 @@
   std::priority_queue<Timer, std::vector<Timer>, Later> mTimers;
 };
 
+using Timer = TimerOf<TimerKind>;
+using TimerQueue = TimerQueueOf<TimerKind>;
+
 } // namespace wasabispread
--- /dev/null
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -0,0 +1,214 @@
+/*
+ * Starting, reloading and stopping a forwarding daemon.
+ */
+#include "wasabispread_forwarding.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include <boost/fiber/operations.hpp>
+
+namespace wasabispread::forwarding {
+
+namespace {
+
+constexpr Duration kStopPollInterval = std::chrono::milliseconds(5);
+/** The part of the stop's grace in which new requests are taken: the balancer
+    needs some seconds to send connections elsewhere. */
+constexpr double kServingShare = 0.6;
+/** Kept free at the end of the grace, so that the process ends by itself. */
+constexpr Duration kStopMargin = std::chrono::milliseconds(350);
+/** How soon a change of the settings file is noticed. */
+constexpr Duration kSettingsInterval = std::chrono::seconds(2);
+
+ForwarderPolicy
+PolicyFrom(const ForwarderSettings& aSettings)
+{
+  ForwarderPolicy policy;
+  policy.mName = aSettings.mName;
+  policy.mZone = aSettings.mZone;
+  policy.mPeerAddress = aSettings.mPeerAddress;
+  policy.mFirstPeers = aSettings.mFirstPeers;
+  policy.mRepeatRule = RepeatRule{ aSettings.mRepeatShare,
+                                   aSettings.mFixedRepeats,
+                                   aSettings.mRepeatWindow };
+  return policy;
+}
+
+std::uint64_t
+SeedFrom(const ForwarderSettings& aSettings)
+{
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return StableHash(aSettings.mName,
+                    static_cast<std::uint64_t>(sinceEpoch.count()));
+}
+
+} // namespace
+
+Result<std::string>
+ReadFile(const std::string& aFile)
+{
+  std::ifstream stream(aFile);
+  if (!stream) {
+    return Fail(ErrorKind::kInvalidSettings,
+                "the file " + aFile + " cannot be read",
+                "check its name and that it may be read");
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+ForwarderDaemon::ForwarderDaemon(IoLoop& aLoop,
+                                 LogWriter& aLog,
+                                 const ForwarderSettings& aSettings,
+                                 std::string aFile,
+                                 const PlatformAdapter& aAdapter)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mFile(std::move(aFile))
+  , mAdapter(aAdapter)
+  , mDecisionLog(aLog, aSettings.mName)
+  , mRunner(aLoop,
+            MakeForwarderState(PolicyFrom(aSettings), SeedFrom(aSettings)),
+            aSettings.mStoreAddress,
+            aAdapter,
+            mDecisionLog)
+{
+}
+
+Result<std::unique_ptr<HttpServer>>
+ForwarderDaemon::Listen(const Endpoint& aAddress, HttpHandler aHandler)
+{
+  return HttpServer::Start(
+    mLoop, aAddress, HttpServerLimits{}, std::move(aHandler));
+}
+
+Result<std::monostate>
+ForwarderDaemon::Start()
+{
+  auto callers = HttpServer::Start(
+    mLoop,
+    mSettings.mCallerAddress,
+    HttpServerLimits{},
+    WatchingHttpHandler(
+      [this](const HttpRequest& aMessage, const ClosedWatch& aWatch) {
+        return mRunner.Serve(aMessage, aWatch);
+      }));
+  if (!callers) {
+    return tl::unexpected<Error>(callers.error());
+  }
+  mCallers = std::move(*callers);
+  auto readiness = Listen(
+    mSettings.mReadinessAddress,
+    [this](const HttpRequest& aMessage) { return AnswerReadiness(aMessage); });
+  if (!readiness) {
+    return tl::unexpected<Error>(readiness.error());
+  }
+  mReadiness = std::move(*readiness);
+  if (mSettings.mMetricsAddress.mPort != 0) {
+    auto metrics =
+      Listen(mSettings.mMetricsAddress, [this](const HttpRequest&) {
+        HttpResponse response;
+        response.mHeaders.push_back(
+          { "Content-Type", "text/plain; version=0.0.4" });
+        response.mBody = FormatForwarderMetrics(
+          mRunner.State(), mDecisionLog, ForwarderRunner::Now());
+        return response;
+      });
+    if (!metrics) {
+      return tl::unexpected<Error>(metrics.error());
+    }
+    mMetrics = std::move(*metrics);
+  }
+  mRunner.Start(
+    [this](const CallerLimits& aLimits) { LimitCallers(aLimits); });
+  if (const auto text = ReadFile(mFile)) {
+    mFileText = *text;
+  }
+  StartFiber([this] { WatchSettings(); });
+  return std::monostate{};
+}
+
+HttpResponse
+ForwarderDaemon::AnswerReadiness(const HttpRequest& aMessage) const
+{
+  constexpr unsigned kOk = 200;
+  constexpr unsigned kNotFound = 404;
+  constexpr unsigned kUnavailable = 503;
+  HttpResponse response;
+  if (!mAdapter.IsReadinessCheck(aMessage)) {
+    response.mStatus = kNotFound;
+  } else {
+    response.mStatus = mRunner.State().IsReady() ? kOk : kUnavailable;
+  }
+  return response;
+}
+
+void
+ForwarderDaemon::LimitCallers(const CallerLimits& aLimits)
+{
+  HttpServerLimits limits;
+  limits.mMostBodyBytes = aLimits.mBodyBytes;
+  limits.mMostHeaderBytes = aLimits.mHeaderBytes;
+  limits.mIdleLimit = aLimits.mIdleTime;
+  mCallers->ChangeLimits(limits);
+}
+
+void
+ForwarderDaemon::WatchSettings()
+{
+  while (true) {
+    boost::this_fiber::sleep_for(kSettingsInterval);
+    const auto text = ReadFile(mFile);
+    if (text && *text != mFileText) {
+      mFileText = *text;
+      ApplySettings(*text);
+    }
+  }
+}
+
+void
+ForwarderDaemon::ApplySettings(const std::string& aText)
+{
+  DecisionLine line{ LineClass::kState, "settings-reloaded", {}, {} };
+  const auto settings = ParseForwarderSettings(aText, mFile);
+  if (!settings) {
+    line.mEvent = "settings-rejected";
+    for (const Fault& fault : settings.error()) {
+      line.mFields.push_back({ "fault", ToText(fault) });
+    }
+  } else {
+    mRunner.ChangeRepeatRule(PolicyFrom(*settings).mRepeatRule);
+    mSettings.mStopGrace = settings->mStopGrace;
+  }
+  mDecisionLog.Write(line, ForwarderRunner::Now());
+}
+
+void
+ForwarderDaemon::Stop()
+{
+  const TimePoint begun = ForwarderRunner::Now();
+  const TimePoint until = begun + mSettings.mStopGrace - kStopMargin;
+  mRunner.Deliver(ForwarderStopRequested{});
+  mCallers->AnnounceStop();
+  const auto serving = Duration(static_cast<std::int64_t>(
+    kServingShare * static_cast<double>(mSettings.mStopGrace.count())));
+  boost::this_fiber::sleep_until(begun + serving);
+  mCallers->Stop(until);
+  while (!mRunner.State().mRequests.empty() && ForwarderRunner::Now() < until) {
+    boost::this_fiber::sleep_for(kStopPollInterval);
+  }
+  mDecisionLog.Write(
+    DecisionLine{
+      LineClass::kState,
+      "stopped",
+      {},
+      { { "took_ms", ToMilliseconds(ForwarderRunner::Now() - begun) },
+        { "in_flight",
+          static_cast<std::int64_t>(mRunner.State().mRequests.size()) } } },
+    ForwarderRunner::Now());
+}
+
+} // namespace wasabispread::forwarding
--- /dev/null
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -0,0 +1,90 @@
+/*
+ * Metric names, and their values read from a forwarder's state.
+ */
+#include "wasabispread_forwarding.h"
+
+namespace wasabispread::forwarding {
+
+std::string
+FormatForwarderMetrics(const ForwarderState& aState,
+                       const DecisionLog& aLog,
+                       TimePoint aNow)
+{
+  const ForwarderCounters& counters = aState.mCounters;
+  FamilyList list;
+  list.AddCounter("requests_total", "Callers' requests.", counters.mRequests);
+  list.AddCounter("requests_refused_total",
+                  "Requests that did not run.",
+                  counters.mRefused);
+  list.AddCounter("answers_complete_total",
+                  "Answers with every shard, or the target's own.",
+                  counters.mAnsweredInFull);
+  list.AddCounter("answers_partial_total",
+                  "Answers with missing shards.",
+                  counters.mAnsweredInPart);
+  list.AddCounter(
+    "answers_failed_total", "Requests that failed.", counters.mFailed);
+  list.AddCounter("callers_gone_total",
+                  "Callers that closed their connection before the answer.",
+                  counters.mCallersGone);
+  list.AddCounter(
+    "sendings_total", "Requests sent to targets.", counters.mSendings);
+  list.AddCounter("hedges_total",
+                  "Requests sent to another target beside a late one.",
+                  counters.mHedges);
+  list.AddCounter("retries_total",
+                  "Requests sent to another target after a failure.",
+                  counters.mRetries);
+  list.AddCounter("repeats_withheld_total",
+                  "Hedges and retries that the budget did not allow.",
+                  counters.mRepeatsWithheld);
+  list.AddCounter("target_connections_opened_total",
+                  "Connections asked for at targets.",
+                  counters.mConnectionsOpened);
+  list.AddCounter("target_connections_failed_total",
+                  "Connections that could not be had.",
+                  counters.mConnectionFailures);
+  list.AddCounter(
+    "store_calls_total", "Calls to the store.", counters.mStoreCalls);
+  list.AddCounter("store_failures_total",
+                  "Calls that the store did not answer.",
+                  counters.mStoreFailures);
+  list.AddCounter("entries_unreadable_total",
+                  "Entries of the store that could not be read.",
+                  counters.mUnreadableEntries);
+  list.AddCounter("log_lines_omitted_total",
+                  "Log lines left out by their allowance.",
+                  aLog.OmittedLines());
+  list.AddCounter("log_lines_dropped_total",
+                  "Log lines lost because standard output was not read.",
+                  LogWriter::DroppedLines());
+  list.AddGauge("configuration_version",
+                "The version of the configuration in force.",
+                aState.mConfiguration == nullptr
+                  ? 0
+                  : static_cast<double>(
+                      aState.mConfiguration->mVersion.Value()));
+  list.AddGauge("configuration_age_seconds",
+                "How long that version has been in force.",
+                std::chrono::duration<double>(
+                  aNow - aState.mConfigurationSince)
+                  .count());
+  list.AddGauge("store_away",
+                "1 while the store does not answer.",
+                aState.mStore.IsAway() ? 1 : 0);
+  list.AddGauge("targets",
+                "Targets known.",
+                static_cast<double>(aState.mTargets.size()));
+  list.AddGauge("target_connections",
+                "Connections to targets.",
+                static_cast<double>(aState.mConnections.size()));
+  list.AddGauge("requests_in_flight",
+                "Requests under way.",
+                static_cast<double>(aState.mRequests.size()));
+  list.AddGauge("fleet_size",
+                "VMs by which shared limits are divided.",
+                static_cast<double>(FleetSize(aState, aNow)));
+  return list.Text();
+}
+
+} // namespace wasabispread::forwarding
--- /dev/null
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -0,0 +1,305 @@
+/*
+ * The event loop around the forwarding reducer, and its effects on sockets.
+ */
+#include "wasabispread_forwarding.h"
+
+#include <optional>
+
+namespace wasabispread::forwarding {
+
+namespace {
+
+/** A reply is read for this much longer than the target was given, so that
+    the decision to close the connection stays with the reducer. */
+constexpr Duration kLateReplyTimeout = std::chrono::seconds(2);
+/** What a caller gets whose connection is closed already. */
+constexpr const char* kCallerGone = "the caller closed its connection";
+
+} // namespace
+
+/** A connection to a target and the request to send on it next. */
+struct ForwarderRunner::TargetLink
+{
+  explicit TargetLink(IoLoop& aLoop)
+    : mConnection(aLoop)
+  {
+  }
+
+  HttpConnection mConnection;
+  std::optional<SendRequest> mNext;
+  FiberEvent mWake;
+  bool mIsClosed = false;
+};
+
+ForwarderRunner::ForwarderRunner(IoLoop& aLoop,
+                                 ForwarderState aState,
+                                 const Endpoint& aStore,
+                                 const PlatformAdapter& aAdapter,
+                                 DecisionLog& aLog)
+  : mLoop(aLoop)
+  , mState(std::move(aState))
+  , mAdapter(aAdapter)
+  , mLog(aLog)
+  , mStore(aLoop, aStore, aAdapter)
+{
+}
+
+ForwarderRunner::~ForwarderRunner() = default;
+
+void
+ForwarderRunner::Start(std::function<void(const CallerLimits&)> aLimitCallers)
+{
+  mLimitCallers = std::move(aLimitCallers);
+  StartFiber([this] { RunTimers(); });
+  Deliver(ForwarderStarted{});
+}
+
+void
+ForwarderRunner::Deliver(ForwarderEvent aEvent)
+{
+  mEvents.push_back(std::move(aEvent));
+  if (mIsReducing) {
+    return;
+  }
+  mIsReducing = true;
+  while (!mEvents.empty()) {
+    ForwarderEvent event = std::move(mEvents.front());
+    mEvents.pop_front();
+    ForwarderEffects effects = Reduce(mState, std::move(event), Now());
+    for (ForwarderEffect& effect : effects) {
+      std::visit([this](auto& aPart) { Perform(aPart); }, effect);
+    }
+  }
+  mIsReducing = false;
+  if (mState.NextDue() < mTimerDue) {
+    mTimerWake.Notify();
+  }
+}
+
+HttpResponse
+ForwarderRunner::Serve(const HttpRequest& aMessage, const ClosedWatch& aWatch)
+{
+  auto request = mAdapter.ReadRequest(HttpRequest(aMessage));
+  if (!request) {
+    mLog.Write(DecisionLine{ LineClass::kFailure,
+                             "request-rejected",
+                             {},
+                             { { "reason", request.error().mMessage } } },
+               Now());
+    return mAdapter.WriteAnswer({},
+                                Problem{ ProblemKind::kBadRequest,
+                                         request.error().mMessage,
+                                         request.error().mRemedy,
+                                         std::nullopt });
+  }
+  request->mToken = CallerToken(mNextToken++);
+  const CallerToken token = request->mToken;
+  const RequestId id = request->mId;
+  auto future = mCallers[token].get_future();
+  Deliver(RequestArrived{
+    std::make_shared<const ForwardedRequest>(std::move(*request)) });
+  if (mCallers.contains(token)) {
+    aWatch([this, token] { DropCaller(token); });
+  }
+  return mAdapter.WriteAnswer(id, future.get());
+}
+
+void
+ForwarderRunner::DropCaller(CallerToken aToken)
+{
+  Deliver(CallerLeft{ aToken });
+  auto caller = mCallers.extract(aToken);
+  if (!caller.empty()) {
+    caller.mapped().set_value(Problem{
+      ProblemKind::kFailed, kCallerGone, "keep it open", std::nullopt });
+  }
+}
+
+void
+ForwarderRunner::Perform(AnswerRequest& aEffect)
+{
+  auto caller = mCallers.extract(aEffect.mToken);
+  if (!caller.empty()) {
+    caller.mapped().set_value(std::move(aEffect.mAnswer));
+  }
+}
+
+void
+ForwarderRunner::Perform(OpenConnection& aEffect)
+{
+  auto link = std::make_shared<TargetLink>(mLoop);
+  mLinks[aEffect.mConnection] = link;
+  StartFiber([this, link, opening = aEffect] { RunTargetLink(opening, *link); });
+}
+
+void
+ForwarderRunner::Perform(CloseConnection& aEffect)
+{
+  const auto place = mLinks.find(aEffect.mConnection);
+  if (place == mLinks.end()) {
+    return;
+  }
+  const std::shared_ptr<TargetLink> link = place->second;
+  mLinks.erase(place);
+  link->mIsClosed = true;
+  link->mConnection.Close();
+  link->mWake.Notify();
+}
+
+void
+ForwarderRunner::Perform(SendRequest& aEffect)
+{
+  TargetLink& link = *mLinks.at(aEffect.mConnection);
+  link.mNext = std::move(aEffect);
+  link.mWake.Notify();
+}
+
+void
+ForwarderRunner::Perform(ListArea& aEffect)
+{
+  StartFiber([this, area = aEffect.mArea] {
+    Deliver(AreaListed{ area, mStore.List(area) });
+  });
+}
+
+void
+ForwarderRunner::Perform(WatchArea& aEffect)
+{
+  StartFiber([this, watch = aEffect] {
+    Deliver(AreaWatched{ watch.mArea, mStore.Watch(watch) });
+  });
+}
+
+void
+ForwarderRunner::Perform(GrantLease& aEffect)
+{
+  StartFiber([this, lifetime = aEffect.mLifetime] {
+    Deliver(LeaseGranted{ mStore.Grant(lifetime) });
+  });
+}
+
+void
+ForwarderRunner::Perform(WriteMember& aEffect)
+{
+  StartFiber([this, lease = aEffect.mLease] {
+    const ForwarderPolicy& policy = mState.mPolicy;
+    Deliver(MemberWritten{ mStore.Enter(
+      lease,
+      MemberRecord{ policy.mName, policy.mZone, policy.mPeerAddress }) });
+  });
+}
+
+void
+ForwarderRunner::Perform(RenewLease& aEffect)
+{
+  StartFiber([this, lease = aEffect.mLease] {
+    Deliver(LeaseRenewed{ mStore.Renew(lease) });
+  });
+}
+
+void
+ForwarderRunner::Perform(EndLease& aEffect)
+{
+  StartFiber([this, lease = aEffect.mLease] { mStore.End(lease); });
+}
+
+void
+ForwarderRunner::Perform(AskPeer& aEffect)
+{
+  static_cast<void>(aEffect);
+}
+
+void
+ForwarderRunner::Perform(LimitCallers& aEffect)
+{
+  mLimitCallers(aEffect.mLimits);
+}
+
+void
+ForwarderRunner::Perform(WriteLine& aEffect)
+{
+  mLog.Write(aEffect.mLine, Now());
+}
+
+void
+ForwarderRunner::RunTimers()
+{
+  while (true) {
+    mTimerDue = mState.NextDue();
+    mTimerWake.WaitUntil(mTimerDue);
+    if (mState.NextDue() <= Now()) {
+      Deliver(ForwarderTick{});
+    }
+  }
+}
+
+void
+ForwarderRunner::RunTargetLink(const OpenConnection& aOpening,
+                               TargetLink& aLink)
+{
+  const ConnectionId id = aOpening.mConnection;
+  const auto connected =
+    aLink.mConnection.Connect(aOpening.mAddress, aOpening.mTimeout);
+  if (aLink.mIsClosed) {
+    return;
+  }
+  if (!connected) {
+    mLinks.erase(id);
+    Deliver(ConnectionRefused{ id });
+    return;
+  }
+  Deliver(ConnectionOpened{ id });
+  while (!aLink.mIsClosed) {
+    if (aLink.mNext) {
+      RunExchange(id, aLink);
+    } else {
+      aLink.mConnection.WatchIdle([this, id] { LoseIdleConnection(id); });
+      aLink.mWake.Wait();
+    }
+  }
+}
+
+void
+ForwarderRunner::RunExchange(ConnectionId aConnection, TargetLink& aLink)
+{
+  const SendRequest send = std::move(*aLink.mNext);
+  aLink.mNext.reset();
+  auto response = aLink.mConnection.Exchange(
+    mAdapter.WriteTargetRequest(send),
+    send.mPatience + kLateReplyTimeout,
+    [&](const HttpResponse& aResponse) {
+      return mAdapter.IsReplyTo(aResponse, send.mRequest->mId);
+    });
+  if (aLink.mIsClosed) {
+    return;
+  }
+  if (response) {
+    const bool isReusable = response->mKeepAlive;
+    Reply reply = mAdapter.ReadReply(std::move(*response));
+    reply.mIsReusable = reply.mIsReusable && isReusable;
+    Deliver(ReplyArrived{ aConnection, std::move(reply) });
+    return;
+  }
+  mLinks.erase(aConnection);
+  aLink.mIsClosed = true;
+  Deliver(ConnectionEnded{
+    aConnection, response.error().mExecution == Execution::kUnknown });
+}
+
+void
+ForwarderRunner::LoseIdleConnection(ConnectionId aConnection)
+{
+  const auto place = mLinks.find(aConnection);
+  // With a request waiting to be written, the write itself finds the end.
+  if (place == mLinks.end() || place->second->mNext) {
+    return;
+  }
+  const std::shared_ptr<TargetLink> link = place->second;
+  mLinks.erase(place);
+  link->mIsClosed = true;
+  link->mConnection.Close();
+  link->mWake.Notify();
+  Deliver(ConnectionEnded{ aConnection, false });
+}
+
+} // namespace wasabispread::forwarding
--- /dev/null
+++ b/modules/wasabispread_forwarding/StoreClient.h
@@ -0,0 +1,54 @@
+/*
+ * Calls to the platform's store.
+ */
+#pragma once
+
+#include "PlatformAdapter.h"
+
+#include <wasabispread_runtime/wasabispread_runtime.h>
+
+#include <array>
+#include <memory>
+
+namespace wasabispread::forwarding {
+
+/** Makes one call at a time for each area and one for the lease; each keeps a
+    connection. Every call blocks its fiber. */
+class StoreClient
+{
+public:
+  StoreClient(IoLoop& aLoop,
+              Endpoint aAddress,
+              const PlatformAdapter& aAdapter);
+
+  Result<AreaContent> List(StoreArea aArea);
+  Result<AreaChanges> Watch(const WatchArea& aWatch);
+  Result<LeaseId> Grant(Duration aLifetime);
+  Result<std::monostate> Enter(LeaseId aLease, const MemberRecord& aRecord);
+  /** False when the lease has ended. */
+  Result<bool> Renew(LeaseId aLease);
+  void End(LeaseId aLease);
+
+private:
+  /** A connection that is opened anew after each failure. */
+  struct Line
+  {
+    std::unique_ptr<HttpConnection> mConnection;
+  };
+
+  Result<HttpResponse> Call(Line& aLine,
+                            const HttpRequest& aRequest,
+                            Duration aTimeout);
+  Line& LineOf(StoreArea aArea)
+  {
+    return mAreaLines[static_cast<std::size_t>(aArea)];
+  }
+
+  IoLoop& mLoop;
+  Endpoint mAddress;
+  const PlatformAdapter& mAdapter;
+  std::array<Line, kStoreAreas> mAreaLines;
+  Line mLeaseLine;
+};
+
+} // namespace wasabispread::forwarding
--- /dev/null
+++ b/modules/wasabispread_forwarding_decisions/Fleet.h
@@ -0,0 +1,86 @@
+/*
+ * The VMs that share targets, and this VM's own entry among them.
+ */
+#pragma once
+
+#include "ForwarderEffect.h"
+#include "ForwarderEvent.h"
+
+#include <map>
+
+namespace wasabispread::forwarding {
+
+struct ForwarderState;
+
+/** A VM as the store showed it. */
+struct Member
+{
+  MemberRecord mRecord;
+  /** When its entry was removed; TimePoint::max() while it is there. */
+  TimePoint mLeft = TimePoint::max();
+};
+
+/** How far this VM's own entry has come. */
+enum class LeaseStatus : std::uint8_t
+{
+  kNone,
+  /** A call is under way, or its repeat waits for a timer. */
+  kPending,
+  kHeld,
+};
+
+/** What is known of the VMs. */
+struct FleetState
+{
+  std::map<std::string, Member> mMembers;
+  LeaseStatus mLeaseStatus = LeaseStatus::kNone;
+  LeaseId mLease;
+  /** The member asked last for its configuration. */
+  std::string mLastAsked;
+  bool mIsAsking = false;
+};
+
+/** By how many VMs the limits that all of them share are divided. */
+std::size_t
+FleetSize(const ForwarderState& aState, TimePoint aNow);
+
+void
+ApplyMember(FleetState& aFleet, const MemberRecord& aRecord);
+
+void
+RemoveMember(FleetState& aFleet, const std::string& aName, TimePoint aNow);
+
+/** Begins to enter this VM; also at each due time of kLease. */
+void
+PursueLease(ForwarderState& aState, TimePoint aNow, ForwarderEffects& aEffects);
+
+void
+HandleLeaseGranted(ForwarderState& aState,
+                   const LeaseGranted& aEvent,
+                   TimePoint aNow,
+                   ForwarderEffects& aEffects);
+
+void
+HandleMemberWritten(ForwarderState& aState,
+                    const MemberWritten& aEvent,
+                    TimePoint aNow,
+                    ForwarderEffects& aEffects);
+
+void
+HandleLeaseRenewed(ForwarderState& aState,
+                   const LeaseRenewed& aEvent,
+                   TimePoint aNow,
+                   ForwarderEffects& aEffects);
+
+/** Asks another VM for the newest configuration while the store does not
+    answer this VM. */
+void
+AskNextPeer(ForwarderState& aState, TimePoint aNow, ForwarderEffects& aEffects);
+
+void
+HandlePeerConfiguration(ForwarderState& aState,
+                        const PeerConfiguration& aEvent,
+                        TimePoint aNow,
+                        ForwarderEffects& aEffects);
+
+} // namespace wasabispread::forwarding
--- /dev/null
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
@@ -0,0 +1,120 @@
+/*
+ * What the forwarding reducer asks its shell to do.
+ */
+#pragma once
+
+#include "DecisionLine.h"
+#include "StoreMessage.h"
+
+namespace wasabispread::forwarding {
+
+/** End a caller's exchange. */
+struct AnswerRequest
+{
+  CallerToken mToken;
+  RequestId mRequestId;
+  CallerAnswer mAnswer;
+};
+
+/** Open a connection; answered by ConnectionOpened or ConnectionRefused. */
+struct OpenConnection
+{
+  ConnectionId mConnection;
+  Endpoint mAddress;
+  Duration mTimeout{};
+};
+
+/** Close a connection, without a further event for it. */
+struct CloseConnection
+{
+  ConnectionId mConnection;
+};
+
+/** Send a request on an idle connection; answered by ReplyArrived or
+    ConnectionEnded. */
+struct SendRequest
+{
+  ConnectionId mConnection;
+  ForwardedRequestPointer mRequest;
+  /** The only instance that may run it. */
+  InstanceId mInstance;
+  /** The time left to the target. */
+  Duration mPatience{};
+};
+
+/** Read an area of the store; answered by AreaListed. */
+struct ListArea
+{
+  StoreArea mArea = StoreArea::kConfiguration;
+};
+
+/** Wait for changes in an area; answered by AreaWatched. */
+struct WatchArea
+{
+  StoreArea mArea = StoreArea::kConfiguration;
+  StoreRevision mAfter;
+  Duration mWait{};
+};
+
+/** Get a lease; answered by LeaseGranted. */
+struct GrantLease
+{
+  Duration mLifetime{};
+};
+
+/** Write this VM's entry under a lease; answered by MemberWritten. */
+struct WriteMember
+{
+  LeaseId mLease;
+};
+
+/** Renew a lease; answered by LeaseRenewed. */
+struct RenewLease
+{
+  LeaseId mLease;
+};
+
+/** Give a lease back; nothing answers. */
+struct EndLease
+{
+  LeaseId mLease;
+};
+
+/** Ask another VM for its configuration; answered by PeerConfiguration. */
+struct AskPeer
+{
+  std::string mPeer;
+  Endpoint mAddress;
+  /** The version that is known already. */
+  ConfigurationVersion mKnown;
+};
+
+/** Apply new limits to callers. */
+struct LimitCallers
+{
+  CallerLimits mLimits;
+};
+
+/** Write a log line. */
+struct WriteLine
+{
+  DecisionLine mLine;
+};
+
+using ForwarderEffect = std::variant<AnswerRequest,
+                                     OpenConnection,
+                                     CloseConnection,
+                                     SendRequest,
+                                     ListArea,
+                                     WatchArea,
+                                     GrantLease,
+                                     WriteMember,
+                                     RenewLease,
+                                     EndLease,
+                                     AskPeer,
+                                     LimitCallers,
+                                     WriteLine>;
+
+using ForwarderEffects = std::vector<ForwarderEffect>;
+
+} // namespace wasabispread::forwarding
--- /dev/null
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
@@ -0,0 +1,116 @@
+/*
+ * What may happen to a forwarder.
+ */
+#pragma once
+
+#include "StoreMessage.h"
+
+namespace wasabispread::forwarding {
+
+/** The process begins; the first event. */
+struct ForwarderStarted
+{};
+
+/** A caller's request was read whole. */
+struct RequestArrived
+{
+  ForwardedRequestPointer mRequest;
+};
+
+/** A caller closed its connection before its answer. */
+struct CallerLeft
+{
+  CallerToken mToken;
+};
+
+/** A connection that was asked for is ready. */
+struct ConnectionOpened
+{
+  ConnectionId mConnection;
+};
+
+/** A connection that was asked for could not be had. */
+struct ConnectionRefused
+{
+  ConnectionId mConnection;
+};
+
+/** A connection ended. */
+struct ConnectionEnded
+{
+  ConnectionId mConnection;
+  /** Whether any byte of a request in flight may have been sent. */
+  bool mIsRequestWritten = false;
+};
+
+/** A reply to the request in flight came whole. */
+struct ReplyArrived
+{
+  ConnectionId mConnection;
+  Reply mReply;
+};
+
+/** An area of the store was read. */
+struct AreaListed
+{
+  StoreArea mArea = StoreArea::kConfiguration;
+  Result<AreaContent> mResult;
+};
+
+/** A watch on an area ended. */
+struct AreaWatched
+{
+  StoreArea mArea = StoreArea::kConfiguration;
+  Result<AreaChanges> mResult;
+};
+
+/** A lease was asked for. */
+struct LeaseGranted
+{
+  Result<LeaseId> mResult;
+};
+
+/** This VM's entry was to be written. */
+struct MemberWritten
+{
+  Result<std::monostate> mResult;
+};
+
+/** A lease was to be renewed; false when it has ended. */
+struct LeaseRenewed
+{
+  Result<bool> mResult;
+};
+
+/** Another VM told the newest configuration that it has. */
+struct PeerConfiguration
+{
+  std::string mPeer;
+  Result<ConfigurationChange> mResult;
+};
+
+/** The process was asked to stop. */
+struct ForwarderStopRequested
+{};
+
+/** Time has passed; sent when ForwarderState::NextDue() is reached. */
+struct ForwarderTick
+{};
+
+using ForwarderEvent = std::variant<ForwarderStarted,
+                                    RequestArrived,
+                                    CallerLeft,
+                                    ConnectionOpened,
+                                    ConnectionRefused,
+                                    ConnectionEnded,
+                                    ReplyArrived,
+                                    AreaListed,
+                                    AreaWatched,
+                                    LeaseGranted,
+                                    MemberWritten,
+                                    LeaseRenewed,
+                                    PeerConfiguration,
+                                    ForwarderStopRequested,
+                                    ForwarderTick>;
+
+} // namespace wasabispread::forwarding
--- /dev/null
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -0,0 +1,215 @@
+/*
+ * Hands each event to the part that it concerns.
+ */
+#include "wasabispread_forwarding_decisions.h"
+
+namespace wasabispread::forwarding {
+
+namespace {
+
+void
+HandleIdle(ForwarderState& aState,
+           ConnectionId aConnection,
+           TimePoint aNow,
+           ForwarderEffects& aEffects)
+{
+  const auto place = aState.mConnections.find(aConnection);
+  if (place == aState.mConnections.end() ||
+      place->second.mStatus != ConnectionStatus::kIdle ||
+      aNow < place->second.mIdleUntil) {
+    return;
+  }
+  const TargetKey target = place->second.mTarget;
+  CloseTargetConnection(aState, aConnection, aEffects);
+  KeepWarm(aState, aState.mTargets.at(target), aNow, aEffects);
+}
+
+void
+HandleReconnect(ForwarderState& aState,
+                TargetKey aTarget,
+                TimePoint aNow,
+                ForwarderEffects& aEffects)
+{
+  const auto place = aState.mTargets.find(aTarget);
+  if (place != aState.mTargets.end()) {
+    KeepWarm(aState, place->second, aNow, aEffects);
+  }
+}
+
+/** Dispatches events by type. */
+struct EventHandler
+{
+  ForwarderState& mState;
+  TimePoint mNow;
+  ForwarderEffects& mEffects;
+
+  void operator()(ForwarderStarted)
+  {
+    mState.mStarted = mNow;
+    mEffects.push_back(
+      WriteLine{ { LineClass::kState,
+                   "started",
+                   {},
+                   { { "vm", mState.mPolicy.mName },
+                     { "zone", mState.mPolicy.mZone.Value() } } } });
+    FollowArea(mState, StoreArea::kConfiguration, mEffects);
+    FollowArea(mState, StoreArea::kTargets, mEffects);
+    FollowArea(mState, StoreArea::kMembers, mEffects);
+    PursueLease(mState, mNow, mEffects);
+  }
+
+  void operator()(const RequestArrived& aEvent)
+  {
+    HandleRequestArrived(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const CallerLeft& aEvent)
+  {
+    HandleCallerLeft(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const ConnectionOpened& aEvent)
+  {
+    HandleConnectionOpened(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const ConnectionRefused& aEvent)
+  {
+    HandleConnectionRefused(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const ConnectionEnded& aEvent)
+  {
+    HandleConnectionEnded(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(ReplyArrived& aEvent)
+  {
+    HandleReplyArrived(mState, std::move(aEvent), mNow, mEffects);
+  }
+
+  void operator()(AreaListed& aEvent)
+  {
+    HandleAreaListed(mState, std::move(aEvent), mNow, mEffects);
+  }
+
+  void operator()(AreaWatched& aEvent)
+  {
+    HandleAreaWatched(mState, std::move(aEvent), mNow, mEffects);
+  }
+
+  void operator()(const LeaseGranted& aEvent)
+  {
+    HandleLeaseGranted(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const MemberWritten& aEvent)
+  {
+    HandleMemberWritten(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const LeaseRenewed& aEvent)
+  {
+    HandleLeaseRenewed(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const PeerConfiguration& aEvent)
+  {
+    HandlePeerConfiguration(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(ForwarderStopRequested)
+  {
+    if (mState.mIsStopping) {
+      return;
+    }
+    mState.mIsStopping = true;
+    if (mState.mFleet.mLeaseStatus == LeaseStatus::kHeld) {
+      mEffects.push_back(EndLease{ mState.mFleet.mLease });
+    }
+    mEffects.push_back(WriteLine{
+      { LineClass::kState,
+        "stopping",
+        {},
+        { { "in_flight",
+            static_cast<std::int64_t>(mState.mRequests.size()) } } } });
+  }
+
+  void operator()(ForwarderTick)
+  {
+    while (const auto timer = mState.mTimers.PopDue(mNow)) {
+      HandleTimer(timer->mKind, timer->mKey);
+    }
+  }
+
+  void HandleTimer(ForwarderTimer aKind, std::uint64_t aKey)
+  {
+    switch (aKind) {
+      case ForwarderTimer::kReview:
+        ReviewRequest(mState, RequestKey(aKey), mNow, mEffects);
+        break;
+      case ForwarderTimer::kAbandoned:
+        HandleAbandoned(mState, ConnectionId(aKey), mNow, mEffects);
+        break;
+      case ForwarderTimer::kReconnect:
+        HandleReconnect(mState, TargetKey(aKey), mNow, mEffects);
+        break;
+      case ForwarderTimer::kIdle:
+        HandleIdle(mState, ConnectionId(aKey), mNow, mEffects);
+        break;
+      case ForwarderTimer::kFollowArea:
+        FollowArea(mState, static_cast<StoreArea>(aKey), mEffects);
+        break;
+      case ForwarderTimer::kLapse:
+        HandleLapseOver(mState, TargetKey(aKey), mNow, mEffects);
+        break;
+      case ForwarderTimer::kLease:
+        PursueLease(mState, mNow, mEffects);
+        break;
+      case ForwarderTimer::kAskPeer:
+        AskNextPeer(mState, mNow, mEffects);
+        break;
+    }
+  }
+};
+
+} // namespace
+
+bool
+ForwarderState::IsReady() const
+{
+  return !mIsStopping && mConfiguration != nullptr &&
+         mStore.Area(StoreArea::kTargets).mIsLoaded;
+}
+
+std::string
+NameOf(const ForwarderState& aState, ServiceId aService)
+{
+  if (aState.mConfiguration != nullptr) {
+    const auto service = aState.mConfiguration->mServices.find(aService);
+    if (service != aState.mConfiguration->mServices.end()) {
+      return service->second.mName;
+    }
+  }
+  return std::to_string(aService.Value());
+}
+
+ForwarderState
+MakeForwarderState(ForwarderPolicy aPolicy, std::uint64_t aSeed)
+{
+  ForwarderState state;
+  state.mPolicy = std::move(aPolicy);
+  state.mRandom = Random(aSeed);
+  return state;
+}
+
+ForwarderEffects
+Reduce(ForwarderState& aState, ForwarderEvent aEvent, TimePoint aNow)
+{
+  ForwarderEffects effects;
+  EventHandler handler{ aState, aNow, effects };
+  std::visit(handler, aEvent);
+  return effects;
+}
+
+} // namespace wasabispread::forwarding
--- /dev/null
+++ b/modules/wasabispread_forwarding_decisions/Registry.cpp
@@ -0,0 +1,180 @@
+/*
+ * Registrations, their order, and their ends.
+ */
+#include "wasabispread_forwarding_decisions.h"
+
+#include <algorithm>
+
+namespace wasabispread::forwarding {
+
+namespace {
+
+TargetState*
+FindTarget(ForwarderState& aState, const InstanceId& aInstance)
+{
+  const auto key = aState.mTargetOfInstance.find(aInstance);
+  if (key == aState.mTargetOfInstance.end()) {
+    return nullptr;
+  }
+  const auto target = aState.mTargets.find(key->second);
+  return target == aState.mTargets.end() ? nullptr : &target->second;
+}
+
+bool
+IsSameStart(const TargetRecord& aLeft, const TargetRecord& aRight)
+{
+  return aLeft.mBorn == aRight.mBorn && aLeft.mAddress == aRight.mAddress &&
+         aLeft.mService == aRight.mService;
+}
+
+/** Whether an entry is older news than what is known of its instance: writes
+    may reach the store out of order. */
+bool
+IsOutdated(ForwarderState& aState, const TargetRecord& aRecord)
+{
+  const EntryAge age{ aRecord.mBorn, aRecord.mSequence };
+  EntryAge& known = aState.mEntryAges[aRecord.mInstance];
+  if (age < known) {
+    return true;
+  }
+  known = age;
+  return false;
+}
+
+void
+LogTarget(const ForwarderState& aState,
+          const char* aEvent,
+          const TargetRecord& aRecord,
+          ForwarderEffects& aEffects)
+{
+  aEffects.push_back(WriteLine{
+    { LineClass::kState,
+      aEvent,
+      {},
+      { { "target", aRecord.mInstance.Value() },
+        { "service", NameOf(aState, aRecord.mService) },
+        { "address", ToText(aRecord.mAddress) },
+        { "zone", aRecord.mZone.Value() },
+        { "sequence", static_cast<std::int64_t>(aRecord.mSequence) } } } });
+}
+
+void
+AddTarget(ForwarderState& aState,
+          const TargetRecord& aRecord,
+          TimePoint aNow,
+          ForwarderEffects& aEffects)
+{
+  const TargetKey key(aState.mNextTarget++);
+  TargetState target;
+  target.mKey = key;
+  target.mRecord = aRecord;
+  target.mWarmUntil = aNow + aRecord.mWarmUp;
+  aState.mTargetOfInstance[aRecord.mInstance] = key;
+  aState.mTargetsOfService[aRecord.mService].push_back(key);
+  TargetState& added =
+    aState.mTargets.emplace(key, std::move(target)).first->second;
+  LogTarget(aState, "target-added", aRecord, aEffects);
+  KeepWarm(aState, added, aNow, aEffects);
+}
+
+} // namespace
+
+void
+ApplyTarget(ForwarderState& aState,
+            const TargetRecord& aRecord,
+            TimePoint aNow,
+            ForwarderEffects& aEffects)
+{
+  if (IsOutdated(aState, aRecord)) {
+    return;
+  }
+  TargetState* known = FindTarget(aState, aRecord.mInstance);
+  const bool isInUse = known != nullptr && !known->mIsRetired;
+  if (isInUse && !IsSameStart(known->mRecord, aRecord)) {
+    LogTarget(aState, "target-replaced", known->mRecord, aEffects);
+    RetireTarget(aState, *known, aNow, aEffects);
+    known = nullptr;
+  }
+  if (aRecord.mIsDraining) {
+    if (known != nullptr && !known->mIsRetired) {
+      LogTarget(aState, "target-draining", aRecord, aEffects);
+      RetireTarget(aState, *known, aNow, aEffects);
+    }
+    return;
+  }
+  if (known == nullptr || known->mIsRetired) {
+    AddTarget(aState, aRecord, aNow, aEffects);
+    return;
+  }
+  known->mMissingSince = TimePoint::max();
+  if (aRecord.mWarmUp != known->mRecord.mWarmUp) {
+    known->mWarmUntil = aNow + aRecord.mWarmUp;
+  }
+  known->mRecord = aRecord;
+}
+
+void
+RemoveTarget(ForwarderState& aState,
+             const InstanceId& aInstance,
+             TimePoint aNow,
+             ForwarderEffects& aEffects)
+{
+  TargetState* target = FindTarget(aState, aInstance);
+  if (target == nullptr || target->mIsRetired) {
+    return;
+  }
+  const TimePoint lapsesUntil = aState.mStore.mReturned == TimePoint{}
+                                  ? TimePoint{}
+                                  : aState.mStore.mReturned +
+                                      aState.mPolicy.mLapseGrace;
+  if (aNow < lapsesUntil) {
+    target->mMissingSince = aNow;
+    LogTarget(aState, "target-lapsed", target->mRecord, aEffects);
+    aState.mTimers.Arm(
+      lapsesUntil, ForwarderTimer::kLapse, target->mKey.Value());
+    return;
+  }
+  LogTarget(aState, "target-gone", target->mRecord, aEffects);
+  RetireTarget(aState, *target, aNow, aEffects);
+}
+
+void
+RemoveTargetsMissingFrom(ForwarderState& aState,
+                         const std::vector<StoreChange>& aEntries,
+                         TimePoint aNow,
+                         ForwarderEffects& aEffects)
+{
+  std::unordered_set<InstanceId> listed;
+  for (const StoreChange& entry : aEntries) {
+    if (const auto* change = std::get_if<TargetChange>(&entry)) {
+      listed.insert(change->mRecord.mInstance);
+    }
+  }
+  std::vector<InstanceId> missing;
+  for (const auto& [key, target] : aState.mTargets) {
+    if (!target.mIsRetired && target.mMissingSince == TimePoint::max() &&
+        !listed.contains(target.mRecord.mInstance)) {
+      missing.push_back(target.mRecord.mInstance);
+    }
+  }
+  for (const InstanceId& instance : missing) {
+    RemoveTarget(aState, instance, aNow, aEffects);
+  }
+}
+
+void
+HandleLapseOver(ForwarderState& aState,
+                TargetKey aTarget,
+                TimePoint aNow,
+                ForwarderEffects& aEffects)
+{
+  const auto place = aState.mTargets.find(aTarget);
+  if (place == aState.mTargets.end() || place->second.mIsRetired ||
+      place->second.mMissingSince == TimePoint::max()) {
+    return;
+  }
+  LogTarget(aState, "target-gone", place->second.mRecord, aEffects);
+  RetireTarget(aState, place->second, aNow, aEffects);
+}
+
+} // namespace wasabispread::forwarding
--- /dev/null
+++ b/modules/wasabispread_forwarding_decisions/StoreMessage.h
@@ -0,0 +1,108 @@
+/*
+ * What the platform's store is asked and what it answers, in the terms of the
+ * three areas that a daemon follows there.
+ */
+#pragma once
+
+#include "Routing.h"
+#include "TargetRecord.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wasabispread::forwarding {
+
+/** The store's counter of changes. */
+using StoreRevision = StrongType<struct StoreRevisionTag, std::uint64_t>;
+
+/** A lease that the store granted. */
+using LeaseId = StrongType<struct LeaseIdTag, std::uint64_t>;
+
+/** What a VM tells the others through the store. */
+struct MemberRecord
+{
+  std::string mName;
+  ZoneName mZone;
+  /** Where other VMs ask it. */
+  Endpoint mAddress;
+};
+
+/** The configuration was written. */
+struct ConfigurationChange
+{
+  RoutingPointer mConfiguration;
+  /** The configuration as the store holds it, to hand on to other VMs. */
+  SharedBytes mText;
+};
+
+/** A target's entry was written. */
+struct TargetChange
+{
+  TargetRecord mRecord;
+};
+
+/** A target's entry was removed, or cannot be read and names no target. */
+struct TargetRemoval
+{
+  InstanceId mInstance;
+};
+
+/** A VM's entry was written. */
+struct MemberChange
+{
+  MemberRecord mRecord;
+};
+
+/** A VM's entry was removed. */
+struct MemberRemoval
+{
+  std::string mName;
+};
+
+/** An entry that cannot be read and changes nothing. */
+struct UnreadableEntry
+{
+  std::string mKey;
+  std::string mReason;
+};
+
+using StoreChange = std::variant<ConfigurationChange,
+                                 TargetChange,
+                                 TargetRemoval,
+                                 MemberChange,
+                                 MemberRemoval,
+                                 UnreadableEntry>;
+
+/** Which of the store's areas a call concerns. */
+enum class StoreArea : std::uint8_t
+{
+  kConfiguration,
+  kTargets,
+  kMembers,
+};
+
+inline constexpr std::size_t kStoreAreas = 3;
+
+/** The name used in logs. */
+std::string_view
+ToText(StoreArea aArea);
+
+/** An area's whole content. */
+struct AreaContent
+{
+  std::vector<StoreChange> mEntries;
+  StoreRevision mRevision;
+};
+
+/** What changed in an area since a revision. */
+struct AreaChanges
+{
+  std::vector<StoreChange> mChanges;
+  StoreRevision mRevision;
+  /** Whether the store no longer holds the changes asked for. */
+  bool mIsHistoryLost = false;
+};
+
+} // namespace wasabispread::forwarding
--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -34,11 +34,15 @@
 ToBeast(const HttpRequest& aRequest, const std::string& aHost)
 {
   constexpr unsigned kHttp11 = 11;
-  http::request<http::string_body> request(
-    http::string_to_verb(aRequest.mMethod), aRequest.mTarget, kHttp11);
-  request.set(http::field::host, aHost);
+  http::request<http::string_body> request;
+  request.version(kHttp11);
+  request.method_string(aRequest.mMethod);
+  request.target(aRequest.mTarget);
+  if (FindHeader(aRequest.mHeaders, "Host").empty()) {
+    request.set(http::field::host, aHost);
+  }
   for (const HttpHeader& header : aRequest.mHeaders) {
-    request.set(header.mName, header.mValue);
+    request.insert(header.mName, header.mValue);
   }
   request.body() = aRequest.mBody;
   request.prepare_payload();
@@ -171,28 +175,38 @@
   /** Whether the connection cannot carry an exchange any more. */
   bool IsSpent() { return !mIsReading || IsClosedByPeer(mSocket); }
 
-  /** Writes all bytes, without waiting when the socket takes them at once. */
-  IoResult Write(const std::string& aBytes)
+  /** Writes without waiting; what the socket does not take at once follows
+      while the response is read, since a server may answer early. */
+  IoResult StartWrite(std::string aBytes)
   {
     IoResult result;
     result.mBytes = mSocket.write_some(asio::buffer(aBytes), result.mError);
     if (result.mError == asio::error::would_block) {
       result.mError = {};
     }
-    if (result.mError || result.mBytes == aBytes.size()) {
-      return result;
+    if (!result.mError && result.mBytes < aBytes.size()) {
+      mIsWriting = true;
+      mOutgoing = std::move(aBytes);
+      asio::async_write(mSocket,
+                        asio::buffer(mOutgoing) + result.mBytes,
+                        [self = shared_from_this()](error_code, std::size_t) {
+                          // A failure also ends the read under way.
+                          self->mIsWriting = false;
+                        });
     }
-    const auto rest = asio::buffer(aBytes) + result.mBytes;
-    const IoResult more =
-      Await([&](auto aHandler) { asio::async_write(mSocket, rest, aHandler); });
-    return { more.mError, result.mBytes + more.mBytes };
+    return result;
   }
 
-  /** Reads until a whole response is in. */
+  /** Reads until a whole response is in. The buffer changes only while no
+      read is pending, since a pending one writes into it. */
   error_code Read(ResponseParser& aParser)
   {
     error_code error;
+    bool needsMore = mBuffer.size() == 0;
     while (!aParser.is_done()) {
+      if (!mIsReading && needsMore) {
+        StartRead();
+      }
       while (mIsReading) {
         mReadDone.Wait();
       }
@@ -208,11 +222,20 @@
       if (error && error != http::error::need_more) {
         return error;
       }
-      StartRead();
+      needsMore = true;
     }
     return {};
   }
 
+  /** Lets a read be pending again, so that a close is seen. */
+  void Rest()
+  {
+    ExpireAt(TimePoint::max());
+    if (!mIsReading && !mReadError) {
+      StartRead();
+    }
+  }
+
   Socket mSocket;
   ExpiryTimer mTimer;
   /** When the timer fires; TimePoint::max() while it is not set. */
@@ -221,6 +244,9 @@
   TimePoint mExpiry = TimePoint::max();
   beast::flat_buffer mBuffer;
   bool mIsReading = false;
+  /** Whether a part of mOutgoing is still to be written. */
+  bool mIsWriting = false;
+  std::string mOutgoing;
   /** How the last read ended; set while none is pending. */
   error_code mReadError;
   FiberEvent mReadDone;
@@ -271,6 +297,15 @@
 
 Result<HttpResponse>
 HttpConnection::Exchange(const HttpRequest& aRequest, Duration aTimeout)
+{
+  return Exchange(
+    aRequest, aTimeout, [](const HttpResponse&) { return true; });
+}
+
+Result<HttpResponse>
+HttpConnection::Exchange(const HttpRequest& aRequest,
+                         Duration aTimeout,
+                         const ResponseFilter& aBelongs)
 {
   Implementation& connection = *mImplementation;
   connection.mIdleAction = nullptr;
@@ -280,22 +315,42 @@
   }
   connection.ExpireAt(std::chrono::steady_clock::now() + aTimeout);
   const IoResult written =
-    connection.Write(Serialize(ToBeast(aRequest, connection.mPeer)));
+    connection.StartWrite(Serialize(ToBeast(aRequest, connection.mPeer)));
   if (written.mError) {
     return ConnectionFailure(written.mError,
                              connection.mPeer,
                              written.mBytes == 0 ? Execution::kNotRun
                                                  : Execution::kUnknown);
   }
-  ResponseParser parser;
-  parser.eager(true);
-  parser.body_limit(kMostResponseBytes);
-  const error_code failure = connection.Read(parser);
-  connection.ExpireAt(TimePoint::max());
-  if (failure) {
-    return ConnectionFailure(failure, connection.mPeer, Execution::kUnknown);
+  bool isInOrder = true;
+  while (true) {
+    ResponseParser parser;
+    parser.eager(true);
+    parser.body_limit(kMostResponseBytes);
+    parser.skip(aRequest.mMethod == "HEAD");
+    const error_code failure = connection.Read(parser);
+    if (failure) {
+      connection.ExpireAt(TimePoint::max());
+      return ConnectionFailure(
+        failure, connection.mPeer, Execution::kUnknown);
+    }
+    HttpResponse response = FromBeast(parser.release());
+    // Bytes behind the response, or a request that is not written whole, would
+    // be taken for the next exchange's.
+    isInOrder =
+      isInOrder && connection.mBuffer.size() == 0 && !connection.mIsWriting;
+    if (aBelongs(response)) {
+      connection.Rest();
+      response.mKeepAlive = response.mKeepAlive && isInOrder;
+      return response;
+    }
+    isInOrder = false;
+    if (!response.mKeepAlive) {
+      connection.ExpireAt(TimePoint::max());
+      return ConnectionFailure(
+        asio::error::eof, connection.mPeer, Execution::kUnknown);
+    }
   }
-  return FromBeast(parser.release());
 }
 
 void
--- a/modules/wasabispread_runtime/HttpClient.h
+++ b/modules/wasabispread_runtime/HttpClient.h
@@ -12,6 +12,9 @@
 
 namespace wasabispread {
 
+/** Tells whether a response belongs to the request that was sent. */
+using ResponseFilter = std::function<bool(const HttpResponse&)>;
+
 /** Carries one exchange at a time; each call blocks its fiber. Errors state
     in mExecution whether the other side may have acted on the request. */
 class HttpConnection
@@ -29,6 +32,12 @@
   /** Sends a request and reads its response, within aTimeout in all. */
   Result<HttpResponse> Exchange(const HttpRequest& aRequest, Duration aTimeout);
 
+  /** As above; responses that aBelongs rejects are read and dropped, and the
+      connection is not kept alive after any such response. */
+  Result<HttpResponse> Exchange(const HttpRequest& aRequest,
+                                Duration aTimeout,
+                                const ResponseFilter& aBelongs);
+
   /** Calls aAction once, in a fiber of its own, if the other side closes the
       connection, or sends unasked, before the next exchange or Close(). */
   void WatchIdle(std::function<void()> aAction);
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -48,7 +48,7 @@
   response.version(kHttp11);
   response.result(aResponse.mStatus);
   for (const HttpHeader& header : aResponse.mHeaders) {
-    response.set(header.mName, header.mValue);
+    response.insert(header.mName, header.mValue);
   }
   response.body() = std::move(aResponse.mBody);
   response.keep_alive(aKeepAlive);
@@ -63,6 +63,7 @@
 {
   beast::tcp_stream mStream;
   bool mIsIdle = true;
+  std::uint64_t mRequestsRead = 0;
 };
 
 struct HttpServer::Implementation
@@ -102,7 +103,7 @@
                   "send a smaller body" };
   }
   if (aError == http::error::header_limit) {
-    return Error{ ErrorKind::kRequestTooLarge,
+    return Error{ ErrorKind::kHeaderTooLarge,
                   "the request's header is too large",
                   "send fewer or shorter header fields" };
   }
@@ -197,6 +198,7 @@
 {
   http::request_parser<http::string_body> parser;
   parser.body_limit(aServer.mLimits.mMostBodyBytes);
+  parser.header_limit(aServer.mLimits.mMostHeaderBytes);
   aConnection.mStream.expires_after(aServer.mLimits.mTransferLimit);
   const IoResult read = Await([&](auto aHandler) {
     http::async_read(aConnection.mStream, aBuffer, parser, aHandler);
@@ -210,8 +212,10 @@
     return false;
   }
   const bool wantsMore = parser.keep_alive();
-  HttpResponse response =
-    RunHandler(aServer, aConnection, FromBeast(parser.release()));
+  HttpRequest request = FromBeast(parser.release());
+  request.mIsFirstOnConnection = aConnection.mRequestsRead == 0;
+  ++aConnection.mRequestsRead;
+  HttpResponse response = RunHandler(aServer, aConnection, request);
   if (response.mStatus == kNoResponse) {
     return false;
   }
@@ -354,6 +358,12 @@
   mImplementation->mAcceptor.close(ignored);
 }
 
+void
+HttpServer::ChangeLimits(HttpServerLimits aLimits)
+{
+  mImplementation->mLimits = aLimits;
+}
+
 void
 HttpServer::AnnounceStop()
 {
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -32,6 +32,8 @@
 {
   /** The largest body taken, in bytes; a larger one is answered by 413. */
   std::uint64_t mMostBodyBytes = 1U << 20U;
+  /** The largest header taken, in bytes; a larger one is answered by 431. */
+  std::uint32_t mMostHeaderBytes = 16U << 10U;
   /** The most connections at a time; further ones are closed at once. */
   std::uint32_t mMostConnections = 4096;
   /** How long a new connection waits before its first request is read. */
@@ -64,6 +66,9 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /** Changes the limits, from each connection's next request on. */
+  void ChangeLimits(HttpServerLimits aLimits);
+
   /** Goes on serving, but each response from now on ends its connection, so
       that callers go elsewhere before Stop(). */
   void AnnounceStop();
--- a/modules/wasabispread_telemetry/LogWriter.cpp
+++ b/modules/wasabispread_telemetry/LogWriter.cpp
@@ -59,6 +59,9 @@
   if (aFile.empty()) {
     return { &std::clog, boost::null_deleter() };
   }
+  if (aFile == kStandardOutput) {
+    return { &std::cout, boost::null_deleter() };
+  }
   return boost::make_shared<std::ofstream>(aFile, std::ios::app);
 }
 
--- a/modules/wasabispread_telemetry/LogWriter.h
+++ b/modules/wasabispread_telemetry/LogWriter.h
@@ -11,12 +11,16 @@
 
 namespace wasabispread {
 
+/** Stands for standard output in place of a file's path. */
+inline constexpr const char* kStandardOutput = "-";
+
 /** Lines go through a bounded queue to a thread that writes them. When the
     queue is full, a line is dropped and counted. One writer per process. */
 class LogWriter
 {
 public:
-  /** Writes to a file, or to standard error when aFile is empty. */
+  /** Writes to a file; to standard error when aFile is empty, or to standard
+      output for kStandardOutput. */
   LogWriter(const std::string& aFile, LogLevel aLeast);
 
   /** Writes what is queued. */
--- a/modules/wasabispread_telemetry/MetricsText.cpp
+++ b/modules/wasabispread_telemetry/MetricsText.cpp
@@ -3,55 +3,10 @@
  */
 #include "wasabispread_telemetry.h"
 
-#include <sstream>
-
-#include <prometheus/metric_family.h>
-#include <prometheus/text_serializer.h>
-
 namespace wasabispread {
 
 namespace {
 
-/** Collects families of one value each. */
-class FamilyList
-{
-public:
-  void AddCounter(const char* aName, const char* aHelp, std::uint64_t aValue)
-  {
-    prometheus::ClientMetric metric;
-    metric.counter.value = static_cast<double>(aValue);
-    Add(aName, aHelp, prometheus::MetricType::Counter, metric);
-  }
-
-  void AddGauge(const char* aName, const char* aHelp, double aValue)
-  {
-    prometheus::ClientMetric metric;
-    metric.gauge.value = aValue;
-    Add(aName, aHelp, prometheus::MetricType::Gauge, metric);
-  }
-
-  const std::vector<prometheus::MetricFamily>& Families() const
-  {
-    return mFamilies;
-  }
-
-private:
-  void Add(const char* aName,
-           const char* aHelp,
-           prometheus::MetricType aType,
-           const prometheus::ClientMetric& aMetric)
-  {
-    prometheus::MetricFamily family;
-    family.name = std::string("wasabispread_") + aName;
-    family.help = aHelp;
-    family.type = aType;
-    family.metric.push_back(aMetric);
-    mFamilies.push_back(std::move(family));
-  }
-
-  std::vector<prometheus::MetricFamily> mFamilies;
-};
-
 void
 AddEntryCounters(FamilyList& aList, const Counters& aCounters)
 {
@@ -268,9 +223,7 @@
   list.AddCounter("log_lines_dropped_total",
                   "Log lines dropped because the queue was full.",
                   LogWriter::DroppedLines());
-  std::ostringstream text;
-  prometheus::TextSerializer().Serialize(text, list.Families());
-  return text.str();
+  return list.Text();
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_units/Error.cpp
+++ b/modules/wasabispread_units/Error.cpp
@@ -17,6 +17,8 @@
       return "operation-not-offered";
     case ErrorKind::kInvalidPatience:
       return "invalid-patience";
+    case ErrorKind::kHeaderTooLarge:
+      return "header-too-large";
     case ErrorKind::kRequestTooLarge:
       return "request-too-large";
     case ErrorKind::kNotReady:
--- a/modules/wasabispread_units/Error.h
+++ b/modules/wasabispread_units/Error.h
@@ -19,6 +19,7 @@
   kOperationNotOffered,
   kInvalidPatience,
   kRequestTooLarge,
+  kHeaderTooLarge,
   kNotReady,
   kOverloaded,
   kTimeout,
--- a/modules/wasabispread_wire/HttpMessage.cpp
+++ b/modules/wasabispread_wire/HttpMessage.cpp
@@ -84,6 +84,36 @@
   return {};
 }
 
+void
+RemoveConnectionFields(std::vector<HttpHeader>& aHeaders)
+{
+  static constexpr std::string_view kFields[] = {
+    "Connection",          "Keep-Alive",        "Proxy-Connection",
+    "Proxy-Authenticate",  "Transfer-Encoding", "TE",
+    "Proxy-Authorization", "Content-Length",    "Trailer",
+    "Upgrade",
+  };
+  std::vector<std::string> named;
+  for (const HttpHeader& header : aHeaders) {
+    if (EqualsWithoutCase(header.mName, "Connection")) {
+      Split(header.mValue, ',', [&](std::string_view aPart) {
+        const auto begin = aPart.find_first_not_of(' ');
+        if (begin != std::string_view::npos) {
+          const auto end = aPart.find_last_not_of(' ');
+          named.emplace_back(aPart.substr(begin, end - begin + 1));
+        }
+      });
+    }
+  }
+  std::erase_if(aHeaders, [&](const HttpHeader& aHeader) {
+    const auto isSame = [&](std::string_view aName) {
+      return EqualsWithoutCase(aHeader.mName, aName);
+    };
+    return std::any_of(std::begin(kFields), std::end(kFields), isSame) ||
+           std::any_of(named.begin(), named.end(), isSame);
+  });
+}
+
 HttpPath
 ParsePath(std::string_view aTarget)
 {
--- a/modules/wasabispread_wire/HttpMessage.h
+++ b/modules/wasabispread_wire/HttpMessage.h
@@ -23,6 +23,8 @@
   std::string mTarget = "/";
   std::vector<HttpHeader> mHeaders;
   std::string mBody;
+  /** Whether it is the first request read from its connection. */
+  bool mIsFirstOnConnection = false;
 };
 
 /** A response. */
@@ -39,6 +41,12 @@
 std::string_view
 FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName);
 
+/** Removes fields that concern one connection only, those named by a
+    Connection field included, and the body's length, which whoever sends the
+    message states anew. */
+void
+RemoveConnectionFields(std::vector<HttpHeader>& aHeaders);
+
 /** A path and its query parameters, decoded. */
 struct HttpPath
 {
