--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -128,6 +128,7 @@
     mFileText = *text;
   }
   StartFiber([this] { WatchSettings(); });
+  mLoop.OnReloadSignal([this] { ReloadSettings(); });
   return std::monostate{};
 }
 
@@ -161,11 +162,23 @@
 {
   while (true) {
     boost::this_fiber::sleep_for(kSettingsInterval);
-    const auto text = ReadFile(mFile);
-    if (text && *text != mFileText) {
-      mFileText = *text;
-      ApplySettings(*text);
-    }
+    ReloadSettings();
+  }
+}
+
+void
+ForwarderDaemon::ReloadSettings()
+{
+  const auto text = ReadFile(mFile);
+  if (!text) {
+    mDecisionLog.Write(DecisionLine{ LineClass::kState,
+                                     "settings-unreadable",
+                                     {},
+                                     { { "error", text.error().mMessage } } },
+                       ForwarderRunner::Now());
+  } else if (*text != mFileText) {
+    mFileText = *text;
+    ApplySettings(*text);
   }
 }
 
--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -36,6 +36,7 @@
   HttpResponse AnswerReadiness(const HttpRequest& aMessage) const;
   void LimitCallers(const CallerLimits& aLimits);
   void WatchSettings();
+  void ReloadSettings();
   void ApplySettings(const std::string& aText);
 
   IoLoop& mLoop;
--- a/modules/wasabispread_runtime/IoLoop.cpp
+++ b/modules/wasabispread_runtime/IoLoop.cpp
@@ -99,6 +99,23 @@
   });
 }
 
+void
+IoLoop::OnReloadSignal(std::function<void()> aAction)
+{
+  StartFiber([this, action = std::move(aAction)] {
+    boost::asio::signal_set signals(*mContext, SIGHUP);
+    while (true) {
+      const IoResult waited = Await([&signals](auto aHandler) {
+        signals.async_wait([aHandler](boost::system::error_code aError,
+                                      int) mutable { aHandler(aError); });
+      });
+      if (!waited.mError) {
+        StartFiber(action);
+      }
+    }
+  });
+}
+
 void
 StartFiber(std::function<void()> aBody)
 {
--- a/modules/wasabispread_runtime/IoLoop.h
+++ b/modules/wasabispread_runtime/IoLoop.h
@@ -30,6 +30,10 @@
   /** Blocks the calling fiber until SIGTERM or SIGINT. */
   void WaitForStopSignal();
 
+  /** Calls aAction in a fiber of its own at each SIGHUP, which from now on
+      does not end the process. */
+  void OnReloadSignal(std::function<void()> aAction);
+
 private:
   std::shared_ptr<boost::asio::io_context> mContext;
 };
