--- a/modules/wasabispread_forwarding_decisions/Fleet.h
+++ b/modules/wasabispread_forwarding_decisions/Fleet.h
@@ -12,6 +12,11 @@
 
 struct ForwarderState;
 
+/** After a start, connections that no request asks for wait this long: VMs that
+    start together enter within it, and with all of them known each connects
+    to its own targets only. */
+inline constexpr Duration kFleetSettleTime = std::chrono::milliseconds(1200);
+
 /** A VM as the store showed it. */
 struct Member
 {
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -52,6 +52,7 @@
                    {},
                    { { "vm", mState.mPolicy.mName },
                      { "zone", mState.mPolicy.mZone.Value() } } } });
+    mState.mTimers.Arm(mNow + kFleetSettleTime, ForwarderTimer::kFleetSettled);
     FollowArea(mState, StoreArea::kConfiguration, mEffects);
     FollowArea(mState, StoreArea::kTargets, mEffects);
     FollowArea(mState, StoreArea::kMembers, mEffects);
@@ -163,6 +164,9 @@
       case ForwarderTimer::kLapse:
         HandleLapseOver(mState, TargetKey(aKey), mNow, mEffects);
         break;
+      case ForwarderTimer::kFleetSettled:
+        RefreshAssignments(mState, mNow, mEffects);
+        break;
       case ForwarderTimer::kLease:
         PursueLease(mState, mNow, mEffects);
         break;
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -28,6 +28,8 @@
   kFollowArea,
   /** Key: the target whose entry vanished. */
   kLapse,
+  /** No key: the VMs that start together have entered. */
+  kFleetSettled,
   /** No key. */
   kLease,
   /** No key. */
--- a/modules/wasabispread_forwarding_decisions/Placement.cpp
+++ b/modules/wasabispread_forwarding_decisions/Placement.cpp
@@ -148,6 +148,7 @@
   }
   TargetState* best = nullptr;
   Duration least = Duration::max();
+  bool isBestAssigned = false;
   for (const TargetKey key : ofService->second) {
     TargetState& target = aState.mTargets.at(key);
     const bool isExcluded =
@@ -155,10 +156,15 @@
     if (isExcluded || !CanTake(aState, target, aNow)) {
       continue;
     }
+    const bool isAssigned = target.mIsAssigned || !target.mIdle.empty();
+    if (isBestAssigned && !isAssigned) {
+      continue;
+    }
     const Duration expected = ExpectedTime(aState, target, aRoute, aNow);
-    if (expected < least) {
+    if (expected < least || (isAssigned && !isBestAssigned)) {
       least = expected;
       best = &target;
+      isBestAssigned = isAssigned;
     }
   }
   return best;
--- a/modules/wasabispread_forwarding_decisions/Registry.cpp
+++ b/modules/wasabispread_forwarding_decisions/Registry.cpp
@@ -71,10 +71,10 @@
   target.mWarmUntil = aNow + aRecord.mWarmUp;
   aState.mTargetOfInstance[aRecord.mInstance] = key;
   aState.mTargetsOfService[aRecord.mService].push_back(key);
-  TargetState& added =
-    aState.mTargets.emplace(key, std::move(target)).first->second;
+  // Connections follow once the whole change is in and targets are assigned.
+  target.mIsAssigned = false;
+  aState.mTargets.emplace(key, std::move(target));
   LogTarget(aState, "target-added", aRecord, aEffects);
-  KeepWarm(aState, added, aNow, aEffects);
 }
 
 } // namespace
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -317,9 +317,11 @@
   if (place == aState.mConnections.end()) {
     return;
   }
+  place->second.mHasServed = true;
   const TargetConnection connection = place->second;
   const TargetKey targetKey = connection.mTarget;
   TargetState& target = aState.mTargets.at(targetKey);
+  target.mConnectBackoff = Duration::zero();
   const auto reply = std::make_shared<const Reply>(std::move(aEvent.mReply));
   ObserveReply(aState, target, connection, reply->mKind, aNow);
   ReleaseConnection(aState,
@@ -367,8 +369,6 @@
     return;
   }
   const TargetKey targetKey = place->second.mTarget;
-  TargetState& target = aState.mTargets.at(targetKey);
-  target.mConnectBackoff = Duration::zero();
   ReleaseConnection(
     aState, aEvent.mConnection, true, std::nullopt, aNow, aEffects);
   ServeWaiting(aState, targetKey, aNow, aEffects);
@@ -408,6 +408,11 @@
   const TargetKey targetKey = connection.mTarget;
   TargetState& target = aState.mTargets.at(targetKey);
   DropConnection(aState, aEvent.mConnection);
+  if (!connection.mHasServed) {
+    // The target resets connections beyond its limit just after it accepts
+    // them; asking again at once would never end.
+    BackOff(aState, target, aNow);
+  }
   if (connection.mStatus == ConnectionStatus::kBusy) {
     if (aEvent.mIsRequestWritten) {
       ObserveOutcome(target, true, aNow);
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -9,10 +9,9 @@
 
 namespace {
 
-/** A watch that the store does not answer is noticed this late at most; short
-    enough that a configuration is in force in time on a connection that fell
-    silent. */
-constexpr Duration kWatchWait = std::chrono::milliseconds(2500);
+/** Each watch is a call that counts, so it waits long; a connection that fell
+    silent is noticed by keep-alive probes. */
+constexpr Duration kWatchWait = std::chrono::seconds(20);
 constexpr Duration kFirstRetry = std::chrono::milliseconds(200);
 constexpr Duration kMostRetry = std::chrono::milliseconds(800);
 /** Targets write often; their changes are taken in batches, well within the
@@ -189,6 +188,7 @@
   } else if (aEvent.mArea == StoreArea::kMembers) {
     RemoveMembersMissingFrom(aState.mFleet, content.mEntries, aNow);
   }
+  RefreshAssignments(aState, aNow, aEffects);
   area.mIsLoaded = true;
   area.mNeedsList = false;
   area.mRevision = content.mRevision;
@@ -224,6 +224,10 @@
   for (const StoreChange& change : changes.mChanges) {
     std::visit(handler, change);
   }
+  if (!changes.mChanges.empty() &&
+      aEvent.mArea != StoreArea::kConfiguration) {
+    RefreshAssignments(aState, aNow, aEffects);
+  }
   area.mRevision = std::max(area.mRevision, changes.mRevision);
   if (aEvent.mArea == StoreArea::kConfiguration || changes.mChanges.empty()) {
     FollowArea(aState, aEvent.mArea, aEffects);
@@ -269,7 +273,7 @@
         { "routes",
           static_cast<std::int64_t>(
             aState.mConfiguration->mRoutes.size()) } } } });
-  KeepAllWarm(aState, aNow, aEffects);
+  RefreshAssignments(aState, aNow, aEffects);
 }
 
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding_decisions/TargetPool.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.cpp
@@ -13,10 +13,6 @@
 /** Longer than a round trip between zones plus the wait for a slot; a target
     that takes longer is tried again later. */
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(1000);
-/** The part of a target's connections that all VMs together use: a target
-    under load accepts fewer than it states, and a VM that has just joined
-    needs room before the others hear of it. */
-constexpr double kConnectionsInUse = 0.8;
 /** The part of the stated keep-alive time after which an idle connection is
     closed here, so that no request meets the target's own close. */
 constexpr double kKeepAliveInUse = 0.8;
@@ -101,23 +97,14 @@
          ForwarderEffects& aEffects)
 {
   const bool isWanted =
-    aTarget.mConnections.empty() &&
+    aNow >= aState.mStarted + kFleetSettleTime &&
+    aTarget.mConnections.empty() && aTarget.mIsAssigned &&
     aState.mRoutedServices.contains(aTarget.mRecord.mService);
   if (isWanted && MayConnect(aState, aTarget, aNow)) {
     OpenTargetConnection(aState, aTarget, aNow, aEffects);
   }
 }
 
-void
-KeepAllWarm(ForwarderState& aState,
-            TimePoint aNow,
-            ForwarderEffects& aEffects)
-{
-  for (auto& [key, target] : aState.mTargets) {
-    KeepWarm(aState, target, aNow, aEffects);
-  }
-}
-
 void
 RetireTarget(ForwarderState& aState,
              TargetState& aTarget,
--- a/modules/wasabispread_forwarding_decisions/TargetPool.h
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.h
@@ -42,7 +42,10 @@
   /** The leg in flight while busy. */
   LegRef mLeg;
   RouteId mRoute;
+  /** When the request in flight was sent, or the opening began. */
   TimePoint mSent{};
+  /** Whether it ever carried a reply. */
+  bool mHasServed = false;
   /** When a reply that nobody waits for is given up; TimePoint::max() while
       a leg waits for it. */
   TimePoint mAbandonAt = TimePoint::max();
@@ -68,6 +71,9 @@
   TimePoint mWarmUntil{};
   /** Whether it gets no more requests. */
   bool mIsRetired = false;
+  /** Whether this VM connects to it as a rule; others only when none of its
+      own can be had. */
+  bool mIsAssigned = true;
   /** When its entry vanished; TimePoint::max() while it is there. */
   TimePoint mMissingSince = TimePoint::max();
   std::vector<ConnectionId> mConnections;
@@ -116,12 +122,6 @@
          TimePoint aNow,
          ForwarderEffects& aEffects);
 
-/** KeepWarm() for each target that a route of the configuration leads to. */
-void
-KeepAllWarm(ForwarderState& aState,
-            TimePoint aNow,
-            ForwarderEffects& aEffects);
-
 /** Ends a target's use; requests in flight finish. */
 void
 RetireTarget(ForwarderState& aState,
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -37,6 +37,7 @@
 #include "ForwarderState.h"
 
 #include "AnswerTiming.h"
+#include "Assignment.h"
 #include "Placement.h"
 #include "Refusal.h"
 
--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -5,6 +5,8 @@
 
 #include "wasabispread_runtime.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -84,6 +86,25 @@
   return response;
 }
 
+/** Lets the system notice that the other side is gone without a word: a
+    partition, a loss of power, a connection that fell silent. */
+void
+ProbeWhileIdle(Socket& aSocket)
+{
+  constexpr int kIdleSeconds = 1;
+  constexpr int kIntervalSeconds = 1;
+  constexpr int kProbes = 3;
+  using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using Interval =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  error_code ignored;
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  aSocket.set_option(Idle(kIdleSeconds), ignored);
+  aSocket.set_option(Interval(kIntervalSeconds), ignored);
+  aSocket.set_option(Count(kProbes), ignored);
+}
+
 tl::unexpected<Error>
 ConnectionFailure(const boost::system::error_code& aError,
                   const std::string& aPeer,
@@ -290,6 +311,7 @@
   }
   error_code ignored;
   connection.mSocket.set_option(Tcp::no_delay(true), ignored);
+  ProbeWhileIdle(connection.mSocket);
   connection.mSocket.non_blocking(true, ignored);
   connection.StartRead();
   return std::monostate{};
