--- /dev/null
+++ b/modules/wasabispread_forwarding_decisions/SearchTests.cpp
@@ -0,0 +1,191 @@
+/*
+ * Tests of searches over shards: coverage, time, hedges, versions.
+ */
+#include <tests/support/ForwarderHarness.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace wasabispread;
+using namespace wasabispread::forwarding;
+using namespace wasabispread::testing;
+
+namespace {
+
+std::string
+Record(char aLetter)
+{
+  return std::string(kRecordBytes, aLetter);
+}
+
+} // namespace
+
+/** Four shards with two targets each: "s0-a", "s0-b" and so on. */
+class SearchTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SearchTests);
+  CPPUNIT_TEST(MergesEveryShard);
+  CPPUNIT_TEST(AnswersInPartAtTheAim);
+  CPPUNIT_TEST(WaitsPastTheAimForTheLeastCoverage);
+  CPPUNIT_TEST(HedgesAPausedShardWithinTheAim);
+  CPPUNIT_TEST(AvoidsATargetThatOwesAReply);
+  CPPUNIT_TEST(NamesOnlyShardsOfOneVersion);
+  CPPUNIT_TEST(RefusesWhenTooFewShardsHaveTargets);
+  CPPUNIT_TEST(GivesUpAtOnceWhenCoverageIsLost);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  static constexpr std::size_t kShards = 4;
+
+  void setUp() override
+  {
+    mForwarder = std::make_unique<ForwarderHarness>();
+    mForwarder->Configure({ SearchRoute(kShards, 0.5) });
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      const std::string service = "shard-" + std::to_string(shard);
+      const std::string name = "s" + std::to_string(shard);
+      mForwarder->AddTarget(name + "-a", service);
+      mForwarder->AddTarget(name + "-b", service);
+    }
+    mForwarder->RunFor(std::chrono::seconds(1));
+    Train();
+  }
+
+  /** Lets the forwarder learn that each target answers within 10 ms. */
+  void Train()
+  {
+    for (int search = 0; search < 30; ++search) {
+      mForwarder->Ask("/search/1");
+      mForwarder->RunFor(std::chrono::milliseconds(10));
+      ReplyAll();
+      mForwarder->RunFor(std::chrono::milliseconds(20));
+    }
+  }
+
+  void ReplyAll(const std::string& aExcept = "")
+  {
+    const std::vector<ReceivedRequest> received = mForwarder->Received();
+    for (const ReceivedRequest& request : received) {
+      const std::string shard = request.mInstance.substr(0, 2);
+      if (shard != aExcept) {
+        mForwarder->Reply(
+          request.mInstance, ReplyKind::kSuccess, Record(shard[1]));
+      }
+    }
+  }
+
+  const SearchAnswer* AnswerTo(CallerToken aCaller) const
+  {
+    const CallerAnswer* answer = mForwarder->AnswerTo(aCaller);
+    return answer == nullptr ? nullptr : std::get_if<SearchAnswer>(answer);
+  }
+
+  void MergesEveryShard()
+  {
+    const CallerToken caller = mForwarder->Ask("/search/1");
+    ReplyAll();
+    const SearchAnswer* answer = AnswerTo(caller);
+    CPPUNIT_ASSERT(answer != nullptr);
+    CPPUNIT_ASSERT_EQUAL(kShards, answer->mProofs.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, answer->mMissingShards);
+    CPPUNIT_ASSERT_EQUAL(Record('3') + Record('2') + Record('1'),
+                         answer->mRecords);
+  }
+
+  void AnswersInPartAtTheAim()
+  {
+    const CallerToken caller = mForwarder->Ask("/search/1");
+    ReplyAll("s3");
+    CPPUNIT_ASSERT(AnswerTo(caller) == nullptr);
+    mForwarder->RunFor(std::chrono::milliseconds(120));
+    const SearchAnswer* answer = AnswerTo(caller);
+    CPPUNIT_ASSERT(answer != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, answer->mProofs.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, answer->mMissingShards);
+  }
+
+  void WaitsPastTheAimForTheLeastCoverage()
+  {
+    const CallerToken caller = mForwarder->Ask("/search/1");
+    mForwarder->Reply(
+      mForwarder->Received().front().mInstance, ReplyKind::kSuccess);
+    mForwarder->RunFor(std::chrono::milliseconds(200));
+    CPPUNIT_ASSERT(mForwarder->AnswerTo(caller) == nullptr);
+    mForwarder->Reply(
+      mForwarder->Received().front().mInstance, ReplyKind::kSuccess);
+    CPPUNIT_ASSERT(AnswerTo(caller) != nullptr);
+  }
+
+  void HedgesAPausedShardWithinTheAim()
+  {
+    const CallerToken caller = mForwarder->Ask("/search/1");
+    ReplyAll("s3");
+    mForwarder->RunFor(std::chrono::milliseconds(60));
+    CPPUNIT_ASSERT(mForwarder->Has("s3-a"));
+    CPPUNIT_ASSERT(mForwarder->Has("s3-b"));
+    mForwarder->Reply(mForwarder->Received().back().mInstance,
+                      ReplyKind::kSuccess,
+                      Record('3'));
+    const SearchAnswer* answer = AnswerTo(caller);
+    CPPUNIT_ASSERT(answer != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, answer->mMissingShards);
+  }
+
+  void AvoidsATargetThatOwesAReply()
+  {
+    mForwarder->Ask("/search/1");
+    ReplyAll("s3");
+    mForwarder->RunFor(std::chrono::milliseconds(60));
+    const std::string late = mForwarder->Received().front().mInstance;
+    mForwarder->Ask("/search/1");
+    CPPUNIT_ASSERT(mForwarder->Received().back().mInstance != late);
+  }
+
+  /** Shards move to other services while a search runs. */
+  void NamesOnlyShardsOfOneVersion()
+  {
+    const CallerToken before = mForwarder->Ask("/search/1");
+    mForwarder->Configure({ SearchRoute(2, 0.5) }, 2);
+    const CallerToken after = mForwarder->Ask("/search/1");
+    ReplyAll();
+    CPPUNIT_ASSERT_EQUAL(kShards, AnswerTo(before)->mProofs.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, AnswerTo(after)->mProofs.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, AnswerTo(after)->mMissingShards);
+  }
+
+  void RefusesWhenTooFewShardsHaveTargets()
+  {
+    for (const char* name : { "s0", "s1", "s2" }) {
+      mForwarder->RemoveTarget(std::string(name) + "-a");
+      mForwarder->RemoveTarget(std::string(name) + "-b");
+    }
+    const CallerToken caller = mForwarder->Ask("/search/1");
+    const auto* problem = std::get_if<Problem>(mForwarder->AnswerTo(caller));
+    CPPUNIT_ASSERT(problem != nullptr);
+    CPPUNIT_ASSERT(problem->mKind == ProblemKind::kNotRun);
+    CPPUNIT_ASSERT(mForwarder->Received().empty());
+  }
+
+  void GivesUpAtOnceWhenCoverageIsLost()
+  {
+    const CallerToken caller = mForwarder->Ask("/search/1");
+    // Both targets of three shards fail.
+    for (int round = 0; round < 2; ++round) {
+      const std::vector<ReceivedRequest> received = mForwarder->Received();
+      for (const ReceivedRequest& request : received) {
+        if (request.mInstance.substr(0, 2) != "s3" &&
+            mForwarder->Has(request.mInstance)) {
+          mForwarder->Reply(
+            request.mInstance, ReplyKind::kFailure, "", 500);
+        }
+      }
+    }
+    const auto* answer = mForwarder->AnswerTo(caller);
+    CPPUNIT_ASSERT(answer != nullptr);
+    CPPUNIT_ASSERT(std::get<Problem>(*answer).mKind == ProblemKind::kFailed);
+  }
+
+private:
+  std::unique_ptr<ForwarderHarness> mForwarder;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SearchTests);
--- /dev/null
+++ b/tests/support/ForwarderHarness.cpp
@@ -0,0 +1,268 @@
+/*
+ * The harness around one forwarder.
+ */
+#include "ForwarderHarness.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace wasabispread::testing {
+
+using namespace forwarding;
+
+ForwarderHarness::ForwarderHarness()
+{
+  ForwarderPolicy policy;
+  policy.mName = "vm-a";
+  policy.mZone = ZoneName("a");
+  policy.mRepeatRule = RepeatRule{ 0.2, 200, std::chrono::seconds(10) };
+  mState = MakeForwarderState(std::move(policy), 1);
+  Deliver(ForwarderStarted{});
+  for (const StoreArea area : { StoreArea::kTargets, StoreArea::kMembers }) {
+    Deliver(AreaListed{ area, AreaContent{ {}, StoreRevision(mRevision) } });
+  }
+  RunFor(std::chrono::seconds(6));
+}
+
+void
+ForwarderHarness::Configure(std::vector<Route> aRoutes, std::uint64_t aVersion)
+{
+  RoutingConfiguration configuration;
+  configuration.mVersion = ConfigurationVersion(aVersion);
+  configuration.mRoutes = std::move(aRoutes);
+  for (const Route& route : configuration.mRoutes) {
+    const auto add = [&](ServiceId aService) {
+      constexpr unsigned kConnections = 26;
+      configuration.mServices[aService] =
+        ServiceRecord{ "service", "/health", kConnections };
+    };
+    std::for_each(route.mShards.begin(), route.mShards.end(), add);
+    for (const SplitPart& part : route.mParts) {
+      add(part.mService);
+    }
+  }
+  IndexRoutes(configuration);
+  Change(
+    StoreArea::kConfiguration,
+    ConfigurationChange{
+      std::make_shared<const RoutingConfiguration>(std::move(configuration)),
+      std::make_shared<const std::string>("text") });
+}
+
+void
+ForwarderHarness::AddTarget(const std::string& aInstance,
+                            const std::string& aService,
+                            std::uint64_t aSequence,
+                            bool aIsDraining,
+                            std::uint64_t aBorn)
+{
+  TargetRecord record;
+  record.mInstance = InstanceId(aInstance);
+  record.mBorn = aBorn;
+  record.mSequence = aSequence;
+  record.mService = IdFromName<ServiceId>(aService);
+  record.mAddress = Endpoint{ aInstance, 1 };
+  record.mZone = ZoneName("a");
+  record.mSlots = 2;
+  record.mIsDraining = aIsDraining;
+  Change(StoreArea::kTargets, TargetChange{ record });
+}
+
+void
+ForwarderHarness::RemoveTarget(const std::string& aInstance)
+{
+  Change(StoreArea::kTargets, TargetRemoval{ InstanceId(aInstance) });
+}
+
+void
+ForwarderHarness::Change(StoreArea aArea, StoreChange aChange)
+{
+  AreaChanges changes;
+  changes.mChanges.push_back(std::move(aChange));
+  changes.mRevision = StoreRevision(++mRevision);
+  Deliver(AreaWatched{ aArea, std::move(changes) });
+}
+
+CallerToken
+ForwarderHarness::Ask(const std::string& aTarget,
+                      std::optional<Duration> aPatience)
+{
+  ForwardedRequest request;
+  request.mToken = CallerToken(mNextToken++);
+  request.mId = RequestId("r-" + std::to_string(request.mToken.Value()));
+  request.mHost = "host";
+  request.mTarget = aTarget;
+  request.mPatience = aPatience;
+  const CallerToken token = request.mToken;
+  Deliver(RequestArrived{
+    std::make_shared<const ForwardedRequest>(std::move(request)) });
+  return token;
+}
+
+bool
+ForwarderHarness::Has(const std::string& aInstance) const
+{
+  return std::any_of(
+    mReceived.begin(), mReceived.end(), [&](const ReceivedRequest& aRequest) {
+      return aRequest.mInstance == aInstance;
+    });
+}
+
+const ReceivedRequest&
+ForwarderHarness::At(const std::string& aInstance) const
+{
+  const auto place = std::find_if(
+    mReceived.rbegin(), mReceived.rend(), [&](const ReceivedRequest& aRequest) {
+      return aRequest.mInstance == aInstance;
+    });
+  if (place == mReceived.rend()) {
+    throw std::logic_error("no request at " + aInstance);
+  }
+  return *place;
+}
+
+void
+ForwarderHarness::Reply(const std::string& aInstance,
+                        ReplyKind aKind,
+                        const std::string& aBody,
+                        unsigned aStatus)
+{
+  const ConnectionId connection = At(aInstance).mConnection;
+  std::erase_if(mReceived, [&](const ReceivedRequest& aRequest) {
+    return aRequest.mConnection == connection;
+  });
+  forwarding::Reply reply;
+  reply.mKind = aKind;
+  reply.mProof = "proof of " + aInstance;
+  reply.mIsReusable = true;
+  reply.mMessage.mStatus = aStatus;
+  reply.mMessage.mBody = aBody;
+  Deliver(ReplyArrived{ connection, std::move(reply) });
+}
+
+void
+ForwarderHarness::Break(const std::string& aInstance, bool aIsWritten)
+{
+  const ConnectionId connection = At(aInstance).mConnection;
+  std::erase_if(mReceived, [&](const ReceivedRequest& aRequest) {
+    return aRequest.mConnection == connection;
+  });
+  Deliver(ConnectionEnded{ connection, aIsWritten });
+}
+
+void
+ForwarderHarness::RunFor(Duration aDuration)
+{
+  const TimePoint until = mNow + aDuration;
+  while (mState.NextDue() <= until) {
+    mNow = std::max(mNow, mState.NextDue());
+    Deliver(ForwarderTick{});
+  }
+  mNow = until;
+}
+
+const CallerAnswer*
+ForwarderHarness::AnswerTo(CallerToken aToken) const
+{
+  for (const auto& [token, answer] : mAnswers) {
+    if (token == aToken) {
+      return &answer;
+    }
+  }
+  return nullptr;
+}
+
+void
+ForwarderHarness::Deliver(ForwarderEvent aEvent)
+{
+  mPending.push_back(std::move(aEvent));
+  // Bounded, so that an endless exchange of events fails instead of hanging.
+  constexpr std::size_t kMostEvents = 10'000;
+  for (std::size_t done = 0; done < mPending.size(); ++done) {
+    if (done == kMostEvents) {
+      throw std::logic_error("events without end");
+    }
+    const ForwarderEvent event = mPending[done];
+    ForwarderEffects effects = Reduce(mState, event, mNow);
+    for (ForwarderEffect& effect : effects) {
+      Perform(effect);
+    }
+  }
+  mPending.clear();
+}
+
+void
+ForwarderHarness::Perform(ForwarderEffect& aEffect)
+{
+  if (const auto* open = std::get_if<OpenConnection>(&aEffect)) {
+    ++mOpened;
+    mPending.push_back(ConnectionOpened{ open->mConnection });
+    const bool isReset = std::find(mResetting.begin(),
+                                   mResetting.end(),
+                                   open->mAddress.mHost) != mResetting.end();
+    if (isReset) {
+      mPending.push_back(ConnectionEnded{ open->mConnection, false });
+    }
+  } else if (const auto* close = std::get_if<CloseConnection>(&aEffect)) {
+    mClosed.push_back(close->mConnection);
+    std::erase_if(mReceived, [&](const ReceivedRequest& aRequest) {
+      return aRequest.mConnection == close->mConnection;
+    });
+  } else if (const auto* send = std::get_if<SendRequest>(&aEffect)) {
+    mReceived.push_back(ReceivedRequest{ send->mConnection,
+                                         send->mInstance.Value(),
+                                         send->mRequest->mId,
+                                         send->mPatience });
+  } else if (auto* answer = std::get_if<AnswerRequest>(&aEffect)) {
+    mAnswers.emplace_back(answer->mToken, std::move(answer->mAnswer));
+  } else if (const auto* ask = std::get_if<AskPeer>(&aEffect)) {
+    mPeersAsked.push_back(*ask);
+  } else if (const auto* list = std::get_if<ListArea>(&aEffect)) {
+    mLists.push_back(*list);
+  } else if (const auto* watch = std::get_if<WatchArea>(&aEffect)) {
+    mWatches.push_back(*watch);
+  } else if (const auto* line = std::get_if<WriteLine>(&aEffect)) {
+    mLines.push_back(line->mLine);
+  }
+}
+
+Route
+SingleRoute(const std::string& aService,
+            Repeatability aRepeatability,
+            unsigned aMostTargets)
+{
+  Route route;
+  route.mName = "route of " + aService;
+  route.mId = IdFromName<RouteId>(route.mName);
+  route.mHost = "host";
+  route.mPrefix = "/" + aService + "/";
+  route.mRepeatability = aRepeatability;
+  route.mTimeout = std::chrono::seconds(2);
+  route.mAim = std::chrono::milliseconds(400);
+  route.mMostTargets = aMostTargets;
+  route.mParts.push_back(SplitPart{ IdFromName<ServiceId>(aService), 1 });
+  return route;
+}
+
+Route
+SearchRoute(std::size_t aShards, double aLeastCoverage)
+{
+  Route route;
+  route.mName = "search";
+  route.mId = IdFromName<RouteId>(route.mName);
+  route.mHost = "host";
+  route.mPrefix = "/search/";
+  route.mRepeatability = Repeatability::kIdempotent;
+  route.mTimeout = std::chrono::seconds(1);
+  route.mAim = std::chrono::milliseconds(120);
+  route.mMostTargets = 2;
+  route.mTopRecords = 3;
+  route.mLeastCoverage = aLeastCoverage;
+  for (std::size_t shard = 0; shard < aShards; ++shard) {
+    route.mShards.push_back(
+      IdFromName<ServiceId>("shard-" + std::to_string(shard)));
+  }
+  return route;
+}
+
+} // namespace wasabispread::testing
