--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -75,8 +75,8 @@
 {
   const auto text = forwarding::ReadFile(aFile);
   if (!text) {
-    return tl::unexpected<Faults>(Faults{ Fault{
-      aFile, 0, 0, text.error().mMessage, text.error().mRemedy } });
+    return tl::unexpected<Faults>(Faults{
+      Fault{ aFile, 0, 0, text.error().mMessage, text.error().mRemedy } });
   }
   return aParse(*text, aFile);
 }
--- a/modules/wasabispread_forwarding/DecisionLog.cpp
+++ b/modules/wasabispread_forwarding/DecisionLog.cpp
@@ -26,9 +26,9 @@
 {
   const double seconds =
     std::chrono::duration<double>(aNow - aBucket.mFilled).count();
-  aBucket.mLeft = std::min(aBucket.mAllowance.mBurst,
-                           aBucket.mLeft +
-                             seconds * aBucket.mAllowance.mPerSecond);
+  aBucket.mLeft =
+    std::min(aBucket.mAllowance.mBurst,
+             aBucket.mLeft + seconds * aBucket.mAllowance.mPerSecond);
   aBucket.mFilled = aNow;
   if (aBucket.mLeft < 1) {
     ++aBucket.mOmitted;
--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -88,21 +88,22 @@
 Result<std::monostate>
 ForwarderDaemon::Start()
 {
-  auto callers = HttpServer::Start(
-    mLoop,
-    mSettings.mCallerAddress,
-    HttpServerLimits{},
-    WatchingHttpHandler(
-      [this](const HttpRequest& aMessage, const ClosedWatch& aWatch) {
-        return mRunner.Serve(aMessage, aWatch);
-      }));
+  auto callers =
+    HttpServer::Start(mLoop,
+                      mSettings.mCallerAddress,
+                      HttpServerLimits{},
+                      WatchingHttpHandler([this](const HttpRequest& aMessage,
+                                                 const ClosedWatch& aWatch) {
+                        return mRunner.Serve(aMessage, aWatch);
+                      }));
   if (!callers) {
     return tl::unexpected<Error>(callers.error());
   }
   mCallers = std::move(*callers);
-  auto readiness = Listen(
-    mSettings.mReadinessAddress,
-    [this](const HttpRequest& aMessage) { return AnswerReadiness(aMessage); });
+  auto readiness =
+    Listen(mSettings.mReadinessAddress, [this](const HttpRequest& aMessage) {
+      return AnswerReadiness(aMessage);
+    });
   if (!readiness) {
     return tl::unexpected<Error>(readiness.error());
   }
@@ -122,8 +123,7 @@
     }
     mMetrics = std::move(*metrics);
   }
-  mRunner.Start(
-    [this](const CallerLimits& aLimits) { LimitCallers(aLimits); });
+  mRunner.Start([this](const CallerLimits& aLimits) { LimitCallers(aLimits); });
   if (const auto text = ReadFile(mFile)) {
     mFileText = *text;
   }
--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -13,9 +13,8 @@
   const ForwarderCounters& counters = aState.mCounters;
   FamilyList list;
   list.AddCounter("requests_total", "Callers' requests.", counters.mRequests);
-  list.AddCounter("requests_refused_total",
-                  "Requests that did not run.",
-                  counters.mRefused);
+  list.AddCounter(
+    "requests_refused_total", "Requests that did not run.", counters.mRefused);
   list.AddCounter("answers_complete_total",
                   "Answers with every shard, or the target's own.",
                   counters.mAnsweredInFull);
@@ -58,23 +57,21 @@
   list.AddCounter("log_lines_dropped_total",
                   "Log lines lost because standard output was not read.",
                   LogWriter::DroppedLines());
-  list.AddGauge("configuration_version",
-                "The version of the configuration in force.",
-                aState.mConfiguration == nullptr
-                  ? 0
-                  : static_cast<double>(
-                      aState.mConfiguration->mVersion.Value()));
-  list.AddGauge("configuration_age_seconds",
-                "How long that version has been in force.",
-                std::chrono::duration<double>(
-                  aNow - aState.mConfigurationSince)
-                  .count());
+  list.AddGauge(
+    "configuration_version",
+    "The version of the configuration in force.",
+    aState.mConfiguration == nullptr
+      ? 0
+      : static_cast<double>(aState.mConfiguration->mVersion.Value()));
+  list.AddGauge(
+    "configuration_age_seconds",
+    "How long that version has been in force.",
+    std::chrono::duration<double>(aNow - aState.mConfigurationSince).count());
   list.AddGauge("store_away",
                 "1 while the store does not answer.",
                 aState.mStore.IsAway() ? 1 : 0);
-  list.AddGauge("targets",
-                "Targets known.",
-                static_cast<double>(aState.mTargets.size()));
+  list.AddGauge(
+    "targets", "Targets known.", static_cast<double>(aState.mTargets.size()));
   list.AddGauge("target_connections",
                 "Connections to targets.",
                 static_cast<double>(aState.mConnections.size()));
--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -129,7 +129,8 @@
 {
   auto link = std::make_shared<TargetLink>(mLoop);
   mLinks[aEffect.mConnection] = link;
-  StartFiber([this, link, opening = aEffect] { RunTargetLink(opening, *link); });
+  StartFiber(
+    [this, link, opening = aEffect] { RunTargetLink(opening, *link); });
 }
 
 void
--- a/modules/wasabispread_forwarding/PlatformAdapter.h
+++ b/modules/wasabispread_forwarding/PlatformAdapter.h
@@ -18,7 +18,8 @@
 
   /** A caller's request; kMalformedRequest when a field that the forwarder
       needs is absent or wrong. */
-  virtual Result<ForwardedRequest> ReadRequest(HttpRequest&& aMessage) const = 0;
+  virtual Result<ForwardedRequest> ReadRequest(
+    HttpRequest&& aMessage) const = 0;
 
   virtual HttpResponse WriteAnswer(const RequestId& aId,
                                    CallerAnswer&& aAnswer) const = 0;
--- a/modules/wasabispread_forwarding/StoreClient.cpp
+++ b/modules/wasabispread_forwarding/StoreClient.cpp
@@ -49,10 +49,9 @@
   do {
     const auto response =
       Call(LineOf(aArea), mAdapter.WriteAreaList(aArea, after), kCallTimeout);
-    auto page =
-      response.and_then([&](const HttpResponse& aResponse) {
-        return mAdapter.ReadAreaList(aArea, aResponse);
-      });
+    auto page = response.and_then([&](const HttpResponse& aResponse) {
+      return mAdapter.ReadAreaList(aArea, aResponse);
+    });
     if (!page) {
       return tl::unexpected<Error>(page.error());
     }
--- a/modules/wasabispread_forwarding_decisions/AnswerTiming.cpp
+++ b/modules/wasabispread_forwarding_decisions/AnswerTiming.cpp
@@ -65,9 +65,8 @@
 HasLeastCoverage(const RequestState& aRequest)
 {
   const auto shards = static_cast<double>(aRequest.mLegs.size());
-  return aRequest.mAnswered > 0 &&
-         static_cast<double>(aRequest.mAnswered) >=
-           aRequest.mRoute->mLeastCoverage * shards;
+  return aRequest.mAnswered > 0 && static_cast<double>(aRequest.mAnswered) >=
+                                     aRequest.mRoute->mLeastCoverage * shards;
 }
 
 bool
@@ -76,8 +75,7 @@
   const auto shards = static_cast<double>(aRequest.mLegs.size());
   const auto reachable =
     static_cast<double>(aRequest.mAnswered + aRequest.mPending);
-  return reachable > 0 &&
-         reachable >= aRequest.mRoute->mLeastCoverage * shards;
+  return reachable > 0 && reachable >= aRequest.mRoute->mLeastCoverage * shards;
 }
 
 bool
--- a/modules/wasabispread_forwarding_decisions/Answers.cpp
+++ b/modules/wasabispread_forwarding_decisions/Answers.cpp
@@ -25,10 +25,9 @@
 bool
 HasRun(const RequestState& aRequest)
 {
-  return std::any_of(
-    aRequest.mLegs.begin(), aRequest.mLegs.end(), [](const Leg& aLeg) {
-      return aLeg.mRuns > 0;
-    });
+  return std::any_of(aRequest.mLegs.begin(),
+                     aRequest.mLegs.end(),
+                     [](const Leg& aLeg) { return aLeg.mRuns > 0; });
 }
 
 CallerAnswer
@@ -162,8 +161,7 @@
     { "outcome", std::string(aSummary.mOutcome) },
     { "route", aRequest.mRoute->mName },
     { "version",
-      static_cast<std::int64_t>(
-        aRequest.mConfiguration->mVersion.Value()) },
+      static_cast<std::int64_t>(aRequest.mConfiguration->mVersion.Value()) },
     { "took_ms", ToMilliseconds(aNow - aRequest.mArrived) },
     { "allowed_ms", ToMilliseconds(aRequest.mDeadline - aRequest.mArrived) },
     { "answered", static_cast<std::int64_t>(aRequest.mAnswered) },
@@ -176,8 +174,8 @@
     fields.push_back({ "missing", MissingText(aState, aRequest) });
     fields.push_back(
       { "store_heard_ms",
-        ToMilliseconds(
-          aNow - aState.mStore.Area(StoreArea::kTargets).mHeard) });
+        ToMilliseconds(aNow -
+                       aState.mStore.Area(StoreArea::kTargets).mHeard) });
   }
   aEffects.push_back(WriteLine{ { aSummary.mClass,
                                   "request-answered",
@@ -208,8 +206,7 @@
     fields.push_back(
       { "overdue_ms",
         ToMilliseconds(OverdueBy(aState, target->second, aNow)) });
-    fields.push_back(
-      { "failure_share", FailureShare(target->second, aNow) });
+    fields.push_back({ "failure_share", FailureShare(target->second, aNow) });
   }
   aEffects.push_back(WriteLine{ { LineClass::kNotable,
                                   aEvent,
--- a/modules/wasabispread_forwarding_decisions/Assignment.cpp
+++ b/modules/wasabispread_forwarding_decisions/Assignment.cpp
@@ -42,10 +42,9 @@
 {
   const auto& services = aState.mConfiguration->mServices;
   const auto service = services.find(aService);
-  const double most =
-    service == services.end()
-      ? 1
-      : static_cast<double>(service->second.mMostConnections);
+  const double most = service == services.end()
+                        ? 1
+                        : static_cast<double>(service->second.mMostConnections);
   return std::max<std::size_t>(
     1, static_cast<std::size_t>(kConnectionsInUse * most));
 }
@@ -114,13 +113,12 @@
       const TargetRecord& record = aState.mTargets.at(key).mRecord;
       targets.push_back({ record.mInstance, record.mZone });
     }
-    const std::vector<bool> assigned =
-      AssignTargets(targets,
-                    vms,
-                    aState.mPolicy.mName,
-                    aState.mPolicy.mZone,
-                    service,
-                    MostVms(aState, service));
+    const std::vector<bool> assigned = AssignTargets(targets,
+                                                     vms,
+                                                     aState.mPolicy.mName,
+                                                     aState.mPolicy.mZone,
+                                                     service,
+                                                     MostVms(aState, service));
     for (std::size_t position = 0; position < keys.size(); ++position) {
       TargetState& target = aState.mTargets.at(keys[position]);
       if (target.mIsAssigned && !assigned[position]) {
--- a/modules/wasabispread_forwarding_decisions/Fleet.cpp
+++ b/modules/wasabispread_forwarding_decisions/Fleet.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/** A lease outlives two missed renewals. */
-constexpr Duration kLeaseLifetime = std::chrono::seconds(9);
+/** A lease outlives two missed renewals. A VM that is gone keeps its part of
+    shared limits for this long, which is no loss, so renewals may be rare. */
+constexpr Duration kLeaseLifetime = std::chrono::seconds(24);
 constexpr Duration kRenewInterval = kLeaseLifetime / 3;
 constexpr Duration kLeaseRetry = std::chrono::milliseconds(800);
 /** A VM that left may be restarting; its part of shared limits is kept free
@@ -67,9 +68,7 @@
 }
 
 void
-PursueLease(ForwarderState& aState,
-            TimePoint aNow,
-            ForwarderEffects& aEffects)
+PursueLease(ForwarderState& aState, TimePoint aNow, ForwarderEffects& aEffects)
 {
   if (aState.mIsStopping) {
     return;
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -55,7 +55,10 @@
     mState.mTimers.Arm(mNow + kFleetSettleTime, ForwarderTimer::kFleetSettled);
     FollowArea(mState, StoreArea::kConfiguration, mEffects);
     FollowArea(mState, StoreArea::kTargets, mEffects);
-    FollowArea(mState, StoreArea::kMembers, mEffects);
+    // Read once all VMs that start together have entered, not after each.
+    mState.mTimers.Arm(mNow + kFleetReadDelay,
+                       ForwarderTimer::kFollowArea,
+                       static_cast<std::uint64_t>(StoreArea::kMembers));
     PursueLease(mState, mNow, mEffects);
   }
 
--- a/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
@@ -63,8 +63,7 @@
     Serve(Repeatability::kAtMostOnce);
     const CallerToken caller = mForwarder->Ask("/s/1");
     mForwarder->Reply(Holder(), ReplyKind::kSuccess, "body", 201);
-    const auto* answer =
-      std::get_if<PassedReply>(mForwarder->AnswerTo(caller));
+    const auto* answer = std::get_if<PassedReply>(mForwarder->AnswerTo(caller));
     CPPUNIT_ASSERT(answer != nullptr);
     CPPUNIT_ASSERT_EQUAL(201U, answer->mMessage.mStatus);
     CPPUNIT_ASSERT_EQUAL(std::string("body"), answer->mMessage.mBody);
@@ -115,8 +114,8 @@
         mForwarder->Break(first, false);
       }
       mForwarder->Reply(Holder(), ReplyKind::kSuccess, "done");
-      CPPUNIT_ASSERT(std::holds_alternative<PassedReply>(
-        *mForwarder->AnswerTo(caller)));
+      CPPUNIT_ASSERT(
+        std::holds_alternative<PassedReply>(*mForwarder->AnswerTo(caller)));
     }
   }
 
@@ -141,8 +140,8 @@
     mForwarder->Break(first);
     CPPUNIT_ASSERT(Holder() != first);
     mForwarder->Reply(Holder(), ReplyKind::kSuccess);
-    CPPUNIT_ASSERT(std::holds_alternative<PassedReply>(
-      *mForwarder->AnswerTo(caller)));
+    CPPUNIT_ASSERT(
+      std::holds_alternative<PassedReply>(*mForwarder->AnswerTo(caller)));
   }
 
   void HedgesALateRequest()
@@ -205,8 +204,8 @@
       for (int step = 0; step < 60; ++step) {
         if (random.Below(3) == 0) {
           const CallerToken caller = mForwarder->Ask("/s/1");
-          asked.emplace_back(
-            caller, RequestId("r-" + std::to_string(caller.Value())));
+          asked.emplace_back(caller,
+                             RequestId("r-" + std::to_string(caller.Value())));
         }
         mForwarder->RunFor(kShort * random.Below(10));
         if (mForwarder->Received().empty()) {
--- a/modules/wasabispread_forwarding_decisions/Placement.cpp
+++ b/modules/wasabispread_forwarding_decisions/Placement.cpp
@@ -109,10 +109,10 @@
   const auto busy = static_cast<double>(aTarget.BusyCount(aState));
   double expected = mean * (1 + busy / slots);
   if (aTarget.mIdle.empty()) {
-    const auto connections =
-      static_cast<double>(std::max<std::size_t>(1, aTarget.mConnections.size()));
-    expected += mean * static_cast<double>(aTarget.mWaiting.size()) /
-                connections;
+    const auto connections = static_cast<double>(
+      std::max<std::size_t>(1, aTarget.mConnections.size()));
+    expected +=
+      mean * static_cast<double>(aTarget.mWaiting.size()) / connections;
     expected += static_cast<double>(kConnectCost.count());
   }
   const double failures = FailureShare(aTarget, aNow);
--- a/modules/wasabispread_forwarding_decisions/Registry.cpp
+++ b/modules/wasabispread_forwarding_decisions/Registry.cpp
@@ -123,10 +123,10 @@
   if (target == nullptr || target->mIsRetired) {
     return;
   }
-  const TimePoint lapsesUntil = aState.mStore.mReturned == TimePoint{}
-                                  ? TimePoint{}
-                                  : aState.mStore.mReturned +
-                                      aState.mPolicy.mLapseGrace;
+  const TimePoint lapsesUntil =
+    aState.mStore.mReturned == TimePoint{}
+      ? TimePoint{}
+      : aState.mStore.mReturned + aState.mPolicy.mLapseGrace;
   if (aNow < lapsesUntil) {
     target->mMissingSince = aNow;
     LogTarget(aState, "target-lapsed", target->mRecord, aEffects);
--- a/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
@@ -122,8 +122,8 @@
         rc::gen::inRange<std::uint64_t>(1, 50));
       std::uint64_t newest = 0;
       for (const std::uint64_t version : versions) {
-        forwarder.Configure(
-          { SingleRoute("s", Repeatability::kIdempotent) }, version);
+        forwarder.Configure({ SingleRoute("s", Repeatability::kIdempotent) },
+                            version);
         newest = std::max(newest, version);
         RC_ASSERT(forwarder.mState.mConfiguration->mVersion.Value() == newest);
       }
@@ -143,10 +143,9 @@
 
   void AsksOtherVmsWhileTheStoreIsAway()
   {
-    mForwarder->Change(
-      StoreArea::kMembers,
-      MemberChange{ MemberRecord{
-        "vm-b", ZoneName("b"), Endpoint{ "10.0.0.2", 7 } } });
+    mForwarder->Change(StoreArea::kMembers,
+                       MemberChange{ MemberRecord{
+                         "vm-b", ZoneName("b"), Endpoint{ "10.0.0.2", 7 } } });
     mForwarder->Deliver(AreaWatched{ StoreArea::kConfiguration,
                                      tl::unexpected<Error>(StoreError()) });
     mForwarder->RunFor(std::chrono::seconds(1));
--- a/modules/wasabispread_forwarding_decisions/RepeatBudget.cpp
+++ b/modules/wasabispread_forwarding_decisions/RepeatBudget.cpp
@@ -47,8 +47,7 @@
   // that.
   constexpr double kFixedInUse = 0.5;
   const std::int64_t oldest =
-    SliceNumber(aRule, aNow) -
-    static_cast<std::int64_t>(RepeatBudget::kSlices);
+    SliceNumber(aRule, aNow) - static_cast<std::int64_t>(RepeatBudget::kSlices);
   double requests = 0;
   double repeats = 0;
   for (const RepeatBudget::Slice& slice : aBudget.mSlices) {
@@ -57,8 +56,7 @@
       repeats += slice.mRepeats;
     }
   }
-  const auto members =
-    static_cast<double>(std::max<std::size_t>(1, aMembers));
+  const auto members = static_cast<double>(std::max<std::size_t>(1, aMembers));
   const double allowance =
     aRule.mShare * requests + kFixedInUse * aRule.mFixed / members;
   return repeats + 1 <= allowance * (1 - aKeptBack);
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -206,14 +206,12 @@
 {
   constexpr Duration kFirst = std::chrono::milliseconds(150);
   constexpr Duration kMost = std::chrono::milliseconds(1200);
-  aTarget.mConnectBackoff =
-    aTarget.mConnectBackoff == Duration::zero()
-      ? kFirst
-      : std::min(2 * aTarget.mConnectBackoff, kMost);
+  aTarget.mConnectBackoff = aTarget.mConnectBackoff == Duration::zero()
+                              ? kFirst
+                              : std::min(2 * aTarget.mConnectBackoff, kMost);
   aTarget.mConnectAfter = aNow + aTarget.mConnectBackoff;
-  aState.mTimers.Arm(aTarget.mConnectAfter,
-                     ForwarderTimer::kReconnect,
-                     aTarget.mKey.Value());
+  aState.mTimers.Arm(
+    aTarget.mConnectAfter, ForwarderTimer::kReconnect, aTarget.mKey.Value());
 }
 
 } // namespace
@@ -290,15 +288,13 @@
            request->mLegs[aPlace.mLeg].mWaitingAt != aTarget.mKey;
   };
   std::erase_if(aTarget.mWaiting, isStale);
-  const auto first =
-    std::min_element(aTarget.mWaiting.begin(),
-                     aTarget.mWaiting.end(),
-                     [&](const LegRef& aLeft, const LegRef& aRight) {
-                       return aState.mRequests.at(aLeft.mRequest)
-                                .mRoute->mPriority <
-                              aState.mRequests.at(aRight.mRequest)
-                                .mRoute->mPriority;
-                     });
+  const auto first = std::min_element(
+    aTarget.mWaiting.begin(),
+    aTarget.mWaiting.end(),
+    [&](const LegRef& aLeft, const LegRef& aRight) {
+      return aState.mRequests.at(aLeft.mRequest).mRoute->mPriority <
+             aState.mRequests.at(aRight.mRequest).mRoute->mPriority;
+    });
   if (first == aTarget.mWaiting.end()) {
     return std::nullopt;
   }
@@ -331,7 +327,11 @@
                     aNow,
                     aEffects);
   if (reply->mKind == ReplyKind::kMisdirected && !target.mIsRetired) {
-    LogConnection(aState, "target-misdirected", target, "another instance answered", aEffects);
+    LogConnection(aState,
+                  "target-misdirected",
+                  target,
+                  "another instance answered",
+                  aEffects);
     RetireTarget(aState, target, aNow, aEffects);
   }
   RequestState* request = FindRequest(aState, connection.mLeg.mRequest);
@@ -389,7 +389,8 @@
   TargetState& target = aState.mTargets.at(targetKey);
   DropConnection(aState, aEvent.mConnection);
   ObserveOutcome(target, true, aNow);
-  LogConnection(aState, "connection-refused", target, "connect failed", aEffects);
+  LogConnection(
+    aState, "connection-refused", target, "connect failed", aEffects);
   BackOff(aState, target, aNow);
   AfterConnectionGone(aState, targetKey, aNow, aEffects);
 }
@@ -416,19 +417,23 @@
   if (connection.mStatus == ConnectionStatus::kBusy) {
     if (aEvent.mIsRequestWritten) {
       ObserveOutcome(target, true, aNow);
-      LogConnection(aState, "connection-lost", target, "ended during an exchange", aEffects);
+      LogConnection(aState,
+                    "connection-lost",
+                    target,
+                    "ended during an exchange",
+                    aEffects);
     }
     RequestState* request = FindRequest(aState, connection.mLeg.mRequest);
     if (request != nullptr &&
         TakeSending(request->mLegs[connection.mLeg.mLeg], aEvent.mConnection)) {
-      HandleSendingFailed(
-        aState,
-        *request,
-        connection.mLeg.mLeg,
-        SendingFailure{
-          targetKey, ReplyKind::kInvalid, !aEvent.mIsRequestWritten },
-        aNow,
-        aEffects);
+      HandleSendingFailed(aState,
+                          *request,
+                          connection.mLeg.mLeg,
+                          SendingFailure{ targetKey,
+                                          ReplyKind::kInvalid,
+                                          !aEvent.mIsRequestWritten },
+                          aNow,
+                          aEffects);
       AnswerIfDue(aState, *request, aNow, aEffects);
     }
   }
@@ -448,7 +453,8 @@
   const TargetKey targetKey = place->second.mTarget;
   TargetState& target = aState.mTargets.at(targetKey);
   ObserveOutcome(target, true, aNow);
-  LogConnection(aState, "connection-closed", target, "no reply in time", aEffects);
+  LogConnection(
+    aState, "connection-closed", target, "no reply in time", aEffects);
   CloseTargetConnection(aState, aConnection, aEffects);
   AfterConnectionGone(aState, targetKey, aNow, aEffects);
 }
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -27,13 +27,12 @@
     aState.mConfiguration == nullptr
       ? 0
       : static_cast<std::int64_t>(aState.mConfiguration->mVersion.Value());
-  std::vector<LineField> fields{
-    { "outcome", std::string(ToText(aProblem.mKind)) },
-    { "reason", aProblem.mMessage },
-    { "host", aEvent.mRequest->mHost },
-    { "path", aEvent.mRequest->mTarget },
-    { "version", version }
-  };
+  std::vector<LineField> fields{ { "outcome",
+                                   std::string(ToText(aProblem.mKind)) },
+                                 { "reason", aProblem.mMessage },
+                                 { "host", aEvent.mRequest->mHost },
+                                 { "path", aEvent.mRequest->mTarget },
+                                 { "version", version } };
   if (aProblem.mRetryAfter) {
     fields.push_back(
       { "retry_after_ms", ToMilliseconds(*aProblem.mRetryAfter) });
@@ -58,8 +57,7 @@
     Leg leg;
     leg.mService = service;
     aRequest.mLegs.push_back(std::move(leg));
-    CountRequest(
-      aState.mBudgets[service], aState.mPolicy.mRepeatRule, aNow);
+    CountRequest(aState.mBudgets[service], aState.mPolicy.mRepeatRule, aNow);
   }
   aRequest.mPending = aRequest.mLegs.size();
 }
@@ -69,8 +67,8 @@
            const ForwardedRequestPointer& aMessage,
            TimePoint aNow)
 {
-  const Route* route = FindRoute(
-    *aState.mConfiguration, aMessage->mHost, aMessage->mTarget);
+  const Route* route =
+    FindRoute(*aState.mConfiguration, aMessage->mHost, aMessage->mTarget);
   assert(route != nullptr);
   RouteKnowledge& knowledge = aState.mRoutes[route->mId];
   if (aMessage->mPatience) {
@@ -138,7 +136,8 @@
                                    aNow);
   if (!isAllowed) {
     ++aState.mCounters.mRepeatsWithheld;
-    LogLeg(aState, aRequest, leg, "hedge-withheld", late.mTarget, aNow, aEffects);
+    LogLeg(
+      aState, aRequest, leg, "hedge-withheld", late.mTarget, aNow, aEffects);
     return;
   }
   ++aRequest.mHedges;
@@ -158,8 +157,8 @@
   Leg& leg = aRequest.mLegs[aLeg];
   std::vector<TargetKey> excluded = leg.mTried;
   excluded.push_back(leg.mWaitingAt);
-  TargetState* other = ChooseTarget(
-    aState, leg.mService, aRequest.mRoute->mId, excluded, aNow);
+  TargetState* other =
+    ChooseTarget(aState, leg.mService, aRequest.mRoute->mId, excluded, aNow);
   if (other != nullptr && !other->mIdle.empty()) {
     leg.mWaitingAt = TargetKey{};
     SendLeg(aState, aRequest, aLeg, *other, aNow, aEffects);
@@ -230,9 +229,8 @@
   if (auto problem = CheckRequest(aState, *aEvent.mRequest)) {
     ++aState.mCounters.mRefused;
     LogRefusal(aEvent, aState, *problem, aEffects);
-    aEffects.push_back(AnswerRequest{ aEvent.mRequest->mToken,
-                                      aEvent.mRequest->mId,
-                                      std::move(*problem) });
+    aEffects.push_back(AnswerRequest{
+      aEvent.mRequest->mToken, aEvent.mRequest->mId, std::move(*problem) });
     return;
   }
   RequestState& request = AddRequest(aState, aEvent.mRequest, aNow);
@@ -260,12 +258,12 @@
   aState.mRequestOfCaller.erase(place);
   RequestState request = std::move(aState.mRequests.at(key));
   aState.mRequests.erase(key);
-  aEffects.push_back(
-    WriteLine{ { LineClass::kNotable,
-                 "caller-left",
-                 request.mRequest->mId,
-                 { { "route", request.mRoute->mName },
-                   { "pending", static_cast<std::int64_t>(request.mPending) } } } });
+  aEffects.push_back(WriteLine{
+    { LineClass::kNotable,
+      "caller-left",
+      request.mRequest->mId,
+      { { "route", request.mRoute->mName },
+        { "pending", static_cast<std::int64_t>(request.mPending) } } } });
   // Closing the connection makes a target drop the work; an action that may
   // run once only is left to finish.
   if (!request.mRoute->IsIdempotent()) {
@@ -306,10 +304,9 @@
   leg.mWaitingAt = target->mKey;
   leg.mWaitingSince = aNow;
   target->mWaiting.push_back(LegRef{ aRequest.mKey, aLeg });
-  const auto opening = target->mConnections.size() -
-                       target->BusyCount(aState) - target->mIdle.size();
-  if (opening < target->mWaiting.size() &&
-      MayConnect(aState, *target, aNow)) {
+  const auto opening = target->mConnections.size() - target->BusyCount(aState) -
+                       target->mIdle.size();
+  if (opening < target->mWaiting.size() && MayConnect(aState, *target, aNow)) {
     OpenTargetConnection(aState, *target, aNow, aEffects);
   }
   return true;
--- a/modules/wasabispread_forwarding_decisions/RoutingTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RoutingTests.cpp
@@ -71,7 +71,8 @@
                          name("a.example", "/x/y/z?q=/x/"));
     CPPUNIT_ASSERT_EQUAL(std::string("a.example/x/"),
                          name("A.Example:80", "/x/yy"));
-    CPPUNIT_ASSERT_EQUAL(std::string("b.example/x/"), name("b.example", "/x/y/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("b.example/x/"),
+                         name("b.example", "/x/y/"));
     CPPUNIT_ASSERT_EQUAL(std::string(), name("b.example", "/x"));
     CPPUNIT_ASSERT_EQUAL(std::string(), name("c.example", "/x/"));
     CPPUNIT_ASSERT_EQUAL(std::string(), name("b.example", "/?p=/x/"));
@@ -138,8 +139,7 @@
           std::max({ within(requests, from),
                      within(requests, from - rule.mWindow),
                      within(requests, from - rule.mWindow / 2) });
-        RC_ASSERT(within(repeats, from) <=
-                  rule.mShare * counted + rule.mFixed);
+        RC_ASSERT(within(repeats, from) <= rule.mShare * counted + rule.mFixed);
       }
     });
   }
@@ -164,12 +164,8 @@
       std::vector<std::size_t> load(targets.size());
       for (std::size_t vm = 0; vm < vms; ++vm) {
         const ZoneName zone(std::string(1, static_cast<char>('a' + vm % 4)));
-        const auto assigned = AssignTargets(targets,
-                                            names,
-                                            names[vm],
-                                            zone,
-                                            IdFromName<ServiceId>("s"),
-                                            most);
+        const auto assigned = AssignTargets(
+          targets, names, names[vm], zone, IdFromName<ServiceId>("s"), most);
         std::size_t count = 0;
         for (std::size_t target = 0; target < targets.size(); ++target) {
           load[target] += assigned[target] ? 1 : 0;
--- a/modules/wasabispread_forwarding_decisions/SearchTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/SearchTests.cpp
@@ -106,12 +106,12 @@
   void WaitsPastTheAimForTheLeastCoverage()
   {
     const CallerToken caller = mForwarder->Ask("/search/1");
-    mForwarder->Reply(
-      mForwarder->Received().front().mInstance, ReplyKind::kSuccess);
+    mForwarder->Reply(mForwarder->Received().front().mInstance,
+                      ReplyKind::kSuccess);
     mForwarder->RunFor(std::chrono::milliseconds(200));
     CPPUNIT_ASSERT(mForwarder->AnswerTo(caller) == nullptr);
-    mForwarder->Reply(
-      mForwarder->Received().front().mInstance, ReplyKind::kSuccess);
+    mForwarder->Reply(mForwarder->Received().front().mInstance,
+                      ReplyKind::kSuccess);
     CPPUNIT_ASSERT(AnswerTo(caller) != nullptr);
   }
 
@@ -174,8 +174,7 @@
       for (const ReceivedRequest& request : received) {
         if (request.mInstance.substr(0, 2) != "s3" &&
             mForwarder->Has(request.mInstance)) {
-          mForwarder->Reply(
-            request.mInstance, ReplyKind::kFailure, "", 500);
+          mForwarder->Reply(request.mInstance, ReplyKind::kFailure, "", 500);
         }
       }
     }
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -14,9 +14,11 @@
 constexpr Duration kWatchWait = std::chrono::seconds(20);
 constexpr Duration kFirstRetry = std::chrono::milliseconds(200);
 constexpr Duration kMostRetry = std::chrono::milliseconds(800);
-/** Targets write often; their changes are taken in batches, well within the
-    time after which a leaving target may get no more requests. */
-constexpr Duration kTargetsInterval = std::chrono::milliseconds(400);
+/** Targets and VMs change often; their changes are taken in batches, well
+    within the seconds after which a leaving target may get no more requests.
+    Of VMs only the number matters, so their news may be older. */
+constexpr Duration kTargetsInterval = std::chrono::milliseconds(800);
+constexpr Duration kMembersInterval = std::chrono::seconds(3);
 
 void
 FollowLater(ForwarderState& aState, StoreArea aArea, TimePoint aWhen)
@@ -66,12 +68,11 @@
   area.mFailures = 0;
   area.mHeard = aNow;
   if (aState.mStore.IsAway()) {
-    aEffects.push_back(
-      WriteLine{ { LineClass::kState,
-                   "store-regained",
-                   {},
-                   { { "away_ms",
-                       ToMilliseconds(aNow - aState.mStore.mAwaySince) } } } });
+    aEffects.push_back(WriteLine{
+      { LineClass::kState,
+        "store-regained",
+        {},
+        { { "away_ms", ToMilliseconds(aNow - aState.mStore.mAwaySince) } } } });
     aState.mStore.mAwaySince = TimePoint::max();
     aState.mStore.mReturned = aNow;
   }
@@ -112,11 +113,11 @@
   void operator()(const UnreadableEntry& aChange)
   {
     ++mState.mCounters.mUnreadableEntries;
-    mEffects.push_back(WriteLine{ { LineClass::kState,
-                                    "entry-unreadable",
-                                    {},
-                                    { { "key", aChange.mKey },
-                                      { "reason", aChange.mReason } } } });
+    mEffects.push_back(WriteLine{
+      { LineClass::kState,
+        "entry-unreadable",
+        {},
+        { { "key", aChange.mKey }, { "reason", aChange.mReason } } } });
   }
 };
 
@@ -172,8 +173,7 @@
                  ForwarderEffects& aEffects)
 {
   if (!aEvent.mResult) {
-    HandleFailure(
-      aState, aEvent.mArea, aEvent.mResult.error(), aNow, aEffects);
+    HandleFailure(aState, aEvent.mArea, aEvent.mResult.error(), aNow, aEffects);
     return;
   }
   HandleAnswered(aState, aEvent.mArea, aNow, aEffects);
@@ -202,8 +202,7 @@
                   ForwarderEffects& aEffects)
 {
   if (!aEvent.mResult) {
-    HandleFailure(
-      aState, aEvent.mArea, aEvent.mResult.error(), aNow, aEffects);
+    HandleFailure(aState, aEvent.mArea, aEvent.mResult.error(), aNow, aEffects);
     return;
   }
   HandleAnswered(aState, aEvent.mArea, aNow, aEffects);
@@ -224,15 +223,18 @@
   for (const StoreChange& change : changes.mChanges) {
     std::visit(handler, change);
   }
-  if (!changes.mChanges.empty() &&
-      aEvent.mArea != StoreArea::kConfiguration) {
+  if (!changes.mChanges.empty() && aEvent.mArea != StoreArea::kConfiguration) {
     RefreshAssignments(aState, aNow, aEffects);
   }
   area.mRevision = std::max(area.mRevision, changes.mRevision);
   if (aEvent.mArea == StoreArea::kConfiguration || changes.mChanges.empty()) {
     FollowArea(aState, aEvent.mArea, aEffects);
   } else {
-    FollowLater(aState, aEvent.mArea, aNow + kTargetsInterval);
+    FollowLater(aState,
+                aEvent.mArea,
+                aNow + (aEvent.mArea == StoreArea::kTargets
+                          ? kTargetsInterval
+                          : kMembersInterval));
   }
 }
 
@@ -263,16 +265,16 @@
     }
   }
   aEffects.push_back(LimitCallers{ aState.mConfiguration->mLimits });
-  aEffects.push_back(WriteLine{
-    { LineClass::kState,
-      "configuration-adopted",
-      {},
-      { { "version", static_cast<std::int64_t>(version.Value()) },
-        { "before", before },
-        { "source", std::string(aSource) },
-        { "routes",
-          static_cast<std::int64_t>(
-            aState.mConfiguration->mRoutes.size()) } } } });
+  aEffects.push_back(
+    WriteLine{ { LineClass::kState,
+                 "configuration-adopted",
+                 {},
+                 { { "version", static_cast<std::int64_t>(version.Value()) },
+                   { "before", before },
+                   { "source", std::string(aSource) },
+                   { "routes",
+                     static_cast<std::int64_t>(
+                       aState.mConfiguration->mRoutes.size()) } } } });
   RefreshAssignments(aState, aNow, aEffects);
 }
 
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.h
@@ -52,9 +52,7 @@
 
 /** The next call for an area. */
 void
-FollowArea(ForwarderState& aState,
-           StoreArea aArea,
-           ForwarderEffects& aEffects);
+FollowArea(ForwarderState& aState, StoreArea aArea, ForwarderEffects& aEffects);
 
 void
 HandleAreaListed(ForwarderState& aState,
--- a/modules/wasabispread_forwarding_decisions/TargetPool.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.cpp
@@ -59,8 +59,7 @@
            TimePoint aNow)
 {
   return !aTarget.mIsRetired && aNow >= aTarget.mConnectAfter &&
-         aTarget.mConnections.size() <
-           ConnectionShare(aState, aTarget, aNow);
+         aTarget.mConnections.size() < ConnectionShare(aState, aTarget, aNow);
 }
 
 void
@@ -198,9 +197,9 @@
   if (aTarget.mFailureShare == 0) {
     return 0;
   }
-  const double halfLives = std::chrono::duration<double>(
-                             aNow - aTarget.mFailureSeen) /
-                           std::chrono::duration<double>(kFailureHalfLife);
+  const double halfLives =
+    std::chrono::duration<double>(aNow - aTarget.mFailureSeen) /
+    std::chrono::duration<double>(kFailureHalfLife);
   return aTarget.mFailureShare * std::exp2(-halfLives);
 }
 
--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -320,8 +320,7 @@
 Result<HttpResponse>
 HttpConnection::Exchange(const HttpRequest& aRequest, Duration aTimeout)
 {
-  return Exchange(
-    aRequest, aTimeout, [](const HttpResponse&) { return true; });
+  return Exchange(aRequest, aTimeout, [](const HttpResponse&) { return true; });
 }
 
 Result<HttpResponse>
@@ -353,8 +352,7 @@
     const error_code failure = connection.Read(parser);
     if (failure) {
       connection.ExpireAt(TimePoint::max());
-      return ConnectionFailure(
-        failure, connection.mPeer, Execution::kUnknown);
+      return ConnectionFailure(failure, connection.mPeer, Execution::kUnknown);
     }
     HttpResponse response = FromBeast(parser.release());
     // Bytes behind the response, or a request that is not written whole, would
--- a/modules/wasabispread_wire/HttpMessage.cpp
+++ b/modules/wasabispread_wire/HttpMessage.cpp
@@ -88,9 +88,15 @@
 RemoveConnectionFields(std::vector<HttpHeader>& aHeaders)
 {
   static constexpr std::string_view kFields[] = {
-    "Connection",          "Keep-Alive",        "Proxy-Connection",
-    "Proxy-Authenticate",  "Transfer-Encoding", "TE",
-    "Proxy-Authorization", "Content-Length",    "Trailer",
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "Transfer-Encoding",
+    "TE",
+    "Proxy-Authorization",
+    "Content-Length",
+    "Trailer",
     "Upgrade",
   };
   std::vector<std::string> named;
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -42,11 +42,10 @@
     }
   }
   IndexRoutes(configuration);
-  Change(
-    StoreArea::kConfiguration,
-    ConfigurationChange{
-      std::make_shared<const RoutingConfiguration>(std::move(configuration)),
-      std::make_shared<const std::string>("text") });
+  Change(StoreArea::kConfiguration,
+         ConfigurationChange{ std::make_shared<const RoutingConfiguration>(
+                                std::move(configuration)),
+                              std::make_shared<const std::string>("text") });
 }
 
 void
@@ -197,9 +196,9 @@
   if (const auto* open = std::get_if<OpenConnection>(&aEffect)) {
     ++mOpened;
     mPending.push_back(ConnectionOpened{ open->mConnection });
-    const bool isReset = std::find(mResetting.begin(),
-                                   mResetting.end(),
-                                   open->mAddress.mHost) != mResetting.end();
+    const bool isReset =
+      std::find(mResetting.begin(), mResetting.end(), open->mAddress.mHost) !=
+      mResetting.end();
     if (isReset) {
       mPending.push_back(ConnectionEnded{ open->mConnection, false });
     }
