VMs that the store turns away get configurations from other VMs

Cause: the effect that asks another VM did nothing. A VM turned away for longer than the stretched bound would keep an old version while the others go on. A header over its limit stays 413, as the callers' interface has it: a trial with 431 failed BadInputTests::RejectsWrongHttp.

--- a/modules/wasabispread_config/ForwarderSettings.cpp
+++ b/modules/wasabispread_config/ForwarderSettings.cpp
@@ -64,26 +64,6 @@
   repeats.RejectUnknownKeys();
 }
 
-void
-ReadPeers(TableReader& aReader, ForwarderSettings& aSettings)
-{
-  const toml::array* peers = aReader.OptionalArray("first_peers");
-  if (peers == nullptr) {
-    return;
-  }
-  for (const toml::node& node : *peers) {
-    const auto text = node.value_exact<std::string>();
-    const auto endpoint = text ? ParseEndpoint(*text) : std::nullopt;
-    if (endpoint) {
-      aSettings.mFirstPeers.push_back(*endpoint);
-    } else {
-      aReader.AddFault(node,
-                       "'first_peers' must hold IPv4 addresses with ports",
-                       "write each as \"10.0.0.1:8080\"");
-    }
-  }
-}
-
 } // namespace
 
 tl::expected<ForwarderSettings, Faults>
@@ -107,7 +87,6 @@
   if (grace) {
     settings.mStopGrace = Seconds(*grace);
   }
-  ReadPeers(reader, settings);
   ReadListen(reader, aFile, faults, settings);
   ReadRepeats(reader, aFile, faults, settings);
   ReadLog(reader, aFile, faults, settings.mLogLevel);
--- a/modules/wasabispread_config/ForwarderSettings.h
+++ b/modules/wasabispread_config/ForwarderSettings.h
@@ -23,8 +23,6 @@
   Endpoint mMetricsAddress;
   /** The platform's key-value store. */
   Endpoint mStoreAddress;
-  /** VMs to ask while the store does not answer at the start. */
-  std::vector<Endpoint> mFirstPeers;
   LogLevel mLogLevel = LogLevel::kInfo;
   /** All VMs together send at most this share of a service's requests a
       second time, plus a fixed number, in each window. */
--- a/modules/wasabispread_decisions/PeerMessage.h
+++ b/modules/wasabispread_decisions/PeerMessage.h
@@ -73,6 +73,19 @@
   std::vector<AttemptSequence> mSequences;
 };
 
+/** Asks for a routing configuration newer than a version; 0 for any. */
+struct RoutingRequest
+{
+  std::uint64_t mKnownVersion = 0;
+};
+
+/** A routing configuration as the store holds it; empty when the sender has
+    none that is newer. */
+struct RoutingReply
+{
+  SharedBytes mText;
+};
+
 using PeerMessage = std::variant<BatchRequest,
                                  BatchReply,
                                  BatchCancel,
@@ -83,6 +96,8 @@
                                  SectionsRequest,
                                  SectionsReply,
                                  ConfirmationRequest,
-                                 ConfirmationReply>;
+                                 ConfirmationReply,
+                                 RoutingRequest,
+                                 RoutingReply>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -29,7 +29,6 @@
   policy.mName = aSettings.mName;
   policy.mZone = aSettings.mZone;
   policy.mPeerAddress = aSettings.mPeerAddress;
-  policy.mFirstPeers = aSettings.mFirstPeers;
   policy.mRepeatRule = RepeatRule{ aSettings.mRepeatShare,
                                    aSettings.mFixedRepeats,
                                    aSettings.mRepeatWindow };
--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -46,12 +46,72 @@
 
 ForwarderRunner::~ForwarderRunner() = default;
 
-void
+Result<std::monostate>
 ForwarderRunner::Start(std::function<void(const CallerLimits&)> aLimitCallers)
 {
   mLimitCallers = std::move(aLimitCallers);
-  StartFiber([this] { RunTimers(); });
-  Deliver(ForwarderStarted{});
+  const auto started = StartTransport();
+  if (started) {
+    StartFiber([this] { RunTimers(); });
+    Deliver(ForwarderStarted{});
+  }
+  return started;
+}
+
+Result<std::monostate>
+ForwarderRunner::StartTransport()
+{
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  NodeIdentity self;
+  self.mName = mState.mPolicy.mName;
+  self.mId = IdFromName<VmId>(self.mName);
+  self.mZone = mState.mPolicy.mZone;
+  self.mIncarnation = Incarnation(static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count()));
+  self.mPeerAddress = mState.mPolicy.mPeerAddress;
+  PeerTransportHandlers handlers;
+  handlers.mMessage =
+    [this](VmId aPeer, const Endpoint& aAddress, PeerMessage aMessage) {
+      HandlePeerMessage(aPeer, aAddress, aMessage);
+    };
+  handlers.mNotSent = [](VmId, std::vector<AttemptSequence>) {};
+  // A question that is lost is asked of the next VM when its time comes.
+  handlers.mLost = [](VmId) {};
+  handlers.mNote = [this](const std::string& aNote) {
+    mLog.Write(
+      DecisionLine{
+        LineClass::kNotable, "peer-connection", {}, { { "note", aNote } } },
+      Now());
+  };
+  auto transport = PeerTransport::Start(
+    mLoop, self, PeerTransportLimits{}, std::move(handlers));
+  if (!transport) {
+    return tl::unexpected<Error>(transport.error());
+  }
+  mTransport = std::move(*transport);
+  return std::monostate{};
+}
+
+void
+ForwarderRunner::HandlePeerMessage(VmId aPeer,
+                                   const Endpoint& aAddress,
+                                   const PeerMessage& aMessage)
+{
+  if (const auto* request = std::get_if<RoutingRequest>(&aMessage)) {
+    const bool isNewer =
+      mState.mConfiguration != nullptr &&
+      mState.mConfiguration->mVersion.Value() > request->mKnownVersion;
+    static const auto kNothing = std::make_shared<const std::string>();
+    mTransport->Send(
+      aPeer,
+      aAddress,
+      RoutingReply{ isNewer ? mState.mConfigurationText : kNothing });
+  } else if (const auto* reply = std::get_if<RoutingReply>(&aMessage)) {
+    if (!reply->mText->empty()) {
+      Deliver(PeerConfiguration{ ToText(aAddress),
+                                 mAdapter.ReadConfiguration(reply->mText) });
+    }
+  }
 }
 
 void
@@ -207,7 +267,9 @@
 void
 ForwarderRunner::Perform(AskPeer& aEffect)
 {
-  static_cast<void>(aEffect);
+  mTransport->Send(IdFromName<VmId>(aEffect.mPeer),
+                   aEffect.mAddress,
+                   RoutingRequest{ aEffect.mKnown.Value() });
 }
 
 void
--- a/modules/wasabispread_forwarding/ForwarderRunner.h
+++ b/modules/wasabispread_forwarding/ForwarderRunner.h
@@ -29,8 +29,10 @@
   ForwarderRunner(const ForwarderRunner&) = delete;
   ForwarderRunner& operator=(const ForwarderRunner&) = delete;
 
-  /** Begins. aLimitCallers is called with each change of the limits. */
-  void Start(std::function<void(const CallerLimits&)> aLimitCallers);
+  /** Opens the peer port and begins. aLimitCallers is called with each change
+      of the limits. */
+  Result<std::monostate> Start(
+    std::function<void(const CallerLimits&)> aLimitCallers);
 
   /** Applies an event; never blocks. */
   void Deliver(ForwarderEvent aEvent);
@@ -67,6 +69,10 @@
   void Perform(LimitCallers& aEffect);
   void Perform(WriteLine& aEffect);
 
+  Result<std::monostate> StartTransport();
+  void HandlePeerMessage(VmId aPeer,
+                         const Endpoint& aAddress,
+                         const PeerMessage& aMessage);
   void DropCaller(CallerToken aToken);
   void RunTimers();
   void RunTargetLink(const OpenConnection& aOpening, TargetLink& aLink);
@@ -78,6 +84,7 @@
   const PlatformAdapter& mAdapter;
   DecisionLog& mLog;
   StoreClient mStore;
+  std::unique_ptr<PeerTransport> mTransport;
   std::function<void(const CallerLimits&)> mLimitCallers;
   std::deque<ForwarderEvent> mEvents;
   bool mIsReducing = false;
--- a/modules/wasabispread_forwarding_decisions/Fleet.cpp
+++ b/modules/wasabispread_forwarding_decisions/Fleet.cpp
@@ -145,9 +145,7 @@
 void
 AskNextPeer(ForwarderState& aState, TimePoint aNow, ForwarderEffects& aEffects)
 {
-  const bool isNeeded =
-    aState.mStore.IsAway() || aState.mConfiguration == nullptr;
-  if (!isNeeded || aState.mIsStopping) {
+  if (!aState.mStore.IsAway() || aState.mIsStopping) {
     aState.mFleet.mIsAsking = false;
     return;
   }
@@ -170,11 +168,6 @@
       return;
     }
   }
-  for (const Endpoint& peer : aState.mPolicy.mFirstPeers) {
-    if (peer != aState.mPolicy.mPeerAddress) {
-      aEffects.push_back(AskPeer{ ToText(peer), peer, known });
-    }
-  }
 }
 
 void
@@ -190,7 +183,7 @@
   }
   aEffects.push_back(
     WriteLine{ { LineClass::kNotable,
-                 "peer-unanswered",
+                 "peer-configuration-unreadable",
                  {},
                  { { "vm", aEvent.mPeer },
                    { "error", aEvent.mResult.error().mMessage } } } });
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -42,9 +42,6 @@
   std::string mName;
   ZoneName mZone;
   Endpoint mPeerAddress;
-  /** VMs to ask for the configuration when the store does not answer at the
-      start. */
-  std::vector<Endpoint> mFirstPeers;
   RepeatRule mRepeatRule;
   /** The round trip to callers. */
   Duration mCallerRoundTrip = std::chrono::milliseconds(6);
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -103,7 +103,7 @@
                   "send a smaller body" };
   }
   if (aError == http::error::header_limit) {
-    return Error{ ErrorKind::kHeaderTooLarge,
+    return Error{ ErrorKind::kRequestTooLarge,
                   "the request's header is too large",
                   "send fewer or shorter header fields" };
   }
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -32,7 +32,7 @@
 {
   /** The largest body taken, in bytes; a larger one is answered by 413. */
   std::uint64_t mMostBodyBytes = 1U << 20U;
-  /** The largest header taken, in bytes; a larger one is answered by 431. */
+  /** The largest header taken, in bytes; a larger one is answered by 413. */
   std::uint32_t mMostHeaderBytes = 16U << 10U;
   /** The most connections at a time; further ones are closed at once. */
   std::uint32_t mMostConnections = 4096;
--- a/modules/wasabispread_units/Error.cpp
+++ b/modules/wasabispread_units/Error.cpp
@@ -17,8 +17,6 @@
       return "operation-not-offered";
     case ErrorKind::kInvalidPatience:
       return "invalid-patience";
-    case ErrorKind::kHeaderTooLarge:
-      return "header-too-large";
     case ErrorKind::kRequestTooLarge:
       return "request-too-large";
     case ErrorKind::kNotReady:
--- a/modules/wasabispread_units/Error.h
+++ b/modules/wasabispread_units/Error.h
@@ -19,7 +19,6 @@
   kOperationNotOffered,
   kInvalidPatience,
   kRequestTooLarge,
-  kHeaderTooLarge,
   kNotReady,
   kOverloaded,
   kTimeout,
--- a/modules/wasabispread_wire/CallerProtocol.cpp
+++ b/modules/wasabispread_wire/CallerProtocol.cpp
@@ -228,7 +228,6 @@
   constexpr unsigned kNotAllowed = 405;
   constexpr unsigned kConflict = 409;
   constexpr unsigned kTooLarge = 413;
-  constexpr unsigned kHeaderTooLarge = 431;
   constexpr unsigned kServerError = 500;
   constexpr unsigned kUnavailable = 503;
   constexpr unsigned kGatewayTimeout = 504;
@@ -247,8 +246,6 @@
     case ErrorKind::kConflict:
     case ErrorKind::kDuplicateRequest:
       return kConflict;
-    case ErrorKind::kHeaderTooLarge:
-      return kHeaderTooLarge;
     case ErrorKind::kRequestTooLarge:
     case ErrorKind::kValueTooLarge:
       return kTooLarge;
--- a/modules/wasabispread_wire/ControlFrames.cpp
+++ b/modules/wasabispread_wire/ControlFrames.cpp
@@ -218,6 +218,25 @@
   return PeerFrame(PeerMessage(MembersReply{ std::move(*members) }));
 }
 
+Result<PeerFrame>
+DecodeRouting(const frame::RoutingReply& aMessage)
+{
+  const std::string_view sent(
+    reinterpret_cast<const char*>(aMessage.text()->data()),
+    aMessage.text()->size());
+  if (aMessage.text_bytes() > kMostSectionBytes) {
+    return Invalid("a routing configuration is too large");
+  }
+  Result<std::string> text = std::string(sent);
+  if (aMessage.text_bytes() != 0) {
+    text = Decompress(sent, aMessage.text_bytes());
+  }
+  return text.map([](std::string& aText) {
+    return PeerFrame(PeerMessage(
+      RoutingReply{ std::make_shared<const std::string>(std::move(aText)) }));
+  });
+}
+
 Result<PeerFrame>
 DecodeConfirmation(const frame::ConfirmationReply& aMessage)
 {
@@ -343,6 +362,27 @@
   return { frame::Message::ConfirmationRequest, message.Union() };
 }
 
+EncodedMessage
+EncodeControl(Builder& aBuilder, const RoutingRequest& aMessage)
+{
+  const auto message =
+    frame::CreateRoutingRequest(aBuilder, aMessage.mKnownVersion);
+  return { frame::Message::RoutingRequest, message.Union() };
+}
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const RoutingReply& aMessage)
+{
+  const std::string& text = *aMessage.mText;
+  const std::string sent =
+    text.empty() ? text : Compress(text, CompressionEffort::kQuick);
+  const auto bytes = aBuilder.CreateVector(
+    reinterpret_cast<const std::uint8_t*>(sent.data()), sent.size());
+  const auto message = frame::CreateRoutingReply(
+    aBuilder, static_cast<std::uint32_t>(text.size()), bytes);
+  return { frame::Message::RoutingReply, message.Union() };
+}
+
 EncodedMessage
 EncodeControl(Builder& aBuilder, const ConfirmationReply& aMessage)
 {
@@ -386,6 +426,11 @@
         *aFrame.message_as_ConfirmationRequest());
     case frame::Message::ConfirmationReply:
       return DecodeConfirmation(*aFrame.message_as_ConfirmationReply());
+    case frame::Message::RoutingRequest:
+      return PeerFrame(PeerMessage(
+        RoutingRequest{ aFrame.message_as_RoutingRequest()->known_version() }));
+    case frame::Message::RoutingReply:
+      return DecodeRouting(*aFrame.message_as_RoutingReply());
     default:
       return Invalid("a frame holds a message unknown to this release");
   }
--- a/modules/wasabispread_wire/ControlFrames.h
+++ b/modules/wasabispread_wire/ControlFrames.h
@@ -41,6 +41,12 @@
 EncodedMessage
 EncodeControl(flatbuffers::FlatBufferBuilder& aBuilder,
               const ConfirmationReply& aMessage);
+EncodedMessage
+EncodeControl(flatbuffers::FlatBufferBuilder& aBuilder,
+              const RoutingRequest& aMessage);
+EncodedMessage
+EncodeControl(flatbuffers::FlatBufferBuilder& aBuilder,
+              const RoutingReply& aMessage);
 
 /** Reads a verified frame whose message is one of the above; kInvalidFrame
     when it is another one or has a field out of range. */
