Serve on while cut off: targets from other VMs, and a VM in a cut zone says so

(2) in a cut zone searches were sent to the shards that still had a connection and failed; the balancer kept sending callers there. Change: VMs tell each other their targets too; a search that cannot reach its least coverage is refused unsent; a VM whose sendings to other zones are all unanswered for 0.5 s and that cannot serve a search is not ready and closes the connections of those it refuses.

--- a/modules/wasabispread_decisions/PeerMessage.h
+++ b/modules/wasabispread_decisions/PeerMessage.h
@@ -79,11 +79,26 @@
   std::uint64_t mKnownVersion = 0;
 };
 
-/** A routing configuration as the store holds it; empty when the sender has
-    none that is newer. */
+/** A target as it registered with the store; only those in use are told. */
+struct RegisteredTarget
+{
+  std::string mInstance;
+  std::uint64_t mBorn = 0;
+  std::uint64_t mSequence = 0;
+  ServiceId mService;
+  Endpoint mAddress;
+  ZoneName mZone;
+  std::uint32_t mSlots = 1;
+};
+
+/** What a VM knows of the routing. */
 struct RoutingReply
 {
+  /** The configuration as the store holds it; empty when the sender has none
+      that is newer. */
   SharedBytes mText;
+  /** All targets; none from a VM to which the store does not answer. */
+  std::vector<RegisteredTarget> mTargets;
 };
 
 using PeerMessage = std::variant<BatchRequest,
--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -141,7 +141,8 @@
   if (!mAdapter.IsReadinessCheck(aMessage)) {
     response.mStatus = kNotFound;
   } else {
-    response.mStatus = mRunner.State().IsReady() ? kOk : kUnavailable;
+    response.mStatus =
+      mRunner.State().IsReady(ForwarderRunner::Now()) ? kOk : kUnavailable;
   }
   return response;
 }
--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -50,7 +50,7 @@
 ForwarderRunner::Start(std::function<void(const CallerLimits&)> aLimitCallers)
 {
   mLimitCallers = std::move(aLimitCallers);
-  const auto started = StartTransport();
+  auto started = StartTransport();
   if (started) {
     StartFiber([this] { RunTimers(); });
     Deliver(ForwarderStarted{});
@@ -71,10 +71,10 @@
   self.mPeerAddress = mState.mPolicy.mPeerAddress;
   PeerTransportHandlers handlers;
   handlers.mMessage =
-    [this](VmId aPeer, const Endpoint& aAddress, PeerMessage aMessage) {
+    [this](VmId aPeer, const Endpoint& aAddress, const PeerMessage& aMessage) {
       HandlePeerMessage(aPeer, aAddress, aMessage);
     };
-  handlers.mNotSent = [](VmId, std::vector<AttemptSequence>) {};
+  handlers.mNotSent = [](VmId, const std::vector<AttemptSequence>&) {};
   // A question that is lost is asked of the next VM when its time comes.
   handlers.mLost = [](VmId) {};
   handlers.mNote = [this](const std::string& aNote) {
@@ -98,19 +98,16 @@
                                    const PeerMessage& aMessage)
 {
   if (const auto* request = std::get_if<RoutingRequest>(&aMessage)) {
-    const bool isNewer =
-      mState.mConfiguration != nullptr &&
-      mState.mConfiguration->mVersion.Value() > request->mKnownVersion;
-    static const auto kNothing = std::make_shared<const std::string>();
     mTransport->Send(
-      aPeer,
-      aAddress,
-      RoutingReply{ isNewer ? mState.mConfigurationText : kNothing });
+      aPeer, aAddress, TellRouting(mState, request->mKnownVersion));
   } else if (const auto* reply = std::get_if<RoutingReply>(&aMessage)) {
+    PeerRouting routing;
+    routing.mPeer = ToText(aAddress);
+    routing.mTargets = reply->mTargets;
     if (!reply->mText->empty()) {
-      Deliver(PeerConfiguration{ ToText(aAddress),
-                                 mAdapter.ReadConfiguration(reply->mText) });
+      routing.mConfiguration = mAdapter.ReadConfiguration(reply->mText);
     }
+    Deliver(std::move(routing));
   }
 }
 
--- a/modules/wasabispread_forwarding_decisions/Fleet.cpp
+++ b/modules/wasabispread_forwarding_decisions/Fleet.cpp
@@ -27,6 +27,20 @@
     fit into the time in which a configuration must be in force. */
 constexpr Duration kAskInterval = std::chrono::milliseconds(600);
 
+TargetRecord
+RecordOf(const RegisteredTarget& aTarget)
+{
+  TargetRecord record;
+  record.mInstance = InstanceId(aTarget.mInstance);
+  record.mBorn = aTarget.mBorn;
+  record.mSequence = aTarget.mSequence;
+  record.mService = aTarget.mService;
+  record.mAddress = aTarget.mAddress;
+  record.mZone = aTarget.mZone;
+  record.mSlots = aTarget.mSlots;
+  return record;
+}
+
 void
 RetryLease(ForwarderState& aState, TimePoint aNow)
 {
@@ -171,14 +185,30 @@
 }
 
 void
-HandlePeerConfiguration(ForwarderState& aState,
-                        const PeerConfiguration& aEvent,
-                        TimePoint aNow,
-                        ForwarderEffects& aEffects)
+HandlePeerRouting(ForwarderState& aState,
+                  const PeerRouting& aEvent,
+                  TimePoint aNow,
+                  ForwarderEffects& aEffects)
 {
-  if (aEvent.mResult) {
+  if (!aState.mStore.IsAway()) {
+    return;
+  }
+  // Targets first: a configuration may name services that have just started.
+  std::vector<StoreChange> entries;
+  for (const RegisteredTarget& target : aEvent.mTargets) {
+    ApplyTarget(aState, RecordOf(target), aNow, aEffects);
+    entries.push_back(TargetChange{ RecordOf(target) });
+  }
+  if (!entries.empty()) {
+    RemoveTargetsMissingFrom(aState, entries, aNow, aEffects);
+    RefreshAssignments(aState, aNow, aEffects);
+  }
+  if (!aEvent.mConfiguration) {
+    return;
+  }
+  if (*aEvent.mConfiguration) {
     AdoptConfiguration(
-      aState, *aEvent.mResult, "vm " + aEvent.mPeer, aNow, aEffects);
+      aState, **aEvent.mConfiguration, "vm " + aEvent.mPeer, aNow, aEffects);
     return;
   }
   aEffects.push_back(
@@ -186,7 +216,33 @@
                  "peer-configuration-unreadable",
                  {},
                  { { "vm", aEvent.mPeer },
-                   { "error", aEvent.mResult.error().mMessage } } } });
+                   { "error", aEvent.mConfiguration->error().mMessage } } } });
+}
+
+RoutingReply
+TellRouting(const ForwarderState& aState, std::uint64_t aKnownVersion)
+{
+  RoutingReply reply;
+  const bool isNewer = aState.mConfiguration != nullptr &&
+                       aState.mConfiguration->mVersion.Value() > aKnownVersion;
+  reply.mText =
+    isNewer ? aState.mConfigurationText : std::make_shared<const std::string>();
+  if (aState.mStore.IsAway()) {
+    return reply;
+  }
+  for (const auto& [key, target] : aState.mTargets) {
+    if (!target.mIsRetired && target.mMissingSince == TimePoint::max()) {
+      const TargetRecord& record = target.mRecord;
+      reply.mTargets.push_back(RegisteredTarget{ record.mInstance.Value(),
+                                                 record.mBorn,
+                                                 record.mSequence,
+                                                 record.mService,
+                                                 record.mAddress,
+                                                 record.mZone,
+                                                 record.mSlots });
+    }
+  }
+  return reply;
 }
 
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding_decisions/Fleet.h
+++ b/modules/wasabispread_forwarding_decisions/Fleet.h
@@ -80,15 +80,19 @@
                    TimePoint aNow,
                    ForwarderEffects& aEffects);
 
-/** Asks another VM for the newest configuration while the store does not
+/** Asks another VM for configuration and targets while the store does not
     answer this VM. */
 void
 AskNextPeer(ForwarderState& aState, TimePoint aNow, ForwarderEffects& aEffects);
 
 void
-HandlePeerConfiguration(ForwarderState& aState,
-                        const PeerConfiguration& aEvent,
-                        TimePoint aNow,
-                        ForwarderEffects& aEffects);
+HandlePeerRouting(ForwarderState& aState,
+                  const PeerRouting& aEvent,
+                  TimePoint aNow,
+                  ForwarderEffects& aEffects);
+
+/** What another VM is told that knows the configuration up to a version. */
+RoutingReply
+TellRouting(const ForwarderState& aState, std::uint64_t aKnownVersion);
 
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
@@ -80,7 +80,7 @@
   LeaseId mLease;
 };
 
-/** Ask another VM for its configuration; answered by PeerConfiguration. */
+/** Ask another VM what it knows of the routing; answered by PeerRouting. */
 struct AskPeer
 {
   std::string mPeer;
--- a/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
@@ -82,11 +82,14 @@
   Result<bool> mResult;
 };
 
-/** Another VM told the newest configuration that it has. */
-struct PeerConfiguration
+/** Another VM told what it knows of the routing. */
+struct PeerRouting
 {
   std::string mPeer;
-  Result<ConfigurationChange> mResult;
+  /** A newer configuration, if it has one. */
+  std::optional<Result<ConfigurationChange>> mConfiguration;
+  /** All targets in use; none when the store does not answer it either. */
+  std::vector<RegisteredTarget> mTargets;
 };
 
 /** The process was asked to stop. */
@@ -109,7 +112,7 @@
                                     LeaseGranted,
                                     MemberWritten,
                                     LeaseRenewed,
-                                    PeerConfiguration,
+                                    PeerRouting,
                                     ForwarderStopRequested,
                                     ForwarderTick>;
 
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -117,9 +117,9 @@
     HandleLeaseRenewed(mState, aEvent, mNow, mEffects);
   }
 
-  void operator()(const PeerConfiguration& aEvent)
+  void operator()(const PeerRouting& aEvent)
   {
-    HandlePeerConfiguration(mState, aEvent, mNow, mEffects);
+    HandlePeerRouting(mState, aEvent, mNow, mEffects);
   }
 
   void operator()(ForwarderStopRequested)
@@ -183,10 +183,10 @@
 } // namespace
 
 bool
-ForwarderState::IsReady() const
+ForwarderState::IsReady(TimePoint aNow) const
 {
   return !mIsStopping && mConfiguration != nullptr &&
-         mStore.Area(StoreArea::kTargets).mIsLoaded;
+         mStore.Area(StoreArea::kTargets).mIsLoaded && !IsCutOff(*this, aNow);
 }
 
 std::string
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -117,13 +117,17 @@
   std::unordered_map<InstanceId, EntryAge> mEntryAges;
   TimerQueueOf<ForwarderTimer> mTimers;
   ForwarderCounters mCounters;
+  /** When a target in another availability zone last answered or accepted a
+      connection, and when one was last sent to. */
+  TimePoint mHeardElsewhere{};
+  TimePoint mSentElsewhere{};
   std::uint64_t mNextTarget = 1;
   std::uint64_t mNextConnection = 1;
   std::uint64_t mNextRequest = 1;
   bool mIsStopping = false;
 
   /** Whether callers' requests can be served. */
-  bool IsReady() const;
+  bool IsReady(TimePoint aNow) const;
 
   /** When a ForwarderTick is wanted; TimePoint::max() when none is. */
   TimePoint NextDue() const { return mTimers.NextDue(); }
--- a/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
@@ -87,7 +87,7 @@
       ProblemOf(mForwarder->AnswerTo(mForwarder->Ask("/s/1")));
     CPPUNIT_ASSERT(problem != nullptr);
     CPPUNIT_ASSERT(problem->mKind == ProblemKind::kNotRun);
-    CPPUNIT_ASSERT(!mForwarder->mState.IsReady());
+    CPPUNIT_ASSERT(!mForwarder->mState.IsReady(mForwarder->mNow));
   }
 
   void NeverSendsAnActionAgainThatMayHaveRun()
--- /dev/null
+++ b/modules/wasabispread_forwarding_decisions/Isolation.cpp
@@ -0,0 +1,101 @@
+/*
+ * Judging a cut by the connections to targets.
+ */
+#include "wasabispread_forwarding_decisions.h"
+
+#include <algorithm>
+
+namespace wasabispread::forwarding {
+
+namespace {
+
+/** A target that has owed a reply for this much longer than usual does not
+    count as reached: longer than a pause, shorter than the balancer needs. */
+constexpr Duration kUnreachedAfter = std::chrono::milliseconds(500);
+
+bool
+IsReached(const ForwarderState& aState,
+          const TargetState& aTarget,
+          TimePoint aNow)
+{
+  const bool isConnected = std::any_of(
+    aTarget.mConnections.begin(),
+    aTarget.mConnections.end(),
+    [&](ConnectionId aId) {
+      return aState.mConnections.at(aId).mStatus != ConnectionStatus::kOpening;
+    });
+  return isConnected && OverdueBy(aState, aTarget, aNow) < kUnreachedAfter;
+}
+
+/** No target of any other zone has answered for this long, though some were
+    asked: longer than one target's pause, and with targets in several zones
+    unlikely by chance. */
+constexpr Duration kSilenceOfACut = std::chrono::milliseconds(500);
+
+} // namespace
+
+bool
+CanServe(const ForwarderState& aState, ServiceId aService, TimePoint aNow)
+{
+  const auto targets = aState.mTargetsOfService.find(aService);
+  return targets != aState.mTargetsOfService.end() &&
+         std::any_of(
+           targets->second.begin(), targets->second.end(), [&](TargetKey aKey) {
+             const TargetState& target = aState.mTargets.at(aKey);
+             // A connection that is being opened after a failure promises
+             // nothing.
+             const bool hasFailed = target.mConnectBackoff > Duration::zero();
+             return IsReached(aState, target, aNow) ||
+                    (!hasFailed && CanTake(aState, target, aNow));
+           });
+}
+
+bool
+CanServe(const ForwarderState& aState, const Route& aRoute, TimePoint aNow)
+{
+  if (!aRoute.IsSearch()) {
+    return std::any_of(
+      aRoute.mParts.begin(), aRoute.mParts.end(), [&](const SplitPart& aPart) {
+        return CanServe(aState, aPart.mService, aNow);
+      });
+  }
+  const auto served = std::count_if(
+    aRoute.mShards.begin(), aRoute.mShards.end(), [&](ServiceId aShard) {
+      return CanServe(aState, aShard, aNow);
+    });
+  return served > 0 &&
+         static_cast<double>(served) >=
+           aRoute.mLeastCoverage * static_cast<double>(aRoute.mShards.size());
+}
+
+void
+NoteSent(ForwarderState& aState, const TargetState& aTarget, TimePoint aNow)
+{
+  if (aTarget.mRecord.mZone != aState.mPolicy.mZone) {
+    aState.mSentElsewhere = aNow;
+  }
+}
+
+void
+NoteHeard(ForwarderState& aState, const TargetState& aTarget, TimePoint aNow)
+{
+  if (aTarget.mRecord.mZone != aState.mPolicy.mZone) {
+    aState.mHeardElsewhere = aNow;
+  }
+}
+
+bool
+IsCutOff(const ForwarderState& aState, TimePoint aNow)
+{
+  const bool isSilent = aState.mSentElsewhere > aState.mHeardElsewhere &&
+                        aNow - aState.mHeardElsewhere > kSilenceOfACut;
+  if (!isSilent || aState.mConfiguration == nullptr) {
+    return false;
+  }
+  const auto& routes = aState.mConfiguration->mRoutes;
+  return std::any_of(routes.begin(), routes.end(), [&](const Route& aRoute) {
+    return aRoute.IsSearch() && !CanServe(aState, aRoute, aNow);
+  });
+}
+
+} // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding_decisions/Message.h
+++ b/modules/wasabispread_forwarding_decisions/Message.h
@@ -121,6 +121,8 @@
   std::string mRemedy;
   /** When a request that did not run is best repeated. */
   std::optional<Duration> mRetryAfter;
+  /** Whether the caller is better off with a connection to another VM. */
+  bool mClosesConnection = false;
 };
 
 using CallerAnswer = std::variant<PassedReply, SearchAnswer, Problem>;
--- a/modules/wasabispread_forwarding_decisions/Refusal.cpp
+++ b/modules/wasabispread_forwarding_decisions/Refusal.cpp
@@ -3,28 +3,18 @@
  */
 #include "wasabispread_forwarding_decisions.h"
 
-#include <algorithm>
-
 namespace wasabispread::forwarding {
 
 namespace {
 
 /** A daemon that has just started knows its routes and targets this soon. */
 constexpr Duration kStartRetry = std::chrono::milliseconds(250);
+/** Another VM may serve it at once; the balancer takes a new connection
+    there. */
+constexpr Duration kElsewhereRetry = std::chrono::milliseconds(20);
 /** Targets that are missing come back by their next registration. */
 constexpr Duration kNoTargetRetry = std::chrono::milliseconds(400);
 
-std::size_t
-ServedShards(const ForwarderState& aState, const Route& aRoute)
-{
-  return static_cast<std::size_t>(std::count_if(
-    aRoute.mShards.begin(), aRoute.mShards.end(), [&](ServiceId aShard) {
-      const auto targets = aState.mTargetsOfService.find(aShard);
-      return targets != aState.mTargetsOfService.end() &&
-             !targets->second.empty();
-    }));
-}
-
 } // namespace
 
 Problem
@@ -37,7 +27,9 @@
 }
 
 std::optional<Problem>
-CheckRequest(const ForwarderState& aState, const ForwardedRequest& aRequest)
+CheckRequest(const ForwarderState& aState,
+             const ForwardedRequest& aRequest,
+             TimePoint aNow)
 {
   if (aState.mConfiguration == nullptr ||
       !aState.mStore.Area(StoreArea::kTargets).mIsLoaded) {
@@ -59,13 +51,15 @@
                     "send a positive number of milliseconds",
                     std::nullopt };
   }
-  if (route->IsSearch()) {
-    const auto shards = static_cast<double>(route->mShards.size());
-    const std::size_t served = ServedShards(aState, *route);
-    if (served == 0 ||
-        static_cast<double>(served) < route->mLeastCoverage * shards) {
-      return NotRunProblem("too few shards have a target", kNoTargetRetry);
+  if (route->IsSearch() && !CanServe(aState, *route, aNow)) {
+    Problem problem = NotRunProblem(
+      "too few shards have a target that can be reached", kNoTargetRetry);
+    if (IsCutOff(aState, aNow)) {
+      problem.mMessage = "this VM is cut off from the targets";
+      problem.mRetryAfter = kElsewhereRetry;
+      problem.mClosesConnection = true;
     }
+    return problem;
   }
   return std::nullopt;
 }
--- a/modules/wasabispread_forwarding_decisions/Refusal.h
+++ b/modules/wasabispread_forwarding_decisions/Refusal.h
@@ -11,7 +11,9 @@
 /** The refusal of a request that is wrong or leads nowhere, or that this
     forwarder cannot serve now; none for one that can go on. */
 std::optional<Problem>
-CheckRequest(const ForwarderState& aState, const ForwardedRequest& aRequest);
+CheckRequest(const ForwarderState& aState,
+             const ForwardedRequest& aRequest,
+             TimePoint aNow);
 
 /** A refusal for want of targets or room. Nothing of the request has run. */
 Problem
--- a/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(NeverGoesBackToAnOlderConfiguration);
   CPPUNIT_TEST(BacksOffFromATargetThatResetsConnections);
   CPPUNIT_TEST(AsksOtherVmsWhileTheStoreIsAway);
+  CPPUNIT_TEST(TakesTargetsFromOtherVmsWhileTheStoreIsAway);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -159,6 +160,30 @@
     CPPUNIT_ASSERT(mForwarder->mPeersAsked.size() <= asked + 1);
   }
 
+  /** A configuration that names new services without their targets refused
+      every search on VMs cut from the store. */
+  void TakesTargetsFromOtherVmsWhileTheStoreIsAway()
+  {
+    ForwarderHarness other;
+    other.Configure({ SingleRoute("s", Repeatability::kIdempotent) });
+    other.AddTarget("new", "s", 3);
+    const RoutingReply told = TellRouting(other.mState, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, told.mTargets.size());
+    mForwarder->AddTarget("old", "s", 7);
+    PeerRouting routing;
+    routing.mTargets = told.mTargets;
+    mForwarder->Deliver(routing);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mForwarder->mState.mTargets.size());
+    mForwarder->Deliver(
+      AreaWatched{ StoreArea::kTargets, tl::unexpected<Error>(StoreError()) });
+    mForwarder->Deliver(routing);
+    mForwarder->Ask("/s/1");
+    CPPUNIT_ASSERT(mForwarder->Has("new"));
+    CPPUNIT_ASSERT(!mForwarder->Has("old"));
+    // A VM to which the store does not answer either tells no targets.
+    CPPUNIT_ASSERT(TellRouting(mForwarder->mState, 0).mTargets.empty());
+  }
+
 private:
   std::unique_ptr<ForwarderHarness> mForwarder;
 };
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -261,6 +261,7 @@
     CountRepeat(
       aState.mBudgets[leg.mService], aState.mPolicy.mRepeatRule, aNow);
   }
+  NoteSent(aState, aTarget, aNow);
   ++leg.mSendings;
   ++leg.mRuns;
   ++aState.mCounters.mSendings;
@@ -318,6 +319,7 @@
   const TargetKey targetKey = connection.mTarget;
   TargetState& target = aState.mTargets.at(targetKey);
   target.mConnectBackoff = Duration::zero();
+  NoteHeard(aState, target, aNow);
   const auto reply = std::make_shared<const Reply>(std::move(aEvent.mReply));
   ObserveReply(aState, target, connection, reply->mKind, aNow);
   ReleaseConnection(aState,
@@ -369,6 +371,7 @@
     return;
   }
   const TargetKey targetKey = place->second.mTarget;
+  NoteHeard(aState, aState.mTargets.at(targetKey), aNow);
   ReleaseConnection(
     aState, aEvent.mConnection, true, std::nullopt, aNow, aEffects);
   ServeWaiting(aState, targetKey, aNow, aEffects);
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -226,7 +226,7 @@
                      ForwarderEffects& aEffects)
 {
   ++aState.mCounters.mRequests;
-  if (auto problem = CheckRequest(aState, *aEvent.mRequest)) {
+  if (auto problem = CheckRequest(aState, *aEvent.mRequest, aNow)) {
     ++aState.mCounters.mRefused;
     LogRefusal(aEvent, aState, *problem, aEffects);
     aEffects.push_back(AnswerRequest{
--- a/modules/wasabispread_forwarding_decisions/SearchTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/SearchTests.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(NamesOnlyShardsOfOneVersion);
   CPPUNIT_TEST(RefusesWhenTooFewShardsHaveTargets);
   CPPUNIT_TEST(GivesUpAtOnceWhenCoverageIsLost);
+  CPPUNIT_TEST(RefusesUnsentAndUnreadyWhenCutOff);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -183,6 +184,31 @@
     CPPUNIT_ASSERT(std::get<Problem>(*answer).mKind == ProblemKind::kFailed);
   }
 
+  /** The VM's zone is partitioned from the zone of all targets: before, a
+      search was sent to the shards that still had a connection, and failed. */
+  void RefusesUnsentAndUnreadyWhenCutOff()
+  {
+    mForwarder->mState.mPolicy.mZone = ZoneName("elsewhere");
+    CPPUNIT_ASSERT(mForwarder->mState.IsReady(mForwarder->mNow));
+    mForwarder->mIsDark = true;
+    for (int search = 0; search < 4; ++search) {
+      mForwarder->Ask("/search/1");
+      mForwarder->RunFor(std::chrono::milliseconds(500));
+    }
+    CPPUNIT_ASSERT(!mForwarder->mState.IsReady(mForwarder->mNow));
+    const CallerToken caller = mForwarder->Ask("/search/1");
+    const CallerAnswer* answer = mForwarder->AnswerTo(caller);
+    CPPUNIT_ASSERT(answer != nullptr);
+    const Problem& problem = std::get<Problem>(*answer);
+    CPPUNIT_ASSERT(problem.mKind == ProblemKind::kNotRun);
+    CPPUNIT_ASSERT(problem.mClosesConnection);
+    mForwarder->mIsDark = false;
+    mForwarder->RunFor(std::chrono::seconds(3));
+    CPPUNIT_ASSERT(mForwarder->mState.IsReady(mForwarder->mNow));
+    CPPUNIT_ASSERT(mForwarder->AnswerTo(mForwarder->Ask("/search/1")) ==
+                   nullptr);
+  }
+
 private:
   std::unique_ptr<ForwarderHarness> mForwarder;
 };
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -126,7 +126,8 @@
                          const std::vector<StoreChange>& aEntries,
                          TimePoint aNow)
 {
-  for (const auto& [name, member] : aFleet.mMembers) {
+  for (const auto& member : aFleet.mMembers) {
+    const std::string& name = member.first;
     const bool isListed = std::any_of(
       aEntries.begin(), aEntries.end(), [&](const StoreChange& aEntry) {
         const auto* change = std::get_if<MemberChange>(&aEntry);
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -38,6 +38,7 @@
 
 #include "AnswerTiming.h"
 #include "Assignment.h"
+#include "Isolation.h"
 #include "Placement.h"
 #include "Refusal.h"
 
--- a/modules/wasabispread_wire/ControlFrames.cpp
+++ b/modules/wasabispread_wire/ControlFrames.cpp
@@ -231,10 +231,24 @@
   if (aMessage.text_bytes() != 0) {
     text = Decompress(sent, aMessage.text_bytes());
   }
-  return text.map([](std::string& aText) {
-    return PeerFrame(PeerMessage(
-      RoutingReply{ std::make_shared<const std::string>(std::move(aText)) }));
-  });
+  if (!text) {
+    return tl::unexpected<Error>(text.error());
+  }
+  RoutingReply reply;
+  reply.mText = std::make_shared<const std::string>(std::move(*text));
+  if (aMessage.targets() != nullptr) {
+    for (const frame::RegisteredTarget* target : *aMessage.targets()) {
+      reply.mTargets.push_back(
+        RegisteredTarget{ target->instance()->str(),
+                          target->born(),
+                          target->sequence(),
+                          ServiceId(target->service()),
+                          Endpoint{ target->host()->str(), target->port() },
+                          ZoneName(target->zone()->str()),
+                          target->slots() });
+    }
+  }
+  return PeerFrame(PeerMessage(std::move(reply)));
 }
 
 Result<PeerFrame>
@@ -378,8 +392,24 @@
     text.empty() ? text : Compress(text, CompressionEffort::kQuick);
   const auto bytes = aBuilder.CreateVector(
     reinterpret_cast<const std::uint8_t*>(sent.data()), sent.size());
+  std::vector<flatbuffers::Offset<frame::RegisteredTarget>> targets;
+  for (const RegisteredTarget& target : aMessage.mTargets) {
+    const auto instance = aBuilder.CreateString(target.mInstance);
+    const auto host = aBuilder.CreateString(target.mAddress.mHost);
+    const auto zone = aBuilder.CreateString(target.mZone.Value());
+    targets.push_back(frame::CreateRegisteredTarget(aBuilder,
+                                                    instance,
+                                                    target.mBorn,
+                                                    target.mSequence,
+                                                    target.mService.Value(),
+                                                    host,
+                                                    target.mAddress.mPort,
+                                                    zone,
+                                                    target.mSlots));
+  }
+  const auto targetVector = aBuilder.CreateVector(targets);
   const auto message = frame::CreateRoutingReply(
-    aBuilder, static_cast<std::uint32_t>(text.size()), bytes);
+    aBuilder, static_cast<std::uint32_t>(text.size()), bytes, targetVector);
   return { frame::Message::RoutingReply, message.Union() };
 }
 
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -195,6 +195,10 @@
 {
   if (const auto* open = std::get_if<OpenConnection>(&aEffect)) {
     ++mOpened;
+    if (mIsDark) {
+      mPending.push_back(ConnectionRefused{ open->mConnection });
+      return;
+    }
     mPending.push_back(ConnectionOpened{ open->mConnection });
     const bool isReset =
       std::find(mResetting.begin(), mResetting.end(), open->mAddress.mHost) !=
--- a/tests/support/ForwarderHarness.h
+++ b/tests/support/ForwarderHarness.h
@@ -73,6 +73,8 @@
   TimePoint mNow{ std::chrono::seconds(1000) };
   /** Targets that accept connections and reset them at once. */
   std::vector<std::string> mResetting;
+  /** Whether no connection can be had and no target replies. */
+  bool mIsDark = false;
   std::size_t mOpened = 0;
   std::vector<ConnectionId> mClosed;
   std::vector<forwarding::AskPeer> mPeersAsked;
