Follow the store by one watch over all keys, in batches that grow with the fleet

Change: one list and one watch over all keys; after changes the next watch waits 0.8 s with up to 16 VMs, 1.6 s from 32 VMs on. Ruled out: watching from the last revision after a failure. Now a failure is followed by a list, and an answer with many changes by the next watch at once.

--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -213,18 +213,16 @@
 }
 
 void
-ForwarderRunner::Perform(ListArea& aEffect)
+ForwarderRunner::Perform(ListStore& /*aEffect*/)
 {
-  StartFiber([this, area = aEffect.mArea] {
-    Deliver(AreaListed{ area, mStore.List(area) });
-  });
+  StartFiber([this] { Deliver(EntriesListed{ mStore.List() }); });
 }
 
 void
-ForwarderRunner::Perform(WatchArea& aEffect)
+ForwarderRunner::Perform(WatchStore& aEffect)
 {
   StartFiber([this, watch = aEffect] {
-    Deliver(AreaWatched{ watch.mArea, mStore.Watch(watch) });
+    Deliver(ChangesWatched{ mStore.Watch(watch) });
   });
 }
 
--- a/modules/wasabispread_forwarding/ForwarderRunner.h
+++ b/modules/wasabispread_forwarding/ForwarderRunner.h
@@ -59,8 +59,8 @@
   void Perform(OpenConnection& aEffect);
   void Perform(CloseConnection& aEffect);
   void Perform(SendRequest& aEffect);
-  void Perform(ListArea& aEffect);
-  void Perform(WatchArea& aEffect);
+  void Perform(ListStore& aEffect);
+  void Perform(WatchStore& aEffect);
   void Perform(GrantLease& aEffect);
   void Perform(WriteMember& aEffect);
   void Perform(RenewLease& aEffect);
--- a/modules/wasabispread_forwarding/PlatformAdapter.h
+++ b/modules/wasabispread_forwarding/PlatformAdapter.h
@@ -36,25 +36,23 @@
 
   virtual Reply ReadReply(HttpResponse&& aMessage) const = 0;
 
-  /** The request for an area's content after a key, empty for the first. */
-  virtual HttpRequest WriteAreaList(StoreArea aArea,
-                                    const std::string& aAfter) const = 0;
+  /** The request for the store's entries after a key, empty for the first. */
+  virtual HttpRequest WriteStoreList(const std::string& aAfter) const = 0;
 
-  /** One page of an area's content. */
-  struct AreaPage
+  /** One page of the store's entries. */
+  struct StorePage
   {
-    AreaContent mContent;
+    StoreContent mContent;
     /** The key after which the next page begins; empty at the end. */
     std::string mNext;
   };
 
-  virtual Result<AreaPage> ReadAreaList(StoreArea aArea,
-                                        const HttpResponse& aMessage) const = 0;
+  virtual Result<StorePage> ReadStoreList(
+    const HttpResponse& aMessage) const = 0;
 
-  virtual HttpRequest WriteAreaWatch(const WatchArea& aEffect) const = 0;
+  virtual HttpRequest WriteStoreWatch(const WatchStore& aEffect) const = 0;
 
-  virtual Result<AreaChanges> ReadAreaWatch(
-    StoreArea aArea,
+  virtual Result<StoreChanges> ReadStoreWatch(
     const HttpResponse& aMessage) const = 0;
 
   virtual HttpRequest WriteLeaseGrant(Duration aLifetime) const = 0;
--- a/modules/wasabispread_forwarding/StoreClient.cpp
+++ b/modules/wasabispread_forwarding/StoreClient.cpp
@@ -41,16 +41,16 @@
   return response;
 }
 
-Result<AreaContent>
-StoreClient::List(StoreArea aArea)
+Result<StoreContent>
+StoreClient::List()
 {
-  AreaContent content;
+  StoreContent content;
   std::string after;
   do {
     const auto response =
-      Call(LineOf(aArea), mAdapter.WriteAreaList(aArea, after), kCallTimeout);
+      Call(mFollowLine, mAdapter.WriteStoreList(after), kCallTimeout);
     auto page = response.and_then([&](const HttpResponse& aResponse) {
-      return mAdapter.ReadAreaList(aArea, aResponse);
+      return mAdapter.ReadStoreList(aResponse);
     });
     if (!page) {
       return tl::unexpected<Error>(page.error());
@@ -67,14 +67,14 @@
   return content;
 }
 
-Result<AreaChanges>
-StoreClient::Watch(const WatchArea& aWatch)
+Result<StoreChanges>
+StoreClient::Watch(const WatchStore& aWatch)
 {
-  return Call(LineOf(aWatch.mArea),
-              mAdapter.WriteAreaWatch(aWatch),
+  return Call(mFollowLine,
+              mAdapter.WriteStoreWatch(aWatch),
               aWatch.mWait + kWatchSlack)
     .and_then([&](const HttpResponse& aResponse) {
-      return mAdapter.ReadAreaWatch(aWatch.mArea, aResponse);
+      return mAdapter.ReadStoreWatch(aResponse);
     });
 }
 
--- a/modules/wasabispread_forwarding/StoreClient.h
+++ b/modules/wasabispread_forwarding/StoreClient.h
@@ -7,13 +7,12 @@
 
 #include <wasabispread_runtime/wasabispread_runtime.h>
 
-#include <array>
 #include <memory>
 
 namespace wasabispread::forwarding {
 
-/** Makes one call at a time for each area and one for the lease; each keeps a
-    connection. Every call blocks its fiber. */
+/** Makes one call at a time to follow the store and one for the lease; each
+    keeps a connection. Every call blocks its fiber. */
 class StoreClient
 {
 public:
@@ -21,8 +20,8 @@
               Endpoint aAddress,
               const PlatformAdapter& aAdapter);
 
-  Result<AreaContent> List(StoreArea aArea);
-  Result<AreaChanges> Watch(const WatchArea& aWatch);
+  Result<StoreContent> List();
+  Result<StoreChanges> Watch(const WatchStore& aWatch);
   Result<LeaseId> Grant(Duration aLifetime);
   Result<std::monostate> Enter(LeaseId aLease, const MemberRecord& aRecord);
   /** False when the lease has ended. */
@@ -39,15 +38,11 @@
   Result<HttpResponse> Call(Line& aLine,
                             const HttpRequest& aRequest,
                             Duration aTimeout);
-  Line& LineOf(StoreArea aArea)
-  {
-    return mAreaLines[static_cast<std::size_t>(aArea)];
-  }
 
   IoLoop& mLoop;
   Endpoint mAddress;
   const PlatformAdapter& mAdapter;
-  std::array<Line, kStoreAreas> mAreaLines;
+  Line mFollowLine;
   Line mLeaseLine;
 };
 
--- a/modules/wasabispread_forwarding_decisions/Answers.cpp
+++ b/modules/wasabispread_forwarding_decisions/Answers.cpp
@@ -173,9 +173,7 @@
   if (aSummary.mClass != LineClass::kRoutine) {
     fields.push_back({ "missing", MissingText(aState, aRequest) });
     fields.push_back(
-      { "store_heard_ms",
-        ToMilliseconds(aNow -
-                       aState.mStore.Area(StoreArea::kTargets).mHeard) });
+      { "store_heard_ms", ToMilliseconds(aNow - aState.mStore.mHeard) });
   }
   aEffects.push_back(WriteLine{ { aSummary.mClass,
                                   "request-answered",
--- a/modules/wasabispread_forwarding_decisions/Fleet.cpp
+++ b/modules/wasabispread_forwarding_decisions/Fleet.cpp
@@ -52,7 +52,7 @@
 std::size_t
 FleetSize(const ForwarderState& aState, TimePoint aNow)
 {
-  if (!aState.mStore.Area(StoreArea::kMembers).mIsLoaded) {
+  if (!aState.mStore.mIsLoaded) {
     return kUnknownFleet;
   }
   const auto& members = aState.mFleet.mMembers;
--- a/modules/wasabispread_forwarding_decisions/Fleet.h
+++ b/modules/wasabispread_forwarding_decisions/Fleet.h
@@ -17,9 +17,6 @@
     to its own targets only. */
 inline constexpr Duration kFleetSettleTime = std::chrono::milliseconds(1200);
 
-/** After a start, the VMs are read for the first time this late. */
-inline constexpr Duration kFleetReadDelay = std::chrono::milliseconds(900);
-
 /** A VM as the store showed it. */
 struct Member
 {
--- a/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
@@ -42,16 +42,13 @@
   Duration mPatience{};
 };
 
-/** Read an area of the store; answered by AreaListed. */
-struct ListArea
-{
-  StoreArea mArea = StoreArea::kConfiguration;
-};
+/** Read all entries of the store; answered by EntriesListed. */
+struct ListStore
+{};
 
-/** Wait for changes in an area; answered by AreaWatched. */
-struct WatchArea
+/** Wait for changes in the store; answered by ChangesWatched. */
+struct WatchStore
 {
-  StoreArea mArea = StoreArea::kConfiguration;
   StoreRevision mAfter;
   Duration mWait{};
 };
@@ -105,8 +102,8 @@
                                      OpenConnection,
                                      CloseConnection,
                                      SendRequest,
-                                     ListArea,
-                                     WatchArea,
+                                     ListStore,
+                                     WatchStore,
                                      GrantLease,
                                      WriteMember,
                                      RenewLease,
--- a/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
@@ -50,18 +50,16 @@
   Reply mReply;
 };
 
-/** An area of the store was read. */
-struct AreaListed
+/** The store was read. */
+struct EntriesListed
 {
-  StoreArea mArea = StoreArea::kConfiguration;
-  Result<AreaContent> mResult;
+  Result<StoreContent> mResult;
 };
 
-/** A watch on an area ended. */
-struct AreaWatched
+/** A watch on the store ended. */
+struct ChangesWatched
 {
-  StoreArea mArea = StoreArea::kConfiguration;
-  Result<AreaChanges> mResult;
+  Result<StoreChanges> mResult;
 };
 
 /** A lease was asked for. */
@@ -107,8 +105,8 @@
                                     ConnectionRefused,
                                     ConnectionEnded,
                                     ReplyArrived,
-                                    AreaListed,
-                                    AreaWatched,
+                                    EntriesListed,
+                                    ChangesWatched,
                                     LeaseGranted,
                                     MemberWritten,
                                     LeaseRenewed,
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -53,12 +53,7 @@
                    { { "vm", mState.mPolicy.mName },
                      { "zone", mState.mPolicy.mZone.Value() } } } });
     mState.mTimers.Arm(mNow + kFleetSettleTime, ForwarderTimer::kFleetSettled);
-    FollowArea(mState, StoreArea::kConfiguration, mEffects);
-    FollowArea(mState, StoreArea::kTargets, mEffects);
-    // Read once all VMs that start together have entered, not after each.
-    mState.mTimers.Arm(mNow + kFleetReadDelay,
-                       ForwarderTimer::kFollowArea,
-                       static_cast<std::uint64_t>(StoreArea::kMembers));
+    FollowStore(mState, mEffects);
     PursueLease(mState, mNow, mEffects);
   }
 
@@ -92,14 +87,14 @@
     HandleReplyArrived(mState, std::move(aEvent), mNow, mEffects);
   }
 
-  void operator()(AreaListed& aEvent)
+  void operator()(EntriesListed& aEvent)
   {
-    HandleAreaListed(mState, std::move(aEvent), mNow, mEffects);
+    HandleEntriesListed(mState, std::move(aEvent), mNow, mEffects);
   }
 
-  void operator()(AreaWatched& aEvent)
+  void operator()(ChangesWatched& aEvent)
   {
-    HandleAreaWatched(mState, std::move(aEvent), mNow, mEffects);
+    HandleChangesWatched(mState, std::move(aEvent), mNow, mEffects);
   }
 
   void operator()(const LeaseGranted& aEvent)
@@ -161,8 +156,8 @@
       case ForwarderTimer::kIdle:
         HandleIdle(mState, ConnectionId(aKey), mNow, mEffects);
         break;
-      case ForwarderTimer::kFollowArea:
-        FollowArea(mState, static_cast<StoreArea>(aKey), mEffects);
+      case ForwarderTimer::kFollowStore:
+        FollowStore(mState, mEffects);
         break;
       case ForwarderTimer::kLapse:
         HandleLapseOver(mState, TargetKey(aKey), mNow, mEffects);
@@ -185,8 +180,8 @@
 bool
 ForwarderState::IsReady(TimePoint aNow) const
 {
-  return !mIsStopping && mConfiguration != nullptr &&
-         mStore.Area(StoreArea::kTargets).mIsLoaded && !IsCutOff(*this, aNow);
+  return !mIsStopping && mConfiguration != nullptr && mStore.mIsLoaded &&
+         !IsCutOff(*this, aNow);
 }
 
 std::string
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -24,8 +24,8 @@
   kReconnect,
   /** Key: the idle connection. */
   kIdle,
-  /** Key: the area of the store. */
-  kFollowArea,
+  /** No key: the next call to follow the store. */
+  kFollowStore,
   /** Key: the target whose entry vanished. */
   kLapse,
   /** No key: the VMs that start together have entered. */
--- a/modules/wasabispread_forwarding_decisions/Refusal.cpp
+++ b/modules/wasabispread_forwarding_decisions/Refusal.cpp
@@ -31,8 +31,7 @@
              const ForwardedRequest& aRequest,
              TimePoint aNow)
 {
-  if (aState.mConfiguration == nullptr ||
-      !aState.mStore.Area(StoreArea::kTargets).mIsLoaded) {
+  if (aState.mConfiguration == nullptr || !aState.mStore.mIsLoaded) {
     return NotRunProblem("this VM has no configuration or no targets yet",
                          kStartRetry);
   }
--- a/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
@@ -20,6 +20,9 @@
   CPPUNIT_TEST(RemovesTargetsThatAListLacks);
   CPPUNIT_TEST(ListsAgainWhenHistoryIsLost);
   CPPUNIT_TEST(NeverGoesBackToAnOlderConfiguration);
+  CPPUNIT_TEST(ReadsChangesInBatchesThatGrowWithTheFleet);
+  CPPUNIT_TEST(ReadsAllEntriesOnceTheStoreIsBack);
+  CPPUNIT_TEST(ReadsOnAtOnceAfterManyChanges);
   CPPUNIT_TEST(BacksOffFromATargetThatResetsConnections);
   CPPUNIT_TEST(AsksOtherVmsWhileTheStoreIsAway);
   CPPUNIT_TEST(TakesTargetsFromOtherVmsWhileTheStoreIsAway);
@@ -78,8 +81,7 @@
   {
     mForwarder->AddTarget("back", "s", 1);
     mForwarder->AddTarget("gone", "s", 1);
-    mForwarder->Deliver(
-      AreaWatched{ StoreArea::kTargets, tl::unexpected<Error>(StoreError()) });
+    mForwarder->Deliver(ChangesWatched{ tl::unexpected<Error>(StoreError()) });
     mForwarder->RunFor(std::chrono::seconds(4));
     mForwarder->RemoveTarget("back");
     mForwarder->RemoveTarget("gone");
@@ -98,23 +100,79 @@
   void RemovesTargetsThatAListLacks()
   {
     mForwarder->AddTarget("t", "s");
-    mForwarder->Deliver(
-      AreaListed{ StoreArea::kTargets, AreaContent{ {}, StoreRevision(99) } });
+    mForwarder->Deliver(EntriesListed{ StoreContent{ {}, StoreRevision(99) } });
     CPPUNIT_ASSERT(!IsServed());
   }
 
   void ListsAgainWhenHistoryIsLost()
   {
     mForwarder->mLists.clear();
-    AreaChanges lost;
+    StoreChanges lost;
     lost.mIsHistoryLost = true;
-    mForwarder->Deliver(AreaWatched{ StoreArea::kTargets, lost });
+    mForwarder->Deliver(ChangesWatched{ lost });
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mForwarder->mLists.size());
-    CPPUNIT_ASSERT(mForwarder->mLists.front().mArea == StoreArea::kTargets);
   }
 
   /** Whatever order versions come in, from whom, the one in force only
       rises. */
+  /** Plays a fleet whose targets come and go all the time: the calls of all
+      VMs together stay below what the store is there for. */
+  void ReadsChangesInBatchesThatGrowWithTheFleet()
+  {
+    constexpr unsigned kSeconds = 20;
+    const auto callsWith = [&](unsigned aVms) {
+      ForwarderHarness forwarder;
+      for (unsigned vm = 1; vm < aVms; ++vm) {
+        forwarder.Change(MemberChange{
+          MemberRecord{ "vm-" + std::to_string(vm), ZoneName("a"), {} } });
+      }
+      forwarder.RunFor(std::chrono::seconds(2));
+      forwarder.mWatches.clear();
+      forwarder.AddTarget("t", "s", 0);
+      unsigned calls = 0;
+      for (unsigned tenth = 0; tenth < 10 * kSeconds; ++tenth) {
+        forwarder.RunFor(std::chrono::milliseconds(100));
+        if (!forwarder.mWatches.empty()) {
+          forwarder.mWatches.clear();
+          ++calls;
+          forwarder.AddTarget("t", "s", 1 + tenth);
+        }
+      }
+      return calls;
+    };
+    const unsigned few = callsWith(9);
+    const unsigned many = callsWith(70);
+    CPPUNIT_ASSERT(few <= kSeconds * 10 / 8 && few >= kSeconds);
+    CPPUNIT_ASSERT(many <= kSeconds * 10 / 16 && many >= kSeconds / 2);
+  }
+
+  /** A watch from before an outage would show what was missed in many small
+      answers, too late for the newest configuration. */
+  void ReadsAllEntriesOnceTheStoreIsBack()
+  {
+    mForwarder->Deliver(ChangesWatched{ tl::unexpected<Error>(StoreError()) });
+    mForwarder->mLists.clear();
+    mForwarder->mWatches.clear();
+    mForwarder->RunFor(std::chrono::seconds(1));
+    CPPUNIT_ASSERT(mForwarder->mWatches.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mForwarder->mLists.size());
+  }
+
+  void ReadsOnAtOnceAfterManyChanges()
+  {
+    constexpr std::size_t kChanges = 200;
+    mForwarder->mWatches.clear();
+    StoreChanges changes;
+    changes.mRevision = StoreRevision(500);
+    for (std::size_t count = 0; count < kChanges; ++count) {
+      changes.mChanges.push_back(
+        TargetRemoval{ InstanceId("t" + std::to_string(count)) });
+    }
+    mForwarder->Deliver(ChangesWatched{ changes });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mForwarder->mWatches.size());
+    CPPUNIT_ASSERT(mForwarder->mWatches.front().mAfter == StoreRevision(500));
+  }
+
   void NeverGoesBackToAnOlderConfiguration()
   {
     rc::check("versions rise", [] {
@@ -144,18 +202,15 @@
 
   void AsksOtherVmsWhileTheStoreIsAway()
   {
-    mForwarder->Change(StoreArea::kMembers,
-                       MemberChange{ MemberRecord{
-                         "vm-b", ZoneName("b"), Endpoint{ "10.0.0.2", 7 } } });
-    mForwarder->Deliver(AreaWatched{ StoreArea::kConfiguration,
-                                     tl::unexpected<Error>(StoreError()) });
+    mForwarder->Change(MemberChange{
+      MemberRecord{ "vm-b", ZoneName("b"), Endpoint{ "10.0.0.2", 7 } } });
+    mForwarder->Deliver(ChangesWatched{ tl::unexpected<Error>(StoreError()) });
     mForwarder->RunFor(std::chrono::seconds(1));
     CPPUNIT_ASSERT(!mForwarder->mPeersAsked.empty());
     CPPUNIT_ASSERT_EQUAL(std::string("vm-b"),
                          mForwarder->mPeersAsked.front().mPeer);
     const std::size_t asked = mForwarder->mPeersAsked.size();
-    mForwarder->Deliver(
-      AreaWatched{ StoreArea::kConfiguration, AreaChanges{} });
+    mForwarder->Deliver(ChangesWatched{ StoreChanges{} });
     mForwarder->RunFor(std::chrono::seconds(3));
     CPPUNIT_ASSERT(mForwarder->mPeersAsked.size() <= asked + 1);
   }
@@ -174,8 +229,7 @@
     routing.mTargets = told.mTargets;
     mForwarder->Deliver(routing);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mForwarder->mState.mTargets.size());
-    mForwarder->Deliver(
-      AreaWatched{ StoreArea::kTargets, tl::unexpected<Error>(StoreError()) });
+    mForwarder->Deliver(ChangesWatched{ tl::unexpected<Error>(StoreError()) });
     mForwarder->Deliver(routing);
     mForwarder->Ask("/s/1");
     CPPUNIT_ASSERT(mForwarder->Has("new"));
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -11,48 +11,52 @@
 
 /** Each watch is a call that counts, so it waits long; a connection that fell
     silent is noticed by keep-alive probes. */
-constexpr Duration kWatchWait = std::chrono::seconds(20);
+constexpr Duration kWatchWait = std::chrono::seconds(28);
 constexpr Duration kFirstRetry = std::chrono::milliseconds(200);
 constexpr Duration kMostRetry = std::chrono::milliseconds(800);
-/** Targets and VMs change often; their changes are taken in batches, well
-    within the seconds after which a leaving target may get no more requests.
-    Of VMs only the number matters, so their news may be older. */
-constexpr Duration kTargetsInterval = std::chrono::milliseconds(800);
-constexpr Duration kMembersInterval = std::chrono::seconds(3);
+/** Well within the seconds in which a configuration must be in force and a
+    leaving target may still get requests. */
+constexpr Duration kLeastInterval = std::chrono::milliseconds(800);
+constexpr Duration kMostInterval = std::chrono::milliseconds(1600);
+/** An answer with so many changes may not hold all that there are; more are
+    read at once. */
+constexpr std::size_t kManyChanges = 100;
+/** Up to this many VMs the least interval costs little. */
+constexpr std::size_t kVmsAtLeastInterval = 16;
 
 void
-FollowLater(ForwarderState& aState, StoreArea aArea, TimePoint aWhen)
+FollowLater(ForwarderState& aState, TimePoint aWhen)
 {
-  aState.mTimers.Arm(
-    aWhen, ForwarderTimer::kFollowArea, static_cast<std::uint64_t>(aArea));
+  aState.mTimers.Arm(aWhen, ForwarderTimer::kFollowStore);
 }
 
 void
 HandleFailure(ForwarderState& aState,
-              StoreArea aArea,
               const Error& aError,
               TimePoint aNow,
               ForwarderEffects& aEffects)
 {
-  AreaFollow& area = aState.mStore.Area(aArea);
+  StoreState& store = aState.mStore;
   ++aState.mCounters.mStoreFailures;
-  if (!aState.mStore.IsAway()) {
-    aState.mStore.mAwaySince = aNow;
+  if (!store.IsAway()) {
+    store.mAwaySince = aNow;
     aEffects.push_back(WriteLine{ { LineClass::kState,
                                     "store-lost",
                                     {},
-                                    { { "area", std::string(ToText(aArea)) },
-                                      { "error", aError.mMessage } } } });
+                                    { { "error", aError.mMessage } } } });
   }
   Duration wait = kFirstRetry;
-  for (unsigned count = 0; count < area.mFailures && wait < kMostRetry;
+  for (unsigned count = 0; count < store.mFailures && wait < kMostRetry;
        ++count) {
     wait *= 2;
   }
-  ++area.mFailures;
+  ++store.mFailures;
+  // What was missed is read as a whole: answers to a watch that lags far
+  // behind hold only so many changes each.
+  store.mNeedsList = true;
   const auto jitter = Duration(static_cast<std::int64_t>(
     aState.mRandom.Fraction() * static_cast<double>(wait.count()) / 2));
-  FollowLater(aState, aArea, aNow + std::min(wait, kMostRetry) + jitter);
+  FollowLater(aState, aNow + std::min(wait, kMostRetry) + jitter);
   if (!aState.mFleet.mIsAsking) {
     AskNextPeer(aState, aNow, aEffects);
   }
@@ -60,25 +64,24 @@
 
 void
 HandleAnswered(ForwarderState& aState,
-               StoreArea aArea,
                TimePoint aNow,
                ForwarderEffects& aEffects)
 {
-  AreaFollow& area = aState.mStore.Area(aArea);
-  area.mFailures = 0;
-  area.mHeard = aNow;
-  if (aState.mStore.IsAway()) {
+  StoreState& store = aState.mStore;
+  store.mFailures = 0;
+  store.mHeard = aNow;
+  if (store.IsAway()) {
     aEffects.push_back(WriteLine{
       { LineClass::kState,
         "store-regained",
         {},
-        { { "away_ms", ToMilliseconds(aNow - aState.mStore.mAwaySince) } } } });
-    aState.mStore.mAwaySince = TimePoint::max();
-    aState.mStore.mReturned = aNow;
+        { { "away_ms", ToMilliseconds(aNow - store.mAwaySince) } } } });
+    store.mAwaySince = TimePoint::max();
+    store.mReturned = aNow;
   }
 }
 
-/** Applies one change of an area. */
+/** Applies one change of the store. */
 struct ChangeHandler
 {
   ForwarderState& mState;
@@ -141,102 +144,91 @@
 
 } // namespace
 
-std::string_view
-ToText(StoreArea aArea)
+Duration
+FollowInterval(std::size_t aVms)
 {
-  switch (aArea) {
-    case StoreArea::kConfiguration:
-      return "configuration";
-    case StoreArea::kTargets:
-      return "targets";
-    case StoreArea::kMembers:
-      break;
-  }
-  return "members";
+  const auto fleets = static_cast<double>(aVms) / kVmsAtLeastInterval;
+  const auto interval = Duration(static_cast<std::int64_t>(
+    fleets * static_cast<double>(kLeastInterval.count())));
+  return std::clamp(interval, kLeastInterval, kMostInterval);
 }
 
 void
-FollowArea(ForwarderState& aState, StoreArea aArea, ForwarderEffects& aEffects)
+FollowStore(ForwarderState& aState, ForwarderEffects& aEffects)
 {
-  const AreaFollow& area = aState.mStore.Area(aArea);
   ++aState.mCounters.mStoreCalls;
-  if (area.mNeedsList) {
-    aEffects.push_back(ListArea{ aArea });
+  if (aState.mStore.mNeedsList) {
+    aEffects.push_back(ListStore{});
   } else {
-    aEffects.push_back(WatchArea{ aArea, area.mRevision, kWatchWait });
+    aEffects.push_back(WatchStore{ aState.mStore.mRevision, kWatchWait });
   }
 }
 
 void
-HandleAreaListed(ForwarderState& aState,
-                 AreaListed aEvent,
-                 TimePoint aNow,
-                 ForwarderEffects& aEffects)
+HandleEntriesListed(ForwarderState& aState,
+                    EntriesListed aEvent,
+                    TimePoint aNow,
+                    ForwarderEffects& aEffects)
 {
   if (!aEvent.mResult) {
-    HandleFailure(aState, aEvent.mArea, aEvent.mResult.error(), aNow, aEffects);
+    HandleFailure(aState, aEvent.mResult.error(), aNow, aEffects);
     return;
   }
-  HandleAnswered(aState, aEvent.mArea, aNow, aEffects);
-  AreaFollow& area = aState.mStore.Area(aEvent.mArea);
-  const AreaContent& content = *aEvent.mResult;
+  HandleAnswered(aState, aNow, aEffects);
+  const StoreContent& content = *aEvent.mResult;
   ChangeHandler handler{ aState, aNow, aEffects };
   for (const StoreChange& entry : content.mEntries) {
     std::visit(handler, entry);
   }
-  if (aEvent.mArea == StoreArea::kTargets) {
-    RemoveTargetsMissingFrom(aState, content.mEntries, aNow, aEffects);
-  } else if (aEvent.mArea == StoreArea::kMembers) {
-    RemoveMembersMissingFrom(aState.mFleet, content.mEntries, aNow);
-  }
+  RemoveTargetsMissingFrom(aState, content.mEntries, aNow, aEffects);
+  RemoveMembersMissingFrom(aState.mFleet, content.mEntries, aNow);
   RefreshAssignments(aState, aNow, aEffects);
-  area.mIsLoaded = true;
-  area.mNeedsList = false;
-  area.mRevision = content.mRevision;
-  FollowArea(aState, aEvent.mArea, aEffects);
+  aState.mStore.mIsLoaded = true;
+  aState.mStore.mNeedsList = false;
+  aState.mStore.mRevision = content.mRevision;
+  // VMs that start together enter one by one: read them in one go.
+  FollowLater(aState, aNow + FollowInterval(aState.mFleet.mMembers.size()));
 }
 
 void
-HandleAreaWatched(ForwarderState& aState,
-                  AreaWatched aEvent,
-                  TimePoint aNow,
-                  ForwarderEffects& aEffects)
+HandleChangesWatched(ForwarderState& aState,
+                     ChangesWatched aEvent,
+                     TimePoint aNow,
+                     ForwarderEffects& aEffects)
 {
   if (!aEvent.mResult) {
-    HandleFailure(aState, aEvent.mArea, aEvent.mResult.error(), aNow, aEffects);
+    HandleFailure(aState, aEvent.mResult.error(), aNow, aEffects);
     return;
   }
-  HandleAnswered(aState, aEvent.mArea, aNow, aEffects);
-  AreaFollow& area = aState.mStore.Area(aEvent.mArea);
-  const AreaChanges& changes = *aEvent.mResult;
+  HandleAnswered(aState, aNow, aEffects);
+  StoreState& store = aState.mStore;
+  const StoreChanges& changes = *aEvent.mResult;
   if (changes.mIsHistoryLost) {
     aEffects.push_back(WriteLine{
       { LineClass::kState,
         "store-history-lost",
         {},
-        { { "area", std::string(ToText(aEvent.mArea)) },
-          { "after", static_cast<std::int64_t>(area.mRevision.Value()) } } } });
-    area.mNeedsList = true;
-    FollowArea(aState, aEvent.mArea, aEffects);
+        { { "after",
+            static_cast<std::int64_t>(store.mRevision.Value()) } } } });
+    store.mNeedsList = true;
+    FollowStore(aState, aEffects);
     return;
   }
   ChangeHandler handler{ aState, aNow, aEffects };
   for (const StoreChange& change : changes.mChanges) {
     std::visit(handler, change);
   }
-  if (!changes.mChanges.empty() && aEvent.mArea != StoreArea::kConfiguration) {
-    RefreshAssignments(aState, aNow, aEffects);
+  store.mRevision = std::max(store.mRevision, changes.mRevision);
+  if (changes.mChanges.empty()) {
+    FollowStore(aState, aEffects);
+    return;
   }
-  area.mRevision = std::max(area.mRevision, changes.mRevision);
-  if (aEvent.mArea == StoreArea::kConfiguration || changes.mChanges.empty()) {
-    FollowArea(aState, aEvent.mArea, aEffects);
-  } else {
-    FollowLater(aState,
-                aEvent.mArea,
-                aNow + (aEvent.mArea == StoreArea::kTargets
-                          ? kTargetsInterval
-                          : kMembersInterval));
+  RefreshAssignments(aState, aNow, aEffects);
+  if (changes.mChanges.size() >= kManyChanges) {
+    FollowStore(aState, aEffects);
+    return;
   }
+  FollowLater(aState, aNow + FollowInterval(aState.mFleet.mMembers.size()));
 }
 
 void
--- a/modules/wasabispread_forwarding_decisions/StoreMessage.h
+++ b/modules/wasabispread_forwarding_decisions/StoreMessage.h
@@ -1,6 +1,6 @@
 /*
- * What the platform's store is asked and what it answers, in the terms of the
- * three areas that a daemon follows there.
+ * What the platform's store is asked and what it answers, in terms of the
+ * entries that a daemon follows there.
  */
 #pragma once
 
@@ -75,29 +75,15 @@
                                  MemberRemoval,
                                  UnreadableEntry>;
 
-/** Which of the store's areas a call concerns. */
-enum class StoreArea : std::uint8_t
-{
-  kConfiguration,
-  kTargets,
-  kMembers,
-};
-
-inline constexpr std::size_t kStoreAreas = 3;
-
-/** The name used in logs. */
-std::string_view
-ToText(StoreArea aArea);
-
-/** An area's whole content. */
-struct AreaContent
+/** All entries of the store. */
+struct StoreContent
 {
   std::vector<StoreChange> mEntries;
   StoreRevision mRevision;
 };
 
-/** What changed in an area since a revision. */
-struct AreaChanges
+/** What changed in the store since a revision. */
+struct StoreChanges
 {
   std::vector<StoreChange> mChanges;
   StoreRevision mRevision;
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -18,9 +18,7 @@
   policy.mRepeatRule = RepeatRule{ 0.2, 200, std::chrono::seconds(10) };
   mState = MakeForwarderState(std::move(policy), 1);
   Deliver(ForwarderStarted{});
-  for (const StoreArea area : { StoreArea::kTargets, StoreArea::kMembers }) {
-    Deliver(AreaListed{ area, AreaContent{ {}, StoreRevision(mRevision) } });
-  }
+  Deliver(EntriesListed{ StoreContent{ {}, StoreRevision(mRevision) } });
   RunFor(std::chrono::seconds(6));
 }
 
@@ -42,10 +40,9 @@
     }
   }
   IndexRoutes(configuration);
-  Change(StoreArea::kConfiguration,
-         ConfigurationChange{ std::make_shared<const RoutingConfiguration>(
-                                std::move(configuration)),
-                              std::make_shared<const std::string>("text") });
+  Change(ConfigurationChange{
+    std::make_shared<const RoutingConfiguration>(std::move(configuration)),
+    std::make_shared<const std::string>("text") });
 }
 
 void
@@ -64,22 +61,22 @@
   record.mZone = ZoneName("a");
   record.mSlots = 2;
   record.mIsDraining = aIsDraining;
-  Change(StoreArea::kTargets, TargetChange{ record });
+  Change(TargetChange{ record });
 }
 
 void
 ForwarderHarness::RemoveTarget(const std::string& aInstance)
 {
-  Change(StoreArea::kTargets, TargetRemoval{ InstanceId(aInstance) });
+  Change(TargetRemoval{ InstanceId(aInstance) });
 }
 
 void
-ForwarderHarness::Change(StoreArea aArea, StoreChange aChange)
+ForwarderHarness::Change(StoreChange aChange)
 {
-  AreaChanges changes;
+  StoreChanges changes;
   changes.mChanges.push_back(std::move(aChange));
   changes.mRevision = StoreRevision(++mRevision);
-  Deliver(AreaWatched{ aArea, std::move(changes) });
+  Deliver(ChangesWatched{ std::move(changes) });
 }
 
 CallerToken
@@ -220,9 +217,9 @@
     mAnswers.emplace_back(answer->mToken, std::move(answer->mAnswer));
   } else if (const auto* ask = std::get_if<AskPeer>(&aEffect)) {
     mPeersAsked.push_back(*ask);
-  } else if (const auto* list = std::get_if<ListArea>(&aEffect)) {
+  } else if (const auto* list = std::get_if<ListStore>(&aEffect)) {
     mLists.push_back(*list);
-  } else if (const auto* watch = std::get_if<WatchArea>(&aEffect)) {
+  } else if (const auto* watch = std::get_if<WatchStore>(&aEffect)) {
     mWatches.push_back(*watch);
   } else if (const auto* line = std::get_if<WriteLine>(&aEffect)) {
     mLines.push_back(line->mLine);
--- a/tests/support/ForwarderHarness.h
+++ b/tests/support/ForwarderHarness.h
@@ -40,7 +40,7 @@
                  bool aIsDraining = false,
                  std::uint64_t aBorn = 1);
   void RemoveTarget(const std::string& aInstance);
-  void Change(forwarding::StoreArea aArea, forwarding::StoreChange aChange);
+  void Change(forwarding::StoreChange aChange);
 
   /** A caller's request; returns its token. */
   CallerToken Ask(const std::string& aTarget,
@@ -78,8 +78,8 @@
   std::size_t mOpened = 0;
   std::vector<ConnectionId> mClosed;
   std::vector<forwarding::AskPeer> mPeersAsked;
-  std::vector<forwarding::ListArea> mLists;
-  std::vector<forwarding::WatchArea> mWatches;
+  std::vector<forwarding::ListStore> mLists;
+  std::vector<forwarding::WatchStore> mWatches;
   std::vector<forwarding::DecisionLine> mLines;
 
 private:
