Test real forwarding daemons against stand-ins of the store and of targets

Found by RejectsBadInputBeforeAnyTarget (failed before, passes now): a request with an unknown transfer coding was read as one without a body and its body as the next request. Cause: the parser leaves such codings to its user. Requests that name one are now answered by 400, replies count as broken. Children of the tests no longer inherit the tests' sockets: a target that crashed kept listening through the daemon, so its port could not be used again.

--- a/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
@@ -150,6 +150,7 @@
       answers, too late for the newest configuration. */
   void ReadsAllEntriesOnceTheStoreIsBack()
   {
+    mForwarder->RunFor(std::chrono::seconds(2));
     mForwarder->Deliver(ChangesWatched{ tl::unexpected<Error>(StoreError()) });
     mForwarder->mLists.clear();
     mForwarder->mWatches.clear();
--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -2,6 +2,7 @@
  * The client connection on Beast.
  */
 #include "AsioSupport.h"
+#include "TransferCoding.h"
 
 #include "wasabispread_runtime.h"
 
@@ -349,7 +350,10 @@
     parser.eager(true);
     parser.body_limit(kMostResponseBytes);
     parser.skip(aRequest.mMethod == "HEAD");
-    const error_code failure = connection.Read(parser);
+    error_code failure = connection.Read(parser);
+    if (!failure && HasUnknownTransferCoding(parser.get())) {
+      failure = http::error::bad_transfer_encoding;
+    }
     if (failure) {
       connection.ExpireAt(TimePoint::max());
       return ConnectionFailure(failure, connection.mPeer, Execution::kUnknown);
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -2,6 +2,7 @@
  * The server's accept loop and its connections.
  */
 #include "AsioSupport.h"
+#include "TransferCoding.h"
 
 #include "wasabispread_runtime.h"
 
@@ -120,6 +121,19 @@
   return std::nullopt;
 }
 
+/** The problem of a request whose body may end elsewhere for the next
+    reader. */
+std::optional<Error>
+BodyProblem(const http::request<http::string_body>& aRequest)
+{
+  if (!HasUnknownTransferCoding(aRequest)) {
+    return std::nullopt;
+  }
+  return Error{ ErrorKind::kMalformedRequest,
+                "the request's transfer coding is not supported",
+                "send the body chunked or with its length" };
+}
+
 /** Ends the sending side and reads on for a while: closing with unread input
     would reset the connection and take the last response with it. */
 void
@@ -203,8 +217,10 @@
   const IoResult read = Await([&](auto aHandler) {
     http::async_read(aConnection.mStream, aBuffer, parser, aHandler);
   });
-  if (read.mError) {
-    if (const auto problem = ReadProblem(read.mError)) {
+  const auto problem =
+    read.mError ? ReadProblem(read.mError) : BodyProblem(parser.get());
+  if (read.mError || problem) {
+    if (problem) {
       aConnection.mStream.expires_after(aServer.mLimits.mTransferLimit);
       WriteResponse(aConnection, FormatProblem(*problem, ""), false);
       DiscardInput(aConnection.mStream);
--- /dev/null
+++ b/tests/platform/ForwarderFleet.cpp
@@ -0,0 +1,281 @@
+/*
+ * Settings, entries and requests of the fleet.
+ */
+#include "ForwarderFleet.h"
+
+#include <tests/processes/FreePorts.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace wasabispread::testing {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kAskTimeout = std::chrono::seconds(15);
+constexpr unsigned kConnections = 26;
+constexpr std::size_t kShards = 4;
+
+Json
+RouteEntry(const std::string& aName, const std::string& aKind)
+{
+  return { { "name", aName },
+           { "host", "host.example" },
+           { "prefix", "/" + aName + "/" },
+           { "routeType", aKind },
+           { "timeoutMs", 2000 },
+           { "targetLatencyMs", 400 },
+           { "attempts", 2 },
+           { "priority", 0 } };
+}
+
+} // namespace
+
+ForwarderFleet::ForwarderFleet(std::size_t aDaemons)
+  : mFolder(MakeFolder())
+  , mStore(std::make_unique<StandInStore>(TestLoop()))
+  , mDaemons(aDaemons)
+{
+  Configure();
+  std::vector<std::string> services{ "one", "once" };
+  for (std::size_t shard = 0; shard < kShards; ++shard) {
+    services.push_back("shard-" + std::to_string(shard));
+  }
+  for (const std::string& service : services) {
+    AddTarget(service, service + "-a");
+    AddTarget(service, service + "-b");
+  }
+  for (std::size_t daemon = 0; daemon < aDaemons; ++daemon) {
+    DaemonPlace& place = mDaemons[daemon];
+    place.mDoor = mStore->OpenDoor();
+    std::generate(place.mPorts.begin(), place.mPorts.end(), NextFreePort);
+    StartDaemon(daemon);
+  }
+  for (std::size_t daemon = 0; daemon < aDaemons; ++daemon) {
+    AwaitCondition([&] { return IsReady(daemon); }, "a daemon is ready");
+  }
+}
+
+ForwarderFleet::~ForwarderFleet()
+{
+  for (DaemonPlace& place : mDaemons) {
+    place.mProcess.Kill();
+  }
+  mTargets.clear();
+  mStore.reset();
+  std::error_code ignored;
+  std::filesystem::remove_all(mFolder, ignored);
+}
+
+std::string
+ForwarderFleet::SettingsFile(std::size_t aDaemon) const
+{
+  return mFolder + "/vm-" + std::to_string(aDaemon) + ".toml";
+}
+
+std::string
+ForwarderFleet::LogFile(std::size_t aDaemon) const
+{
+  return mFolder + "/vm-" + std::to_string(aDaemon) + ".log";
+}
+
+void
+ForwarderFleet::StartDaemon(std::size_t aDaemon)
+{
+  DaemonPlace& place = mDaemons.at(aDaemon);
+  const auto address = [&](std::size_t aPort) {
+    return "\"127.0.0.1:" + std::to_string(place.mPorts.at(aPort)) + "\"\n";
+  };
+  std::ofstream(SettingsFile(aDaemon))
+    << "name = \"vm-" << aDaemon << "\"\nzone = \"zone-a\"\nstore = \""
+    << ToText(place.mDoor)
+    << "\"\nstop_grace_seconds = 4\n[listen]\ncallers = " << address(0)
+    << "readiness = " << address(1) << "peers = " << address(2)
+    << "[repeats]\nshare = 0.2\nfixed = 200\nwindow_seconds = 10\n";
+  place.mProcess =
+    ChildProcess("wasabispreadd",
+                 { "--forward", "--settings", SettingsFile(aDaemon) },
+                 LogFile(aDaemon));
+}
+
+StandInTarget&
+ForwarderFleet::AddTarget(const std::string& aService,
+                          const std::string& aInstance,
+                          std::uint16_t aPort)
+{
+  mTargets.push_back(
+    std::make_unique<StandInTarget>(TestLoop(),
+                                    mRuns,
+                                    aService,
+                                    aInstance,
+                                    aPort == 0 ? NextFreePort() : aPort));
+  Register(*mTargets.back());
+  return *mTargets.back();
+}
+
+StandInTarget&
+ForwarderFleet::Target(const std::string& aInstance)
+{
+  const auto place =
+    std::find_if(mTargets.rbegin(), mTargets.rend(), [&](const auto& aTarget) {
+      return aTarget->Instance() == aInstance;
+    });
+  if (place == mTargets.rend()) {
+    throw std::logic_error("no target " + aInstance);
+  }
+  return **place;
+}
+
+void
+ForwarderFleet::Register(const StandInTarget& aTarget,
+                         const std::string& aState,
+                         const std::string& aInstance)
+{
+  const Json entry{ { "service", aTarget.Service() },
+                    { "address",
+                      "127.0.0.1:" + std::to_string(aTarget.Port()) },
+                    { "zone", "zone-a" },
+                    { "version", "1" },
+                    { "slots", aTarget.mSlots },
+                    { "state", aState },
+                    { "warmupLeftMs", 0 },
+                    { "seq", ++mSequence },
+                    { "born", 1 } };
+  mStore->Put("servers/" + (aInstance.empty() ? aTarget.Instance() : aInstance),
+              entry.dump());
+}
+
+void
+ForwarderFleet::Misbehave(const std::string& aService,
+                          Misbehaviour aMisbehaviour)
+{
+  for (const auto& target : mTargets) {
+    if (target->Service() == aService) {
+      target->mMisbehaviour = aMisbehaviour;
+    }
+  }
+}
+
+void
+ForwarderFleet::Configure(const std::string& aOneService)
+{
+  Json one = RouteEntry("one", "idempotent");
+  one["service"] = aOneService;
+  Json once = RouteEntry("once", "non_idempotent");
+  once["service"] = "once";
+  Json search = RouteEntry("search", "idempotent");
+  search["gather"] = Json::array();
+  search["topK"] = 5;
+  search["minCoverage"] = 0.5;
+  Json services = Json::array();
+  const auto add = [&](const std::string& aName) {
+    services.push_back({ { "name", aName },
+                         { "healthPath", "/health" },
+                         { "maxConns", kConnections } });
+  };
+  for (std::size_t shard = 0; shard < kShards; ++shard) {
+    search["gather"].push_back("shard-" + std::to_string(shard));
+    add("shard-" + std::to_string(shard));
+  }
+  add("one");
+  add("once");
+  if (aOneService != "one" && aOneService != "once") {
+    add(aOneService);
+  }
+  mVersion += 3;
+  mStore->Put("op/config",
+              Json{ { "version", mVersion },
+                    { "routes", { one, once, search } },
+                    { "services", services },
+                    { "limits",
+                      { { "maxHeaderBytes", 8192 },
+                        { "maxBodyBytes", 100000 },
+                        { "headerTimeoutMs", 3000 },
+                        { "idleTimeoutMs", 15000 } } } }
+                .dump());
+}
+
+ForwarderAnswer
+ForwarderFleet::AskOn(HttpConnection& aConnection, const ForwarderAsk& aAsk)
+{
+  const std::string id = "r" + std::to_string(mNextRequest++);
+  HttpRequest request;
+  request.mMethod = aAsk.mMethod;
+  request.mTarget = aAsk.mPath;
+  request.mBody = aAsk.mBody;
+  request.mHeaders = aAsk.mHeaders;
+  request.mHeaders.push_back({ "Host", "host.example" });
+  request.mHeaders.push_back({ "Wasabispread-Request-Id", id });
+  request.mHeaders.push_back(
+    { "Wasabispread-Request-Deadline-Ms", aAsk.mPatienceMs });
+  return { id, aConnection.Exchange(request, kAskTimeout) };
+}
+
+ForwarderAnswer
+ForwarderFleet::Ask(const ForwarderAsk& aAsk, std::size_t aDaemon)
+{
+  HttpConnection connection(TestLoop());
+  auto connected = connection.Connect(Callers(aDaemon), kAskTimeout);
+  if (!connected) {
+    return { "", tl::unexpected<Error>(connected.error()) };
+  }
+  return AskOn(connection, aAsk);
+}
+
+Endpoint
+ForwarderFleet::Callers(std::size_t aDaemon) const
+{
+  return { "127.0.0.1", mDaemons.at(aDaemon).mPorts[0] };
+}
+
+bool
+ForwarderFleet::IsReady(std::size_t aDaemon)
+{
+  HttpRequest request;
+  request.mTarget = "/-/ready";
+  const auto answer =
+    ExchangeOnce(TestLoop(),
+                 Endpoint{ "127.0.0.1", mDaemons.at(aDaemon).mPorts[1] },
+                 request,
+                 std::chrono::seconds(1));
+  return answer && answer->mStatus == 200;
+}
+
+std::size_t
+ForwarderFleet::RunsOf(const std::string& aRequestId) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRuns.begin(), mRuns.end(), [&](const TargetRun& aRun) {
+      return aRun.mRequestId == aRequestId;
+    }));
+}
+
+std::vector<nlohmann::json>
+ForwarderFleet::Lines(std::size_t aDaemon) const
+{
+  std::vector<Json> lines;
+  std::istringstream text(ReadWholeFile(LogFile(aDaemon)));
+  for (std::string line; std::getline(text, line);) {
+    Json json = Json::parse(line, nullptr, false);
+    if (json.is_object()) {
+      lines.push_back(std::move(json));
+    }
+  }
+  return lines;
+}
+
+bool
+ForwarderFleet::HasLogged(std::size_t aDaemon, const std::string& aEvent) const
+{
+  const auto lines = Lines(aDaemon);
+  return std::any_of(lines.begin(), lines.end(), [&](const Json& aLine) {
+    return aLine.value("event", "") == aEvent;
+  });
+}
+
+} // namespace wasabispread::testing
--- a/tests/processes/ChildProcess.cpp
+++ b/tests/processes/ChildProcess.cpp
@@ -94,6 +94,9 @@
                                    O_WRONLY | O_CREAT | O_APPEND,
                                    kOwnerOnly);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // Stand-ins of the test's own process listen on sockets that a child would
+  // keep open.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t pid = 0;
   const int error = posix_spawn(
     &pid, path.c_str(), &actions, nullptr, arguments.data(), environ);
@@ -146,6 +149,12 @@
   }
 }
 
+void
+ChildProcess::Reload() const
+{
+  kill(mPid, SIGHUP);
+}
+
 void
 ChildProcess::Freeze()
 {
--- a/tests/processes/ChildProcess.h
+++ b/tests/processes/ChildProcess.h
@@ -44,6 +44,9 @@
   /** SIGTERM, without waiting. */
   void Terminate();
 
+  /** SIGHUP: the process reads its settings again. */
+  void Reload() const;
+
   /** SIGSTOP: the process does nothing until thawed. */
   void Freeze();
 
--- a/tests/processes/ProcessFleet.cpp
+++ b/tests/processes/ProcessFleet.cpp
@@ -10,7 +10,6 @@
 #include <sstream>
 #include <stdexcept>
 
-#include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <stdlib.h>
 
@@ -23,18 +22,6 @@
 constexpr std::size_t kPortsPerDaemon = 3;
 constexpr unsigned kShards = 6;
 constexpr Duration kCallTimeout = std::chrono::seconds(15);
-constexpr Duration kPoll = std::chrono::milliseconds(5);
-constexpr Duration kConditionLimit = std::chrono::seconds(20);
-
-std::string
-MakeFolder()
-{
-  std::string name = "/tmp/wasabispread-XXXXXX";
-  if (mkdtemp(name.data()) == nullptr) {
-    throw std::runtime_error("cannot make a folder under /tmp");
-  }
-  return name;
-}
 
 std::string
 ServiceText(const std::string& aName, unsigned aReplicas)
@@ -103,50 +90,6 @@
 
 } // namespace
 
-IoLoop&
-TestLoop()
-{
-  // Never destroyed: fibers of failed tests may still refer to it.
-  static IoLoop* loop = new IoLoop();
-  return *loop;
-}
-
-void
-AwaitCondition(const std::function<bool()>& aCondition,
-               const std::string& aWhat)
-{
-  const TimePoint until = NodeRunner::Now() + kConditionLimit;
-  while (!aCondition()) {
-    if (NodeRunner::Now() > until) {
-      throw std::runtime_error("never came true: " + aWhat);
-    }
-    boost::this_fiber::sleep_for(kPoll);
-  }
-}
-
-void
-RunConcurrently(std::size_t aFibers,
-                const std::function<void(std::size_t)>& aBody)
-{
-  std::vector<boost::fibers::fiber> fibers;
-  std::exception_ptr failure;
-  for (std::size_t index = 0; index < aFibers; ++index) {
-    fibers.emplace_back(boost::fibers::launch::post, [&aBody, &failure, index] {
-      try {
-        aBody(index);
-      } catch (...) {
-        failure = std::current_exception();
-      }
-    });
-  }
-  for (auto& fiber : fibers) {
-    fiber.join();
-  }
-  if (failure) {
-    std::rethrow_exception(failure);
-  }
-}
-
 ProcessFleet::ProcessFleet()
   : mFolder(MakeFolder())
   , mDeploymentFile(mFolder + "/deployment.toml")
--- a/tests/processes/ProcessFleet.h
+++ b/tests/processes/ProcessFleet.h
@@ -6,10 +6,10 @@
 
 #include "ChildProcess.h"
 #include "HistoryChecker.h"
+#include "TestLoop.h"
 
 #include <wasabispread_runtime/wasabispread_runtime.h>
 
-#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -142,18 +142,4 @@
 std::shared_ptr<ProcessFleet>
 AcquireFleet();
 
-/** The loop that all callers of this program share. */
-IoLoop&
-TestLoop();
-
-/** Waits, at most 20 s, until a condition holds; throws when it never does. */
-void
-AwaitCondition(const std::function<bool()>& aCondition,
-               const std::string& aWhat);
-
-/** Runs the body in as many fibers as told until it returns in each. */
-void
-RunConcurrently(std::size_t aFibers,
-                const std::function<void(std::size_t)>& aBody);
-
 } // namespace wasabispread::testing
