Let the owners of shards in each zone query them for the zone's VMs

Cause: with 66 to 70 VMs each saw 0.6 searches a second: too few to know which of 270 targets pause, and its connections to all of them timed out unused. The VM that took a search sends each owner its shards; the owner replies with proofs and the greatest records, at the aim and at the end. It says at once that it began, and this is confirmed; without that word the asking VM queries the shards itself.

--- a/modules/wasabispread_config/ForwarderSettings.cpp
+++ b/modules/wasabispread_config/ForwarderSettings.cpp
@@ -82,6 +82,11 @@
   settings.mZone = ZoneName(reader.RequiredString("zone").value_or(""));
   settings.mStoreAddress =
     reader.RequiredEndpoint("store").value_or(Endpoint{});
+  constexpr double kLeastProcessor = 0.01;
+  constexpr double kMostProcessor = 1024;
+  settings.mProcessorShare =
+    reader.OptionalNumber("processor_share", kLeastProcessor, kMostProcessor)
+      .value_or(settings.mProcessorShare);
   const auto grace =
     reader.OptionalNumber("stop_grace_seconds", kLeastGrace, kMostGrace);
   if (grace) {
--- a/modules/wasabispread_config/ForwarderSettings.h
+++ b/modules/wasabispread_config/ForwarderSettings.h
@@ -23,6 +23,9 @@
   Endpoint mMetricsAddress;
   /** The platform's key-value store. */
   Endpoint mStoreAddress;
+  /** The part of a processor core that this VM has; VMs with more take more of
+      the work that a fleet shares. */
+  double mProcessorShare = 1;
   LogLevel mLogLevel = LogLevel::kInfo;
   /** All VMs together send at most this share of a service's requests a
       second time, plus a fixed number, in each window. */
--- a/modules/wasabispread_decisions/PeerMessage.h
+++ b/modules/wasabispread_decisions/PeerMessage.h
@@ -101,6 +101,67 @@
   std::vector<RegisteredTarget> mTargets;
 };
 
+/** A field of a request's header. */
+struct RelayedField
+{
+  std::string mName;
+  std::string mValue;
+};
+
+/** Asks another VM to query some shards of a search and to merge what they
+    return. Identified by its sender and mSequence. */
+struct SubSearch
+{
+  std::uint64_t mSequence = 0;
+  RequestId mRequestId;
+  std::string mMethod;
+  std::string mTarget;
+  std::vector<RelayedField> mFields;
+  std::string mBody;
+  /** The hash of the route's name. */
+  std::uint64_t mRoute = 0;
+  /** The services that hold the shards. */
+  std::vector<ServiceId> mShards;
+  std::uint32_t mTopRecords = 0;
+  /** The most targets at which the request may run, for each shard. */
+  std::uint32_t mMostTargets = 1;
+  /** How long until a partial result is wanted, and until the end. */
+  Duration mAim{};
+  Duration mPatience{};
+};
+
+/** What shards of a sub-search returned since the reply before. The first
+    reply comes at once and holds nothing: it says that the work began. */
+struct SubSearchReply
+{
+  std::uint64_t mSequence = 0;
+  /** Positions in SubSearch::mShards, and the proof of each. */
+  std::vector<std::uint32_t> mShards;
+  std::vector<std::string> mProofs;
+  /** The greatest records of these shards. */
+  std::string mRecords;
+  bool mIsLast = false;
+  /** Nothing was begun: the VM is stopping or knows no targets. */
+  bool mIsRefused = false;
+  /** The VM reaches no targets in other availability zones. */
+  bool mIsCutOff = false;
+};
+
+/** Says that the first reply came in time. Until then a shard is sent to one
+    target only, since the asking VM may be sending it to another. */
+struct SubSearchConfirm
+{
+  std::uint64_t mSequence = 0;
+};
+
+/** A sub-search whose result is no longer wanted. */
+struct SubSearchCancel
+{
+  std::uint64_t mSequence = 0;
+  /** Whether the caller left, so that targets should stop their work. */
+  bool mIsCallerGone = false;
+};
+
 using PeerMessage = std::variant<BatchRequest,
                                  BatchReply,
                                  BatchCancel,
@@ -113,6 +174,10 @@
                                  ConfirmationRequest,
                                  ConfirmationReply,
                                  RoutingRequest,
-                                 RoutingReply>;
+                                 RoutingReply,
+                                 SubSearch,
+                                 SubSearchReply,
+                                 SubSearchCancel,
+                                 SubSearchConfirm>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -29,6 +29,7 @@
   policy.mName = aSettings.mName;
   policy.mZone = aSettings.mZone;
   policy.mPeerAddress = aSettings.mPeerAddress;
+  policy.mProcessorShare = aSettings.mProcessorShare;
   policy.mRepeatRule = RepeatRule{ aSettings.mRepeatShare,
                                    aSettings.mFixedRepeats,
                                    aSettings.mRepeatWindow };
--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -15,6 +15,22 @@
 /** What a caller gets whose connection is closed already. */
 constexpr const char* kCallerGone = "the caller closed its connection";
 
+/** The request that a sub-search asks targets. */
+ForwardedRequestPointer
+RequestFrom(const SubSearch& aSearch)
+{
+  ForwardedRequest request;
+  request.mId = aSearch.mRequestId;
+  request.mTarget = aSearch.mTarget;
+  request.mMessage.mMethod = aSearch.mMethod;
+  request.mMessage.mTarget = aSearch.mTarget;
+  request.mMessage.mBody = aSearch.mBody;
+  for (const RelayedField& field : aSearch.mFields) {
+    request.mMessage.mHeaders.push_back({ field.mName, field.mValue });
+  }
+  return std::make_shared<const ForwardedRequest>(std::move(request));
+}
+
 } // namespace
 
 /** A connection to a target and the request to send on it next. */
@@ -75,8 +91,9 @@
       HandlePeerMessage(aPeer, aAddress, aMessage);
     };
   handlers.mNotSent = [](VmId, const std::vector<AttemptSequence>&) {};
-  // A question that is lost is asked of the next VM when its time comes.
-  handlers.mLost = [](VmId) {};
+  // A lost question about the routing is asked of the next VM when its time
+  // comes.
+  handlers.mLost = [this](VmId aPeer) { Deliver(VmLost{ aPeer }); };
   handlers.mNote = [this](const std::string& aNote) {
     mLog.Write(
       DecisionLine{
@@ -108,6 +125,14 @@
       routing.mConfiguration = mAdapter.ReadConfiguration(reply->mText);
     }
     Deliver(std::move(routing));
+  } else if (const auto* search = std::get_if<SubSearch>(&aMessage)) {
+    Deliver(SubSearchArrived{ aPeer, aAddress, *search, RequestFrom(*search) });
+  } else if (const auto* found = std::get_if<SubSearchReply>(&aMessage)) {
+    Deliver(SubSearchReplied{ aPeer, aAddress, *found });
+  } else if (const auto* cancel = std::get_if<SubSearchCancel>(&aMessage)) {
+    Deliver(SubSearchCancelled{ aPeer, *cancel });
+  } else if (const auto* confirm = std::get_if<SubSearchConfirm>(&aMessage)) {
+    Deliver(SubSearchConfirmed{ aPeer, *confirm });
   }
 }
 
@@ -239,9 +264,12 @@
 {
   StartFiber([this, lease = aEffect.mLease] {
     const ForwarderPolicy& policy = mState.mPolicy;
-    Deliver(MemberWritten{ mStore.Enter(
-      lease,
-      MemberRecord{ policy.mName, policy.mZone, policy.mPeerAddress }) });
+    Deliver(
+      MemberWritten{ mStore.Enter(lease,
+                                  MemberRecord{ policy.mName,
+                                                policy.mZone,
+                                                policy.mPeerAddress,
+                                                policy.mProcessorShare }) });
   });
 }
 
@@ -267,6 +295,16 @@
                    RoutingRequest{ aEffect.mKnown.Value() });
 }
 
+void
+ForwarderRunner::Perform(TellPeer& aEffect)
+{
+  std::visit(
+    [&](auto& aMessage) {
+      mTransport->Send(aEffect.mVm, aEffect.mAddress, std::move(aMessage));
+    },
+    aEffect.mMessage);
+}
+
 void
 ForwarderRunner::Perform(LimitCallers& aEffect)
 {
--- a/modules/wasabispread_forwarding/ForwarderRunner.h
+++ b/modules/wasabispread_forwarding/ForwarderRunner.h
@@ -66,6 +66,7 @@
   void Perform(RenewLease& aEffect);
   void Perform(EndLease& aEffect);
   void Perform(AskPeer& aEffect);
+  void Perform(TellPeer& aEffect);
   void Perform(LimitCallers& aEffect);
   void Perform(WriteLine& aEffect);
 
--- a/modules/wasabispread_forwarding_decisions/Answers.cpp
+++ b/modules/wasabispread_forwarding_decisions/Answers.cpp
@@ -3,6 +3,8 @@
  */
 #include "RequestSteps.h"
 
+#include "SubSearches.h"
+
 #include <algorithm>
 
 namespace wasabispread::forwarding {
@@ -25,7 +27,9 @@
 bool
 HasRun(const RequestState& aRequest)
 {
-  return std::any_of(aRequest.mLegs.begin(),
+  // What another VM began may have run.
+  return !aRequest.mDelegates.empty() ||
+         std::any_of(aRequest.mLegs.begin(),
                      aRequest.mLegs.end(),
                      [](const Leg& aLeg) { return aLeg.mRuns > 0; });
 }
@@ -85,10 +89,14 @@
   for (const Leg& leg : aRequest.mLegs) {
     if (leg.mStatus == LegStatus::kAnswered) {
       answer.mProofs.push_back(leg.mReply->mProof);
+      // Empty for a delegated leg, whose records are among those merged.
       parts.push_back(leg.mReply->mMessage.mBody);
     }
   }
-  answer.mMissingShards = aRequest.mLegs.size() - parts.size();
+  answer.mMissingShards = aRequest.mLegs.size() - answer.mProofs.size();
+  parts.insert(parts.end(),
+               aRequest.mDelegatedRecords.begin(),
+               aRequest.mDelegatedRecords.end());
   answer.mRecords = GreatestRecords(parts, aRequest.mRoute->mTopRecords);
   return answer;
 }
@@ -110,7 +118,9 @@
     ++named;
     text += text.empty() ? "" : " ";
     text += NameOf(aState, leg.mService) + ":";
-    if (leg.mWaitingAt != TargetKey{}) {
+    if (leg.mIsDelegated) {
+      text += "delegated";
+    } else if (leg.mWaitingAt != TargetKey{}) {
       text += "waiting";
     } else if (!leg.mInFlight.empty()) {
       text += "no-reply";
@@ -218,6 +228,10 @@
             TimePoint aNow,
             ForwarderEffects& aEffects)
 {
+  if (aRequest.mOrigin) {
+    ReportIfDue(aState, aRequest, aNow, aEffects);
+    return;
+  }
   if (!IsAnswerDue(aRequest, aNow)) {
     return;
   }
@@ -229,6 +243,7 @@
   const CallerToken token = aRequest.mRequest->mToken;
   aEffects.push_back(
     AnswerRequest{ token, aRequest.mRequest->mId, std::move(answer) });
+  CancelDelegates(aState, aRequest, false, aEffects);
   AbandonSendings(aState, aRequest, aNow);
   aState.mRequestOfCaller.erase(token);
   aState.mRequests.erase(aRequest.mKey);
--- a/modules/wasabispread_forwarding_decisions/Assignment.cpp
+++ b/modules/wasabispread_forwarding_decisions/Assignment.cpp
@@ -106,6 +106,7 @@
   if (aState.mConfiguration == nullptr) {
     return;
   }
+  RefreshDelegation(aState, aNow);
   const std::vector<std::string> vms = MemberNames(aState);
   for (const auto& [service, keys] : aState.mTargetsOfService) {
     std::vector<AssignableTarget> targets;
@@ -113,12 +114,15 @@
       const TargetRecord& record = aState.mTargets.at(key).mRecord;
       targets.push_back({ record.mInstance, record.mZone });
     }
-    const std::vector<bool> assigned = AssignTargets(targets,
-                                                     vms,
-                                                     aState.mPolicy.mName,
-                                                     aState.mPolicy.mZone,
-                                                     service,
-                                                     MostVms(aState, service));
+    const std::vector<bool> assigned =
+      aState.mDelegation.Covers(service)
+        ? std::vector<bool>(targets.size(), IsOwn(aState, service))
+        : AssignTargets(targets,
+                        vms,
+                        aState.mPolicy.mName,
+                        aState.mPolicy.mZone,
+                        service,
+                        MostVms(aState, service));
     for (std::size_t position = 0; position < keys.size(); ++position) {
       TargetState& target = aState.mTargets.at(keys[position]);
       if (target.mIsAssigned && !assigned[position]) {
--- a/modules/wasabispread_forwarding_decisions/Fleet.cpp
+++ b/modules/wasabispread_forwarding_decisions/Fleet.cpp
@@ -68,7 +68,9 @@
 void
 ApplyMember(FleetState& aFleet, const MemberRecord& aRecord)
 {
-  aFleet.mMembers[aRecord.mName] = Member{ aRecord };
+  Member member;
+  member.mRecord = aRecord;
+  aFleet.mMembers[aRecord.mName] = std::move(member);
 }
 
 void
--- a/modules/wasabispread_forwarding_decisions/Fleet.h
+++ b/modules/wasabispread_forwarding_decisions/Fleet.h
@@ -23,6 +23,8 @@
   MemberRecord mRecord;
   /** When its entry was removed; TimePoint::max() while it is there. */
   TimePoint mLeft = TimePoint::max();
+  /** Until when it is given no shards, because it did not answer. */
+  TimePoint mSuspectUntil{};
 };
 
 /** How far this VM's own entry has come. */
--- a/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
@@ -86,6 +86,15 @@
   ConfigurationVersion mKnown;
 };
 
+/** Send a message about a sub-search to another VM. */
+struct TellPeer
+{
+  VmId mVm;
+  Endpoint mAddress;
+  std::variant<SubSearch, SubSearchReply, SubSearchCancel, SubSearchConfirm>
+    mMessage;
+};
+
 /** Apply new limits to callers. */
 struct LimitCallers
 {
@@ -109,6 +118,7 @@
                                      RenewLease,
                                      EndLease,
                                      AskPeer,
+                                     TellPeer,
                                      LimitCallers,
                                      WriteLine>;
 
--- a/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
@@ -90,6 +90,44 @@
   std::vector<RegisteredTarget> mTargets;
 };
 
+/** Another VM wants shards of a search queried. */
+struct SubSearchArrived
+{
+  VmId mVm;
+  Endpoint mAddress;
+  SubSearch mSearch;
+  /** The request as targets get it. */
+  ForwardedRequestPointer mRequest;
+};
+
+/** Another VM no longer wants a sub-search. */
+struct SubSearchCancelled
+{
+  VmId mVm;
+  SubSearchCancel mCancel;
+};
+
+/** Another VM knows that its sub-search was begun. */
+struct SubSearchConfirmed
+{
+  VmId mVm;
+  SubSearchConfirm mConfirm;
+};
+
+/** Another VM replied to a sub-search. */
+struct SubSearchReplied
+{
+  VmId mVm;
+  Endpoint mAddress;
+  SubSearchReply mReply;
+};
+
+/** The connection to another VM broke. */
+struct VmLost
+{
+  VmId mVm;
+};
+
 /** The process was asked to stop. */
 struct ForwarderStopRequested
 {};
@@ -111,6 +149,11 @@
                                     MemberWritten,
                                     LeaseRenewed,
                                     PeerRouting,
+                                    SubSearchArrived,
+                                    SubSearchCancelled,
+                                    SubSearchConfirmed,
+                                    SubSearchReplied,
+                                    VmLost,
                                     ForwarderStopRequested,
                                     ForwarderTick>;
 
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -117,6 +117,31 @@
     HandlePeerRouting(mState, aEvent, mNow, mEffects);
   }
 
+  void operator()(const SubSearchArrived& aEvent)
+  {
+    HandleSubSearchArrived(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const SubSearchCancelled& aEvent)
+  {
+    HandleSubSearchCancelled(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const SubSearchConfirmed& aEvent)
+  {
+    HandleSubSearchConfirmed(mState, aEvent);
+  }
+
+  void operator()(const SubSearchReplied& aEvent)
+  {
+    HandleSubSearchReplied(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const VmLost& aEvent)
+  {
+    HandleVmLost(mState, aEvent, mNow, mEffects);
+  }
+
   void operator()(ForwarderStopRequested)
   {
     if (mState.mIsStopping) {
@@ -202,6 +227,7 @@
   ForwarderState state;
   state.mPolicy = std::move(aPolicy);
   state.mRandom = Random(aSeed);
+  state.mNextSubSearch = aSeed;
   return state;
 }
 
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "Delegation.h"
 #include "Fleet.h"
 #include "RepeatBudget.h"
 #include "RequestState.h"
@@ -28,7 +29,8 @@
   kFollowStore,
   /** Key: the target whose entry vanished. */
   kLapse,
-  /** No key: the VMs that start together have entered. */
+  /** No key: the VMs that start together have entered, or one that was
+      suspected may own shards again. */
   kFleetSettled,
   /** No key. */
   kLease,
@@ -42,6 +44,8 @@
   std::string mName;
   ZoneName mZone;
   Endpoint mPeerAddress;
+  /** The part of a processor core that this VM has. */
+  double mProcessorShare = 1;
   RepeatRule mRepeatRule;
   /** The round trip to callers. */
   Duration mCallerRoundTrip = std::chrono::milliseconds(6);
@@ -63,6 +67,7 @@
   std::uint64_t mHedges = 0;
   std::uint64_t mRetries = 0;
   std::uint64_t mRepeatsWithheld = 0;
+  std::uint64_t mSubSearches = 0;
   std::uint64_t mConnectionsOpened = 0;
   std::uint64_t mConnectionFailures = 0;
   std::uint64_t mStoreCalls = 0;
@@ -98,6 +103,7 @@
   TimePoint mStarted{};
   StoreState mStore;
   FleetState mFleet;
+  Delegation mDelegation;
   RoutingPointer mConfiguration;
   /** mConfiguration as the store holds it. */
   SharedBytes mConfigurationText;
@@ -109,6 +115,10 @@
   std::unordered_map<ConnectionId, TargetConnection> mConnections;
   std::unordered_map<RequestKey, RequestState> mRequests;
   std::unordered_map<CallerToken, RequestKey> mRequestOfCaller;
+  /** Sub-searches at other VMs, by sequence. */
+  std::unordered_map<std::uint64_t, SubSearchRef> mSubSearches;
+  /** Sub-searches for other VMs, by VM and its sequence. */
+  std::map<std::pair<VmId, std::uint64_t>, RequestKey> mSearchesForVms;
   std::unordered_map<RouteId, RouteKnowledge> mRoutes;
   std::unordered_map<ServiceId, RepeatBudget> mBudgets;
   /** The services that a route of mConfiguration leads to. */
@@ -124,6 +134,8 @@
   std::uint64_t mNextTarget = 1;
   std::uint64_t mNextConnection = 1;
   std::uint64_t mNextRequest = 1;
+  /** Begins anywhere, so that no reply to an earlier life is taken. */
+  std::uint64_t mNextSubSearch = 1;
   bool mIsStopping = false;
 
   /** Whether callers' requests can be served. */
--- a/modules/wasabispread_forwarding_decisions/Isolation.cpp
+++ b/modules/wasabispread_forwarding_decisions/Isolation.cpp
@@ -59,13 +59,18 @@
         return CanServe(aState, aPart.mService, aNow);
       });
   }
-  const auto served = std::count_if(
-    aRoute.mShards.begin(), aRoute.mShards.end(), [&](ServiceId aShard) {
-      return CanServe(aState, aShard, aNow);
-    });
-  return served > 0 &&
-         static_cast<double>(served) >=
-           aRoute.mLeastCoverage * static_cast<double>(aRoute.mShards.size());
+  // Other VMs know of the shards that they own.
+  std::size_t own = 0;
+  std::size_t served = 0;
+  for (const ServiceId shard : aRoute.mShards) {
+    if (IsOwn(aState, shard)) {
+      ++own;
+      served += CanServe(aState, shard, aNow) ? 1 : 0;
+    }
+  }
+  return own == 0 ||
+         (served > 0 && static_cast<double>(served) >=
+                          aRoute.mLeastCoverage * static_cast<double>(own));
 }
 
 void
@@ -87,6 +92,9 @@
 bool
 IsCutOff(const ForwarderState& aState, TimePoint aNow)
 {
+  if (aNow < aState.mDelegation.mCutOffUntil) {
+    return true;
+  }
   const bool isSilent = aState.mSentElsewhere > aState.mHeardElsewhere &&
                         aNow - aState.mHeardElsewhere > kSilenceOfACut;
   if (!isSilent || aState.mConfiguration == nullptr) {
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -65,16 +65,14 @@
 }
 
 bool
-MayRetry(const ForwarderState& aState,
-         const RequestState& aRequest,
+MayRetry(const RequestState& aRequest,
          const Leg& aLeg,
          const SendingFailure& aFailure,
          TimePoint aNow)
 {
-  const Route& route = *aRequest.mRoute;
-  const bool isHarmless = route.IsIdempotent() || IsWithoutEffect(aFailure);
-  static_cast<void>(aState);
-  return isHarmless && aLeg.mRuns < route.mMostTargets &&
+  const bool isHarmless =
+    aRequest.mRoute->IsIdempotent() || IsWithoutEffect(aFailure);
+  return isHarmless && aLeg.mRuns < aRequest.MostTargets() &&
          aLeg.mSendings < kMostSendings &&
          aNow + kLeastRetryTime < aRequest.mDeadline;
 }
@@ -89,7 +87,7 @@
       ForwarderEffects& aEffects)
 {
   Leg& leg = aRequest.mLegs[aLeg];
-  if (!MayRetry(aState, aRequest, leg, aFailure, aNow)) {
+  if (!MayRetry(aRequest, leg, aFailure, aNow)) {
     return false;
   }
   const bool isRepeat = leg.mSendings > 0;
--- a/modules/wasabispread_forwarding_decisions/RequestSteps.h
+++ b/modules/wasabispread_forwarding_decisions/RequestSteps.h
@@ -17,6 +17,13 @@
         TimePoint aNow,
         ForwarderEffects& aEffects);
 
+/** Closes the connections of all sendings, so that the targets stop. */
+void
+CloseSendings(ForwarderState& aState,
+              const RequestState& aRequest,
+              TimePoint aNow,
+              ForwarderEffects& aEffects);
+
 /** Ends a pending leg without a result. */
 void
 FailLeg(RequestState& aRequest, std::uint32_t aLeg);
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -3,6 +3,8 @@
  */
 #include "RequestSteps.h"
 
+#include "SubSearches.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -13,6 +15,8 @@
 /** A leg that waits for a connection looks for a free one elsewhere after
     this time, about a handshake's. */
 constexpr Duration kMoveAfter = std::chrono::milliseconds(8);
+/** How soon a late leg of an unconfirmed sub-search is looked at again. */
+constexpr Duration kConfirmPoll = std::chrono::milliseconds(3);
 /** The part of the allowance for repeats that hedges leave to retries after
     failures. */
 constexpr double kKeptForRetries = 0.25;
@@ -44,10 +48,7 @@
 }
 
 void
-AddLegs(ForwarderState& aState,
-        RequestState& aRequest,
-        RouteKnowledge& aKnowledge,
-        TimePoint aNow)
+AddLegs(RequestState& aRequest, RouteKnowledge& aKnowledge)
 {
   std::vector<ServiceId> services = aRequest.mRoute->mShards;
   if (services.empty()) {
@@ -57,7 +58,6 @@
     Leg leg;
     leg.mService = service;
     aRequest.mLegs.push_back(std::move(leg));
-    CountRequest(aState.mBudgets[service], aState.mPolicy.mRepeatRule, aNow);
   }
   aRequest.mPending = aRequest.mLegs.size();
 }
@@ -84,7 +84,7 @@
   const Duration roundTrip = aState.mPolicy.mCallerRoundTrip;
   request.mDeadline = DeadlineOf(*aMessage, *route, roundTrip, aNow);
   request.mAimAt = AimOf(*aMessage, *route, knowledge, roundTrip, aNow);
-  AddLegs(aState, request, knowledge, aNow);
+  AddLegs(request, knowledge);
   aState.mRequestOfCaller[aMessage->mToken] = request.mKey;
   const RequestKey key = request.mKey;
   return aState.mRequests.emplace(key, std::move(request)).first->second;
@@ -121,6 +121,10 @@
   if (!route.IsIdempotent() || leg.mRuns >= route.mMostTargets) {
     return;
   }
+  if (leg.mRuns >= aRequest.MostTargets()) {
+    late.mHedgeAt = aNow + kConfirmPoll;
+    return;
+  }
   TargetState* other =
     ChooseTarget(aState, leg.mService, route.mId, leg.mTried, aNow);
   if (other == nullptr || other->mIdle.empty() ||
@@ -190,7 +194,7 @@
 TimePoint
 NextReview(const RequestState& aRequest, TimePoint aNow)
 {
-  TimePoint next = aRequest.mDeadline;
+  TimePoint next = std::min(aRequest.mDeadline, NextDelegateReview(aRequest));
   if (aRequest.mRoute->IsSearch() && aNow < aRequest.mAimAt) {
     next = std::min(next, aRequest.mAimAt);
   }
@@ -234,7 +238,14 @@
     return;
   }
   RequestState& request = AddRequest(aState, aEvent.mRequest, aNow);
+  DelegateLegs(aState, request, aNow, aEffects);
   for (std::uint32_t leg = 0; leg < request.mLegs.size(); ++leg) {
+    if (request.mLegs[leg].mIsDelegated) {
+      continue;
+    }
+    CountRequest(aState.mBudgets[request.mLegs[leg].mService],
+                 aState.mPolicy.mRepeatRule,
+                 aNow);
     if (!PlaceLeg(aState, request, leg, aNow, aEffects)) {
       FailLeg(request, leg);
     }
@@ -270,7 +281,17 @@
     AbandonSendings(aState, request, aNow);
     return;
   }
-  for (const Leg& leg : request.mLegs) {
+  CancelDelegates(aState, request, true, aEffects);
+  CloseSendings(aState, request, aNow, aEffects);
+}
+
+void
+CloseSendings(ForwarderState& aState,
+              const RequestState& aRequest,
+              TimePoint aNow,
+              ForwarderEffects& aEffects)
+{
+  for (const Leg& leg : aRequest.mLegs) {
     for (const Sending& sending : leg.mInFlight) {
       CloseTargetConnection(aState, sending.mConnection, aEffects);
       AfterConnectionGone(aState, sending.mTarget, aNow, aEffects);
@@ -324,7 +345,9 @@
   }
   RequestState& request = place->second;
   request.mReviewAt = TimePoint::max();
-  if (!IsAnswerDue(request, aNow)) {
+  // A sub-search goes on after its first report.
+  if (request.mOrigin || !IsAnswerDue(request, aNow)) {
+    ReviewDelegates(aState, request, aNow, aEffects);
     for (std::uint32_t leg = 0; leg < request.mLegs.size(); ++leg) {
       ReviewLeg(aState, request, leg, aNow, aEffects);
     }
--- a/modules/wasabispread_forwarding_decisions/StoreMessage.h
+++ b/modules/wasabispread_forwarding_decisions/StoreMessage.h
@@ -27,6 +27,8 @@
   ZoneName mZone;
   /** Where other VMs ask it. */
   Endpoint mAddress;
+  /** The part of a processor core that it has. */
+  double mProcessorShare = 1;
 };
 
 /** The configuration was written. */
--- a/modules/wasabispread_forwarding_decisions/TargetPool.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.cpp
@@ -18,6 +18,9 @@
 constexpr double kKeepAliveInUse = 0.8;
 /** How fast a failure fades, and how much of the share one outcome is. */
 constexpr double kOutcomeGain = 0.25;
+/** The part of a target's connections for the owners of its shard, one in each
+    zone; the rest is for VMs that stand in for an owner. */
+constexpr double kOwnersPart = 0.6;
 constexpr Duration kFailureHalfLife = std::chrono::milliseconds(1500);
 
 void
@@ -48,8 +51,15 @@
     const auto service = services.find(aTarget.mRecord.mService);
     most = service == services.end() ? 1 : service->second.mMostConnections;
   }
-  const double share = kConnectionsInUse * static_cast<double>(most) /
-                       static_cast<double>(FleetSize(aState, aNow));
+  const ServiceId service = aTarget.mRecord.mService;
+  if (aState.mDelegation.Covers(service) && !IsOwn(aState, service)) {
+    return 1;
+  }
+  const double vms =
+    aState.mDelegation.Covers(service)
+      ? static_cast<double>(aState.mDelegation.mZones) / kOwnersPart
+      : static_cast<double>(FleetSize(aState, aNow));
+  const double share = kConnectionsInUse * static_cast<double>(most) / vms;
   return std::max<std::size_t>(1, static_cast<std::size_t>(share));
 }
 
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -27,6 +27,7 @@
 #include "RepeatBudget.h"
 #include "TopRecords.h"
 
+#include "Delegation.h"
 #include "Fleet.h"
 #include "Registry.h"
 #include "StoreFollower.h"
@@ -43,5 +44,6 @@
 #include "Refusal.h"
 
 #include "RequestParts.h"
+#include "SubSearches.h"
 
 #include "ForwarderReducer.h"
--- a/modules/wasabispread_wire/ControlFrames.cpp
+++ b/modules/wasabispread_wire/ControlFrames.cpp
@@ -4,6 +4,7 @@
 #include "wasabispread_wire.h"
 
 #include "ControlFrames.h"
+#include "SearchFrames.h"
 
 #include <algorithm>
 
@@ -461,6 +462,18 @@
         RoutingRequest{ aFrame.message_as_RoutingRequest()->known_version() }));
     case frame::Message::RoutingReply:
       return DecodeRouting(*aFrame.message_as_RoutingReply());
+    case frame::Message::SubSearch:
+      return DecodeSearch(*aFrame.message_as_SubSearch());
+    case frame::Message::SubSearchReply:
+      return DecodeSearch(*aFrame.message_as_SubSearchReply());
+    case frame::Message::SubSearchCancel: {
+      const auto* cancel = aFrame.message_as_SubSearchCancel();
+      return PeerFrame(PeerMessage(
+        SubSearchCancel{ cancel->sequence(), cancel->is_caller_gone() }));
+    }
+    case frame::Message::SubSearchConfirm:
+      return PeerFrame(PeerMessage(
+        SubSearchConfirm{ aFrame.message_as_SubSearchConfirm()->sequence() }));
     default:
       return Invalid("a frame holds a message unknown to this release");
   }
--- a/modules/wasabispread_wire/PeerProtocol.cpp
+++ b/modules/wasabispread_wire/PeerProtocol.cpp
@@ -4,6 +4,7 @@
 #include "wasabispread_wire.h"
 
 #include "ControlFrames.h"
+#include "SearchFrames.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/modules/wasabispread_wire/SearchFrames.cpp
@@ -0,0 +1,166 @@
+/*
+ * Encoding and decoding of searches from VM to VM.
+ */
+#include "wasabispread_wire.h"
+
+#include "SearchFrames.h"
+
+#include <algorithm>
+
+namespace wasabispread {
+
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+using Strings = std::vector<flatbuffers::Offset<flatbuffers::String>>;
+
+std::uint64_t
+Microseconds(Duration aDuration)
+{
+  const auto span = std::max(Duration::zero(), aDuration);
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(span).count());
+}
+
+/** A span from a frame, at most a day: longer ones mean the same. */
+Duration
+SpanFrom(std::uint64_t aMicroseconds)
+{
+  constexpr std::uint64_t kMost = 86'400'000'000;
+  return std::chrono::microseconds(std::min(aMicroseconds, kMost));
+}
+
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>>
+Bytes(Builder& aBuilder, const std::string& aBytes)
+{
+  return aBuilder.CreateVector(
+    reinterpret_cast<const std::uint8_t*>(aBytes.data()), aBytes.size());
+}
+
+std::string
+TextFrom(const flatbuffers::Vector<std::uint8_t>& aBytes)
+{
+  return { reinterpret_cast<const char*>(aBytes.data()), aBytes.size() };
+}
+
+} // namespace
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const SubSearch& aMessage)
+{
+  std::vector<flatbuffers::Offset<frame::Field>> fields;
+  for (const RelayedField& field : aMessage.mFields) {
+    const auto name = aBuilder.CreateString(field.mName);
+    const auto value = aBuilder.CreateString(field.mValue);
+    fields.push_back(frame::CreateField(aBuilder, name, value));
+  }
+  std::vector<std::uint64_t> shards;
+  for (const ServiceId shard : aMessage.mShards) {
+    shards.push_back(shard.Value());
+  }
+  const auto requestId = aBuilder.CreateString(aMessage.mRequestId.Value());
+  const auto method = aBuilder.CreateString(aMessage.mMethod);
+  const auto target = aBuilder.CreateString(aMessage.mTarget);
+  const auto fieldVector = aBuilder.CreateVector(fields);
+  const auto body = Bytes(aBuilder, aMessage.mBody);
+  const auto shardVector = aBuilder.CreateVector(shards);
+  const auto message = frame::CreateSubSearch(aBuilder,
+                                              aMessage.mSequence,
+                                              requestId,
+                                              method,
+                                              target,
+                                              fieldVector,
+                                              body,
+                                              aMessage.mRoute,
+                                              shardVector,
+                                              aMessage.mTopRecords,
+                                              aMessage.mMostTargets,
+                                              Microseconds(aMessage.mAim),
+                                              Microseconds(aMessage.mPatience));
+  return { frame::Message::SubSearch, message.Union() };
+}
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const SubSearchReply& aMessage)
+{
+  Strings proofs;
+  for (const std::string& proof : aMessage.mProofs) {
+    proofs.push_back(aBuilder.CreateString(proof));
+  }
+  const auto shards = aBuilder.CreateVector(aMessage.mShards);
+  const auto proofVector = aBuilder.CreateVector(proofs);
+  const auto records = Bytes(aBuilder, aMessage.mRecords);
+  const auto message = frame::CreateSubSearchReply(aBuilder,
+                                                   aMessage.mSequence,
+                                                   shards,
+                                                   proofVector,
+                                                   records,
+                                                   aMessage.mIsLast,
+                                                   aMessage.mIsRefused,
+                                                   aMessage.mIsCutOff);
+  return { frame::Message::SubSearchReply, message.Union() };
+}
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const SubSearchCancel& aMessage)
+{
+  const auto message = frame::CreateSubSearchCancel(
+    aBuilder, aMessage.mSequence, aMessage.mIsCallerGone);
+  return { frame::Message::SubSearchCancel, message.Union() };
+}
+
+EncodedMessage
+EncodeControl(Builder& aBuilder, const SubSearchConfirm& aMessage)
+{
+  const auto message =
+    frame::CreateSubSearchConfirm(aBuilder, aMessage.mSequence);
+  return { frame::Message::SubSearchConfirm, message.Union() };
+}
+
+Result<PeerFrame>
+DecodeSearch(const frame::SubSearch& aMessage)
+{
+  SubSearch search;
+  search.mSequence = aMessage.sequence();
+  search.mRequestId = RequestId(aMessage.request_id()->str());
+  search.mMethod = aMessage.method()->str();
+  search.mTarget = aMessage.target()->str();
+  for (const frame::Field* field : *aMessage.fields()) {
+    search.mFields.push_back({ field->name()->str(), field->value()->str() });
+  }
+  search.mBody = TextFrom(*aMessage.body());
+  search.mRoute = aMessage.route();
+  for (const std::uint64_t shard : *aMessage.shards()) {
+    search.mShards.emplace_back(shard);
+  }
+  search.mTopRecords = aMessage.top_records();
+  search.mMostTargets = aMessage.most_targets();
+  search.mAim = SpanFrom(aMessage.aim_us());
+  search.mPatience = SpanFrom(aMessage.patience_us());
+  return PeerFrame(PeerMessage(std::move(search)));
+}
+
+Result<PeerFrame>
+DecodeSearch(const frame::SubSearchReply& aMessage)
+{
+  if (aMessage.shards()->size() != aMessage.proofs()->size()) {
+    return Fail(ErrorKind::kInvalidFrame,
+                "a search's reply has another number of proofs than of shards",
+                "close the connection; compare the releases of both VMs");
+  }
+  SubSearchReply reply;
+  reply.mSequence = aMessage.sequence();
+  for (const std::uint32_t shard : *aMessage.shards()) {
+    reply.mShards.push_back(shard);
+  }
+  for (const flatbuffers::String* proof : *aMessage.proofs()) {
+    reply.mProofs.push_back(proof->str());
+  }
+  reply.mRecords = TextFrom(*aMessage.records());
+  reply.mIsLast = aMessage.is_last();
+  reply.mIsRefused = aMessage.is_refused();
+  reply.mIsCutOff = aMessage.is_cut_off();
+  return PeerFrame(PeerMessage(std::move(reply)));
+}
+
+} // namespace wasabispread
--- a/tests/platform/ForwarderFleet.cpp
+++ b/tests/platform/ForwarderFleet.cpp
@@ -19,7 +19,6 @@
 
 constexpr Duration kAskTimeout = std::chrono::seconds(15);
 constexpr unsigned kConnections = 26;
-constexpr std::size_t kShards = 4;
 
 Json
 RouteEntry(const std::string& aName, const std::string& aKind)
@@ -36,14 +35,15 @@
 
 } // namespace
 
-ForwarderFleet::ForwarderFleet(std::size_t aDaemons)
+ForwarderFleet::ForwarderFleet(std::size_t aDaemons, std::size_t aShards)
   : mFolder(MakeFolder())
   , mStore(std::make_unique<StandInStore>(TestLoop()))
   , mDaemons(aDaemons)
+  , mShards(aShards)
 {
   Configure();
   std::vector<std::string> services{ "one", "once" };
-  for (std::size_t shard = 0; shard < kShards; ++shard) {
+  for (std::size_t shard = 0; shard < mShards; ++shard) {
     services.push_back("shard-" + std::to_string(shard));
   }
   for (const std::string& service : services) {
@@ -178,7 +178,7 @@
                          { "healthPath", "/health" },
                          { "maxConns", kConnections } });
   };
-  for (std::size_t shard = 0; shard < kShards; ++shard) {
+  for (std::size_t shard = 0; shard < mShards; ++shard) {
     search["gather"].push_back("shard-" + std::to_string(shard));
     add("shard-" + std::to_string(shard));
   }
--- a/tests/platform/ForwarderFleet.h
+++ b/tests/platform/ForwarderFleet.h
@@ -33,13 +33,14 @@
 
 /** A store, targets and daemons. Routes: "/one/" to service "one", which may
     be repeated; "/once/" to service "once", which may not; "/search/" to the
-    services "shard-0" to "shard-3". Everything ends with the destructor. */
+    services "shard-0", "shard-1" and so on. Everything ends with the
+   destructor. */
 class ForwarderFleet
 {
 public:
   /** Starts the store with a configuration and two targets of each service,
       and as many daemons as told; waits until they are ready. */
-  explicit ForwarderFleet(std::size_t aDaemons = 1);
+  explicit ForwarderFleet(std::size_t aDaemons = 1, std::size_t aShards = 4);
   ~ForwarderFleet();
 
   ForwarderFleet(const ForwarderFleet&) = delete;
@@ -102,6 +103,7 @@
   std::unique_ptr<StandInStore> mStore;
   std::vector<std::unique_ptr<StandInTarget>> mTargets;
   std::vector<DaemonPlace> mDaemons;
+  std::size_t mShards;
   std::uint64_t mVersion = 0;
   std::uint64_t mSequence = 0;
   std::uint64_t mNextRequest = 1;
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -217,6 +217,8 @@
     mAnswers.emplace_back(answer->mToken, std::move(answer->mAnswer));
   } else if (const auto* ask = std::get_if<AskPeer>(&aEffect)) {
     mPeersAsked.push_back(*ask);
+  } else if (const auto* told = std::get_if<TellPeer>(&aEffect)) {
+    mTold.push_back(*told);
   } else if (const auto* list = std::get_if<ListStore>(&aEffect)) {
     mLists.push_back(*list);
   } else if (const auto* watch = std::get_if<WatchStore>(&aEffect)) {
--- a/tests/support/ForwarderHarness.h
+++ b/tests/support/ForwarderHarness.h
@@ -78,6 +78,7 @@
   std::size_t mOpened = 0;
   std::vector<ConnectionId> mClosed;
   std::vector<forwarding::AskPeer> mPeersAsked;
+  std::vector<forwarding::TellPeer> mTold;
   std::vector<forwarding::ListStore> mLists;
   std::vector<forwarding::WatchStore> mWatches;
   std::vector<forwarding::DecisionLine> mLines;
