--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -37,6 +37,9 @@
   list.AddCounter("repeats_withheld_total",
                   "Hedges and retries that the budget did not allow.",
                   counters.mRepeatsWithheld);
+  list.AddCounter("sub_searches_total",
+                  "Parts of searches handed to other VMs.",
+                  counters.mSubSearches);
   list.AddCounter("target_connections_opened_total",
                   "Connections asked for at targets.",
                   counters.mConnectionsOpened);
@@ -78,6 +81,9 @@
   list.AddGauge("requests_in_flight",
                 "Requests under way.",
                 static_cast<double>(aState.mRequests.size()));
+  list.AddGauge("owners",
+                "VMs of the zone that own shards.",
+                static_cast<double>(aState.mDelegation.mOwners.size()));
   list.AddGauge("fleet_size",
                 "VMs by which shared limits are divided.",
                 static_cast<double>(FleetSize(aState, aNow)));
--- a/modules/wasabispread_forwarding_decisions/Placement.cpp
+++ b/modules/wasabispread_forwarding_decisions/Placement.cpp
@@ -31,6 +31,9 @@
 /** Deviations above the mean beyond which an exchange is late. With three,
     about one in twenty is late without a pause. */
 constexpr double kLateDeviations = 3;
+/** Bytes between zones are paid for: a target in another zone is taken when it
+    is expected to be faster by more than this, a tenth of a search's aim. */
+constexpr Duration kOtherZoneCost = std::chrono::milliseconds(10);
 constexpr Duration kLeastHedgeDelay = std::chrono::milliseconds(4);
 
 Duration
@@ -160,7 +163,9 @@
     if (isBestAssigned && !isAssigned) {
       continue;
     }
-    const Duration expected = ExpectedTime(aState, target, aRoute, aNow);
+    const bool isElsewhere = target.mRecord.mZone != aState.mPolicy.mZone;
+    const Duration expected = ExpectedTime(aState, target, aRoute, aNow) +
+                              (isElsewhere ? kOtherZoneCost : Duration::zero());
     if (expected < least || (isAssigned && !isBestAssigned)) {
       least = expected;
       best = &target;
--- a/modules/wasabispread_forwarding_decisions/SearchTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/SearchTests.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(RefusesWhenTooFewShardsHaveTargets);
   CPPUNIT_TEST(GivesUpAtOnceWhenCoverageIsLost);
   CPPUNIT_TEST(RefusesUnsentAndUnreadyWhenCutOff);
+  CPPUNIT_TEST(TakesAnotherZoneOnlyWhenItIsFaster);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -80,6 +81,32 @@
     return answer == nullptr ? nullptr : std::get_if<SearchAnswer>(answer);
   }
 
+  /** Bytes between zones are paid for: a few milliseconds are not worth them,
+      a target that turned slow is. */
+  void TakesAnotherZoneOnlyWhenItIsFaster()
+  {
+    const auto choose = [](Duration aNear, Duration aFar) {
+      ForwarderHarness forwarder;
+      const Route route = SingleRoute("s", Repeatability::kIdempotent);
+      forwarder.Configure({ route });
+      forwarder.AddTarget("far", "s", 1, false, 1, "b");
+      forwarder.AddTarget("near", "s");
+      forwarder.RunFor(std::chrono::seconds(1));
+      for (auto& [key, target] : forwarder.mState.mTargets) {
+        const bool isNear = target.mRecord.mInstance.Value() == "near";
+        Observe(
+          LatencyOf(target, route.mId), isNear ? aNear : aFar, forwarder.mNow);
+      }
+      forwarder.Ask("/s/1");
+      return forwarder.Received().front().mInstance;
+    };
+    using std::chrono::milliseconds;
+    CPPUNIT_ASSERT_EQUAL(std::string("near"),
+                         choose(milliseconds(20), milliseconds(15)));
+    CPPUNIT_ASSERT_EQUAL(std::string("far"),
+                         choose(milliseconds(40), milliseconds(15)));
+  }
+
   void MergesEveryShard()
   {
     const CallerToken caller = mForwarder->Ask("/search/1");
--- a/tests/platform/DelegationProcessTests.cpp
+++ b/tests/platform/DelegationProcessTests.cpp
@@ -78,7 +78,7 @@
     for (std::string proof; text >> proof;) {
       CPPUNIT_ASSERT(proof.find("/" + aAnswer.mRequestId + "/") !=
                      std::string::npos);
-      CPPUNIT_ASSERT(shards.insert(proof.substr(0, proof.rfind("-"))).second);
+      CPPUNIT_ASSERT(shards.insert(proof.substr(0, proof.rfind('-'))).second);
     }
     const std::size_t missing = std::stoul(
       std::string(FindHeader(headers, "Wasabispread-Missing-Parts")));
--- a/tests/platform/ForwarderProcessTests.cpp
+++ b/tests/platform/ForwarderProcessTests.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <functional>
 
 #include <boost/fiber/operations.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -28,12 +29,8 @@
       records.push_back(body.substr(at, kBytes));
     }
   }
-  std::sort(records.begin(), records.end(), [](const auto& a, const auto& b) {
-    return std::lexicographical_compare(
-      b.begin(), b.end(), a.begin(), a.end(), [](char x, char y) {
-        return static_cast<unsigned char>(x) < static_cast<unsigned char>(y);
-      });
-  });
+  // Text compares its bytes as unsigned numbers.
+  std::sort(records.begin(), records.end(), std::greater<>());
   std::string text;
   for (std::size_t index = 0; index < std::min(aCount, records.size());
        ++index) {
--- a/tests/platform/StandInStore.cpp
+++ b/tests/platform/StandInStore.cpp
@@ -82,7 +82,7 @@
 StandInStore::OpenDoor()
 {
   auto door = std::make_unique<Door>();
-  const Endpoint address{ "127.0.0.1", NextFreePort() };
+  Endpoint address{ "127.0.0.1", NextFreePort() };
   auto server = HttpServer::Start(
     mLoop,
     address,
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -50,7 +50,8 @@
                             const std::string& aService,
                             std::uint64_t aSequence,
                             bool aIsDraining,
-                            std::uint64_t aBorn)
+                            std::uint64_t aBorn,
+                            const std::string& aZone)
 {
   TargetRecord record;
   record.mInstance = InstanceId(aInstance);
@@ -58,7 +59,7 @@
   record.mSequence = aSequence;
   record.mService = IdFromName<ServiceId>(aService);
   record.mAddress = Endpoint{ aInstance, 1 };
-  record.mZone = ZoneName("a");
+  record.mZone = ZoneName(aZone);
   record.mSlots = 2;
   record.mIsDraining = aIsDraining;
   Change(TargetChange{ record });
--- a/tests/support/ForwarderHarness.h
+++ b/tests/support/ForwarderHarness.h
@@ -38,7 +38,8 @@
                  const std::string& aService,
                  std::uint64_t aSequence = 1,
                  bool aIsDraining = false,
-                 std::uint64_t aBorn = 1);
+                 std::uint64_t aBorn = 1,
+                 const std::string& aZone = "a");
   void RemoveTarget(const std::string& aInstance);
   void Change(forwarding::StoreChange aChange);
 
