Keep a measured reserve before an answer is due

Cause: the soft deadline kept 4 ms in reserve on every VM, and shard owners were asked to report 4 ms before it. On 0.12 of a core, noticing that an answer of 180 parts is due, merging and writing it takes several times that, so answers that were ready left just after the soft timeout. A reply's way from an owner was not reserved at all. Change: each VM measures, from an answer's soft deadline until it is written, the delay per unit of work, and by how much reports of owners are late, in this zone and from others; it reserves the 0.9 quantile of the last 32, starting from an estimate by processor share. At most a quarter of the time is reserved.

--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -191,7 +191,9 @@
   if (mCallers.contains(token)) {
     aWatch([this, token] { HandleCallerDisconnect(token); });
   }
-  return mAdapter.WriteAnswer(id, future.get());
+  HttpResponse response = mAdapter.WriteAnswer(id, future.get());
+  response.mWhenWritten = [this, token] { Deliver(AnswerWritten{ token }); };
+  return response;
 }
 
 void
--- a/modules/wasabispread_forwarding_decisions/AnswerTiming.cpp
+++ b/modules/wasabispread_forwarding_decisions/AnswerTiming.cpp
@@ -11,9 +11,8 @@
 
 namespace {
 
-/** Reserve for processing, jitter and late timers on the way back to the
-    caller. */
-constexpr Duration kAnswerSlack = std::chrono::milliseconds(4);
+/** The largest part of a soft timeout that is kept in reserve. */
+constexpr double kMaxReserve = 0.25;
 /** Part of the soft timeout that is granted to a caller whose soft timeout is
     already over: by then most shards have answered. */
 constexpr double kLateCallerWait = 0.6;
@@ -31,12 +30,13 @@
 DeadlineOf(const ForwardedRequest& aRequest,
            const Route& aRoute,
            Duration aCallerRoundTrip,
+           Duration aReserve,
            TimePoint aNow)
 {
   Duration timeout = aRoute.mTimeout;
   if (aRequest.mCallerTimeout) {
-    timeout = std::min(
-      timeout, *aRequest.mCallerTimeout - aCallerRoundTrip - kAnswerSlack);
+    timeout =
+      std::min(timeout, *aRequest.mCallerTimeout - aCallerRoundTrip - aReserve);
   }
   return aNow + std::max(timeout, Duration::zero());
 }
@@ -46,6 +46,7 @@
                const Route& aRoute,
                const RouteState& aRouteState,
                Duration aCallerRoundTrip,
+               Duration aReserve,
                TimePoint aNow)
 {
   if (aRoute.mSoftTimeout == Duration::zero()) {
@@ -58,8 +59,10 @@
       : Duration::zero();
   const Duration callerDelay =
     aRequest.mIsFirstOnConnection ? 2 * aCallerRoundTrip : aCallerRoundTrip;
+  const Duration reserve =
+    std::min(aReserve, Fraction(aRoute.mSoftTimeout, kMaxReserve));
   const TimePoint softDeadline =
-    aNow + aRoute.mSoftTimeout - spent - callerDelay - kAnswerSlack;
+    aNow + aRoute.mSoftTimeout - spent - callerDelay - reserve;
   const bool isOver =
     softDeadline <= aNow + Fraction(aRoute.mSoftTimeout, 1 - kLateCallerWait);
   return isOver ? aNow + Fraction(aRoute.mSoftTimeout, kLateCallerWait)
@@ -74,6 +77,16 @@
                                      aRequest.mRoute->mMinCoverage * shards;
 }
 
+void
+CountAnswered(RequestState& aRequest, TimePoint aNow)
+{
+  ++aRequest.mAnswered;
+  --aRequest.mPending;
+  if (aRequest.mMinCoverageAt == TimePoint::max() && HasMinCoverage(aRequest)) {
+    aRequest.mMinCoverageAt = aNow;
+  }
+}
+
 bool
 CanReachMinCoverage(const RequestState& aRequest)
 {
--- a/modules/wasabispread_forwarding_decisions/AnswerTiming.h
+++ b/modules/wasabispread_forwarding_decisions/AnswerTiming.h
@@ -8,15 +8,16 @@
 
 namespace wasabispread::forwarding {
 
-/** When the answer must be sent so that it arrives within the caller's timeout
-    and the route's. */
+/** When the answer must be due so that it arrives within the caller's timeout
+    and the route's. aReserve is the time from then until it is written. */
 TimePoint
 DeadlineOf(const ForwardedRequest& aRequest,
            const Route& aRoute,
            Duration aCallerRoundTrip,
+           Duration aReserve,
            TimePoint aNow);
 
-/** When an answer must be sent to arrive within the route's soft timeout,
+/** When an answer must be due to arrive within the route's soft timeout,
     counted from the caller's first attempt. For a caller whose soft timeout is
     already over, the time by which most shards usually have answered.
     TimePoint::max() when the route has no soft timeout. */
@@ -25,12 +26,17 @@
                const Route& aRoute,
                const RouteState& aRouteState,
                Duration aCallerRoundTrip,
+               Duration aReserve,
                TimePoint aNow);
 
 /** Whether enough shards have answered for a successful answer. */
 bool
 HasMinCoverage(const RequestState& aRequest);
 
+/** Counts a sub-request that was answered. */
+void
+CountAnswered(RequestState& aRequest, TimePoint aNow);
+
 /** Whether the shards that have answered or are still pending can reach the
     route's minimum coverage. */
 bool
--- a/modules/wasabispread_forwarding_decisions/Answers.cpp
+++ b/modules/wasabispread_forwarding_decisions/Answers.cpp
@@ -180,6 +180,9 @@
       static_cast<std::int64_t>(aRequest.mConfiguration->mVersion.Value()) },
     { "took_ms", ToMilliseconds(aNow - aRequest.mArrived) },
     { "allowed_ms", ToMilliseconds(aRequest.mDeadline - aRequest.mArrived) },
+    { "reserve_ms",
+      ToMilliseconds(ReserveForAnswer(aState.mAnswerReserve,
+                                      aRequest.mSubRequests.size())) },
     { "answered", static_cast<std::int64_t>(aRequest.mAnswered) },
     { "sub_requests", static_cast<std::int64_t>(aRequest.mSubRequests.size()) },
     { "attempts", static_cast<std::int64_t>(CountAttempts(aRequest)) },
@@ -228,6 +231,26 @@
                                             std::move(fields) } });
 }
 
+namespace {
+
+/** Starts to measure how long after the soft deadline an answer in part is
+    written. */
+void
+MeasurePartialAnswer(ForwarderState& aState, const RequestState& aRequest)
+{
+  const bool isInPart =
+    aRequest.mPending > 0 && aRequest.mMinCoverageAt != TimePoint::max();
+  if (aRequest.mRoute->IsSearch() && isInPart) {
+    StartAnswerMeasurement(
+      aState.mAnswerReserve,
+      aRequest.mRequest->mToken,
+      aRequest.mSubRequests.size(),
+      std::max(aRequest.mSoftDeadline, aRequest.mMinCoverageAt));
+  }
+}
+
+} // namespace
+
 void
 AnswerIfDue(ForwarderState& aState,
             RequestState& aRequest,
@@ -247,6 +270,7 @@
   const AnswerSummary summary = Summarize(aState, aRequest, answer);
   LogAnswer(aState, aRequest, summary, aNow, aEffects);
   const CallerToken token = aRequest.mRequest->mToken;
+  MeasurePartialAnswer(aState, aRequest);
   aEffects.push_back(
     AnswerRequest{ token, aRequest.mRequest->mId, std::move(answer) });
   CancelSentSubSearches(aState, aRequest, false, aEffects);
--- a/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
@@ -23,6 +23,12 @@
   CallerToken mToken;
 };
 
+/** The answer to a caller was written, or could not be written. */
+struct AnswerWritten
+{
+  CallerToken mToken;
+};
+
 /** A connection requested by OpenConnection is ready. */
 struct ConnectionOpened
 {
@@ -141,6 +147,7 @@
 using ForwarderEvent = std::variant<ForwarderStarted,
                                     RequestArrived,
                                     ForwarderCallerDisconnected,
+                                    AnswerWritten,
                                     ConnectionOpened,
                                     ConnectionRefused,
                                     ConnectionEnded,
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -68,6 +68,11 @@
     HandleCallerDisconnected(mState, aEvent, mNow, mEffects);
   }
 
+  void operator()(const AnswerWritten& aEvent)
+  {
+    HandleAnswerWritten(mState.mAnswerReserve, aEvent.mToken, mNow);
+  }
+
   void operator()(const ConnectionOpened& aEvent)
   {
     HandleConnectionOpened(mState, aEvent, mNow, mEffects);
@@ -226,6 +231,7 @@
 MakeForwarderState(ForwarderPolicy aPolicy, std::uint64_t aSeed)
 {
   ForwarderState state;
+  state.mAnswerReserve = MakeAnswerReserve(aPolicy.mProcessorShare);
   state.mPolicy = std::move(aPolicy);
   state.mRandom = Random(aSeed);
   state.mNextSubSearch = aSeed;
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "AnswerReserve.h"
 #include "ExtraAttemptBudget.h"
 #include "Membership.h"
 #include "RequestState.h"
@@ -127,6 +128,7 @@
   /** The newest version seen of each instance's entry, kept after the entry's
       removal. */
   std::unordered_map<InstanceId, EntryVersion> mEntryVersions;
+  AnswerReserve mAnswerReserve;
   TimerQueueOf<ForwarderTimer> mTimers;
   ForwarderCounters mCounters;
   /** When a target in another availability zone last answered or accepted a
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -195,8 +195,7 @@
   aSubRequest.mStatus = SubRequestStatus::kAnswered;
   aSubRequest.mReply = std::move(aReply);
   aSubRequest.mAwaitedTarget = TargetKey{};
-  ++aRequest.mAnswered;
-  --aRequest.mPending;
+  CountAnswered(aRequest, aNow);
   Abandon(aState, aSubRequest, aNow);
 }
 
--- a/modules/wasabispread_forwarding_decisions/RequestState.h
+++ b/modules/wasabispread_forwarding_decisions/RequestState.h
@@ -64,6 +64,9 @@
   TimePoint mSent{};
   /** Whether that VM acknowledged that it has begun. */
   bool mIsAcknowledged = false;
+  /** How much earlier than the soft deadline it was asked to report. */
+  Duration mReportLead{};
+  bool mHasReported = false;
   /** Whether no more results are expected from it. */
   bool mIsFinished = false;
 };
@@ -110,6 +113,8 @@
   TimePoint mSoftDeadline{};
   /** When the answer must be sent. */
   TimePoint mDeadline{};
+  /** When the minimum coverage was reached; TimePoint::max() until then. */
+  TimePoint mMinCoverageAt = TimePoint::max();
   std::vector<SubRequest> mSubRequests;
   std::size_t mAnswered = 0;
   std::size_t mPending = 0;
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -85,9 +85,11 @@
   request.mRoute = route;
   request.mArrived = aNow;
   const Duration roundTrip = aState.mPolicy.mCallerRoundTrip;
-  request.mDeadline = DeadlineOf(*aMessage, *route, roundTrip, aNow);
+  const Duration reserve =
+    ReserveForAnswer(aState.mAnswerReserve, route->mShards.size());
+  request.mDeadline = DeadlineOf(*aMessage, *route, roundTrip, reserve, aNow);
   request.mSoftDeadline =
-    SoftDeadlineOf(*aMessage, *route, routeState, roundTrip, aNow);
+    SoftDeadlineOf(*aMessage, *route, routeState, roundTrip, reserve, aNow);
   AddSubRequests(request, routeState);
   aState.mRequestOfCaller[aMessage->mToken] = request.mKey;
   const RequestKey key = request.mKey;
--- a/modules/wasabispread_forwarding_decisions/SubSearches.cpp
+++ b/modules/wasabispread_forwarding_decisions/SubSearches.cpp
@@ -21,9 +21,12 @@
     acknowledgement that arrived meanwhile is read within kReplyReadTime. */
 constexpr Duration kLateTimerThreshold = std::chrono::milliseconds(5);
 constexpr Duration kReplyReadTime = std::chrono::milliseconds(10);
-/** How much earlier than the soft deadline a shard owner reports, so that its
-    results arrive by then. */
-constexpr Duration kReportLead = std::chrono::milliseconds(4);
+/** The largest part of the time until the soft deadline that is reserved for
+    the reports of shard owners. */
+constexpr double kMaxReportLead = 0.25;
+/** A report that has not arrived by the time of the answer is taken to be later
+    than the reserve by this factor. */
+constexpr double kMissingReportFactor = 1.5;
 /** How long a VM that did not answer is avoided as a shard owner; after this
     time it may have been restarted. */
 constexpr Duration kAvoidTime = std::chrono::seconds(3);
@@ -128,13 +131,52 @@
   search.mTopRecords = static_cast<std::uint32_t>(aRequest.mRoute->mTopRecords);
   search.mMaxTargets = aRequest.mRoute->mMaxTargets;
   const Duration timeout = aRequest.mDeadline - aNow;
-  search.mSoftTimeout = aRequest.mSoftDeadline == TimePoint::max()
-                          ? timeout
-                          : aRequest.mSoftDeadline - aNow - kReportLead;
+  search.mSoftTimeout =
+    aRequest.mSoftDeadline == TimePoint::max()
+      ? timeout
+      : aRequest.mSoftDeadline - aNow - aSubSearch.mReportLead;
   search.mCallerTimeout = timeout;
   return search;
 }
 
+bool
+IsInOwnZone(const ForwarderState& aState, const std::string& aVm)
+{
+  const auto member = aState.mMembership.mMembers.find(aVm);
+  return member != aState.mMembership.mMembers.end() &&
+         member->second.mRecord.mZone == aState.mPolicy.mZone;
+}
+
+/** How much earlier than the soft deadline a shard owner is asked to report, so
+    that its results arrive by then. */
+Duration
+ReportLead(const ForwarderState& aState,
+           const RequestState& aRequest,
+           const std::string& aVm,
+           TimePoint aNow)
+{
+  if (aRequest.mSoftDeadline == TimePoint::max()) {
+    return Duration::zero();
+  }
+  const double left =
+    static_cast<double>((aRequest.mSoftDeadline - aNow).count());
+  return std::min(
+    ReserveForReport(aState.mAnswerReserve, IsInOwnZone(aState, aVm)),
+    Duration(static_cast<std::int64_t>(kMaxReportLead * left)));
+}
+
+/** Records by how much the report of a shard owner is late. */
+void
+RecordReportDelay(ForwarderState& aState,
+                  const std::string& aVm,
+                  Duration aDelay)
+{
+  AnswerReserve& reserve = aState.mAnswerReserve;
+  AddDelay(IsInOwnZone(aState, aVm) ? reserve.mReportInZone
+                                    : reserve.mReportFromOtherZone,
+           aDelay);
+}
+
 /** The request that sent a sub-search; null when it is over. */
 RequestState*
 FindRequestOf(ForwarderState& aState, const SubSearchRef& aReference)
@@ -147,7 +189,8 @@
 void
 AcceptSubSearchReply(RequestState& aRequest,
                      const SentSubSearch& aSubSearch,
-                     const SubSearchReply& aReply)
+                     const SubSearchReply& aReply,
+                     TimePoint aNow)
 {
   for (std::size_t part = 0; part < aReply.mShards.size(); ++part) {
     const std::uint32_t position = aReply.mShards[part];
@@ -164,8 +207,7 @@
     reply.mSignature = aReply.mSignatures[part];
     subRequest.mReply = std::make_shared<const Reply>(std::move(reply));
     subRequest.mStatus = SubRequestStatus::kAnswered;
-    ++aRequest.mAnswered;
-    --aRequest.mPending;
+    CountAnswered(aRequest, aNow);
   }
   if (!aReply.mRecords.empty()) {
     aRequest.mSubSearchRecords.push_back(aReply.mRecords);
@@ -240,6 +282,7 @@
     subSearch.mVm = vm;
     subSearch.mSequence = aState.mNextSubSearch++;
     subSearch.mSent = aNow;
+    subSearch.mReportLead = ReportLead(aState, aRequest, vm, aNow);
     const Endpoint address =
       aState.mMembership.mMembers.at(vm).mRecord.mAddress;
     aState.mSubSearches[subSearch.mSequence] =
@@ -305,6 +348,14 @@
     if (subSearch.mIsFinished) {
       continue;
     }
+    if (!aIsCallerDisconnected && subSearch.mIsAcknowledged &&
+        !subSearch.mHasReported) {
+      RecordReportDelay(aState,
+                        subSearch.mVm,
+                        Duration(static_cast<std::int64_t>(
+                          kMissingReportFactor *
+                          static_cast<double>(subSearch.mReportLead.count()))));
+    }
     aState.mSubSearches.erase(subSearch.mSequence);
     const auto member = aState.mMembership.mMembers.find(subSearch.mVm);
     if (member != aState.mMembership.mMembers.end()) {
@@ -348,7 +399,14 @@
     aEffects.push_back(SendPeerMessage{
       aEvent.mVm, aEvent.mAddress, SubSearchConfirm{ reply.mSequence } });
   }
-  AcceptSubSearchReply(*request, subSearch, reply);
+  const bool isSoftReport =
+    !reply.mIsLast && !reply.mShards.empty() && !subSearch.mHasReported;
+  if (isSoftReport) {
+    subSearch.mHasReported = true;
+    const TimePoint asked = request->mSoftDeadline - subSearch.mReportLead;
+    RecordReportDelay(aState, subSearch.mVm, aNow - asked);
+  }
+  AcceptSubSearchReply(*request, subSearch, reply, aNow);
   if (reply.mIsLast) {
     subSearch.mIsFinished = true;
     aState.mSubSearches.erase(reply.mSequence);
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -24,6 +24,7 @@
 #include "ForwarderEffect.h"
 #include "ForwarderEvent.h"
 
+#include "AnswerReserve.h"
 #include "ExtraAttemptBudget.h"
 #include "LatencyEstimate.h"
 #include "TopRecords.h"
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -250,8 +250,13 @@
   const bool keepAlive = wantsKeepAlive && response.mKeepAlive &&
                          !aServer.mStopAnnounced && !aServer.mStopping;
   aConnection.mStream.expires_after(aServer.mLimits.mTransferLimit);
-  return WriteResponse(aConnection, std::move(response), keepAlive) &&
-         keepAlive;
+  const auto whenWritten = std::move(response.mWhenWritten);
+  const bool isWritten =
+    WriteResponse(aConnection, std::move(response), keepAlive);
+  if (whenWritten) {
+    whenWritten();
+  }
+  return isWritten && keepAlive;
 }
 
 /** Serves the requests of one connection until it ends. */
--- a/modules/wasabispread_wire/HttpMessage.h
+++ b/modules/wasabispread_wire/HttpMessage.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +37,9 @@
   std::string mBody;
   /** Whether the connection stays open for another exchange. */
   bool mKeepAlive = true;
+  /** Called by a server once the response was written or could not be written;
+      may be empty. */
+  std::function<void()> mWhenWritten;
 };
 
 /** Returns the value of the first field with a name, ignoring case; empty when
