Let a VM of the targets' zone query shards that have no target in a VM's own zone

Cause: targets of a shard are in two or three zones. A VM of another zone queried each of 20 shards across zones: a whole exchange a shard, of which the answer keeps the greatest records, a signature and a count. Ruled out: choosing the replica of the own zone (there is none there); sending fewer headers (the client's headers are due to the target). Change: shards without a target in the zone are sent as one sub-search to a VM of a zone with targets (to that zone's owners for many shards); VMs take turns by position so that these zones and their VMs get equal shares. The wait for an acknowledgement starts from the VM's usual one, so it covers the way between zones. Silence of other zones counts from the first unanswered message, since a VM with few requests was taken as isolated by one request after a quiet time, and a sub-search counts as a message. An owner in another zone that is isolated does not isolate this VM.

--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -83,8 +83,8 @@
                 "Requests under way.",
                 static_cast<double>(aState.mRequests.size()));
   list.AddGauge("owners",
-                "VMs of the zone that own shards.",
-                static_cast<double>(aState.mShardOwnership.mOwners.size()));
+                "VMs that query shards for this one, itself included.",
+                static_cast<double>(aState.mShardOwnership.CountOwners()));
   list.AddGauge("fleet_size",
                 "VMs by which shared limits are divided.",
                 static_cast<double>(FleetSize(aState, aNow)));
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -131,10 +131,9 @@
   AnswerReserve mAnswerReserve;
   TimerQueueOf<ForwarderTimer> mTimers;
   ForwarderCounters mCounters;
-  /** When a target in another availability zone last answered or accepted a
-      connection, and when a request was last sent to one. */
-  TimePoint mLastReceivedFromOtherZone{};
-  TimePoint mLastSentToOtherZone{};
+  /** Since when nothing was received from other availability zones although
+      something was sent there; TimePoint::max() while nothing is awaited. */
+  TimePoint mOtherZonesSilentSince = TimePoint::max();
   std::uint64_t mNextTarget = 1;
   std::uint64_t mNextConnection = 1;
   std::uint64_t mNextRequest = 1;
--- a/modules/wasabispread_forwarding_decisions/Isolation.cpp
+++ b/modules/wasabispread_forwarding_decisions/Isolation.cpp
@@ -27,9 +27,9 @@
   return isConnected && OverdueBy(aState, aTarget, aNow) < kUnreachedAfter;
 }
 
-/** The VM may be isolated when no target of any other zone has answered for
-    this long, though requests were sent to some: longer than the pause of one
-    target, and with targets in several zones unlikely by chance. */
+/** The VM may be isolated when nothing in any other zone has answered for this
+    long after a request was sent there: longer than the pause of one target,
+    and with targets in several zones unlikely by chance. */
 constexpr Duration kIsolationSilence = std::chrono::milliseconds(500);
 
 } // namespace
@@ -59,12 +59,14 @@
         return CanServe(aState, aPart.mService, aNow);
       });
   }
-  // Shards that other VMs own are not counted: only their owners know whether
-  // their targets can be reached.
+  const bool areOthersSilent = AreOtherZonesSilent(aState, aNow);
   std::size_t own = 0;
   std::size_t served = 0;
   for (const ServiceId shard : aRoute.mShards) {
-    if (IsOwnShard(aState, shard)) {
+    if (IsOwnedInOtherZone(aState, shard)) {
+      ++own;
+      served += areOthersSilent ? 0 : 1;
+    } else if (IsOwnShard(aState, shard)) {
       ++own;
       served += CanServe(aState, shard, aNow) ? 1 : 0;
     }
@@ -75,33 +77,36 @@
 }
 
 void
-RecordSent(ForwarderState& aState, const TargetState& aTarget, TimePoint aNow)
+RecordSent(ForwarderState& aState, const ZoneName& aZone, TimePoint aNow)
 {
-  if (aTarget.mRecord.mZone != aState.mPolicy.mZone) {
-    aState.mLastSentToOtherZone = aNow;
+  if (aZone != aState.mPolicy.mZone) {
+    aState.mOtherZonesSilentSince =
+      std::min(aState.mOtherZonesSilentSince, aNow);
   }
 }
 
 void
-RecordReceived(ForwarderState& aState,
-               const TargetState& aTarget,
-               TimePoint aNow)
+RecordReceived(ForwarderState& aState, const ZoneName& aZone)
 {
-  if (aTarget.mRecord.mZone != aState.mPolicy.mZone) {
-    aState.mLastReceivedFromOtherZone = aNow;
+  if (aZone != aState.mPolicy.mZone) {
+    aState.mOtherZonesSilentSince = TimePoint::max();
   }
 }
 
+bool
+AreOtherZonesSilent(const ForwarderState& aState, TimePoint aNow)
+{
+  return aState.mOtherZonesSilentSince != TimePoint::max() &&
+         aNow - aState.mOtherZonesSilentSince > kIsolationSilence;
+}
+
 bool
 IsIsolated(const ForwarderState& aState, TimePoint aNow)
 {
   if (aNow < aState.mShardOwnership.mIsolatedUntil) {
     return true;
   }
-  const bool isSilent =
-    aState.mLastSentToOtherZone > aState.mLastReceivedFromOtherZone &&
-    aNow - aState.mLastReceivedFromOtherZone > kIsolationSilence;
-  if (!isSilent || aState.mConfiguration == nullptr) {
+  if (!AreOtherZonesSilent(aState, aNow) || aState.mConfiguration == nullptr) {
     return false;
   }
   const auto& routes = aState.mConfiguration->mRoutes;
--- a/modules/wasabispread_forwarding_decisions/Isolation.h
+++ b/modules/wasabispread_forwarding_decisions/Isolation.h
@@ -12,19 +12,23 @@
 CanServe(const ForwarderState& aState, ServiceId aService, TimePoint aNow);
 
 /** Whether enough of a search's shards, or at least one service of any other
-    route, could accept a request now. For a search, only the shards that this
-    VM queries itself count. */
+    route, could accept a request now. For a search, shards whose owner is in
+    this zone do not count: only the owner knows. Those whose owner is in
+    another zone can be served unless the other zones are silent. */
 bool
 CanServe(const ForwarderState& aState, const Route& aRoute, TimePoint aNow);
 
-/** Records that a request was sent to a target, or that the target replied or
-    accepted a connection. Only targets of other zones matter. */
+/** Records that a request was sent to a zone, or that a target or VM there
+    replied or accepted a connection. Only other zones than this VM's matter. */
 void
-RecordSent(ForwarderState& aState, const TargetState& aTarget, TimePoint aNow);
+RecordSent(ForwarderState& aState, const ZoneName& aZone, TimePoint aNow);
 void
-RecordReceived(ForwarderState& aState,
-               const TargetState& aTarget,
-               TimePoint aNow);
+RecordReceived(ForwarderState& aState, const ZoneName& aZone);
+
+/** Whether nothing from other zones has been received for longer than a pause
+    takes, though something was sent there. */
+bool
+AreOtherZonesSilent(const ForwarderState& aState, TimePoint aNow);
 
 /** Whether this VM is isolated: requests were sent to targets in other
     availability zones, none of them answers any more, and a search cannot be
--- a/modules/wasabispread_forwarding_decisions/Membership.h
+++ b/modules/wasabispread_forwarding_decisions/Membership.h
@@ -5,6 +5,7 @@
 
 #include "ForwarderEffect.h"
 #include "ForwarderEvent.h"
+#include "LatencyEstimate.h"
 
 #include <map>
 
@@ -25,6 +26,8 @@
   TimePoint mLeftAt = TimePoint::max();
   /** Until when it owns no shards because it failed to answer a sub-search. */
   TimePoint mAvoidUntil{};
+  /** How long it takes to acknowledge a sub-search. */
+  LatencyEstimate mAcknowledgement;
 };
 
 /** The state of this VM's lease, under which its entry is stored. */
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -280,7 +280,7 @@
                       aState.mPolicy.mExtraAttemptRule,
                       aNow);
   }
-  RecordSent(aState, aTarget, aNow);
+  RecordSent(aState, aTarget.mRecord.mZone, aNow);
   ++subRequest.mAttempts;
   ++subRequest.mPossibleRuns;
   ++aState.mCounters.mAttempts;
@@ -339,7 +339,7 @@
   const TargetKey targetKey = connection.mTarget;
   TargetState& target = aState.mTargets.at(targetKey);
   target.mConnectBackoff = Duration::zero();
-  RecordReceived(aState, target, aNow);
+  RecordReceived(aState, target.mRecord.mZone);
   const auto reply = std::make_shared<const Reply>(std::move(aEvent.mReply));
   RecordReply(aState, target, connection, reply->mKind, aNow);
   ReleaseConnection(aState,
@@ -392,7 +392,7 @@
     return;
   }
   const TargetKey targetKey = found->second.mTarget;
-  RecordReceived(aState, aState.mTargets.at(targetKey), aNow);
+  RecordReceived(aState, aState.mTargets.at(targetKey).mRecord.mZone);
   ReleaseConnection(
     aState, aEvent.mConnection, true, std::nullopt, aNow, aEffects);
   SendWaitingSubRequests(aState, targetKey, aNow, aEffects);
--- a/modules/wasabispread_forwarding_decisions/RequestState.h
+++ b/modules/wasabispread_forwarding_decisions/RequestState.h
@@ -62,6 +62,8 @@
   /** The positions in RequestState::mSubRequests. */
   std::vector<std::uint32_t> mSubRequests;
   TimePoint mSent{};
+  /** How long its acknowledgement is awaited. */
+  Duration mAcknowledgeWait{};
   /** Whether that VM acknowledged that it has begun. */
   bool mIsAcknowledged = false;
   /** How much earlier than the soft deadline it was asked to report. */
--- a/modules/wasabispread_forwarding_decisions/ShardOwnership.h
+++ b/modules/wasabispread_forwarding_decisions/ShardOwnership.h
@@ -1,8 +1,10 @@
 /*
- * Decides which VM of a zone queries which shards. This handles searches over
+ * Decides which VM queries which shards. This handles two loads. Searches over
  * many shards from a zone of many small VMs: a single VM would send too few
  * queries to notice that a target pauses, and would need connections to every
- * target.
+ * target. Searches over shards without a target in the VM's zone: a VM in a
+ * zone with targets queries them and returns only the greatest records, instead
+ * of every reply crossing between the zones.
  */
 #pragma once
 
@@ -24,13 +26,18 @@
   double mProcessorShare = 1;
 };
 
-/** The shard owners of this VM's zone. Invariant: mOwners is empty exactly when
-    each VM queries all shards itself; mOwnerOfShard holds every shard of the
-    routes that use shard owners, each with a position in mOwners. */
+/** The VM that queries a shard for this one. */
+struct ShardOwner
+{
+  std::string mVm;
+  bool mIsInOtherZone = false;
+};
+
+/** The owners of shards from the point of view of this VM. Invariant: a shard
+    without an entry in mOwnerOfShard is queried by this VM itself. */
 struct ShardOwnership
 {
-  std::vector<std::string> mOwners;
-  std::unordered_map<ServiceId, std::size_t> mOwnerOfShard;
+  std::unordered_map<ServiceId, ShardOwner> mOwnerOfShard;
   /** The number of zones. Each zone has its own shard owners. */
   std::size_t mZoneCount = 1;
   /** Until when this VM counts as isolated because a shard owner reported that
@@ -42,9 +49,12 @@
     return mOwnerOfShard.contains(aShard);
   }
 
+  /** The number of VMs that own shards. */
+  std::size_t CountOwners() const;
+
   const std::string& OwnerOf(ServiceId aShard) const
   {
-    return mOwners[mOwnerOfShard.at(aShard)];
+    return mOwnerOfShard.at(aShard).mVm;
   }
 };
 
@@ -65,7 +75,7 @@
 std::size_t
 ChooseShardOwner(const std::vector<std::string>& aOwners, ServiceId aShard);
 
-/** Recomputes the shard owners and the owner of each shard. */
+/** Recomputes the owner of each shard. */
 void
 RefreshShardOwnership(ForwarderState& aState, TimePoint aNow);
 
@@ -74,4 +84,8 @@
 bool
 IsOwnShard(const ForwarderState& aState, ServiceId aShard);
 
+/** Whether the shard's owner is in another zone. */
+bool
+IsOwnedInOtherZone(const ForwarderState& aState, ServiceId aShard);
+
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding_decisions/SubSearches.cpp
+++ b/modules/wasabispread_forwarding_decisions/SubSearches.cpp
@@ -13,9 +13,10 @@
 
 namespace {
 
-/** Time within which a shard owner must acknowledge a sub-search. An owner in
-    the same zone acknowledges sooner, even with a tenth of a processor core; a
-    longer wait would leave too little of a search's soft timeout. */
+/** Time, beyond its usual one, within which a shard owner must acknowledge a
+    sub-search. An owner in the same zone acknowledges sooner, even with a tenth
+    of a processor core; a longer wait would leave too little of a search's soft
+    timeout. */
 constexpr Duration kAcknowledgeTime = std::chrono::milliseconds(30);
 /** A timer that fires later than this shows that this VM itself was delayed. An
     acknowledgement that arrived meanwhile is read within kReplyReadTime. */
@@ -265,13 +266,17 @@
                 TimePoint aNow,
                 ForwarderEffects& aEffects)
 {
-  if (!UsesShardOwners(aRequest.mSubRequests.size())) {
+  // A whole request may go to a service that is also a shard of a search.
+  if (!aRequest.mRoute->IsSearch()) {
     return;
   }
+  const bool areOthersSilent = AreOtherZonesSilent(aState, aNow);
   std::map<std::string, SentSubSearch> subSearchOfVm;
   for (std::uint32_t index = 0; index < aRequest.mSubRequests.size(); ++index) {
     SubRequest& subRequest = aRequest.mSubRequests[index];
-    if (IsOwnShard(aState, subRequest.mService)) {
+    const bool isOwnerSilent =
+      areOthersSilent && IsOwnedInOtherZone(aState, subRequest.mService);
+    if (isOwnerSilent || IsOwnShard(aState, subRequest.mService)) {
       continue;
     }
     subRequest.mIsAtShardOwner = true;
@@ -283,8 +288,12 @@
     subSearch.mSequence = aState.mNextSubSearch++;
     subSearch.mSent = aNow;
     subSearch.mReportLead = ReportLead(aState, aRequest, vm, aNow);
-    const Endpoint address =
-      aState.mMembership.mMembers.at(vm).mRecord.mAddress;
+    const Member& owner = aState.mMembership.mMembers.at(vm);
+    subSearch.mAcknowledgeWait =
+      kAcknowledgeTime +
+      Duration(static_cast<std::int64_t>(owner.mAcknowledgement.mMean));
+    RecordSent(aState, owner.mRecord.mZone, aNow);
+    const Endpoint address = owner.mRecord.mAddress;
     aState.mSubSearches[subSearch.mSequence] =
       SubSearchRef{ aRequest.mKey, aRequest.mSentSubSearches.size() };
     aEffects.push_back(
@@ -302,7 +311,7 @@
   TimePoint next = TimePoint::max();
   for (const SentSubSearch& subSearch : aRequest.mSentSubSearches) {
     if (!subSearch.mIsFinished && !subSearch.mIsAcknowledged) {
-      next = std::min(next, subSearch.mSent + kAcknowledgeTime);
+      next = std::min(next, subSearch.mSent + subSearch.mAcknowledgeWait);
     }
   }
   return next;
@@ -316,13 +325,14 @@
 {
   for (SentSubSearch& subSearch : aRequest.mSentSubSearches) {
     if (subSearch.mIsFinished || subSearch.mIsAcknowledged ||
-        aNow < subSearch.mSent + kAcknowledgeTime) {
+        aNow < subSearch.mSent + subSearch.mAcknowledgeWait) {
       continue;
     }
-    if (aNow > subSearch.mSent + kAcknowledgeTime + kLateTimerThreshold) {
+    if (aNow >
+        subSearch.mSent + subSearch.mAcknowledgeWait + kLateTimerThreshold) {
       // This VM itself was delayed; the acknowledgement may have arrived and
       // not been read yet.
-      subSearch.mSent = aNow - kAcknowledgeTime + kReplyReadTime;
+      subSearch.mSent = aNow - subSearch.mAcknowledgeWait + kReplyReadTime;
       continue;
     }
     AvoidOwner(
@@ -385,7 +395,14 @@
     return;
   }
   SentSubSearch& subSearch = request->mSentSubSearches[reference.mIndex];
-  if (reply.mIsIsolated) {
+  const auto owner = aState.mMembership.mMembers.find(subSearch.mVm);
+  if (owner != aState.mMembership.mMembers.end()) {
+    RecordReceived(aState, owner->second.mRecord.mZone);
+    if (!subSearch.mIsAcknowledged) {
+      AddSample(owner->second.mAcknowledgement, aNow - subSearch.mSent, aNow);
+    }
+  }
+  if (reply.mIsIsolated && IsInOwnZone(aState, subSearch.mVm)) {
     aState.mShardOwnership.mIsolatedUntil = aNow + kIsolationHold;
   }
   if (reply.mIsRefused) {
