--- a/modules/wasabispread_decisions/PeerMessage.h
+++ b/modules/wasabispread_decisions/PeerMessage.h
@@ -169,6 +169,36 @@
   bool mIsCallerDisconnected = false;
 };
 
+/** Asks a VM of the same zone for changes in the store. It answers when there
+    are any, or after a short wait. */
+struct ChangesRequest
+{
+  std::uint64_t mSequence = 0;
+  /** The sender knows all changes up to this revision of the store. */
+  std::uint64_t mAfter = 0;
+};
+
+/** The store's answer to one watch, compressed. */
+struct CompressedText
+{
+  std::string mCompressed;
+  /** The size before compression. */
+  std::uint32_t mSize = 0;
+};
+
+/** The changes in the store after the revision of a ChangesRequest, and
+    possibly some before it. */
+struct ChangesReply
+{
+  std::uint64_t mSequence = 0;
+  /** Whether the VM cannot give these changes: the store does not answer it, it
+      is stopping, or it no longer has them. */
+  bool mIsRefused = false;
+  /** For how long the VM has not heard from the store. */
+  Duration mAge{};
+  std::vector<std::shared_ptr<const CompressedText>> mTexts;
+};
+
 using PeerMessage = std::variant<BatchRequest,
                                  BatchReply,
                                  BatchCancel,
@@ -185,6 +215,8 @@
                                  SubSearch,
                                  SubSearchReply,
                                  SubSearchCancel,
-                                 SubSearchConfirm>;
+                                 SubSearchConfirm,
+                                 ChangesRequest,
+                                 ChangesReply>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -132,6 +132,10 @@
       routing.mConfiguration = mAdapter.ReadConfiguration(reply->mText);
     }
     Deliver(std::move(routing));
+  } else if (const auto* changes = std::get_if<ChangesRequest>(&aMessage)) {
+    Deliver(ChangesRequested{ aPeer, aAddress, *changes });
+  } else if (const auto* answer = std::get_if<ChangesReply>(&aMessage)) {
+    Deliver(ReadChanges(*answer));
   } else if (const auto* search = std::get_if<SubSearch>(&aMessage)) {
     Deliver(SubSearchArrived{ aPeer, aAddress, *search, RequestFrom(*search) });
   } else if (const auto* found = std::get_if<SubSearchReply>(&aMessage)) {
@@ -143,6 +147,32 @@
   }
 }
 
+PeerChanges
+ForwarderRunner::ReadChanges(const ChangesReply& aReply) const
+{
+  PeerChanges changes;
+  changes.mSequence = aReply.mSequence;
+  changes.mIsRefused = aReply.mIsRefused;
+  changes.mAge = aReply.mAge;
+  for (const auto& text : aReply.mTexts) {
+    auto read =
+      Decompress(text->mCompressed, text->mSize)
+        .and_then([&](std::string aBody) {
+          HttpResponse response;
+          response.mBody = std::move(aBody);
+          return mAdapter.ReadStoreWatch(response, mState.mStore.mRevision);
+        });
+    if (!read || read->mIsHistoryLost) {
+      // What cannot be read is asked of the store instead.
+      changes.mIsRefused = true;
+      return changes;
+    }
+    read->mCompressedText = text;
+    changes.mChanges.push_back(std::move(*read));
+  }
+  return changes;
+}
+
 void
 ForwarderRunner::Deliver(ForwarderEvent aEvent)
 {
@@ -251,9 +281,10 @@
 }
 
 void
-ForwarderRunner::Perform(ListStore& /*aEffect*/)
+ForwarderRunner::Perform(ListStore& aEffect)
 {
-  StartFiber([this] { Deliver(EntriesListed{ mStore.List() }); });
+  StartFiber(
+    [this, list = aEffect] { Deliver(EntriesListed{ mStore.List(list) }); });
 }
 
 void
--- a/modules/wasabispread_forwarding/ForwarderRunner.h
+++ b/modules/wasabispread_forwarding/ForwarderRunner.h
@@ -81,6 +81,9 @@
   Result<std::monostate> StartTransport();
   /** Handles another VM's message about routing or a sub-search; ignores all
       other messages. */
+  /** Reads the changes of the store that another VM passed on. */
+  PeerChanges ReadChanges(const ChangesReply& aReply) const;
+
   void HandlePeerMessage(VmId aPeer,
                          const Endpoint& aAddress,
                          const PeerMessage& aMessage);
--- a/modules/wasabispread_forwarding/PlatformAdapter.h
+++ b/modules/wasabispread_forwarding/PlatformAdapter.h
@@ -46,7 +46,8 @@
 
   /** Builds the request for one page of the store's entries: those after the
       key aAfter, or the first ones when it is empty. */
-  virtual HttpRequest WriteStoreList(const std::string& aAfter) const = 0;
+  virtual HttpRequest WriteStoreList(const ListStore& aEffect,
+                                     const std::string& aAfter) const = 0;
 
   /** One page of the store's entries. */
   struct StorePage
@@ -61,8 +62,9 @@
 
   virtual HttpRequest WriteStoreWatch(const WatchStore& aEffect) const = 0;
 
-  virtual Result<StoreChanges> ReadStoreWatch(
-    const HttpResponse& aMessage) const = 0;
+  /** Reads the changes after the revision aAfter. */
+  virtual Result<StoreChanges> ReadStoreWatch(const HttpResponse& aMessage,
+                                              StoreRevision aAfter) const = 0;
 
   virtual HttpRequest WriteLeaseGrant(Duration aLifetime) const = 0;
 
--- a/modules/wasabispread_forwarding/StoreClient.cpp
+++ b/modules/wasabispread_forwarding/StoreClient.cpp
@@ -45,13 +45,13 @@
 }
 
 Result<StoreContent>
-StoreClient::List()
+StoreClient::List(const ListStore& aList)
 {
   StoreContent content;
   std::string after;
   do {
     const auto response =
-      Call(mWatchChannel, mAdapter.WriteStoreList(after), kCallTimeout);
+      Call(mWatchChannel, mAdapter.WriteStoreList(aList, after), kCallTimeout);
     auto page = response.and_then([&](const HttpResponse& aResponse) {
       return mAdapter.ReadStoreList(aResponse);
     });
@@ -78,7 +78,11 @@
               mAdapter.WriteStoreWatch(aWatch),
               aWatch.mWait + kWatchMargin)
     .and_then([&](const HttpResponse& aResponse) {
-      return mAdapter.ReadStoreWatch(aResponse);
+      return mAdapter.ReadStoreWatch(aResponse, aWatch.mAfter)
+        .map([&](StoreChanges&& aChanges) {
+          aChanges.mText = std::make_shared<const std::string>(aResponse.mBody);
+          return std::move(aChanges);
+        });
     });
 }
 
--- a/modules/wasabispread_forwarding/StoreClient.h
+++ b/modules/wasabispread_forwarding/StoreClient.h
@@ -22,7 +22,7 @@
               const PlatformAdapter& aAdapter);
 
   /** Reads all entries, page by page. */
-  Result<StoreContent> List();
+  Result<StoreContent> List(const ListStore& aList);
   /** Waits for changes after a revision; may return none. */
   Result<StoreChanges> Watch(const WatchStore& aWatch);
   Result<LeaseId> Grant(Duration aLifetime);
--- /dev/null
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelayTests.cpp
@@ -0,0 +1,287 @@
+/*
+ * Tests of changes of the store that one VM of a zone passes on to the others.
+ */
+#include <tests/support/ForwarderHarness.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace wasabispread;
+using namespace wasabispread::forwarding;
+using namespace wasabispread::testing;
+
+namespace {
+
+Duration
+Milliseconds(std::int64_t aCount)
+{
+  return std::chrono::milliseconds(aCount);
+}
+
+template<class Message>
+std::vector<Message>
+SentTo(const ForwarderHarness& aForwarder, const std::string& aVm)
+{
+  std::vector<Message> sent;
+  for (const SendPeerMessage& message : aForwarder.mPeerMessages) {
+    const auto* wanted = std::get_if<Message>(&message.mMessage);
+    if (wanted != nullptr && message.mVm == IdFromName<VmId>(aVm)) {
+      sent.push_back(*wanted);
+    }
+  }
+  return sent;
+}
+
+MemberRecord
+MemberOf(const std::string& aName, double aProcessorShare)
+{
+  return { aName, ZoneName("a"), Endpoint{ aName, 1 }, aProcessorShare };
+}
+
+TargetChange
+NewTarget(const std::string& aInstance)
+{
+  TargetRecord record;
+  record.mInstance = InstanceId(aInstance);
+  record.mBorn = 1;
+  record.mSequence = 1;
+  record.mService = IdFromName<ServiceId>("s");
+  record.mAddress = Endpoint{ aInstance, 1 };
+  record.mZone = ZoneName("a");
+  record.mSlots = 1;
+  return { record };
+}
+
+} // namespace
+
+class ChangeRelayTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ChangeRelayTests);
+  CPPUNIT_TEST(AsksTheVmWithTheLargestProcessorShare);
+  CPPUNIT_TEST(FollowsTheStoreItselfInASmallZone);
+  CPPUNIT_TEST(AppliesChangesAndAsksAgain);
+  CPPUNIT_TEST(FollowsTheStoreItselfWithoutAnAnswer);
+  CPPUNIT_TEST(FollowsTheStoreItselfWhenTheRelayDoesNotHearFromIt);
+  CPPUNIT_TEST(AsksAgainSoonAfterARefusal);
+  CPPUNIT_TEST(IgnoresALateAnswer);
+  CPPUNIT_TEST(PassesChangesOnToVmsThatAsk);
+  CPPUNIT_TEST(AnswersWithoutChangesAfterAShortWait);
+  CPPUNIT_TEST(RefusesVmsWhoseChangesItNoLongerHas);
+  CPPUNIT_TEST(RefusesWhileTheStoreIsUnavailable);
+  CPPUNIT_TEST(RefusesWhileStopping);
+  CPPUNIT_TEST(WatchesTheStoreForShortTimesWhileAsked);
+  CPPUNIT_TEST(KeepsWhatIsNewerThanAListFromTheStore);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override { mForwarder = std::make_unique<ForwarderHarness>(); }
+
+  void AsksTheVmWithTheLargestProcessorShare()
+  {
+    JoinZone();
+    CPPUNIT_ASSERT(!SentTo<ChangesRequest>(*mForwarder, "vm-3").empty());
+    CPPUNIT_ASSERT(SentTo<ChangesRequest>(*mForwarder, "vm-1").empty());
+  }
+
+  void FollowsTheStoreItselfInASmallZone()
+  {
+    mForwarder->Change(MemberChange{ MemberOf("vm-a", 0.1) });
+    mForwarder->Change(MemberChange{ MemberOf("vm-1", 0.5) });
+    mForwarder->mWatches.clear();
+    mForwarder->RunFor(std::chrono::seconds(2));
+    CPPUNIT_ASSERT(!mForwarder->mWatches.empty());
+    CPPUNIT_ASSERT(mForwarder->mPeerMessages.empty());
+  }
+
+  void AppliesChangesAndAsksAgain()
+  {
+    JoinZone();
+    const std::size_t asked = Requests().size();
+    StoreChanges changes;
+    changes.mChanges.push_back(NewTarget("t"));
+    changes.mRevision =
+      StoreRevision(mForwarder->mState.mStore.mRevision.Value() + 1);
+    AnswerWith({ changes });
+    CPPUNIT_ASSERT(
+      mForwarder->mState.mTargetOfInstance.contains(InstanceId("t")));
+    CPPUNIT_ASSERT_EQUAL(asked + 1, Requests().size());
+    CPPUNIT_ASSERT_EQUAL(changes.mRevision.Value(), Requests().back().mAfter);
+    CPPUNIT_ASSERT(mForwarder->mWatches.empty());
+  }
+
+  void FollowsTheStoreItselfWithoutAnAnswer()
+  {
+    JoinZone();
+    mForwarder->RunFor(Milliseconds(1000));
+    CPPUNIT_ASSERT(mForwarder->mWatches.empty());
+    mForwarder->RunFor(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mForwarder->mWatches.size());
+  }
+
+  void FollowsTheStoreItselfWhenTheRelayDoesNotHearFromIt()
+  {
+    JoinZone();
+    PeerChanges answer;
+    answer.mSequence = Requests().back().mSequence;
+    answer.mAge = std::chrono::seconds(2);
+    mForwarder->Deliver(answer);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mForwarder->mWatches.size());
+  }
+
+  void AsksAgainSoonAfterARefusal()
+  {
+    JoinZone();
+    PeerChanges answer;
+    answer.mSequence = Requests().back().mSequence;
+    answer.mIsRefused = true;
+    mForwarder->Deliver(answer);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mForwarder->mWatches.size());
+    CPPUNIT_ASSERT(mForwarder->mWatches.back().mWait <= Milliseconds(1000));
+    const std::size_t asked = Requests().size();
+    mForwarder->Deliver(ChangesWatched{
+      StoreChanges{ {}, mForwarder->mState.mStore.mRevision, {}, {}, false } });
+    CPPUNIT_ASSERT_EQUAL(asked + 1, Requests().size());
+  }
+
+  void IgnoresALateAnswer()
+  {
+    JoinZone();
+    const std::uint64_t late = Requests().back().mSequence;
+    mForwarder->RunFor(Milliseconds(1500));
+    PeerChanges answer;
+    answer.mSequence = late;
+    StoreChanges changes;
+    changes.mChanges.push_back(NewTarget("t"));
+    changes.mRevision = StoreRevision(1000);
+    answer.mChanges = { changes };
+    mForwarder->Deliver(answer);
+    CPPUNIT_ASSERT(
+      !mForwarder->mState.mTargetOfInstance.contains(InstanceId("t")));
+  }
+
+  void PassesChangesOnToVmsThatAsk()
+  {
+    const StoreRevision before = mForwarder->mState.mStore.mRevision;
+    Ask("vm-1", before);
+    CPPUNIT_ASSERT(SentTo<ChangesReply>(*mForwarder, "vm-1").empty());
+    WatchedText("first");
+    const auto replies = SentTo<ChangesReply>(*mForwarder, "vm-1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, replies.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, replies.front().mTexts.size());
+    const auto& text = *replies.front().mTexts.front();
+    CPPUNIT_ASSERT_EQUAL(std::string("first"),
+                         *Decompress(text.mCompressed, text.mSize));
+    // A VM that lags behind gets all that it misses, in order.
+    WatchedText("second");
+    Ask("vm-2", before);
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t{ 2 },
+      SentTo<ChangesReply>(*mForwarder, "vm-2").back().mTexts.size());
+  }
+
+  void AnswersWithoutChangesAfterAShortWait()
+  {
+    Ask("vm-1", mForwarder->mState.mStore.mRevision);
+    mForwarder->RunFor(Milliseconds(700));
+    const auto replies = SentTo<ChangesReply>(*mForwarder, "vm-1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, replies.size());
+    CPPUNIT_ASSERT(!replies.front().mIsRefused);
+    CPPUNIT_ASSERT(replies.front().mTexts.empty());
+    CPPUNIT_ASSERT(replies.front().mAge > Milliseconds(500));
+  }
+
+  void RefusesVmsWhoseChangesItNoLongerHas()
+  {
+    Ask("vm-1", StoreRevision(0));
+    CPPUNIT_ASSERT(SentTo<ChangesReply>(*mForwarder, "vm-1").back().mIsRefused);
+  }
+
+  void RefusesWhileTheStoreIsUnavailable()
+  {
+    Ask("vm-1", mForwarder->mState.mStore.mRevision);
+    mForwarder->Deliver(ChangesWatched{ tl::unexpected<Error>(
+      Error{ ErrorKind::kPlatformUnavailable, "down", "wait" }) });
+    CPPUNIT_ASSERT(SentTo<ChangesReply>(*mForwarder, "vm-1").back().mIsRefused);
+    Ask("vm-2", mForwarder->mState.mStore.mRevision);
+    CPPUNIT_ASSERT(SentTo<ChangesReply>(*mForwarder, "vm-2").back().mIsRefused);
+  }
+
+  void RefusesWhileStopping()
+  {
+    Ask("vm-1", mForwarder->mState.mStore.mRevision);
+    mForwarder->Deliver(ForwarderStopRequested{});
+    CPPUNIT_ASSERT(SentTo<ChangesReply>(*mForwarder, "vm-1").back().mIsRefused);
+  }
+
+  void WatchesTheStoreForShortTimesWhileAsked()
+  {
+    Ask("vm-1", mForwarder->mState.mStore.mRevision);
+    WatchedText("text");
+    mForwarder->mWatches.clear();
+    Ask("vm-1", mForwarder->mState.mStore.mRevision);
+    mForwarder->RunFor(std::chrono::seconds(2));
+    CPPUNIT_ASSERT(!mForwarder->mWatches.empty());
+    CPPUNIT_ASSERT(mForwarder->mWatches.back().mWait <=
+                   std::chrono::seconds(3));
+  }
+
+  void KeepsWhatIsNewerThanAListFromTheStore()
+  {
+    mForwarder->Change(NewTarget("t"));
+    mForwarder->Deliver(ChangesWatched{ tl::unexpected<Error>(
+      Error{ ErrorKind::kPlatformUnavailable, "down", "wait" }) });
+    mForwarder->RunFor(std::chrono::seconds(2));
+    CPPUNIT_ASSERT(mForwarder->mLists.back().mMayBeOld);
+    mForwarder->Deliver(EntriesListed{ StoreContent{ {}, StoreRevision(1) } });
+    CPPUNIT_ASSERT(
+      mForwarder->mState.mTargetOfInstance.contains(InstanceId("t")));
+    CPPUNIT_ASSERT(!mForwarder->mLists.back().mMayBeOld);
+  }
+
+private:
+  /** Adds three VMs to the zone, of which vm-3 is the largest. */
+  void JoinZone()
+  {
+    mForwarder->Change(MemberChange{ MemberOf("vm-a", 0.1) });
+    mForwarder->Change(MemberChange{ MemberOf("vm-1", 0.2) });
+    mForwarder->Change(MemberChange{ MemberOf("vm-2", 0.2) });
+    mForwarder->mWatches.clear();
+    mForwarder->Change(MemberChange{ MemberOf("vm-3", 0.5) });
+    CPPUNIT_ASSERT(mForwarder->mWatches.empty());
+  }
+
+  std::vector<ChangesRequest> Requests() const
+  {
+    return SentTo<ChangesRequest>(*mForwarder, "vm-3");
+  }
+
+  void AnswerWith(std::vector<StoreChanges> aChanges)
+  {
+    PeerChanges answer;
+    answer.mSequence = Requests().back().mSequence;
+    answer.mChanges = std::move(aChanges);
+    mForwarder->Deliver(answer);
+  }
+
+  void Ask(const std::string& aVm, StoreRevision aAfter)
+  {
+    mForwarder->Deliver(
+      ChangesRequested{ IdFromName<VmId>(aVm),
+                        Endpoint{ aVm, 1 },
+                        ChangesRequest{ 7, aAfter.Value() } });
+  }
+
+  /** Delivers an answer of the store with one change. */
+  void WatchedText(const std::string& aText)
+  {
+    StoreChanges changes;
+    changes.mChanges.push_back(NewTarget(aText));
+    changes.mRevision =
+      StoreRevision(mForwarder->mState.mStore.mRevision.Value() + 1);
+    changes.mText = std::make_shared<const std::string>(aText);
+    mForwarder->Deliver(ChangesWatched{ std::move(changes) });
+  }
+
+  std::unique_ptr<ForwarderHarness> mForwarder;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChangeRelayTests);
--- a/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
@@ -46,7 +46,11 @@
 
 /** Read all entries of the store. The result is EntriesListed. */
 struct ListStore
-{};
+{
+  /** Whether the entries may be some seconds old, which costs the store
+      less. */
+  bool mMayBeOld = false;
+};
 
 /** Wait for changes in the store. The result is ChangesWatched. */
 struct WatchStore
@@ -89,12 +93,17 @@
   ConfigurationVersion mKnownVersion;
 };
 
-/** Send a message about a sub-search to another VM. */
+/** Send a message to another VM. */
 struct SendPeerMessage
 {
   VmId mVm;
   Endpoint mAddress;
-  std::variant<SubSearch, SubSearchReply, SubSearchCancel, SubSearchConfirm>
+  std::variant<SubSearch,
+               SubSearchReply,
+               SubSearchCancel,
+               SubSearchConfirm,
+               ChangesRequest,
+               ChangesReply>
     mMessage;
 };
 
--- a/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
@@ -97,6 +97,24 @@
   std::vector<RegisteredTarget> mTargets;
 };
 
+/** Another VM asks for changes in the store. */
+struct ChangesRequested
+{
+  VmId mVm;
+  Endpoint mAddress;
+  ChangesRequest mRequest;
+};
+
+/** Another VM answered a ChangesRequest. */
+struct PeerChanges
+{
+  std::uint64_t mSequence = 0;
+  bool mIsRefused = false;
+  Duration mAge{};
+  /** One for each answer of the store, in their order. */
+  std::vector<StoreChanges> mChanges;
+};
+
 /** Another VM asks this one, as a shard owner, to query shards for a search. */
 struct SubSearchArrived
 {
@@ -158,6 +176,8 @@
                                     MemberWritten,
                                     LeaseRenewed,
                                     PeerRouting,
+                                    ChangesRequested,
+                                    PeerChanges,
                                     SubSearchArrived,
                                     SubSearchCancelled,
                                     SubSearchConfirmed,
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -54,7 +54,7 @@
                                { "zone", mState.mPolicy.mZone.Value() } } } });
     mState.mTimers.Arm(mNow + kStartupSettleTime,
                        ForwarderTimer::kRefreshAssignments);
-    FollowStore(mState, mEffects);
+    FollowStore(mState, mNow, mEffects);
     AcquireOrRenewLease(mState, mNow, mEffects);
   }
 
@@ -123,6 +123,16 @@
     HandlePeerRouting(mState, aEvent, mNow, mEffects);
   }
 
+  void operator()(const ChangesRequested& aEvent)
+  {
+    HandleChangesRequested(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(PeerChanges& aEvent)
+  {
+    HandlePeerChanges(mState, std::move(aEvent), mNow, mEffects);
+  }
+
   void operator()(const SubSearchArrived& aEvent)
   {
     HandleSubSearchArrived(mState, aEvent, mNow, mEffects);
@@ -146,6 +156,7 @@
   void operator()(const VmLost& aEvent)
   {
     HandleVmLost(mState, aEvent, mNow, mEffects);
+    HandleRelayLost(mState, aEvent.mVm, mNow, mEffects);
   }
 
   void operator()(ForwarderStopRequested)
@@ -154,6 +165,7 @@
       return;
     }
     mState.mIsStopping = true;
+    RefuseWaitingVms(mState, mNow, mEffects);
     if (mState.mMembership.mLeaseStatus == LeaseStatus::kHeld) {
       mEffects.push_back(EndLease{ mState.mMembership.mLease });
     }
@@ -188,7 +200,9 @@
         HandleIdle(mState, ConnectionId(aKey), mNow, mEffects);
         break;
       case ForwarderTimer::kFollowStore:
-        FollowStore(mState, mEffects);
+        if (!mState.mStore.mIsCallPending) {
+          FollowStore(mState, mNow, mEffects);
+        }
         break;
       case ForwarderTimer::kEntryMissing:
         HandleEntryMissingTimeout(mState, TargetKey(aKey), mNow, mEffects);
@@ -202,6 +216,12 @@
       case ForwarderTimer::kRequestPeerRouting:
         RequestRoutingFromNextPeer(mState, mNow, mEffects);
         break;
+      case ForwarderTimer::kRelayTimeout:
+        HandleRelayTimeout(mState, aKey, mNow, mEffects);
+        break;
+      case ForwarderTimer::kChangesReply:
+        HandleChangesReplyDue(mState, mNow, mEffects);
+        break;
     }
   }
 };
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "AnswerReserve.h"
+#include "ChangeRelay.h"
 #include "ExtraAttemptBudget.h"
 #include "Membership.h"
 #include "RequestState.h"
@@ -37,6 +38,10 @@
   kLease,
   /** No key: the next VM is asked for its routing. */
   kRequestPeerRouting,
+  /** Key: the sequence of the request for changes that was not answered. */
+  kRelayTimeout,
+  /** No key: a VM that waits for changes gets an answer without any. */
+  kChangesReply,
 };
 
 /** The settings that a forwarder gets at its start. */
@@ -93,6 +98,8 @@
   /** The longest timeout that a caller stated. A caller that states a shorter
       one is taken to be retrying, with the difference already spent. */
   Duration mLongestCallerTimeout{};
+  /** The soft timeout in the configuration that was used last. */
+  Duration mSoftTimeout{};
   /** The latency of the route's requests over all targets. */
   LatencyEstimate mLatency;
 };
@@ -104,6 +111,7 @@
   Random mRandom;
   TimePoint mStarted{};
   StoreState mStore;
+  ChangeRelay mRelay;
   MembershipState mMembership;
   ShardOwnership mShardOwnership;
   RoutingPointer mConfiguration;
--- a/modules/wasabispread_forwarding_decisions/Membership.cpp
+++ b/modules/wasabispread_forwarding_decisions/Membership.cpp
@@ -15,6 +15,8 @@
     renewals can be rare. */
 constexpr Duration kLeaseLifetime = std::chrono::seconds(24);
 constexpr Duration kRenewInterval = kLeaseLifetime / 3;
+/** Interval while other VMs rely on this one to hear from the store. */
+constexpr Duration kRenewIntervalWhenAsked = std::chrono::milliseconds(700);
 constexpr Duration kLeaseRetry = std::chrono::milliseconds(800);
 /** How long a VM that left still counts in the fleet's size: it may be
     restarting, so its share of common limits is kept free for longer than a
@@ -46,9 +48,18 @@
   return record;
 }
 
+void
+ScheduleRenewal(ForwarderState& aState, TimePoint aNow)
+{
+  aState.mMembership.mRenewAt =
+    aNow + (IsAsked(aState, aNow) ? kRenewIntervalWhenAsked : kRenewInterval);
+  aState.mTimers.Arm(aState.mMembership.mRenewAt, ForwarderTimer::kLease);
+}
+
 void
 RetryLease(ForwarderState& aState, TimePoint aNow)
 {
+  aState.mMembership.mRenewAt = aNow + kLeaseRetry;
   aState.mTimers.Arm(aNow + kLeaseRetry, ForwarderTimer::kLease);
 }
 
@@ -98,14 +109,32 @@
   if (aState.mIsStopping) {
     return;
   }
-  ++aState.mCounters.mStoreCalls;
-  if (aState.mMembership.mLeaseStatus == LeaseStatus::kHeld) {
+  MembershipState& membership = aState.mMembership;
+  if (membership.mLeaseStatus == LeaseStatus::kHeld) {
+    // A timer that was set before the renewal was moved has no effect.
+    if (aNow < membership.mRenewAt) {
+      return;
+    }
+    membership.mRenewAt = TimePoint::max();
+    ++aState.mCounters.mStoreCalls;
     aEffects.push_back(RenewLease{ aState.mMembership.mLease });
     return;
   }
-  aState.mMembership.mLeaseStatus = LeaseStatus::kPending;
+  ++aState.mCounters.mStoreCalls;
+  membership.mLeaseStatus = LeaseStatus::kPending;
   aEffects.push_back(GrantLease{ kLeaseLifetime });
-  static_cast<void>(aNow);
+}
+
+void
+RenewLeaseSooner(ForwarderState& aState, TimePoint aNow)
+{
+  MembershipState& membership = aState.mMembership;
+  const TimePoint soon = aNow + kRenewIntervalWhenAsked;
+  if (membership.mLeaseStatus == LeaseStatus::kHeld &&
+      membership.mRenewAt != TimePoint::max() && soon < membership.mRenewAt) {
+    membership.mRenewAt = soon;
+    aState.mTimers.Arm(soon, ForwarderTimer::kLease);
+  }
 }
 
 void
@@ -137,7 +166,7 @@
     return;
   }
   aState.mMembership.mLeaseStatus = LeaseStatus::kHeld;
-  aState.mTimers.Arm(aNow + kRenewInterval, ForwarderTimer::kLease);
+  ScheduleRenewal(aState, aNow);
   aEffects.push_back(
     WriteDecisionRecord{ { RecordClass::kState,
                            "vm-registered",
@@ -166,7 +195,10 @@
     AcquireOrRenewLease(aState, aNow, aEffects);
     return;
   }
-  aState.mTimers.Arm(aNow + kRenewInterval, ForwarderTimer::kLease);
+  if (!aState.mRelay.mAwaited && !aState.mStore.IsUnavailable()) {
+    aState.mStore.mFreshAt = aNow;
+  }
+  ScheduleRenewal(aState, aNow);
 }
 
 void
@@ -220,6 +252,7 @@
   if (!entries.empty()) {
     RemoveTargetsMissingFrom(aState, entries, aNow, aEffects);
     RefreshAssignments(aState, aNow, aEffects);
+    RetryStoreSooner(aState, aNow, aEffects);
   }
   if (!aEvent.mConfiguration) {
     return;
--- a/modules/wasabispread_forwarding_decisions/Membership.h
+++ b/modules/wasabispread_forwarding_decisions/Membership.h
@@ -26,6 +26,8 @@
   TimePoint mLeftAt = TimePoint::max();
   /** Until when it owns no shards because it failed to answer a sub-search. */
   TimePoint mAvoidUntil{};
+  /** Until when it is not asked for changes in the store. */
+  TimePoint mAvoidAsRelayUntil{};
   /** How long it takes to acknowledge a sub-search. */
   LatencyEstimate mAcknowledgement;
 };
@@ -46,6 +48,9 @@
   std::map<std::string, Member> mMembers;
   LeaseStatus mLeaseStatus = LeaseStatus::kNone;
   LeaseId mLease;
+  /** When the lease is renewed next; TimePoint::max() while a call that
+      concerns it is under way. */
+  TimePoint mRenewAt = TimePoint::max();
   /** The member that was last asked for its routing. */
   std::string mLastAskedPeer;
   bool mIsAskingPeers = false;
@@ -70,6 +75,11 @@
                     TimePoint aNow,
                     ForwarderEffects& aEffects);
 
+/** Renews a held lease soon, and then more often while other VMs ask this one
+    for changes. */
+void
+RenewLeaseSooner(ForwarderState& aState, TimePoint aNow);
+
 void
 HandleLeaseGranted(ForwarderState& aState,
                    const LeaseGranted& aEvent,
--- a/modules/wasabispread_forwarding_decisions/OtherZoneSearchTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/OtherZoneSearchTests.cpp
@@ -39,6 +39,7 @@
 class OtherZoneSearchTests : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(OtherZoneSearchTests);
+  CPPUNIT_TEST(ConnectsToOwnersBeforeTheFirstSearch);
   CPPUNIT_TEST(SendsOneSubSearchToAVmOfTheTargetsZone);
   CPPUNIT_TEST(QueriesShardsWithTargetsInItsOwnZone);
   CPPUNIT_TEST(KeepsWholeRequestsToShardServices);
@@ -65,6 +66,21 @@
       { SearchRoute(kShards, 0.9),
         SingleRoute(ShardName(0), Repeatability::kIdempotent) });
     mForwarder->RunFor(std::chrono::seconds(2));
+    mConnecting = SentSubSearches(*mForwarder);
+    mForwarder->mPeerMessages.clear();
+  }
+
+  void ConnectsToOwnersBeforeTheFirstSearch()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mConnecting.size());
+    CPPUNIT_ASSERT(mConnecting.front().mShards.empty());
+    mForwarder->Deliver(SubSearchArrived{
+      IdFromName<VmId>("vm-b1"),
+      Endpoint{ "vm-b1", 1 },
+      mConnecting.front(),
+      std::make_shared<const ForwardedRequest>(ForwardedRequest{}) });
+    CPPUNIT_ASSERT(!mForwarder->mPeerMessages.empty());
+    CPPUNIT_ASSERT(mForwarder->mState.mRequests.empty());
   }
 
   void SendsOneSubSearchToAVmOfTheTargetsZone()
@@ -199,6 +215,8 @@
   }
 
   std::unique_ptr<ForwarderHarness> mForwarder;
+  /** The sub-searches sent before the first search. */
+  std::vector<SubSearch> mConnecting;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OtherZoneSearchTests);
--- a/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
@@ -115,9 +115,9 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mForwarder->mLists.size());
   }
 
-  /** Simulates a fleet whose targets change all the time: the more VMs, the
-      fewer calls each makes, so that all together stay within the store's
-      limit. */
+  /** Simulates a fleet whose targets change all the time: the more VMs follow
+      the store, the fewer calls each makes, so that all together stay within
+      the store's limit. Here each zone has too few VMs to share one watch. */
   void ReadsChangesLessOftenInLargerFleets()
   {
     constexpr unsigned kSeconds = 20;
@@ -125,7 +125,9 @@
       ForwarderHarness forwarder;
       for (unsigned vm = 1; vm < aVms; ++vm) {
         forwarder.Change(MemberChange{
-          MemberRecord{ "vm-" + std::to_string(vm), ZoneName("a"), {} } });
+          MemberRecord{ "vm-" + std::to_string(vm),
+                        ZoneName("zone-" + std::to_string(vm / 3)),
+                        {} } });
       }
       forwarder.RunFor(std::chrono::seconds(2));
       forwarder.mWatches.clear();
--- a/modules/wasabispread_forwarding_decisions/SearchTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/SearchTests.cpp
@@ -87,9 +87,11 @@
       slow. */
   void SelectsAnotherZoneOnlyWhenItIsFaster()
   {
+    using std::chrono::milliseconds;
     const auto choose = [](Duration aNear, Duration aFar) {
       ForwarderHarness forwarder;
-      const Route route = SingleRoute("s", Repeatability::kIdempotent);
+      Route route = SingleRoute("s", Repeatability::kIdempotent);
+      route.mSoftTimeout = milliseconds(100);
       forwarder.Configure({ route });
       forwarder.AddTarget("far", "s", 1, false, 1, "b");
       forwarder.AddTarget("near", "s");
@@ -102,7 +104,6 @@
       forwarder.Ask("/s/1");
       return forwarder.Received().front().mInstance;
     };
-    using std::chrono::milliseconds;
     CPPUNIT_ASSERT_EQUAL(std::string("near"),
                          choose(milliseconds(20), milliseconds(15)));
     CPPUNIT_ASSERT_EQUAL(std::string("far"),
--- a/modules/wasabispread_forwarding_decisions/ShardOwnership.h
+++ b/modules/wasabispread_forwarding_decisions/ShardOwnership.h
@@ -11,6 +11,7 @@
 #include "Membership.h"
 #include "Routing.h"
 
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -38,6 +39,8 @@
 struct ShardOwnership
 {
   std::unordered_map<ServiceId, ShardOwner> mOwnerOfShard;
+  /** The owners to which connections were opened. */
+  std::set<std::string> mConnectedOwners;
   /** The number of zones. Each zone has its own shard owners. */
   std::size_t mZoneCount = 1;
   /** Until when this VM counts as isolated because a shard owner reported that
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -13,9 +13,17 @@
     as a call to the store; keep-alive probes detect a connection that no longer
     carries data. */
 constexpr Duration kWatchWait = std::chrono::seconds(28);
+/** As kWatchWait, for a VM that others ask: a watch whose answer is lost must
+    not leave all of them without changes. */
+constexpr Duration kWatchWaitWhenAsked = std::chrono::seconds(3);
+/** As kWatchWait, for a VM that was refused by the VM it asked: it then asks
+    again. */
+constexpr Duration kWatchWaitBesideRelay = std::chrono::seconds(1);
 /** Bounds of the delay before a failed call is made again. */
 constexpr Duration kFirstRetry = std::chrono::milliseconds(200);
 constexpr Duration kMaxRetry = std::chrono::milliseconds(800);
+/** As kMaxRetry, for a VM whose relay tries more often for it. */
+constexpr Duration kMaxRetryBesideRelay = std::chrono::seconds(4);
 /** Bounds of the interval between reads: well within the seconds in which a
     configuration must be in force and a draining target may still get
     requests. */
@@ -40,6 +48,7 @@
                    ForwarderEffects& aEffects)
 {
   StoreState& store = aState.mStore;
+  store.mLastFailure = aNow;
   ++aState.mCounters.mStoreFailures;
   if (!store.IsUnavailable()) {
     store.mUnavailableSince = aNow;
@@ -49,8 +58,11 @@
                              {},
                              { { "error", aError.mMessage } } } });
   }
+  RefuseWaitingVms(aState, aNow, aEffects);
+  const Duration maxRetry =
+    ChooseRelay(aState, aNow) ? kMaxRetryBesideRelay : kMaxRetry;
   Duration wait = kFirstRetry;
-  for (unsigned count = 0; count < store.mFailures && wait < kMaxRetry;
+  for (unsigned count = 0; count < store.mFailures && wait < maxRetry;
        ++count) {
     wait *= 2;
   }
@@ -60,7 +72,7 @@
   store.mNeedsList = true;
   const auto jitter = Duration(static_cast<std::int64_t>(
     aState.mRandom.Fraction() * static_cast<double>(wait.count()) / 2));
-  ArmFollowTimer(aState, aNow + std::min(wait, kMaxRetry) + jitter);
+  ArmFollowTimer(aState, aNow + std::min(wait, maxRetry) + jitter);
   if (!aState.mMembership.mIsAskingPeers) {
     RequestRoutingFromNextPeer(aState, aNow, aEffects);
   }
@@ -74,6 +86,7 @@
   StoreState& store = aState.mStore;
   store.mFailures = 0;
   store.mLastReply = aNow;
+  store.mFreshAt = aNow;
   if (store.IsUnavailable()) {
     aEffects.push_back(WriteDecisionRecord{
       { RecordClass::kState,
@@ -129,6 +142,36 @@
   }
 };
 
+/** Applies changes, and keeps them for VMs that ask for them. */
+void
+ApplyChanges(ForwarderState& aState,
+             const StoreChanges& aChanges,
+             TimePoint aNow,
+             ForwarderEffects& aEffects)
+{
+  ChangeHandler handler{ aState, aNow, aEffects };
+  for (const StoreChange& change : aChanges.mChanges) {
+    std::visit(handler, change);
+  }
+  StoreState& store = aState.mStore;
+  const bool isNew = aChanges.mRevision > store.mRevision;
+  store.mRevision = std::max(store.mRevision, aChanges.mRevision);
+  if (!isNew || aChanges.mChanges.empty()) {
+    return;
+  }
+  auto text = aChanges.mCompressedText;
+  if (text == nullptr && aChanges.mText != nullptr && IsAsked(aState, aNow)) {
+    text = std::make_shared<const CompressedText>(
+      CompressedText{ Compress(*aChanges.mText, CompressionLevel::kBestSpeed),
+                      static_cast<std::uint32_t>(aChanges.mText->size()) });
+  }
+  if (text == nullptr) {
+    ForgetChanges(aState.mRelay, aChanges.mRevision);
+  } else {
+    KeepChanges(aState, aChanges.mRevision, std::move(text), aNow, aEffects);
+  }
+}
+
 void
 RemoveMembersMissingFrom(MembershipState& aMembership,
                          const std::vector<StoreChange>& aEntries,
@@ -159,13 +202,43 @@
 }
 
 void
-FollowStore(ForwarderState& aState, ForwarderEffects& aEffects)
+FollowStore(ForwarderState& aState, TimePoint aNow, ForwarderEffects& aEffects)
+{
+  const auto relay = aState.mStore.mNeedsList || aState.mIsStopping
+                       ? std::nullopt
+                       : ChooseRelay(aState, aNow);
+  if (relay) {
+    AskForChanges(aState, *relay, aNow, aEffects);
+  } else {
+    FollowStoreDirectly(aState, aNow, aEffects);
+  }
+}
+
+namespace {
+
+Duration
+WatchWait(const ForwarderState& aState, TimePoint aNow)
+{
+  if (IsAsked(aState, aNow)) {
+    return kWatchWaitWhenAsked;
+  }
+  return ChooseRelay(aState, aNow) ? kWatchWaitBesideRelay : kWatchWait;
+}
+
+} // namespace
+
+void
+FollowStoreDirectly(ForwarderState& aState,
+                    TimePoint aNow,
+                    ForwarderEffects& aEffects)
 {
   ++aState.mCounters.mStoreCalls;
+  aState.mStore.mIsCallPending = true;
   if (aState.mStore.mNeedsList) {
-    aEffects.push_back(ListStore{});
+    aEffects.push_back(ListStore{ !aState.mStore.mNeedsFreshList });
   } else {
-    aEffects.push_back(WatchStore{ aState.mStore.mRevision, kWatchWait });
+    aEffects.push_back(
+      WatchStore{ aState.mStore.mRevision, WatchWait(aState, aNow) });
   }
 }
 
@@ -175,12 +248,21 @@
                     TimePoint aNow,
                     ForwarderEffects& aEffects)
 {
+  aState.mStore.mIsCallPending = false;
   if (!aEvent.mResult) {
     HandleStoreFailure(aState, aEvent.mResult.error(), aNow, aEffects);
     return;
   }
-  HandleStoreReply(aState, aNow, aEffects);
   const StoreContent& content = *aEvent.mResult;
+  StoreState& store = aState.mStore;
+  if (store.mIsLoaded && content.mRevision < store.mRevision) {
+    // The entries are older than what is known already.
+    store.mNeedsFreshList = true;
+    FollowStoreDirectly(aState, aNow, aEffects);
+    return;
+  }
+  HandleStoreReply(aState, aNow, aEffects);
+  const bool isFirst = !store.mIsLoaded;
   ChangeHandler handler{ aState, aNow, aEffects };
   for (const StoreChange& entry : content.mEntries) {
     std::visit(handler, entry);
@@ -188,13 +270,19 @@
   RemoveTargetsMissingFrom(aState, content.mEntries, aNow, aEffects);
   RemoveMembersMissingFrom(aState.mMembership, content.mEntries, aNow);
   RefreshAssignments(aState, aNow, aEffects);
-  aState.mStore.mIsLoaded = true;
-  aState.mStore.mNeedsList = false;
-  aState.mStore.mRevision = content.mRevision;
+  store.mIsLoaded = true;
+  store.mNeedsList = false;
+  store.mNeedsFreshList = false;
+  store.mRevision = content.mRevision;
+  ForgetChanges(aState.mRelay, content.mRevision);
+  if (!isFirst) {
+    // Changes that the entries, which may be old, do not have yet.
+    FollowStore(aState, aNow, aEffects);
+    return;
+  }
   // VMs that start together register one after another; their entries are read
   // together after the interval.
-  ArmFollowTimer(aState,
-                 aNow + FollowInterval(aState.mMembership.mMembers.size()));
+  ArmFollowTimer(aState, aNow + FollowInterval(CountFollowers(aState)));
 }
 
 void
@@ -203,6 +291,7 @@
                      TimePoint aNow,
                      ForwarderEffects& aEffects)
 {
+  aState.mStore.mIsCallPending = false;
   if (!aEvent.mResult) {
     HandleStoreFailure(aState, aEvent.mResult.error(), aNow, aEffects);
     return;
@@ -218,25 +307,50 @@
         { { "after",
             static_cast<std::int64_t>(store.mRevision.Value()) } } } });
     store.mNeedsList = true;
-    FollowStore(aState, aEffects);
+    store.mNeedsFreshList = true;
+    FollowStoreDirectly(aState, aNow, aEffects);
     return;
   }
-  ChangeHandler handler{ aState, aNow, aEffects };
-  for (const StoreChange& change : changes.mChanges) {
-    std::visit(handler, change);
-  }
-  store.mRevision = std::max(store.mRevision, changes.mRevision);
+  ApplyChanges(aState, changes, aNow, aEffects);
   if (changes.mChanges.empty()) {
-    FollowStore(aState, aEffects);
+    FollowStore(aState, aNow, aEffects);
     return;
   }
   RefreshAssignments(aState, aNow, aEffects);
-  if (changes.mChanges.size() >= kManyChanges) {
-    FollowStore(aState, aEffects);
+  if (changes.mChanges.size() >= kManyChanges || ChooseRelay(aState, aNow)) {
+    FollowStore(aState, aNow, aEffects);
     return;
   }
-  ArmFollowTimer(aState,
-                 aNow + FollowInterval(aState.mMembership.mMembers.size()));
+  ArmFollowTimer(aState, aNow + FollowInterval(CountFollowers(aState)));
+}
+
+void
+RetryStoreSooner(ForwarderState& aState,
+                 TimePoint aNow,
+                 ForwarderEffects& aEffects)
+{
+  const StoreState& store = aState.mStore;
+  if (store.IsUnavailable() && !store.mIsCallPending &&
+      aNow - store.mLastFailure >= kMaxRetry) {
+    FollowStoreDirectly(aState, aNow, aEffects);
+  }
+}
+
+void
+ApplyRelayedChanges(ForwarderState& aState,
+                    std::vector<StoreChanges> aChanges,
+                    TimePoint aNow,
+                    ForwarderEffects& aEffects)
+{
+  aState.mStore.mLastReply = aNow;
+  bool isChanged = false;
+  for (const StoreChanges& changes : aChanges) {
+    ApplyChanges(aState, changes, aNow, aEffects);
+    isChanged = isChanged || !changes.mChanges.empty();
+  }
+  if (isChanged) {
+    RefreshAssignments(aState, aNow, aEffects);
+  }
 }
 
 void
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.h
@@ -21,10 +21,18 @@
   bool mNeedsList = true;
   /** All changes up to this revision are applied. */
   StoreRevision mRevision;
+  /** Whether the next list must not be old. */
+  bool mNeedsFreshList = false;
   /** When the store last answered a list or a watch. */
   TimePoint mLastReply{};
+  /** When the store last answered any call of this VM or of its relay. */
+  TimePoint mFreshAt{};
+  /** Whether a call to follow the store, or a request to another VM, is under
+      way. */
+  bool mIsCallPending = false;
   /** The number of consecutive calls that failed. */
   unsigned mFailures = 0;
+  TimePoint mLastFailure{};
   /** Since when calls fail; TimePoint::max() while they do not. */
   TimePoint mUnavailableSince = TimePoint::max();
   /** When calls were answered again after failures; far in the past when none
@@ -35,14 +43,35 @@
 };
 
 /** How long changes may accumulate before they are read. One read returns them
-    all, and the reads of all VMs add up: the more VMs, the longer the
-    interval. */
+    all, and the reads of all VMs add up: the more VMs follow the store, the
+    longer the interval. */
 Duration
 FollowInterval(std::size_t aVms);
 
-/** Makes the next call to follow the store: a list or a watch. */
+/** Makes the next call to follow the store: a list, a watch, or a request to
+    the VM of the zone that watches. */
 void
-FollowStore(ForwarderState& aState, ForwarderEffects& aEffects);
+FollowStore(ForwarderState& aState, TimePoint aNow, ForwarderEffects& aEffects);
+
+/** As FollowStore(), without another VM. */
+void
+FollowStoreDirectly(ForwarderState& aState,
+                    TimePoint aNow,
+                    ForwarderEffects& aEffects);
+
+/** Tries the store again before the retry is due, because another VM reports
+    that it is available. */
+void
+RetryStoreSooner(ForwarderState& aState,
+                 TimePoint aNow,
+                 ForwarderEffects& aEffects);
+
+/** Applies changes that another VM passed on. */
+void
+ApplyRelayedChanges(ForwarderState& aState,
+                    std::vector<StoreChanges> aChanges,
+                    TimePoint aNow,
+                    ForwarderEffects& aEffects);
 
 void
 HandleEntriesListed(ForwarderState& aState,
--- a/modules/wasabispread_forwarding_decisions/StoreMessage.h
+++ b/modules/wasabispread_forwarding_decisions/StoreMessage.h
@@ -90,6 +90,10 @@
 {
   std::vector<StoreChange> mChanges;
   StoreRevision mRevision;
+  /** The store's answer as it came, to be passed on to other VMs: as this VM
+      received it from the store, or compressed from another VM. */
+  SharedBytes mText;
+  std::shared_ptr<const CompressedText> mCompressedText;
   /** Whether the store no longer has the requested changes, so that all entries
       must be listed. */
   bool mIsHistoryLost = false;
--- a/modules/wasabispread_forwarding_decisions/SubSearches.cpp
+++ b/modules/wasabispread_forwarding_decisions/SubSearches.cpp
@@ -305,6 +305,29 @@
   }
 }
 
+void
+ConnectToOwners(ForwarderState& aState,
+                TimePoint aNow,
+                ForwarderEffects& aEffects)
+{
+  if (aNow < aState.mStarted + kStartupSettleTime || aState.mIsStopping) {
+    return;
+  }
+  ShardOwnership& ownership = aState.mShardOwnership;
+  for (const auto& [shard, owner] : ownership.mOwnerOfShard) {
+    if (owner.mVm == aState.mPolicy.mName ||
+        !ownership.mConnectedOwners.insert(owner.mVm).second) {
+      continue;
+    }
+    SubSearch empty;
+    empty.mSequence = aState.mNextSubSearch++;
+    aEffects.push_back(SendPeerMessage{
+      IdFromName<VmId>(owner.mVm),
+      aState.mMembership.mMembers.at(owner.mVm).mRecord.mAddress,
+      std::move(empty) });
+  }
+}
+
 TimePoint
 NextSubSearchReview(const RequestState& aRequest)
 {
@@ -528,6 +551,10 @@
              TimePoint aNow,
              ForwarderEffects& aEffects)
 {
+  std::erase_if(aState.mShardOwnership.mConnectedOwners,
+                [&](const std::string& aVm) {
+                  return IdFromName<VmId>(aVm) == aEvent.mVm;
+                });
   std::vector<RequestKey> receivedFromIt;
   for (const auto& [origin, key] : aState.mReceivedSubSearches) {
     if (origin.first == aEvent.mVm) {
--- a/modules/wasabispread_forwarding_decisions/SubSearches.h
+++ b/modules/wasabispread_forwarding_decisions/SubSearches.h
@@ -17,6 +17,14 @@
                 TimePoint aNow,
                 ForwarderEffects& aEffects);
 
+/** Opens connections to the owners of shards, so that the first search does not
+    wait for the handshakes: each owner is sent a sub-search without shards,
+    which it answers at once. */
+void
+ConnectToOwners(ForwarderState& aState,
+                TimePoint aNow,
+                ForwarderEffects& aEffects);
+
 /** Queries the shards of owners that have not acknowledged their sub-search in
     time. */
 void
--- a/modules/wasabispread_forwarding_decisions/TargetAssignment.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetAssignment.cpp
@@ -108,6 +108,7 @@
     return;
   }
   RefreshShardOwnership(aState, aNow);
+  ConnectToOwners(aState, aNow, aEffects);
   const std::vector<std::string> vms = MemberNames(aState);
   for (const auto& [service, keys] : aState.mTargetsOfService) {
     std::vector<AssignableTarget> targets;
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -29,6 +29,7 @@
 #include "LatencyEstimate.h"
 #include "TopRecords.h"
 
+#include "ChangeRelay.h"
 #include "Membership.h"
 #include "Registry.h"
 #include "ShardOwnership.h"
--- a/modules/wasabispread_wire/ControlFrames.cpp
+++ b/modules/wasabispread_wire/ControlFrames.cpp
@@ -479,6 +479,13 @@
     case frame::Message::SubSearchConfirm:
       return PeerFrame(PeerMessage(
         SubSearchConfirm{ aFrame.message_as_SubSearchConfirm()->sequence() }));
+    case frame::Message::ChangesRequest: {
+      const auto* request = aFrame.message_as_ChangesRequest();
+      return PeerFrame(
+        PeerMessage(ChangesRequest{ request->sequence(), request->after() }));
+    }
+    case frame::Message::ChangesReply:
+      return DecodeChanges(*aFrame.message_as_ChangesReply());
     default:
       return Invalid("a frame holds a message that this release does not know");
   }
--- a/modules/wasabispread_wire/SearchFrames.cpp
+++ b/modules/wasabispread_wire/SearchFrames.cpp
@@ -1,5 +1,5 @@
 /*
- * Encoding and decoding of sub-searches between VMs.
+ * Encoding and decoding of sub-searches and changes of the store between VMs.
  */
 #include "wasabispread_wire.h"
 
@@ -120,6 +120,52 @@
   return { frame::Message::SubSearchConfirm, message.Union() };
 }
 
+EncodedMessage
+EncodeInto(Builder& aBuilder, const ChangesRequest& aMessage)
+{
+  const auto message =
+    frame::CreateChangesRequest(aBuilder, aMessage.mSequence, aMessage.mAfter);
+  return { frame::Message::ChangesRequest, message.Union() };
+}
+
+EncodedMessage
+EncodeInto(Builder& aBuilder, const ChangesReply& aMessage)
+{
+  std::vector<flatbuffers::Offset<frame::WatchText>> texts;
+  for (const auto& text : aMessage.mTexts) {
+    const auto bytes = Bytes(aBuilder, text->mCompressed);
+    texts.push_back(frame::CreateWatchText(aBuilder, text->mSize, bytes));
+  }
+  const auto textVector = aBuilder.CreateVector(texts);
+  const auto message =
+    frame::CreateChangesReply(aBuilder,
+                              aMessage.mSequence,
+                              aMessage.mIsRefused,
+                              NonNegativeMicroseconds(aMessage.mAge),
+                              textVector);
+  return { frame::Message::ChangesReply, message.Union() };
+}
+
+Result<PeerFrame>
+DecodeChanges(const frame::ChangesReply& aMessage)
+{
+  constexpr std::uint32_t kMaxTextBytes = 16U << 20U;
+  ChangesReply reply;
+  reply.mSequence = aMessage.sequence();
+  reply.mIsRefused = aMessage.is_refused();
+  reply.mAge = BoundedDuration(aMessage.age_us());
+  for (const frame::WatchText* text : *aMessage.texts()) {
+    if (text->text_bytes() > kMaxTextBytes) {
+      return Fail(ErrorKind::kInvalidFrame,
+                  "an answer of the store is above 16 MiB",
+                  "run the same release on all VMs");
+    }
+    reply.mTexts.push_back(std::make_shared<const CompressedText>(
+      CompressedText{ TextFrom(*text->text()), text->text_bytes() }));
+  }
+  return PeerFrame(PeerMessage(std::move(reply)));
+}
+
 Result<PeerFrame>
 DecodeSearch(const frame::SubSearch& aMessage)
 {
--- a/modules/wasabispread_wire/SearchFrames.h
+++ b/modules/wasabispread_wire/SearchFrames.h
@@ -1,5 +1,6 @@
 /*
- * The frame messages that carry sub-searches between VMs.
+ * The frame messages that carry sub-searches and changes of the store between
+ * VMs.
  */
 #pragma once
 
@@ -20,11 +21,20 @@
 EncodeInto(flatbuffers::FlatBufferBuilder& aBuilder,
            const SubSearchConfirm& aMessage);
 
+EncodedMessage
+EncodeInto(flatbuffers::FlatBufferBuilder& aBuilder,
+           const ChangesRequest& aMessage);
+EncodedMessage
+EncodeInto(flatbuffers::FlatBufferBuilder& aBuilder,
+           const ChangesReply& aMessage);
+
 /** Decodes a verified message; kInvalidFrame when its fields are
     inconsistent. */
 Result<PeerFrame>
 DecodeSearch(const frame::SubSearch& aMessage);
 Result<PeerFrame>
 DecodeSearch(const frame::SubSearchReply& aMessage);
+Result<PeerFrame>
+DecodeChanges(const frame::ChangesReply& aMessage);
 
 } // namespace wasabispread
