Bound what a reply may hold: by itself, per connection and in the process

Cause: a reply could hold 64 MiB, and a search reads 90 to 270 at a time; replies to other requests were read on until the timeout; a chunk header without end was kept whole. Change: a part of a search may hold 1 MiB, another reply 16 MiB; at most four replies to other requests are discarded in an exchange, and 64 KiB are kept that do not make up a part of a reply; all unfinished replies of the process share 32 MiB, beyond which the connection that holds the most is closed. Such a target counts as failing, as before. Test: EndlessReplyTests (head, body, large and small chunks, chunk header, interim and foreign replies without end, at all targets of 90 shards, and at one of two targets).

--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -19,6 +19,10 @@
 constexpr const char* kCallerDisconnectedMessage =
   "the caller closed its connection";
 
+/** The memory for all replies that are being received: a fifth of that of the
+    smallest VMs. */
+constexpr std::size_t kMaxReplyMemory = 32U << 20U;
+
 /** Builds the request that is sent to targets for a sub-search. */
 ForwardedRequestPointer
 RequestFrom(const SubSearch& aSearch)
@@ -40,8 +44,8 @@
 /** A connection to a target, and the request to send on it next. */
 struct ForwarderRunner::TargetLink
 {
-  explicit TargetLink(IoLoop& aLoop)
-    : mConnection(aLoop)
+  TargetLink(IoLoop& aLoop, std::shared_ptr<ResponseMemory> aMemory)
+    : mConnection(aLoop, std::move(aMemory))
   {
   }
 
@@ -63,6 +67,7 @@
   , mAdapter(aAdapter)
   , mLog(aLog)
   , mStore(aLoop, aStore, aAdapter)
+  , mReplyMemory(std::make_shared<ResponseMemory>(kMaxReplyMemory))
 {
 }
 
@@ -252,7 +257,7 @@
 void
 ForwarderRunner::Perform(OpenConnection& aEffect)
 {
-  auto link = std::make_shared<TargetLink>(mLoop);
+  auto link = std::make_shared<TargetLink>(mLoop, mReplyMemory);
   mLinks[aEffect.mConnection] = link;
   StartFiber(
     [this, link, opening = aEffect] { RunTargetLink(opening, *link); });
@@ -408,6 +413,7 @@
   auto response = aLink.mConnection.Exchange(
     mAdapter.WriteTargetRequest(send),
     send.mCallerTimeout + kLateReplyMargin,
+    send.mMaxReplyBytes,
     [&](const HttpResponse& aResponse) {
       return mAdapter.IsReplyTo(aResponse, send.mRequest->mId);
     });
--- a/modules/wasabispread_forwarding/ForwarderRunner.h
+++ b/modules/wasabispread_forwarding/ForwarderRunner.h
@@ -106,6 +106,7 @@
   const PlatformAdapter& mAdapter;
   DecisionLog& mLog;
   StoreClient mStore;
+  std::shared_ptr<ResponseMemory> mReplyMemory;
   std::unique_ptr<PeerTransport> mTransport;
   std::function<void(const CallerLimits&)> mApplyCallerLimits;
   /** Events that were delivered but not applied yet. */
--- a/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
@@ -42,6 +42,8 @@
   /** How long this forwarder, as the target's caller, waits for the reply.
       Stated to the target. */
   Duration mCallerTimeout{};
+  /** The largest reply body that is accepted, in bytes. */
+  std::uint64_t mMaxReplyBytes = 0;
 };
 
 /** Read all entries of the store. The result is EntriesListed. */
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -20,6 +20,12 @@
     load. */
 constexpr Duration kMinRetryTime = std::chrono::milliseconds(5);
 
+/** The largest reply to a whole request, and the largest part of a search. A
+    search reads hundreds of parts at a time, of which each needs to hold no
+   more than the records that the answer may take from it. */
+constexpr std::uint64_t kMaxReplyBytes = 16ULL << 20U;
+constexpr std::uint64_t kMaxPartBytes = 1ULL << 20U;
+
 /** How an attempt ended without a result. */
 struct AttemptFailure
 {
@@ -284,10 +290,12 @@
   ++subRequest.mAttempts;
   ++subRequest.mPossibleRuns;
   ++aState.mCounters.mAttempts;
-  aEffects.push_back(SendRequest{ id,
-                                  aRequest.mRequest,
-                                  aTarget.mRecord.mInstance,
-                                  aRequest.mDeadline - aNow });
+  aEffects.push_back(SendRequest{
+    id,
+    aRequest.mRequest,
+    aTarget.mRecord.mInstance,
+    aRequest.mDeadline - aNow,
+    aRequest.mRoute->IsSearch() ? kMaxPartBytes : kMaxReplyBytes });
 }
 
 void
--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -30,8 +30,11 @@
                              Executor>;
 using ResponseParser = http::response_parser<http::string_body>;
 
-/** The largest response body that is accepted, in bytes. */
-constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20U;
+/** The most bytes that are kept because they do not make up a complete part of
+    a response yet, as in a chunk header without end. */
+constexpr std::size_t kMaxUnparsedBytes = 64U << 10U;
+/** The most responses to other requests that are discarded in one exchange. */
+constexpr unsigned kMaxOtherResponses = 4;
 /** The buffer space that each read offers, in bytes. */
 constexpr std::size_t kReadBytes = 4096;
 
@@ -225,6 +228,20 @@
     return result;
   }
 
+  /** Counts the bytes that this connection holds. */
+  void CountMemory(const ResponseParser& aParser)
+  {
+    if (mMemory != nullptr) {
+      mMemory->Set(this,
+                   aParser.get().body().size() + mBuffer.size(),
+                   [self = weak_from_this()] {
+                     if (const auto connection = self.lock()) {
+                       connection->CloseSocket();
+                     }
+                   });
+    }
+  }
+
   /** Reads until the response is complete. The buffer is modified only while no
       read is pending, since a pending read writes into it. */
   error_code Read(ResponseParser& aParser)
@@ -250,6 +267,10 @@
       if (error && error != http::error::need_more) {
         return error;
       }
+      CountMemory(aParser);
+      if (!aParser.is_done() && mBuffer.size() > kMaxUnparsedBytes) {
+        return http::error::buffer_overflow;
+      }
       needsMore = true;
     }
     return {};
@@ -281,11 +302,15 @@
   FiberEvent mReadDone;
   std::string mPeer;
   std::function<void()> mIdleAction;
+  /** May be null. */
+  std::shared_ptr<ResponseMemory> mMemory;
 };
 
-HttpConnection::HttpConnection(IoLoop& aLoop)
+HttpConnection::HttpConnection(IoLoop& aLoop,
+                               std::shared_ptr<ResponseMemory> aMemory)
   : mImplementation(std::make_shared<Implementation>(aLoop.Context()))
 {
+  mImplementation->mMemory = std::move(aMemory);
 }
 
 HttpConnection::~HttpConnection()
@@ -328,12 +353,14 @@
 Result<HttpResponse>
 HttpConnection::Exchange(const HttpRequest& aRequest, Duration aTimeout)
 {
-  return Exchange(aRequest, aTimeout, [](const HttpResponse&) { return true; });
+  return Exchange(
+    aRequest, aTimeout, kMaxResponseBytes, [](const auto&) { return true; });
 }
 
 Result<HttpResponse>
 HttpConnection::Exchange(const HttpRequest& aRequest,
                          Duration aTimeout,
+                         std::uint64_t aMaxBodyBytes,
                          const ResponseFilter& aBelongs)
 {
   Implementation& connection = *mImplementation;
@@ -352,15 +379,18 @@
                                                  : Execution::kUnknown);
   }
   bool canKeepAlive = true;
-  while (true) {
+  for (unsigned others = 0; others <= kMaxOtherResponses; ++others) {
     ResponseParser parser;
     parser.eager(true);
-    parser.body_limit(kMaxResponseBytes);
+    parser.body_limit(aMaxBodyBytes);
     parser.skip(aRequest.mMethod == "HEAD");
     error_code failure = connection.Read(parser);
     if (!failure && HasUnknownTransferCoding(parser.get())) {
       failure = http::error::bad_transfer_encoding;
     }
+    if (connection.mMemory != nullptr) {
+      connection.mMemory->Release(&connection);
+    }
     if (failure) {
       connection.ExpireAt(TimePoint::max());
       return ConnectionFailure(failure, connection.mPeer, Execution::kUnknown);
@@ -382,12 +412,18 @@
         asio::error::eof, connection.mPeer, Execution::kUnknown);
     }
   }
+  connection.ExpireAt(TimePoint::max());
+  return ConnectionFailure(
+    http::error::unexpected_body, connection.mPeer, Execution::kUnknown);
 }
 
 void
 HttpConnection::Close()
 {
   mImplementation->mIdleAction = nullptr;
+  if (mImplementation->mMemory != nullptr) {
+    mImplementation->mMemory->Release(mImplementation.get());
+  }
   mImplementation->mTimer.cancel();
   mImplementation->CloseSocket();
 }
--- a/modules/wasabispread_runtime/HttpClient.h
+++ b/modules/wasabispread_runtime/HttpClient.h
@@ -4,14 +4,20 @@
 #pragma once
 
 #include "IoLoop.h"
+#include "ResponseMemory.h"
 
 #include <wasabispread_wire/wasabispread_wire.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
 namespace wasabispread {
 
+/** The largest response body that is accepted unless a caller states less, in
+    bytes. */
+inline constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20U;
+
 /** Returns whether a response belongs to the request that was sent. */
 using ResponseFilter = std::function<bool(const HttpResponse&)>;
 
@@ -21,7 +27,9 @@
 class HttpConnection
 {
 public:
-  explicit HttpConnection(IoLoop& aLoop);
+  /** aMemory, which may be null, counts the bytes of unfinished responses. */
+  explicit HttpConnection(IoLoop& aLoop,
+                          std::shared_ptr<ResponseMemory> aMemory = nullptr);
   ~HttpConnection();
 
   HttpConnection(const HttpConnection&) = delete;
@@ -34,10 +42,12 @@
   /** Sends a request and reads its response; aTimeout limits both together. */
   Result<HttpResponse> Exchange(const HttpRequest& aRequest, Duration aTimeout);
 
-  /** As above, but reads and discards responses that aBelongs rejects. After
-      any such response the connection is not kept alive. */
+  /** As above, but reads and discards a few responses that aBelongs rejects.
+      After any such response the connection is not kept alive. The exchange
+      fails when a body is larger than aMaxBodyBytes. */
   Result<HttpResponse> Exchange(const HttpRequest& aRequest,
                                 Duration aTimeout,
+                                std::uint64_t aMaxBodyBytes,
                                 const ResponseFilter& aBelongs);
 
   /** Calls aAction once in a new fiber if the server closes the connection, or
--- a/modules/wasabispread_runtime/wasabispread_runtime.h
+++ b/modules/wasabispread_runtime/wasabispread_runtime.h
@@ -15,6 +15,8 @@
 #include "FiberEvent.h"
 #include "IoLoop.h"
 
+#include "ResponseMemory.h"
+
 #include "HttpClient.h"
 #include "HttpServer.h"
 
--- a/tests/platform/StandInTarget.cpp
+++ b/tests/platform/StandInTarget.cpp
@@ -27,6 +27,8 @@
 constexpr Duration kLateRead = std::chrono::milliseconds(30);
 constexpr std::size_t kRecords = 12;
 constexpr std::size_t kRecordBytes = 16;
+/** The bytes that one write of an endless reply has about. */
+constexpr std::size_t kBlock = 32'768;
 
 std::string
 Field(const http::request<http::string_body>& aRequest, const char* aName)
@@ -107,6 +109,8 @@
   beast::flat_buffer mBuffer;
   std::optional<http::request_parser<http::string_body>> mParser;
   std::string mOut;
+  /** What is written again and again. */
+  std::string mBlock;
   std::optional<std::size_t> mRun;
   bool mIsInSlot = false;
 
@@ -366,6 +370,29 @@
           FormatReply(200, Fields(true) + "Content-Encoding: gzip\r\n", body);
         Write(false);
         return;
+      case TargetFault::kSendsEndlessHead:
+        WriteEndlessly("HTTP/1.1 200 R\r\nX-Long: ", std::string(kBlock, 'x'));
+        return;
+      case TargetFault::kSendsEndlessBody:
+        WriteEndlessly(FormatReply(200, Fields(true), "", false),
+                       std::string(kBlock, 'x'));
+        return;
+      case TargetFault::kSendsEndlessChunks:
+        WriteEndlessly(ChunkedHead(),
+                       "8000\r\n" + std::string(0x8000, 'x') + "\r\n");
+        return;
+      case TargetFault::kSendsEndlessSmallChunks:
+        WriteEndlessly(ChunkedHead(), Repeat("1\r\nx\r\n"));
+        return;
+      case TargetFault::kSendsEndlessChunkHead:
+        WriteEndlessly(ChunkedHead() + "1;", std::string(kBlock, 'x'));
+        return;
+      case TargetFault::kSendsEndlessInterimReplies:
+        WriteEndlessly("", Repeat("HTTP/1.1 102 R\r\n\r\n"));
+        return;
+      case TargetFault::kSendsEndlessOtherReplies:
+        WriteEndlessly("", Repeat(other));
+        return;
       default:
         mOut = FormatReply(200, Fields(true), body);
         Write(false);
@@ -373,6 +400,44 @@
     }
   }
 
+  std::string ChunkedHead()
+  {
+    return FormatReply(
+      200, Fields(true) + "Transfer-Encoding: chunked\r\n", "", false);
+  }
+
+  /** A block of about kBlock bytes that repeats a text. */
+  static std::string Repeat(const std::string& aText)
+  {
+    std::string block;
+    while (block.size() < kBlock) {
+      block += aText;
+    }
+    return block;
+  }
+
+  /** Writes aStart once and then aBlock until the caller closes. */
+  void WriteEndlessly(std::string aStart, std::string aBlock)
+  {
+    mSocket.cancel();
+    mOut = std::move(aStart);
+    mBlock = std::move(aBlock);
+    if (mOut.empty()) {
+      mOut = mBlock;
+    }
+    asio::async_write(
+      mSocket,
+      asio::buffer(mOut),
+      [self = shared_from_this()](beast::error_code aError, std::size_t) {
+        if (aError) {
+          self->mRun.reset();
+          self->Close();
+        } else {
+          self->WriteEndlessly(self->mBlock, self->mBlock);
+        }
+      });
+  }
+
   void Write(bool aCloses)
   {
     mSocket.cancel();
--- a/tests/platform/StandInTarget.h
+++ b/tests/platform/StandInTarget.h
@@ -67,6 +67,19 @@
   kSendsOtherCoding,
   /** Neither runs the request nor replies. */
   kNeverReplies,
+  /** Sends a header field without end. */
+  kSendsEndlessHead,
+  /** Sends a body without a length and without end. */
+  kSendsEndlessBody,
+  /** Sends chunks without end, as large ones and as ones of one byte. */
+  kSendsEndlessChunks,
+  kSendsEndlessSmallChunks,
+  /** Sends a chunk extension without end. */
+  kSendsEndlessChunkHead,
+  /** Sends interim replies without end. */
+  kSendsEndlessInterimReplies,
+  /** Sends replies to other requests without end. */
+  kSendsEndlessOtherReplies,
 };
 
 /** One target: an HTTP server with a limited number of slots, queued requests
--- a/tests/processes/ChildProcess.cpp
+++ b/tests/processes/ChildProcess.cpp
@@ -176,6 +176,20 @@
   }
 }
 
+std::size_t
+ChildProcess::PeakMemoryBytes() const
+{
+  std::ifstream status("/proc/" + std::to_string(mPid) + "/status");
+  std::string word;
+  while (status >> word) {
+    std::size_t kilobytes = 0;
+    if (word == "VmHWM:" && status >> kilobytes) {
+      return kilobytes * 1024;
+    }
+  }
+  return 0;
+}
+
 bool
 ChildProcess::HasEnded()
 {
--- a/tests/processes/ChildProcess.h
+++ b/tests/processes/ChildProcess.h
@@ -53,6 +53,10 @@
   /** Sends SIGCONT: the process resumes. */
   void Thaw() const;
 
+  /** The most memory that the running process has used, in bytes; 0 when it
+      is not known. */
+  std::size_t PeakMemoryBytes() const;
+
   /** Whether the process has ended; stores its exit code for WaitForExit(). */
   bool HasEnded();
 
