Reject requests without exactly one Host; end the start when the peer port is taken

A request without a Host field, or with two, was accepted and routed by the first (RFC 9112 asks for 400). The forwarder's start ignored that its peer port could not be opened and ran on without peers, timers or its first event; it now ends with that error. The status of a VM set three fields twice. Tests: two cases in RejectsBadInputBeforeAnyTarget. The taken peer port has no test.

--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -124,8 +124,11 @@
     }
     mMetrics = std::move(*metrics);
   }
-  mRunner.Start(
+  const auto started = mRunner.Start(
     [this](const CallerLimits& aLimits) { ApplyCallerLimits(aLimits); });
+  if (!started) {
+    return started;
+  }
   if (const auto text = ReadFile(mFile)) {
     mFileText = *text;
   }
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -130,11 +130,17 @@
   return std::nullopt;
 }
 
-/** The error to send for a request whose transfer coding leaves the end of its
-    body ambiguous; see HasUnknownTransferCoding(). */
+/** The error to send for a request that does not name exactly one host, or
+    whose transfer coding leaves the end of its body ambiguous; see
+    HasUnknownTransferCoding(). */
 std::optional<Error>
-BodyProblem(const http::request<http::string_body>& aRequest)
+RequestProblem(const http::request<http::string_body>& aRequest)
 {
+  if (aRequest.version() >= 11 && aRequest.count(http::field::host) != 1) {
+    return Error{ ErrorKind::kMalformedRequest,
+                  "the request does not have exactly one Host field",
+                  "send one Host field" };
+  }
   if (!HasUnknownTransferCoding(aRequest)) {
     return std::nullopt;
   }
@@ -230,7 +236,7 @@
     http::async_read(aConnection.mStream, aBuffer, parser, aHandler);
   });
   const auto problem =
-    read.mError ? ReadProblem(read.mError) : BodyProblem(parser.get());
+    read.mError ? ReadProblem(read.mError) : RequestProblem(parser.get());
   if (read.mError || problem) {
     if (problem) {
       aConnection.mStream.expires_after(aServer.mLimits.mTransferLimit);
--- a/modules/wasabispread_runtime/OperatorInterface.cpp
+++ b/modules/wasabispread_runtime/OperatorInterface.cpp
@@ -89,9 +89,6 @@
   }
   json["holds_connections"] =
     VmRunner::Now() >= aState.mPlacement.mMayConnectFrom;
-  json["draining"] = aState.mStopping;
-  json["in_flight"] = InFlight(aState);
-  json["dropped_log_lines"] = LogWriter::DroppedLines();
   return JsonResponse(kOk, json.dump());
 }
 
--- a/tests/platform/ForwarderProcessTests.cpp
+++ b/tests/platform/ForwarderProcessTests.cpp
@@ -298,6 +298,8 @@
       head + id + "Content-Length: 5000000\r\n\r\n",
       "not http at all\r\n\r\n",
       head + id + "X-Bad\x01: y\r\n\r\n",
+      "GET /one/x HTTP/1.1\r\n" + id + "\r\n",
+      head + "Host: other.example\r\n" + id + "Content-Length: 0\r\n\r\n",
     };
     for (const std::string& bytes : bad) {
       const std::string reply = SendRaw(bytes);
