Leave a relay that is unavailable; count a crossing by the route's soft timeout

A relay now says whether it is unavailable, and is then left for another; calls after a refusal keep the interval between reads. Tests: KeepsTheIntervalOfReadsWhenRefusedAgain, AsksAnotherVmWhileOneIsUnavailable. Cause 2: a target in another zone cost 10 ms, little beside a single request's time; it is now a tenth of the route's soft timeout, at least 10 ms.

--- a/modules/wasabispread_decisions/PeerMessage.h
+++ b/modules/wasabispread_decisions/PeerMessage.h
@@ -191,9 +191,12 @@
 struct ChangesReply
 {
   std::uint64_t mSequence = 0;
-  /** Whether the VM cannot give these changes: the store does not answer it, it
-      is stopping, or it no longer has them. */
+  /** Whether the VM cannot give these changes, because it no longer has them or
+      is unavailable. */
   bool mIsRefused = false;
+  /** Whether the VM gives no changes to anyone: the store does not answer it, or
+      it is stopping. */
+  bool mIsUnavailable = false;
   /** For how long the VM has not heard from the store. */
   Duration mAge{};
   std::vector<std::shared_ptr<const CompressedText>> mTexts;
--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -158,6 +158,7 @@
   PeerChanges changes;
   changes.mSequence = aReply.mSequence;
   changes.mIsRefused = aReply.mIsRefused;
+  changes.mIsUnavailable = aReply.mIsUnavailable;
   changes.mAge = aReply.mAge;
   for (const auto& text : aReply.mTexts) {
     auto read =
--- a/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
@@ -42,6 +42,14 @@
   return std::max(Duration::zero(), aNow - aState.mStore.mFreshAt);
 }
 
+/** Whether this VM can pass on changes. */
+bool
+IsAvailable(const ForwarderState& aState)
+{
+  return !aState.mIsStopping && aState.mStore.mIsLoaded &&
+         !aState.mStore.mNeedsList && !aState.mStore.IsUnavailable();
+}
+
 void
 SendReply(ForwarderState& aState,
           VmId aVm,
@@ -53,6 +61,7 @@
   ChangesReply reply;
   reply.mSequence = aWaiting.mSequence;
   reply.mIsRefused = aIsRefused;
+  reply.mIsUnavailable = !IsAvailable(aState);
   reply.mAge = AgeOf(aState, aNow);
   if (!aIsRefused) {
     for (const KnownChanges& known : aState.mRelay.mKnown) {
@@ -68,9 +77,7 @@
 bool
 CanAnswer(const ForwarderState& aState, const WaitingVm& aWaiting)
 {
-  return !aState.mIsStopping && aState.mStore.mIsLoaded &&
-         !aState.mStore.mNeedsList && !aState.mStore.IsUnavailable() &&
-         aWaiting.mAfter >= aState.mRelay.mStart;
+  return IsAvailable(aState) && aWaiting.mAfter >= aState.mRelay.mStart;
 }
 
 bool
@@ -100,7 +107,7 @@
       { { "relay", vm },
         { "reason", std::string(aReason) },
         { "store_age_ms", ToMilliseconds(AgeOf(aState, aNow)) } } } });
-  FollowStoreDirectly(aState, aNow, aEffects);
+  FollowStoreAfterRefusal(aState, aNow, aEffects);
 }
 
 } // namespace
@@ -269,9 +276,13 @@
   if (!relay.mAwaited || relay.mAwaited->mSequence != aEvent.mSequence) {
     return;
   }
+  if (aEvent.mIsUnavailable) {
+    LeaveRelay(aState, "unavailable", aNow, aEffects);
+    return;
+  }
   if (aEvent.mIsRefused) {
     relay.mAwaited.reset();
-    FollowStoreDirectly(aState, aNow, aEffects);
+    FollowStoreAfterRefusal(aState, aNow, aEffects);
     return;
   }
   if (aEvent.mAge > kMaxAge) {
--- a/modules/wasabispread_forwarding_decisions/ChangeRelayTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelayTests.cpp
@@ -62,6 +62,8 @@
   CPPUNIT_TEST(FollowsTheStoreItselfWithoutAnAnswer);
   CPPUNIT_TEST(FollowsTheStoreItselfWhenTheRelayDoesNotHearFromIt);
   CPPUNIT_TEST(AsksAgainSoonAfterARefusal);
+  CPPUNIT_TEST(KeepsTheIntervalOfReadsWhenRefusedAgain);
+  CPPUNIT_TEST(AsksAnotherVmWhileOneIsUnavailable);
   CPPUNIT_TEST(IgnoresALateAnswer);
   CPPUNIT_TEST(PassesChangesOnToVmsThatAsk);
   CPPUNIT_TEST(AnswersWithoutChangesAfterAShortWait);
@@ -142,6 +144,46 @@
     CPPUNIT_ASSERT_EQUAL(asked + 1, Requests().size());
   }
 
+  /** Guards against calls without end while the store changes all the time and
+      the relay keeps refusing. */
+  void KeepsTheIntervalOfReadsWhenRefusedAgain()
+  {
+    JoinZone();
+    const TimePoint until = mForwarder->mNow + std::chrono::seconds(10);
+    std::uint64_t revision = 1000;
+    while (mForwarder->mNow < until) {
+      mForwarder->RunFor(Milliseconds(20));
+      PeerChanges refusal;
+      refusal.mSequence = Requests().back().mSequence;
+      refusal.mIsRefused = true;
+      mForwarder->Deliver(refusal);
+      if (mForwarder->mWatches.size() > mAnsweredWatches) {
+        mAnsweredWatches = mForwarder->mWatches.size();
+        StoreChanges changes;
+        changes.mChanges.push_back(NewTarget("t" + std::to_string(revision)));
+        changes.mRevision = StoreRevision(++revision);
+        mForwarder->Deliver(ChangesWatched{ changes });
+      }
+    }
+    CPPUNIT_ASSERT(mForwarder->mWatches.size() >= 5);
+    CPPUNIT_ASSERT(mForwarder->mWatches.size() <= 14);
+  }
+
+  void AsksAnotherVmWhileOneIsUnavailable()
+  {
+    JoinZone();
+    PeerChanges refusal;
+    refusal.mSequence = Requests().back().mSequence;
+    refusal.mIsRefused = true;
+    refusal.mIsUnavailable = true;
+    mForwarder->Deliver(refusal);
+    mForwarder->RunFor(Milliseconds(900));
+    mForwarder->Deliver(ChangesWatched{
+      StoreChanges{ {}, mForwarder->mState.mStore.mRevision, {}, {}, false } });
+    CPPUNIT_ASSERT(!SentTo<ChangesRequest>(*mForwarder, "vm-1").empty() ||
+                   !SentTo<ChangesRequest>(*mForwarder, "vm-2").empty());
+  }
+
   void IgnoresALateAnswer()
   {
     JoinZone();
@@ -282,6 +324,7 @@
   }
 
   std::unique_ptr<ForwarderHarness> mForwarder;
+  std::size_t mAnsweredWatches = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ChangeRelayTests);
--- a/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
@@ -110,6 +110,7 @@
 {
   std::uint64_t mSequence = 0;
   bool mIsRefused = false;
+  bool mIsUnavailable = false;
   Duration mAge{};
   /** One for each answer of the store, in their order. */
   std::vector<StoreChanges> mChanges;
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -74,6 +74,7 @@
     FindRoute(*aState.mConfiguration, aMessage->mHost, aMessage->mTarget);
   assert(route != nullptr);
   RouteState& routeState = aState.mRoutes[route->mId];
+  routeState.mSoftTimeout = route->mSoftTimeout;
   if (aMessage->mCallerTimeout) {
     routeState.mLongestCallerTimeout =
       std::max(routeState.mLongestCallerTimeout, *aMessage->mCallerTimeout);
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -234,6 +234,7 @@
 {
   ++aState.mCounters.mStoreCalls;
   aState.mStore.mIsCallPending = true;
+  aState.mStore.mLastDirectCall = aNow;
   if (aState.mStore.mNeedsList) {
     aEffects.push_back(ListStore{ !aState.mStore.mNeedsFreshList });
   } else {
@@ -324,6 +325,21 @@
   ArmFollowTimer(aState, aNow + FollowInterval(CountFollowers(aState)));
 }
 
+void
+FollowStoreAfterRefusal(ForwarderState& aState,
+                        TimePoint aNow,
+                        ForwarderEffects& aEffects)
+{
+  const TimePoint next =
+    aState.mStore.mLastDirectCall + FollowInterval(CountFollowers(aState));
+  if (aNow < next) {
+    aState.mStore.mIsCallPending = false;
+    ArmFollowTimer(aState, next);
+  } else {
+    FollowStoreDirectly(aState, aNow, aEffects);
+  }
+}
+
 void
 RetryStoreSooner(ForwarderState& aState,
                  TimePoint aNow,
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.h
@@ -33,6 +33,7 @@
   /** The number of consecutive calls that failed. */
   unsigned mFailures = 0;
   TimePoint mLastFailure{};
+  TimePoint mLastDirectCall{};
   /** Since when calls fail; TimePoint::max() while they do not. */
   TimePoint mUnavailableSince = TimePoint::max();
   /** When calls were answered again after failures; far in the past when none
@@ -59,6 +60,13 @@
                     TimePoint aNow,
                     ForwarderEffects& aEffects);
 
+/** Follows the store itself for a while, because another VM did not give
+    changes. Such calls keep the interval between reads. */
+void
+FollowStoreAfterRefusal(ForwarderState& aState,
+                        TimePoint aNow,
+                        ForwarderEffects& aEffects);
+
 /** Tries the store again before the retry is due, because another VM reports
     that it is available. */
 void
--- a/modules/wasabispread_forwarding_decisions/TargetSelection.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetSelection.cpp
@@ -36,8 +36,9 @@
 constexpr double kLateDeviations = 3;
 /** Penalty of a target in another zone, because traffic between zones is paid
     for: the target is selected when it is expected to be faster by more than
-    this, a tenth of a search's soft timeout. */
-constexpr Duration kOtherZoneCost = std::chrono::milliseconds(10);
+    this share of the route's soft timeout, or by the minimum. */
+constexpr double kOtherZoneShare = 0.1;
+constexpr Duration kMinOtherZoneCost = std::chrono::milliseconds(10);
 constexpr Duration kMinHedgeDelay = std::chrono::milliseconds(4);
 
 Duration
@@ -74,6 +75,17 @@
   return weight * known->mMean + (1 - weight) * typical;
 }
 
+Duration
+OtherZoneCost(const ForwarderState& aState, RouteId aRoute)
+{
+  const auto route = aState.mRoutes.find(aRoute);
+  const Duration softTimeout =
+    route == aState.mRoutes.end() ? Duration{} : route->second.mSoftTimeout;
+  return std::max(
+    kMinOtherZoneCost,
+    ToDuration(kOtherZoneShare * static_cast<double>(softTimeout.count())));
+}
+
 } // namespace
 
 Duration
@@ -171,7 +183,7 @@
     const bool isInOtherZone = target.mRecord.mZone != aState.mPolicy.mZone;
     const Duration expected =
       ExpectedTime(aState, target, aRoute, aNow) +
-      (isInOtherZone ? kOtherZoneCost : Duration::zero());
+      (isInOtherZone ? OtherZoneCost(aState, aRoute) : Duration::zero());
     if (expected < shortest || (isAssigned && !isBestAssigned)) {
       shortest = expected;
       best = &target;
--- a/modules/wasabispread_wire/SearchFrames.cpp
+++ b/modules/wasabispread_wire/SearchFrames.cpp
@@ -141,6 +141,7 @@
     frame::CreateChangesReply(aBuilder,
                               aMessage.mSequence,
                               aMessage.mIsRefused,
+                              aMessage.mIsUnavailable,
                               NonNegativeMicroseconds(aMessage.mAge),
                               textVector);
   return { frame::Message::ChangesReply, message.Union() };
@@ -153,6 +154,7 @@
   ChangesReply reply;
   reply.mSequence = aMessage.sequence();
   reply.mIsRefused = aMessage.is_refused();
+  reply.mIsUnavailable = aMessage.is_unavailable();
   reply.mAge = BoundedDuration(aMessage.age_us());
   for (const frame::WatchText* text : *aMessage.texts()) {
     if (text->text_bytes() > kMaxTextBytes) {
