Watch for short times in every zone that shares a watch

Change: in a zone that shares a watch every watch lasts at most 2 s. Test: WatchesForShortTimesBeforeItIsAsked.

--- a/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
@@ -118,13 +118,14 @@
   if (IsAsked(aState, aNow)) {
     return std::nullopt;
   }
-  std::size_t present = 0;
+  if (!SharesWatch(aState)) {
+    return std::nullopt;
+  }
   const Member* best = nullptr;
   for (const auto& [name, member] : aState.mMembership.mMembers) {
     if (!IsPresentInZone(aState, member)) {
       continue;
     }
-    ++present;
     const auto rank = [](const Member& aMember) {
       return std::tuple(aMember.mRecord.mProcessorShare,
                         StableHash(aMember.mRecord.mName, kRelaySalt));
@@ -134,13 +135,23 @@
       best = &member;
     }
   }
-  if (present < kMinVms || best == nullptr ||
-      best->mRecord.mName == aState.mPolicy.mName) {
+  if (best == nullptr || best->mRecord.mName == aState.mPolicy.mName) {
     return std::nullopt;
   }
   return best->mRecord.mName;
 }
 
+bool
+SharesWatch(const ForwarderState& aState)
+{
+  const auto& members = aState.mMembership.mMembers;
+  const auto present =
+    std::count_if(members.begin(), members.end(), [&](const auto& aMember) {
+      return IsPresentInZone(aState, aMember.second);
+    });
+  return static_cast<std::size_t>(present) >= kMinVms;
+}
+
 std::size_t
 CountFollowers(const ForwarderState& aState)
 {
--- a/modules/wasabispread_forwarding_decisions/ChangeRelay.h
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelay.h
@@ -64,6 +64,10 @@
 std::optional<std::string>
 ChooseRelay(const ForwarderState& aState, TimePoint aNow);
 
+/** Whether the VMs of this zone are enough to share one watch. */
+bool
+SharesWatch(const ForwarderState& aState);
+
 /** The number of VMs that follow the store itself. */
 std::size_t
 CountFollowers(const ForwarderState& aState);
--- a/modules/wasabispread_forwarding_decisions/ChangeRelayTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelayTests.cpp
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(RefusesWhileTheStoreIsUnavailable);
   CPPUNIT_TEST(RefusesWhileStopping);
   CPPUNIT_TEST(WatchesTheStoreForShortTimesWhileAsked);
+  CPPUNIT_TEST(WatchesForShortTimesBeforeItIsAsked);
   CPPUNIT_TEST(KeepsWhatIsNewerThanAListFromTheStore);
   CPPUNIT_TEST_SUITE_END();
 
@@ -266,6 +267,22 @@
                    std::chrono::seconds(3));
   }
 
+  /** Guards against a long watch that began before the other VMs asked this
+     one, and whose answer is lost. */
+  void WatchesForShortTimesBeforeItIsAsked()
+  {
+    for (const char* name : { "vm-1", "vm-2", "vm-3" }) {
+      mForwarder->Change(MemberChange{ MemberOf(name, 0.1) });
+    }
+    mForwarder->mWatches.clear();
+    mForwarder->Change(MemberChange{ MemberOf("vm-a", 0.5) });
+    mForwarder->RunFor(std::chrono::seconds(2));
+    CPPUNIT_ASSERT(SentTo<ChangesRequest>(*mForwarder, "vm-1").empty());
+    CPPUNIT_ASSERT(!mForwarder->mWatches.empty());
+    CPPUNIT_ASSERT(mForwarder->mWatches.back().mWait <=
+                   std::chrono::seconds(3));
+  }
+
   void KeepsWhatIsNewerThanAListFromTheStore()
   {
     mForwarder->Change(NewTarget("t"));
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -13,9 +13,9 @@
     as a call to the store; keep-alive probes detect a connection that no longer
     carries data. */
 constexpr Duration kWatchWait = std::chrono::seconds(28);
-/** As kWatchWait, for a VM that others ask: a watch whose answer is lost must
-    not leave all of them without changes. */
-constexpr Duration kWatchWaitWhenAsked = std::chrono::seconds(3);
+/** As kWatchWait, in a zone that shares a watch: one whose answer is lost must
+    not leave all VMs of the zone without changes. */
+constexpr Duration kSharedWatchWait = std::chrono::seconds(2);
 /** As kWatchWait, for a VM that was refused by the VM it asked: it then asks
     again. */
 constexpr Duration kWatchWaitBesideRelay = std::chrono::seconds(1);
@@ -219,10 +219,11 @@
 Duration
 WatchWait(const ForwarderState& aState, TimePoint aNow)
 {
-  if (IsAsked(aState, aNow)) {
-    return kWatchWaitWhenAsked;
+  if (ChooseRelay(aState, aNow)) {
+    return kWatchWaitBesideRelay;
   }
-  return ChooseRelay(aState, aNow) ? kWatchWaitBesideRelay : kWatchWait;
+  const bool isShared = IsAsked(aState, aNow) || SharesWatch(aState);
+  return isShared ? kSharedWatchWait : kWatchWait;
 }
 
 } // namespace
