Catch up with the first list before serving by it

Cause: the first list of a process may be some seconds old since it costs a tenth. Change: one short watch follows the first list before the VM counts as loaded. Test: IsNotReadyBeforeItCaughtUpWithItsFirstList.

--- a/modules/wasabispread_decisions/PeerMessage.h
+++ b/modules/wasabispread_decisions/PeerMessage.h
@@ -194,8 +194,8 @@
   /** Whether the VM cannot give these changes, because it no longer has them or
       is unavailable. */
   bool mIsRefused = false;
-  /** Whether the VM gives no changes to anyone: the store does not answer it, or
-      it is stopping. */
+  /** Whether the VM gives no changes to anyone: the store does not answer it,
+     or it is stopping. */
   bool mIsUnavailable = false;
   /** For how long the VM has not heard from the store. */
   Duration mAge{};
--- a/modules/wasabispread_forwarding_decisions/ChangeRelayTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelayTests.cpp
@@ -3,6 +3,8 @@
  */
 #include <tests/support/ForwarderHarness.h>
 
+#include <algorithm>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace wasabispread;
@@ -72,6 +74,7 @@
   CPPUNIT_TEST(RefusesWhileStopping);
   CPPUNIT_TEST(WatchesTheStoreForShortTimesWhileAsked);
   CPPUNIT_TEST(WatchesForShortTimesBeforeItIsAsked);
+  CPPUNIT_TEST(IsNotReadyBeforeItCaughtUpWithItsFirstList);
   CPPUNIT_TEST(KeepsWhatIsNewerThanAListFromTheStore);
   CPPUNIT_TEST_SUITE_END();
 
@@ -283,6 +286,32 @@
                    std::chrono::seconds(3));
   }
 
+  /** Guards against a restarted VM that uses a target which left while the list
+      that it reads first was already old. */
+  void IsNotReadyBeforeItCaughtUpWithItsFirstList()
+  {
+    ForwarderState state = MakeForwarderState(ForwarderPolicy{}, 1);
+    const TimePoint now(std::chrono::seconds(1));
+    Reduce(state, ForwarderStarted{}, now);
+    StoreContent old{ { NewTarget("left"),
+                        ConfigurationChange{
+                          std::make_shared<const RoutingConfiguration>(),
+                          std::make_shared<const std::string>("text") } },
+                      StoreRevision(5) };
+    const auto effects = Reduce(state, EntriesListed{ old }, now);
+    CPPUNIT_ASSERT(!state.IsReady(now));
+    CPPUNIT_ASSERT(std::any_of(
+      effects.begin(), effects.end(), [](const ForwarderEffect& aEffect) {
+        return std::holds_alternative<WatchStore>(aEffect);
+      }));
+    StoreChanges since;
+    since.mChanges.push_back(TargetRemoval{ InstanceId("left") });
+    since.mRevision = StoreRevision(9);
+    Reduce(state, ChangesWatched{ since }, now);
+    CPPUNIT_ASSERT(state.mTargetOfInstance.empty());
+    CPPUNIT_ASSERT(state.mStore.mIsLoaded);
+  }
+
   void KeepsWhatIsNewerThanAListFromTheStore()
   {
     mForwarder->Change(NewTarget("t"));
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -19,6 +19,8 @@
 /** As kWatchWait, for a VM that was refused by the VM it asked: it then asks
     again. */
 constexpr Duration kWatchWaitBesideRelay = std::chrono::seconds(1);
+/** As kWatchWait, for the first watch, which only catches up. */
+constexpr Duration kCatchUpWait = std::chrono::milliseconds(1);
 /** Bounds of the delay before a failed call is made again. */
 constexpr Duration kFirstRetry = std::chrono::milliseconds(200);
 constexpr Duration kMaxRetry = std::chrono::milliseconds(800);
@@ -219,6 +221,9 @@
 Duration
 WatchWait(const ForwarderState& aState, TimePoint aNow)
 {
+  if (aState.mStore.mIsCatchingUp) {
+    return kCatchUpWait;
+  }
   if (ChooseRelay(aState, aNow)) {
     return kWatchWaitBesideRelay;
   }
@@ -272,19 +277,17 @@
   RemoveTargetsMissingFrom(aState, content.mEntries, aNow, aEffects);
   RemoveMembersMissingFrom(aState.mMembership, content.mEntries, aNow);
   RefreshAssignments(aState, aNow, aEffects);
-  store.mIsLoaded = true;
   store.mNeedsList = false;
   store.mNeedsFreshList = false;
   store.mRevision = content.mRevision;
   ForgetChanges(aState.mRelay, content.mRevision);
-  if (!isFirst) {
-    // Changes that the entries, which may be old, do not have yet.
+  // The entries may be old: a target that left since must not be used again.
+  if (isFirst) {
+    store.mIsCatchingUp = true;
+    FollowStoreDirectly(aState, aNow, aEffects);
+  } else {
     FollowStore(aState, aNow, aEffects);
-    return;
   }
-  // VMs that start together register one after another; their entries are read
-  // together after the interval.
-  ArmFollowTimer(aState, aNow + FollowInterval(CountFollowers(aState)));
 }
 
 void
@@ -314,6 +317,15 @@
     return;
   }
   ApplyChanges(aState, changes, aNow, aEffects);
+  if (store.mIsCatchingUp) {
+    store.mIsCatchingUp = false;
+    store.mIsLoaded = true;
+    RefreshAssignments(aState, aNow, aEffects);
+    // VMs that start together register one after another; their entries are
+    // read together after the interval.
+    ArmFollowTimer(aState, aNow + FollowInterval(CountFollowers(aState)));
+    return;
+  }
   if (changes.mChanges.empty()) {
     FollowStore(aState, aNow, aEffects);
     return;
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.h
@@ -14,8 +14,11 @@
     is in progress. */
 struct StoreState
 {
-  /** Whether its entries were read at least once. */
+  /** Whether its entries, and the changes since, were read at least once. */
   bool mIsLoaded = false;
+  /** Whether the entries that were listed first may be old, so that the changes
+      since are read before anything is decided by them. */
+  bool mIsCatchingUp = false;
   /** Whether the next call lists all entries instead of watching for
       changes. */
   bool mNeedsList = true;
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -21,6 +21,7 @@
   mState = MakeForwarderState(std::move(policy), 1);
   Deliver(ForwarderStarted{});
   Deliver(EntriesListed{ StoreContent{ {}, StoreRevision(mRevision) } });
+  Deliver(ChangesWatched{ StoreChanges{ {}, StoreRevision(mRevision) } });
   RunFor(std::chrono::seconds(6));
 }
 
