--- a/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
@@ -279,7 +279,7 @@
 
 void
 HandlePeerChanges(ForwarderState& aState,
-                  PeerChanges aEvent,
+                  const PeerChanges& aEvent,
                   TimePoint aNow,
                   ForwarderEffects& aEffects)
 {
@@ -303,7 +303,7 @@
   relay.mAwaited.reset();
   aState.mStore.mIsCallPending = false;
   aState.mStore.mFreshAt = std::max(aState.mStore.mFreshAt, aNow - aEvent.mAge);
-  ApplyRelayedChanges(aState, std::move(aEvent.mChanges), aNow, aEffects);
+  ApplyRelayedChanges(aState, aEvent.mChanges, aNow, aEffects);
   FollowStore(aState, aNow, aEffects);
 }
 
--- a/modules/wasabispread_forwarding_decisions/ChangeRelay.h
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelay.h
@@ -115,7 +115,7 @@
 
 void
 HandlePeerChanges(ForwarderState& aState,
-                  PeerChanges aEvent,
+                  const PeerChanges& aEvent,
                   TimePoint aNow,
                   ForwarderEffects& aEffects);
 
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -128,9 +128,9 @@
     HandleChangesRequested(mState, aEvent, mNow, mEffects);
   }
 
-  void operator()(PeerChanges& aEvent)
+  void operator()(const PeerChanges& aEvent)
   {
-    HandlePeerChanges(mState, std::move(aEvent), mNow, mEffects);
+    HandlePeerChanges(mState, aEvent, mNow, mEffects);
   }
 
   void operator()(const SubSearchArrived& aEvent)
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -367,7 +367,7 @@
 
 void
 ApplyRelayedChanges(ForwarderState& aState,
-                    std::vector<StoreChanges> aChanges,
+                    const std::vector<StoreChanges>& aChanges,
                     TimePoint aNow,
                     ForwarderEffects& aEffects)
 {
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.h
@@ -80,7 +80,7 @@
 /** Applies changes that another VM passed on. */
 void
 ApplyRelayedChanges(ForwarderState& aState,
-                    std::vector<StoreChanges> aChanges,
+                    const std::vector<StoreChanges>& aChanges,
                     TimePoint aNow,
                     ForwarderEffects& aEffects);
 
