--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -124,7 +124,7 @@
     }
     mMetrics = std::move(*metrics);
   }
-  const auto started = mRunner.Start(
+  auto started = mRunner.Start(
     [this](const CallerLimits& aLimits) { ApplyCallerLimits(aLimits); });
   if (!started) {
     return started;
