Log and export which answer of the store a VM waits for

Cause: of the VMs that missed changes no line told whether they had a call to the store under way, or when the store had answered last, so three hypotheses could not be told apart (docs/incidents/configuration-not-in-force.md).

Change: store-not-heard every 4 s of silence, with the pending call, its age and its allowed wait; metrics store_reply_age_seconds and store_revision. No decision changes: the flag for a pending call became its description.

Ruled out: changes read and not applied; no call under way.

--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -74,6 +74,13 @@
   list.AddGauge("store_away",
                 "1 while the store does not answer.",
                 aState.mStore.IsUnavailable() ? 1 : 0);
+  list.AddGauge(
+    "store_reply_age_seconds",
+    "How long ago the store, or the VM that watches it for this one, answered.",
+    std::chrono::duration<double>(aNow - aState.mStore.mLastReply).count());
+  list.AddGauge("store_revision",
+                "The revision of the store up to which changes are applied.",
+                static_cast<double>(aState.mStore.mRevision.Value()));
   list.AddGauge(
     "targets", "Targets known.", static_cast<double>(aState.mTargets.size()));
   list.AddGauge("target_connections",
--- a/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
@@ -182,7 +182,9 @@
 {
   ChangeRelay& relay = aState.mRelay;
   const TimePoint timeout = aNow + kAnswerInterval + kAnswerMargin;
-  aState.mStore.mIsCallPending = true;
+  aState.mStore.mPendingCall = { PendingStoreCall::Kind::kRelay,
+                                 aNow,
+                                 kAnswerInterval };
   relay.mAwaited = AwaitedChanges{ aVm, relay.mNextSequence++, timeout };
   aState.mTimers.Arm(
     timeout, ForwarderTimer::kRelayTimeout, relay.mAwaited->mSequence);
@@ -301,7 +303,7 @@
     return;
   }
   relay.mAwaited.reset();
-  aState.mStore.mIsCallPending = false;
+  aState.mStore.mPendingCall.reset();
   aState.mStore.mFreshAt = std::max(aState.mStore.mFreshAt, aNow - aEvent.mAge);
   ApplyRelayedChanges(aState, aEvent.mChanges, aNow, aEffects);
   FollowStore(aState, aNow, aEffects);
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -54,6 +54,7 @@
                                { "zone", mState.mPolicy.mZone.Value() } } } });
     mState.mTimers.Arm(mNow + kStartupSettleTime,
                        ForwarderTimer::kRefreshAssignments);
+    ReportStoreSilence(mState, mNow, mEffects);
     FollowStore(mState, mNow, mEffects);
     AcquireOrRenewLease(mState, mNow, mEffects);
   }
@@ -200,10 +201,13 @@
         HandleIdle(mState, ConnectionId(aKey), mNow, mEffects);
         break;
       case ForwarderTimer::kFollowStore:
-        if (!mState.mStore.mIsCallPending) {
+        if (!mState.mStore.mPendingCall) {
           FollowStore(mState, mNow, mEffects);
         }
         break;
+      case ForwarderTimer::kReportSilence:
+        ReportStoreSilence(mState, mNow, mEffects);
+        break;
       case ForwarderTimer::kEntryMissing:
         HandleEntryMissingTimeout(mState, TargetKey(aKey), mNow, mEffects);
         break;
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -29,6 +29,8 @@
   kIdle,
   /** No key: the next call to follow the store is due. */
   kFollowStore,
+  /** No key: reports if the store has not answered for a while. */
+  kReportSilence,
   /** Key: the target whose entry is missing from the store. */
   kEntryMissing,
   /** No key: assignments are computed again, because VMs that started together
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t kManyChanges = 100;
 /** Number of VMs up to which the minimum interval causes little load. */
 constexpr std::size_t kVmsAtMinInterval = 16;
+/** Time without an answer after which a record states what is awaited. */
+constexpr Duration kReportedSilence = std::chrono::seconds(4);
 
 void
 ArmFollowTimer(ForwarderState& aState, TimePoint aWhen)
@@ -203,6 +205,58 @@
   return std::clamp(interval, kMinInterval, kMaxInterval);
 }
 
+namespace {
+
+const char*
+ToText(PendingStoreCall::Kind aKind)
+{
+  switch (aKind) {
+    case PendingStoreCall::Kind::kList:
+      return "list";
+    case PendingStoreCall::Kind::kWatch:
+      return "watch";
+    case PendingStoreCall::Kind::kRelay:
+      break;
+  }
+  return "relay";
+}
+
+} // namespace
+
+void
+ReportStoreSilence(ForwarderState& aState,
+                   TimePoint aNow,
+                   ForwarderEffects& aEffects)
+{
+  aState.mTimers.Arm(aNow + kReportedSilence, ForwarderTimer::kReportSilence);
+  const StoreState& store = aState.mStore;
+  const Duration silence = aNow - std::max(store.mLastReply, aState.mStarted);
+  if (silence < kReportedSilence) {
+    return;
+  }
+  DecisionRecord record{
+    RecordClass::kState,
+    "store-not-heard",
+    {},
+    { { "silence_ms", ToMilliseconds(silence) },
+      { "revision", static_cast<std::int64_t>(store.mRevision.Value()) },
+      { "version",
+        static_cast<std::int64_t>(
+          aState.mConfiguration == nullptr
+            ? 0
+            : aState.mConfiguration->mVersion.Value()) },
+      { "call",
+        store.mPendingCall ? ToText(store.mPendingCall->mKind) : "none" } }
+  };
+  if (store.mPendingCall) {
+    record.mFields.push_back(
+      { "call_age_ms", ToMilliseconds(aNow - store.mPendingCall->mSince) });
+    record.mFields.push_back(
+      { "call_wait_ms", ToMilliseconds(store.mPendingCall->mWait) });
+  }
+  aEffects.push_back(WriteDecisionRecord{ std::move(record) });
+}
+
 void
 FollowStore(ForwarderState& aState, TimePoint aNow, ForwarderEffects& aEffects)
 {
@@ -239,13 +293,15 @@
                     ForwarderEffects& aEffects)
 {
   ++aState.mCounters.mStoreCalls;
-  aState.mStore.mIsCallPending = true;
-  aState.mStore.mLastDirectCall = aNow;
-  if (aState.mStore.mNeedsList) {
-    aEffects.push_back(ListStore{ !aState.mStore.mNeedsFreshList });
+  StoreState& store = aState.mStore;
+  store.mLastDirectCall = aNow;
+  if (store.mNeedsList) {
+    store.mPendingCall = { PendingStoreCall::Kind::kList, aNow, {} };
+    aEffects.push_back(ListStore{ !store.mNeedsFreshList });
   } else {
-    aEffects.push_back(
-      WatchStore{ aState.mStore.mRevision, WatchWait(aState, aNow) });
+    const Duration wait = WatchWait(aState, aNow);
+    store.mPendingCall = { PendingStoreCall::Kind::kWatch, aNow, wait };
+    aEffects.push_back(WatchStore{ store.mRevision, wait });
   }
 }
 
@@ -255,7 +311,7 @@
                     TimePoint aNow,
                     ForwarderEffects& aEffects)
 {
-  aState.mStore.mIsCallPending = false;
+  aState.mStore.mPendingCall.reset();
   if (!aEvent.mResult) {
     HandleStoreFailure(aState, aEvent.mResult.error(), aNow, aEffects);
     return;
@@ -296,7 +352,7 @@
                      TimePoint aNow,
                      ForwarderEffects& aEffects)
 {
-  aState.mStore.mIsCallPending = false;
+  aState.mStore.mPendingCall.reset();
   if (!aEvent.mResult) {
     HandleStoreFailure(aState, aEvent.mResult.error(), aNow, aEffects);
     return;
@@ -346,7 +402,7 @@
   const TimePoint next =
     aState.mStore.mLastDirectCall + FollowInterval(CountFollowers(aState));
   if (aNow < next) {
-    aState.mStore.mIsCallPending = false;
+    aState.mStore.mPendingCall.reset();
     ArmFollowTimer(aState, next);
   } else {
     FollowStoreDirectly(aState, aNow, aEffects);
@@ -359,7 +415,7 @@
                  ForwarderEffects& aEffects)
 {
   const StoreState& store = aState.mStore;
-  if (store.IsUnavailable() && !store.mIsCallPending &&
+  if (store.IsUnavailable() && !store.mPendingCall &&
       aNow - store.mLastFailure >= kMaxRetry) {
     FollowStoreDirectly(aState, aNow, aEffects);
   }
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.h
@@ -6,10 +6,29 @@
 #include "ForwarderEffect.h"
 #include "ForwarderEvent.h"
 
+#include <optional>
+
 namespace wasabispread::forwarding {
 
 struct ForwarderState;
 
+/** A call that was made to follow the store and has not been answered. */
+struct PendingStoreCall
+{
+  enum class Kind : std::uint8_t
+  {
+    kList,
+    kWatch,
+    /** A request to the VM of the zone that watches. */
+    kRelay,
+  };
+
+  Kind mKind = Kind::kList;
+  TimePoint mSince{};
+  /** How long the answer may take without being late. */
+  Duration mWait{};
+};
+
 /** The state of following the store. Invariant: at most one call to follow it
     is in progress. */
 struct StoreState
@@ -30,9 +49,7 @@
   TimePoint mLastReply{};
   /** When the store last answered any call of this VM or of its relay. */
   TimePoint mFreshAt{};
-  /** Whether a call to follow the store, or a request to another VM, is under
-      way. */
-  bool mIsCallPending = false;
+  std::optional<PendingStoreCall> mPendingCall;
   /** The number of consecutive calls that failed. */
   unsigned mFailures = 0;
   TimePoint mLastFailure{};
@@ -52,6 +69,14 @@
 Duration
 FollowInterval(std::size_t aVms);
 
+/** Writes a record when the store, or the VM that watches for this one, has not
+    answered for a while. Called at the start and whenever the kReportSilence
+    timer fires. */
+void
+ReportStoreSilence(ForwarderState& aState,
+                   TimePoint aNow,
+                   ForwarderEffects& aEffects);
+
 /** Makes the next call to follow the store: a list, a watch, or a request to
     the VM of the zone that watches. */
 void
