--- a/tests/platform/ForwarderProcessTests.cpp
+++ b/tests/platform/ForwarderProcessTests.cpp
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(ServesWhileTheStoreIsUnavailable);
   CPPUNIT_TEST(StartsDuringAStoreOutage);
   CPPUNIT_TEST(AppliesVersionsDespiteCompactionAbortsAndInvalidEntries);
+  CPPUNIT_TEST(AppliesAVersionAfterAReplyOfTheStoreWasLost);
   CPPUNIT_TEST(RegistersDespiteLostAndLateWrites);
   CPPUNIT_TEST(LearnsANewVersionFromOtherVms);
   CPPUNIT_TEST(FinishesRequestsBeforeStopping);
@@ -449,6 +450,25 @@
       "the version after it is in force");
   }
 
+  /** Guards against a VM that waits on a connection whose answer was lost. */
+  void AppliesAVersionAfterAReplyOfTheStoreWasLost()
+  {
+    constexpr Duration kInForceAfterOutage = std::chrono::seconds(4);
+    SleepFor(std::chrono::seconds(1));
+    mFleet->Store().SetAllVmPortStates(VmPortState::kLosesReplies);
+    mFleet->Store().Put("unrelated", "x");
+    SleepFor(std::chrono::milliseconds(300));
+    mFleet->Store().SetAllVmPortStates(VmPortState::kServes);
+    mFleet->Configure("once");
+    AwaitCondition(
+      [&] {
+        const ForwarderReply reply = mFleet->SendRequest({});
+        return reply.mResponse->mBody.starts_with("reply of once");
+      },
+      "the newest version is in force",
+      kInForceAfterOutage);
+  }
+
   /** Guards against a VM that stays unlisted when its first writes to the
       store are lost, done without an answer or done late. */
   void RegistersDespiteLostAndLateWrites()
--- a/tests/platform/StandInStore.cpp
+++ b/tests/platform/StandInStore.cpp
@@ -25,6 +25,7 @@
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kUnavailable = 503;
 constexpr Duration kPollInterval = std::chrono::milliseconds(2);
+constexpr Duration kLostReplyPollInterval = std::chrono::milliseconds(50);
 constexpr Duration kLateWriteDelay = std::chrono::seconds(1);
 constexpr std::size_t kMaxItems = 500;
 constexpr std::size_t kMaxEntries = 32;
@@ -180,6 +181,8 @@
         boost::this_fiber::sleep_for(kPollInterval);
       }
       return NoReply();
+    case VmPortState::kLosesReplies:
+      return LoseReply();
     case VmPortState::kClosesConnection:
       return NoReply();
     case VmPortState::kRefuses:
@@ -246,7 +249,8 @@
   const TimePoint until = Now() + std::chrono::milliseconds(wait);
   const std::uint64_t watchAborts = mWatchAborts;
   while (true) {
-    if (aVmPort.mState != VmPortState::kServes) {
+    const bool isLosing = aVmPort.mState == VmPortState::kLosesReplies;
+    if (aVmPort.mState != VmPortState::kServes && !isLosing) {
       return NoReply();
     }
     if (watchAborts != mWatchAborts) {
@@ -266,6 +270,9 @@
       }
     }
     if (!events.empty() || Now() >= until) {
+      if (isLosing) {
+        return LoseReply();
+      }
       return JsonResponse(
         kOk, Json{ { "events", events }, { "asOf", mRevision } }.dump());
     }
@@ -273,6 +280,16 @@
   }
 }
 
+HttpResponse
+StandInStore::LoseReply()
+{
+  const std::shared_ptr<bool> isOpen = mIsOpen;
+  while (*isOpen) {
+    boost::this_fiber::sleep_for(kLostReplyPollInterval);
+  }
+  return NoReply();
+}
+
 HttpResponse
 StandInStore::Write(const HttpRequest& aRequest, const HttpPath& aPath)
 {
--- a/tests/platform/StandInStore.h
+++ b/tests/platform/StandInStore.h
@@ -20,8 +20,11 @@
 enum class VmPortState : std::uint8_t
 {
   kServes,
-  /** Sends no answer and keeps the connection open. */
+  /** Sends no answer and keeps the connection open until the state ends. */
   kNeverReplies,
+  /** Loses every answer. A connection that lost one stays open and silent, also
+      after the state ends; a watch without a change meanwhile goes on. */
+  kLosesReplies,
   /** Closes the connection without an answer. */
   kClosesConnection,
   /** Answers 503 and does nothing. */
@@ -114,6 +117,8 @@
   HttpResponse Serve(VmPort& aVmPort, const HttpRequest& aRequest);
   HttpResponse Read(const HttpPath& aPath);
   HttpResponse Watch(VmPort& aVmPort, const HttpPath& aPath);
+  /** Blocks until the store ends. */
+  HttpResponse LoseReply();
   HttpResponse Write(const HttpRequest& aRequest, const HttpPath& aPath);
   HttpResponse Perform(const HttpRequest& aRequest, const HttpPath& aPath);
   HttpResponse Transact(const Json& aBody);
--- a/tests/processes/TestLoop.cpp
+++ b/tests/processes/TestLoop.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr Duration kPollInterval = std::chrono::milliseconds(5);
-constexpr Duration kConditionTimeout = std::chrono::seconds(20);
 
 } // namespace
 
@@ -29,12 +28,16 @@
 
 void
 AwaitCondition(const std::function<bool()>& aCondition,
-               const std::string& aWhat)
+               const std::string& aWhat,
+               Duration aTimeout)
 {
-  const TimePoint deadline = VmRunner::Now() + kConditionTimeout;
+  const TimePoint deadline = VmRunner::Now() + aTimeout;
   while (!aCondition()) {
     if (VmRunner::Now() > deadline) {
-      throw std::runtime_error("condition not met within 20 s: " + aWhat);
+      throw std::runtime_error(
+        "condition not met within " +
+        std::to_string(std::chrono::duration<double>(aTimeout).count()) +
+        " s: " + aWhat);
     }
     boost::this_fiber::sleep_for(kPollInterval);
   }
--- a/tests/processes/TestLoop.h
+++ b/tests/processes/TestLoop.h
@@ -16,10 +16,11 @@
 TestLoop();
 
 /** Waits until a condition holds. Throws std::runtime_error, which names aWhat,
-    if it doesn't hold within 20 s. */
+    if it doesn't hold within aTimeout. */
 void
 AwaitCondition(const std::function<bool()>& aCondition,
-               const std::string& aWhat);
+               const std::string& aWhat,
+               Duration aTimeout = std::chrono::seconds(20));
 
 /** Runs aBody in aFibers fibers, each with its index, and waits for all of
    them. Rethrows the last exception that a fiber threw. */
