Know the age of what is known of the store; replace a watch whose answer was lost

Callers got 404 for routes that were there and answers by replaced versions (CONFIG, DENIED), for up to 28 s after an outage of the store.

Cause: an answer to a watch that was lost while the store was silent leaves a connection that stays open and whose keep-alive probes are answered. A VM took the silence for a store in which nothing changes. It is one class of fault: no evidence was taken for evidence of no change. A second case of it: a relay counted as fresh because its lease was renewed, whatever became of its watch.

Change (StoreFreshness): a VM that watches knows until when its knowledge is complete. When that is 0.8 s ago, one VM reads the store's revision and reports it to the others that watch; a revision that a watch does not deliver means a lost answer, no answer to the read means that the store is away. In both cases the watch is replaced on a new connection. Removed: the 2 s watches and 0.7 s renewals of zones that share a watch, which bounded the same fault by a constant. Frame version 2 has the report; older releases are not sent it.

Why it works: the store's revision is evidence about the present that does not pass through the connection in doubt.

Tests replaced: the two that asserted shared watches of at most 3 s now let an answer be lost and assert that the watch is replaced within 3 s. AcceptsOnlyPeersWithACommonVersion follows the version constants and also tries the oldest version.

--- a/modules/wasabispread_decisions/PeerMessage.h
+++ b/modules/wasabispread_decisions/PeerMessage.h
@@ -197,11 +197,19 @@
   /** Whether the VM gives no changes to anyone: the store does not answer it,
      or it is stopping. */
   bool mIsUnavailable = false;
-  /** For how long the VM has not heard from the store. */
+  /** How old the VM's knowledge of the store is. */
   Duration mAge{};
   std::vector<std::shared_ptr<const CompressedText>> mTexts;
 };
 
+/** States the revision that the store had a while ago. */
+struct RevisionReport
+{
+  std::uint64_t mRevision = 0;
+  /** How long ago the sender asked the store for it. */
+  Duration mAge{};
+};
+
 using PeerMessage = std::variant<BatchRequest,
                                  BatchReply,
                                  BatchCancel,
@@ -220,6 +228,7 @@
                                  SubSearchCancel,
                                  SubSearchConfirm,
                                  ChangesRequest,
-                                 ChangesReply>;
+                                 ChangesReply,
+                                 RevisionReport>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -78,6 +78,10 @@
     "store_reply_age_seconds",
     "How long ago the store, or the VM that watches it for this one, answered.",
     std::chrono::duration<double>(aNow - aState.mStore.mLastReply).count());
+  list.AddGauge(
+    "store_knowledge_age_seconds",
+    "How old the knowledge of the store may be.",
+    std::chrono::duration<double>(KnowledgeAge(aState, aNow)).count());
   list.AddGauge("store_revision",
                 "The revision of the store up to which changes are applied.",
                 static_cast<double>(aState.mStore.mRevision.Value()));
--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -141,6 +141,8 @@
     Deliver(ChangesRequested{ aPeer, aAddress, *changes });
   } else if (const auto* answer = std::get_if<ChangesReply>(&aMessage)) {
     Deliver(ReadChanges(*answer));
+  } else if (const auto* report = std::get_if<RevisionReport>(&aMessage)) {
+    Deliver(RevisionReported{ StoreRevision(report->mRevision), report->mAge });
   } else if (const auto* search = std::get_if<SubSearch>(&aMessage)) {
     Deliver(SubSearchArrived{ aPeer, aAddress, *search, RequestFrom(*search) });
   } else if (const auto* found = std::get_if<SubSearchReply>(&aMessage)) {
@@ -296,11 +298,27 @@
 void
 ForwarderRunner::Perform(WatchStore& aEffect)
 {
-  StartFiber([this, watch = aEffect] {
-    Deliver(ChangesWatched{ mStore.Watch(watch) });
+  StartFiber([this, watch = aEffect, abandoned = mAbandonedWatches] {
+    auto changes = mStore.Watch(watch);
+    if (abandoned == mAbandonedWatches) {
+      Deliver(ChangesWatched{ std::move(changes) });
+    }
   });
 }
 
+void
+ForwarderRunner::Perform(AbandonWatch&)
+{
+  ++mAbandonedWatches;
+  mStore.AbandonWatch();
+}
+
+void
+ForwarderRunner::Perform(CheckStore&)
+{
+  StartFiber([this] { Deliver(StoreChecked{ mStore.ReadRevision() }); });
+}
+
 void
 ForwarderRunner::Perform(GrantLease& aEffect)
 {
--- a/modules/wasabispread_forwarding/ForwarderRunner.h
+++ b/modules/wasabispread_forwarding/ForwarderRunner.h
@@ -68,6 +68,8 @@
   void Perform(SendRequest& aEffect);
   void Perform(ListStore& aEffect);
   void Perform(WatchStore& aEffect);
+  void Perform(AbandonWatch& aEffect);
+  void Perform(CheckStore& aEffect);
   void Perform(GrantLease& aEffect);
   void Perform(WriteMember& aEffect);
   void Perform(RenewLease& aEffect);
@@ -116,6 +118,8 @@
   FiberEvent mTimerWake;
   /** The time until which RunTimers() waits. */
   TimePoint mTimerDue = TimePoint::max();
+  /** The number of watches abandoned so far. */
+  std::uint64_t mAbandonedWatches = 0;
   std::uint64_t mNextToken = 1;
   /** The promises on whose answers the fibers in Serve() wait. */
   std::unordered_map<CallerToken, boost::fibers::promise<CallerAnswer>>
--- a/modules/wasabispread_forwarding/PlatformAdapter.h
+++ b/modules/wasabispread_forwarding/PlatformAdapter.h
@@ -66,6 +66,12 @@
   virtual Result<StoreChanges> ReadStoreWatch(const HttpResponse& aMessage,
                                               StoreRevision aAfter) const = 0;
 
+  /** Builds the request for the store's present revision. */
+  virtual HttpRequest WriteRevisionRead() const = 0;
+
+  virtual Result<StoreRevision> ReadRevision(
+    const HttpResponse& aMessage) const = 0;
+
   virtual HttpRequest WriteLeaseGrant(Duration aLifetime) const = 0;
 
   virtual Result<LeaseId> ReadLeaseGrant(
--- a/modules/wasabispread_forwarding/StoreClient.cpp
+++ b/modules/wasabispread_forwarding/StoreClient.cpp
@@ -25,21 +25,22 @@
 }
 
 Result<HttpResponse>
-StoreClient::Call(Channel& aChannel,
+StoreClient::Call(const std::shared_ptr<Channel>& aChannel,
                   const HttpRequest& aRequest,
                   Duration aTimeout)
 {
-  if (aChannel.mConnection == nullptr) {
-    auto connection = std::make_unique<HttpConnection>(mLoop);
+  const std::shared_ptr<Channel> channel = aChannel;
+  if (channel->mConnection == nullptr) {
+    auto connection = std::make_shared<HttpConnection>(mLoop);
     const auto connected = connection->Connect(mAddress, kCallTimeout);
     if (!connected) {
       return tl::unexpected<Error>(connected.error());
     }
-    aChannel.mConnection = std::move(connection);
+    channel->mConnection = std::move(connection);
   }
-  auto response = aChannel.mConnection->Exchange(aRequest, aTimeout);
+  auto response = channel->mConnection->Exchange(aRequest, aTimeout);
   if (!response || !response->mKeepAlive) {
-    aChannel.mConnection.reset();
+    channel->mConnection.reset();
   }
   return response;
 }
@@ -86,6 +87,26 @@
     });
 }
 
+void
+StoreClient::AbandonWatch()
+{
+  const auto abandoned =
+    std::exchange(mWatchChannel, std::make_shared<Channel>());
+  if (abandoned->mConnection != nullptr) {
+    abandoned->mConnection->Close();
+  }
+}
+
+Result<StoreRevision>
+StoreClient::ReadRevision()
+{
+  return ExchangeOnce(
+           mLoop, mAddress, mAdapter.WriteRevisionRead(), kCallTimeout)
+    .and_then([&](const HttpResponse& aResponse) {
+      return mAdapter.ReadRevision(aResponse);
+    });
+}
+
 Result<LeaseId>
 StoreClient::Grant(Duration aLifetime)
 {
--- a/modules/wasabispread_forwarding/StoreClient.h
+++ b/modules/wasabispread_forwarding/StoreClient.h
@@ -13,7 +13,7 @@
 
 /** Calls the store on two connections: one for listing and watching entries,
     one for the lease. Only one call at a time may be made on each. Every call
-    blocks its fiber. */
+    blocks its fiber, except AbandonWatch(). */
 class StoreClient
 {
 public:
@@ -25,6 +25,12 @@
   Result<StoreContent> List(const ListStore& aList);
   /** Waits for changes after a revision; may return none. */
   Result<StoreChanges> Watch(const WatchStore& aWatch);
+  /** Ends the watch under way, which then returns an error; the next call may
+      be made at once. */
+  void AbandonWatch();
+  /** Reads the store's present revision, on a new connection: one in use may be
+      silent without being closed. */
+  Result<StoreRevision> ReadRevision();
   Result<LeaseId> Grant(Duration aLifetime);
   /** Writes this VM's entry, which the store removes when the lease ends. */
   Result<std::monostate> PutMember(LeaseId aLease, const MemberRecord& aRecord);
@@ -38,20 +44,21 @@
       a failure. */
   struct Channel
   {
-    std::unique_ptr<HttpConnection> mConnection;
+    std::shared_ptr<HttpConnection> mConnection;
   };
 
   /** Makes one call, connecting first if necessary. aTimeout limits the
       exchange without the connecting. */
-  Result<HttpResponse> Call(Channel& aChannel,
+  Result<HttpResponse> Call(const std::shared_ptr<Channel>& aChannel,
                             const HttpRequest& aRequest,
                             Duration aTimeout);
 
   IoLoop& mLoop;
   Endpoint mAddress;
   const PlatformAdapter& mAdapter;
-  Channel mWatchChannel;
-  Channel mLeaseChannel;
+  /** Replaced when a watch is abandoned; the call keeps the one it uses. */
+  std::shared_ptr<Channel> mWatchChannel = std::make_shared<Channel>();
+  std::shared_ptr<Channel> mLeaseChannel = std::make_shared<Channel>();
 };
 
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
@@ -18,9 +18,9 @@
 constexpr Duration kAnswerInterval = std::chrono::milliseconds(600);
 /** How much longer than that the VM that asks waits. */
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(700);
-/** For how long a relay may not have heard from the store. With the intervals
-    above, a VM notices within about two seconds that its relay is cut off. */
-constexpr Duration kMaxAge = std::chrono::milliseconds(1500);
+/** How old the knowledge of a relay may be: the longest interval between reads
+    and a check after it. */
+constexpr Duration kMaxAge = std::chrono::milliseconds(1900);
 /** How long a VM that failed as a relay is not asked again. */
 constexpr Duration kAvoidTime = std::chrono::seconds(6);
 /** How long a VM counts as asked after a request. */
@@ -36,10 +36,12 @@
          aMember.mRecord.mZone == aState.mPolicy.mZone;
 }
 
-Duration
-AgeOf(const ForwarderState& aState, TimePoint aNow)
+/** The VM of a zone with the highest rank watches for the others. */
+std::tuple<double, std::uint64_t>
+RelayRank(const Member& aMember)
 {
-  return std::max(Duration::zero(), aNow - aState.mStore.mFreshAt);
+  return { aMember.mRecord.mProcessorShare,
+           StableHash(aMember.mRecord.mName, kRelaySalt) };
 }
 
 /** Whether this VM can pass on changes. */
@@ -62,7 +64,7 @@
   reply.mSequence = aWaiting.mSequence;
   reply.mIsRefused = aIsRefused;
   reply.mIsUnavailable = !IsAvailable(aState);
-  reply.mAge = AgeOf(aState, aNow);
+  reply.mAge = KnowledgeAge(aState, aNow);
   if (!aIsRefused) {
     for (const KnownChanges& known : aState.mRelay.mKnown) {
       if (known.mRevision > aWaiting.mAfter) {
@@ -106,7 +108,8 @@
       {},
       { { "relay", vm },
         { "reason", std::string(aReason) },
-        { "store_age_ms", ToMilliseconds(AgeOf(aState, aNow)) } } } });
+        { "knowledge_age_ms",
+          ToMilliseconds(KnowledgeAge(aState, aNow)) } } } });
   FollowStoreAfterRefusal(aState, aNow, aEffects);
 }
 
@@ -126,12 +129,8 @@
     if (!IsPresentInZone(aState, member)) {
       continue;
     }
-    const auto rank = [](const Member& aMember) {
-      return std::tuple(aMember.mRecord.mProcessorShare,
-                        StableHash(aMember.mRecord.mName, kRelaySalt));
-    };
     if (aNow >= member.mAvoidAsRelayUntil &&
-        (best == nullptr || rank(member) > rank(*best))) {
+        (best == nullptr || RelayRank(member) > RelayRank(*best))) {
       best = &member;
     }
   }
@@ -152,22 +151,35 @@
   return static_cast<std::size_t>(present) >= kMinVms;
 }
 
-std::size_t
-CountFollowers(const ForwarderState& aState)
+std::vector<const Member*>
+Followers(const ForwarderState& aState)
 {
-  std::map<ZoneName, std::size_t> vmsOfZone;
+  std::map<ZoneName, std::vector<const Member*>> vmsOfZone;
   for (const auto& [name, member] : aState.mMembership.mMembers) {
     if (member.mLeftAt == TimePoint::max()) {
-      ++vmsOfZone[member.mRecord.mZone];
+      vmsOfZone[member.mRecord.mZone].push_back(&member);
     }
   }
-  std::size_t followers = 0;
+  std::vector<const Member*> followers;
   for (const auto& [zone, vms] : vmsOfZone) {
-    followers += vms < kMinVms ? vms : 1;
+    if (vms.size() < kMinVms) {
+      followers.insert(followers.end(), vms.begin(), vms.end());
+    } else {
+      followers.push_back(*std::max_element(
+        vms.begin(), vms.end(), [](const Member* aLeft, const Member* aRight) {
+          return RelayRank(*aLeft) < RelayRank(*aRight);
+        }));
+    }
   }
   return followers;
 }
 
+std::size_t
+CountFollowers(const ForwarderState& aState)
+{
+  return Followers(aState).size();
+}
+
 bool
 IsAsked(const ForwarderState& aState, TimePoint aNow)
 {
@@ -260,11 +272,6 @@
                        TimePoint aNow,
                        ForwarderEffects& aEffects)
 {
-  if (!IsAsked(aState, aNow)) {
-    // Renewals of the lease show that the store still answers this VM.
-    aState.mRelay.mIsAskedUntil = aNow + kAskedTime;
-    RenewLeaseSooner(aState, aNow);
-  }
   aState.mRelay.mIsAskedUntil = aNow + kAskedTime;
   const WaitingVm waiting{ aEvent.mAddress,
                            aEvent.mRequest.mSequence,
@@ -299,13 +306,13 @@
     return;
   }
   if (aEvent.mAge > kMaxAge) {
-    LeaveRelay(aState, "it does not hear from the store", aNow, aEffects);
+    LeaveRelay(aState, "its knowledge is too old", aNow, aEffects);
     return;
   }
   relay.mAwaited.reset();
   aState.mStore.mPendingCall.reset();
-  aState.mStore.mFreshAt = std::max(aState.mStore.mFreshAt, aNow - aEvent.mAge);
   ApplyRelayedChanges(aState, aEvent.mChanges, aNow, aEffects);
+  RecordComplete(aState, aNow - aEvent.mAge);
   FollowStore(aState, aNow, aEffects);
 }
 
--- a/modules/wasabispread_forwarding_decisions/ChangeRelay.h
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelay.h
@@ -10,6 +10,7 @@
 
 #include "ForwarderEffect.h"
 #include "ForwarderEvent.h"
+#include "Membership.h"
 
 #include <deque>
 #include <map>
@@ -68,6 +69,11 @@
 bool
 SharesWatch(const ForwarderState& aState);
 
+/** The VMs that watch the store themselves, in an order that all VMs share:
+    all VMs of a small zone, and of any other the one that is asked first. */
+std::vector<const Member*>
+Followers(const ForwarderState& aState);
+
 /** The number of VMs that follow the store itself. */
 std::size_t
 CountFollowers(const ForwarderState& aState);
--- a/modules/wasabispread_forwarding_decisions/ChangeRelayTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelayTests.cpp
@@ -72,8 +72,9 @@
   CPPUNIT_TEST(RefusesVmsWhoseChangesItNoLongerHas);
   CPPUNIT_TEST(RefusesWhileTheStoreIsUnavailable);
   CPPUNIT_TEST(RefusesWhileStopping);
-  CPPUNIT_TEST(WatchesTheStoreForShortTimesWhileAsked);
-  CPPUNIT_TEST(WatchesForShortTimesBeforeItIsAsked);
+  CPPUNIT_TEST(ReplacesAWatchWithALostAnswerWhileAsked);
+  CPPUNIT_TEST(ReplacesAWatchWithALostAnswerFromBeforeItWasAsked);
+  CPPUNIT_TEST(DoesNotTakeARenewedLeaseForNewsOfTheStore);
   CPPUNIT_TEST(IsNotReadyBeforeItCaughtUpWithItsFirstList);
   CPPUNIT_TEST(KeepsWhatIsNewerThanAListFromTheStore);
   CPPUNIT_TEST_SUITE_END();
@@ -258,32 +259,39 @@
     CPPUNIT_ASSERT(SentTo<ChangesReply>(*mForwarder, "vm-1").back().mIsRefused);
   }
 
-  void WatchesTheStoreForShortTimesWhileAsked()
+  /** Guards against a zone without changes because one answer was lost. */
+  void ReplacesAWatchWithALostAnswerWhileAsked()
   {
     Ask("vm-1", mForwarder->mState.mStore.mRevision);
     WatchedText("text");
-    mForwarder->mWatches.clear();
     Ask("vm-1", mForwarder->mState.mStore.mRevision);
-    mForwarder->RunFor(std::chrono::seconds(2));
-    CPPUNIT_ASSERT(!mForwarder->mWatches.empty());
-    CPPUNIT_ASSERT(mForwarder->mWatches.back().mWait <=
-                   std::chrono::seconds(3));
+    mForwarder->RunFor(std::chrono::seconds(1));
+    ExpectLostAnswerToBeNoticed();
   }
 
   /** Guards against a long watch that began before the other VMs asked this
      one, and whose answer is lost. */
-  void WatchesForShortTimesBeforeItIsAsked()
+  void ReplacesAWatchWithALostAnswerFromBeforeItWasAsked()
   {
     for (const char* name : { "vm-1", "vm-2", "vm-3" }) {
       mForwarder->Change(MemberChange{ MemberOf(name, 0.1) });
     }
     mForwarder->mWatches.clear();
     mForwarder->Change(MemberChange{ MemberOf("vm-a", 0.5) });
-    mForwarder->RunFor(std::chrono::seconds(2));
+    mForwarder->RunFor(std::chrono::seconds(1));
     CPPUNIT_ASSERT(SentTo<ChangesRequest>(*mForwarder, "vm-1").empty());
-    CPPUNIT_ASSERT(!mForwarder->mWatches.empty());
-    CPPUNIT_ASSERT(mForwarder->mWatches.back().mWait <=
-                   std::chrono::seconds(3));
+    ExpectLostAnswerToBeNoticed();
+  }
+
+  /** Guards against a relay that counts as fresh while its watch is silent. */
+  void DoesNotTakeARenewedLeaseForNewsOfTheStore()
+  {
+    mForwarder->RunFor(std::chrono::seconds(5));
+    mForwarder->Deliver(LeaseRenewed{ true });
+    Ask("vm-1", mForwarder->mState.mStore.mRevision);
+    mForwarder->RunFor(Milliseconds(700));
+    CPPUNIT_ASSERT(SentTo<ChangesReply>(*mForwarder, "vm-1").back().mAge >=
+                   std::chrono::seconds(5));
   }
 
   /** Guards against a restarted VM that uses a target which left while the list
@@ -326,6 +334,19 @@
   }
 
 private:
+  /** Lets the store change without an answer to the watch under way, and
+      expects the watch to be replaced within three seconds. */
+  void ExpectLostAnswerToBeNoticed()
+  {
+    CPPUNIT_ASSERT(!mForwarder->mWatches.empty());
+    const std::size_t watches = mForwarder->mWatches.size();
+    mForwarder->AnswerStoreChecksWith(
+      StoreRevision(mForwarder->mState.mStore.mRevision.Value() + 1));
+    mForwarder->RunFor(std::chrono::seconds(3));
+    CPPUNIT_ASSERT(mForwarder->mAbandonedWatches >= 1);
+    CPPUNIT_ASSERT(mForwarder->mWatches.size() > watches);
+  }
+
   /** Adds three VMs to the zone, of which vm-3 is the largest. */
   void JoinZone()
   {
--- a/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
@@ -61,6 +61,16 @@
   Duration mWait{};
 };
 
+/** Close the connection of the watch under way. No event follows for that
+    watch. */
+struct AbandonWatch
+{};
+
+/** Read the store's present revision on a connection of its own. The result is
+    StoreChecked. */
+struct CheckStore
+{};
+
 /** Request a lease from the store. The result is LeaseGranted. */
 struct GrantLease
 {
@@ -105,7 +115,8 @@
                SubSearchCancel,
                SubSearchConfirm,
                ChangesRequest,
-               ChangesReply>
+               ChangesReply,
+               RevisionReport>
     mMessage;
 };
 
@@ -127,6 +138,8 @@
                                      SendRequest,
                                      ListStore,
                                      WatchStore,
+                                     AbandonWatch,
+                                     CheckStore,
                                      GrantLease,
                                      WriteMember,
                                      RenewLease,
--- a/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
@@ -68,6 +68,12 @@
   Result<StoreChanges> mResult;
 };
 
+/** CheckStore completed or failed. */
+struct StoreChecked
+{
+  Result<StoreRevision> mResult;
+};
+
 /** GrantLease completed or failed. */
 struct LeaseGranted
 {
@@ -116,6 +122,14 @@
   std::vector<StoreChanges> mChanges;
 };
 
+/** Another VM read the store's revision. */
+struct RevisionReported
+{
+  StoreRevision mRevision;
+  /** How long ago the store had this revision. */
+  Duration mAge{};
+};
+
 /** Another VM asks this one, as a shard owner, to query shards for a search. */
 struct SubSearchArrived
 {
@@ -173,12 +187,14 @@
                                     ReplyArrived,
                                     EntriesListed,
                                     ChangesWatched,
+                                    StoreChecked,
                                     LeaseGranted,
                                     MemberWritten,
                                     LeaseRenewed,
                                     PeerRouting,
                                     ChangesRequested,
                                     PeerChanges,
+                                    RevisionReported,
                                     SubSearchArrived,
                                     SubSearchCancelled,
                                     SubSearchConfirmed,
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -104,6 +104,11 @@
     HandleChangesWatched(mState, std::move(aEvent), mNow, mEffects);
   }
 
+  void operator()(const StoreChecked& aEvent)
+  {
+    HandleStoreChecked(mState, aEvent, mNow, mEffects);
+  }
+
   void operator()(const LeaseGranted& aEvent)
   {
     HandleLeaseGranted(mState, aEvent, mNow, mEffects);
@@ -134,6 +139,11 @@
     HandlePeerChanges(mState, aEvent, mNow, mEffects);
   }
 
+  void operator()(const RevisionReported& aEvent)
+  {
+    HandleRevisionReported(mState, aEvent, mNow);
+  }
+
   void operator()(const SubSearchArrived& aEvent)
   {
     HandleSubSearchArrived(mState, aEvent, mNow, mEffects);
@@ -208,6 +218,12 @@
       case ForwarderTimer::kReportSilence:
         ReportStoreSilence(mState, mNow, mEffects);
         break;
+      case ForwarderTimer::kCheckStore:
+        CheckStoreIfDue(mState, mNow, mEffects);
+        break;
+      case ForwarderTimer::kWatchOverdue:
+        HandleWatchOverdue(mState, aKey, mNow, mEffects);
+        break;
       case ForwarderTimer::kEntryMissing:
         HandleEntryMissingTimeout(mState, TargetKey(aKey), mNow, mEffects);
         break;
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -10,6 +10,7 @@
 #include "RequestState.h"
 #include "ShardOwnership.h"
 #include "StoreFollower.h"
+#include "StoreFreshness.h"
 
 #include <unordered_map>
 #include <unordered_set>
@@ -31,6 +32,10 @@
   kFollowStore,
   /** No key: reports if the store has not answered for a while. */
   kReportSilence,
+  /** No key: the store's revision is read if the knowledge is too old. */
+  kCheckStore,
+  /** Key: the watch that should have delivered a revision by now. */
+  kWatchOverdue,
   /** Key: the target whose entry is missing from the store. */
   kEntryMissing,
   /** No key: assignments are computed again, because VMs that started together
@@ -113,6 +118,7 @@
   Random mRandom;
   TimePoint mStarted{};
   StoreState mStore;
+  StoreFreshness mFreshness;
   ChangeRelay mRelay;
   MembershipState mMembership;
   ShardOwnership mShardOwnership;
--- a/modules/wasabispread_forwarding_decisions/Membership.cpp
+++ b/modules/wasabispread_forwarding_decisions/Membership.cpp
@@ -15,8 +15,6 @@
     renewals can be rare. */
 constexpr Duration kLeaseLifetime = std::chrono::seconds(24);
 constexpr Duration kRenewInterval = kLeaseLifetime / 3;
-/** Interval while other VMs rely on this one to hear from the store. */
-constexpr Duration kRenewIntervalWhenAsked = std::chrono::milliseconds(700);
 constexpr Duration kLeaseRetry = std::chrono::milliseconds(800);
 /** How long a VM that left still counts in the fleet's size: it may be
     restarting, so its share of common limits is kept free for longer than a
@@ -51,8 +49,7 @@
 void
 ScheduleRenewal(ForwarderState& aState, TimePoint aNow)
 {
-  aState.mMembership.mRenewAt =
-    aNow + (IsAsked(aState, aNow) ? kRenewIntervalWhenAsked : kRenewInterval);
+  aState.mMembership.mRenewAt = aNow + kRenewInterval;
   aState.mTimers.Arm(aState.mMembership.mRenewAt, ForwarderTimer::kLease);
 }
 
@@ -125,18 +122,6 @@
   aEffects.push_back(GrantLease{ kLeaseLifetime });
 }
 
-void
-RenewLeaseSooner(ForwarderState& aState, TimePoint aNow)
-{
-  MembershipState& membership = aState.mMembership;
-  const TimePoint soon = aNow + kRenewIntervalWhenAsked;
-  if (membership.mLeaseStatus == LeaseStatus::kHeld &&
-      membership.mRenewAt != TimePoint::max() && soon < membership.mRenewAt) {
-    membership.mRenewAt = soon;
-    aState.mTimers.Arm(soon, ForwarderTimer::kLease);
-  }
-}
-
 void
 HandleLeaseGranted(ForwarderState& aState,
                    const LeaseGranted& aEvent,
@@ -195,9 +180,6 @@
     AcquireOrRenewLease(aState, aNow, aEffects);
     return;
   }
-  if (!aState.mRelay.mAwaited && !aState.mStore.IsUnavailable()) {
-    aState.mStore.mFreshAt = aNow;
-  }
   ScheduleRenewal(aState, aNow);
 }
 
--- a/modules/wasabispread_forwarding_decisions/Membership.h
+++ b/modules/wasabispread_forwarding_decisions/Membership.h
@@ -75,11 +75,6 @@
                     TimePoint aNow,
                     ForwarderEffects& aEffects);
 
-/** Renews a held lease soon, and then more often while other VMs ask this one
-    for changes. */
-void
-RenewLeaseSooner(ForwarderState& aState, TimePoint aNow);
-
 void
 HandleLeaseGranted(ForwarderState& aState,
                    const LeaseGranted& aEvent,
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -10,12 +10,8 @@
 namespace {
 
 /** Time that a watch waits for a change. It is long because each watch counts
-    as a call to the store; keep-alive probes detect a connection that no longer
-    carries data. */
+    as a call to the store; StoreFreshness detects one whose answer was lost. */
 constexpr Duration kWatchWait = std::chrono::seconds(28);
-/** As kWatchWait, in a zone that shares a watch: one whose answer is lost must
-    not leave all VMs of the zone without changes. */
-constexpr Duration kSharedWatchWait = std::chrono::seconds(2);
 /** As kWatchWait, for a VM that was refused by the VM it asked: it then asks
     again. */
 constexpr Duration kWatchWaitBesideRelay = std::chrono::seconds(1);
@@ -45,43 +41,6 @@
   aState.mTimers.Arm(aWhen, ForwarderTimer::kFollowStore);
 }
 
-void
-HandleStoreFailure(ForwarderState& aState,
-                   const Error& aError,
-                   TimePoint aNow,
-                   ForwarderEffects& aEffects)
-{
-  StoreState& store = aState.mStore;
-  store.mLastFailure = aNow;
-  ++aState.mCounters.mStoreFailures;
-  if (!store.IsUnavailable()) {
-    store.mUnavailableSince = aNow;
-    aEffects.push_back(
-      WriteDecisionRecord{ { RecordClass::kState,
-                             "store-unavailable",
-                             {},
-                             { { "error", aError.mMessage } } } });
-  }
-  RefuseWaitingVms(aState, aNow, aEffects);
-  const Duration maxRetry =
-    ChooseRelay(aState, aNow) ? kMaxRetryBesideRelay : kMaxRetry;
-  Duration wait = kFirstRetry;
-  for (unsigned count = 0; count < store.mFailures && wait < maxRetry;
-       ++count) {
-    wait *= 2;
-  }
-  ++store.mFailures;
-  // Missed changes are read by listing all entries, because the answers to a
-  // watch that lags far behind hold only a limited number of changes each.
-  store.mNeedsList = true;
-  const auto jitter = Duration(static_cast<std::int64_t>(
-    aState.mRandom.Fraction() * static_cast<double>(wait.count()) / 2));
-  ArmFollowTimer(aState, aNow + std::min(wait, maxRetry) + jitter);
-  if (!aState.mMembership.mIsAskingPeers) {
-    RequestRoutingFromNextPeer(aState, aNow, aEffects);
-  }
-}
-
 void
 HandleStoreReply(ForwarderState& aState,
                  TimePoint aNow,
@@ -90,7 +49,6 @@
   StoreState& store = aState.mStore;
   store.mFailures = 0;
   store.mLastReply = aNow;
-  store.mFreshAt = aNow;
   if (store.IsUnavailable()) {
     aEffects.push_back(WriteDecisionRecord{
       { RecordClass::kState,
@@ -231,7 +189,8 @@
   aState.mTimers.Arm(aNow + kReportedSilence, ForwarderTimer::kReportSilence);
   const StoreState& store = aState.mStore;
   const Duration silence = aNow - std::max(store.mLastReply, aState.mStarted);
-  if (silence < kReportedSilence) {
+  const Duration age = KnowledgeAge(aState, aNow);
+  if (silence < kReportedSilence || age < kReportedSilence) {
     return;
   }
   DecisionRecord record{
@@ -239,6 +198,7 @@
     "store-not-heard",
     {},
     { { "silence_ms", ToMilliseconds(silence) },
+      { "knowledge_age_ms", ToMilliseconds(age) },
       { "revision", static_cast<std::int64_t>(store.mRevision.Value()) },
       { "version",
         static_cast<std::int64_t>(
@@ -278,11 +238,7 @@
   if (aState.mStore.mIsCatchingUp) {
     return kCatchUpWait;
   }
-  if (ChooseRelay(aState, aNow)) {
-    return kWatchWaitBesideRelay;
-  }
-  const bool isShared = IsAsked(aState, aNow) || SharesWatch(aState);
-  return isShared ? kSharedWatchWait : kWatchWait;
+  return ChooseRelay(aState, aNow) ? kWatchWaitBesideRelay : kWatchWait;
 }
 
 } // namespace
@@ -301,7 +257,47 @@
   } else {
     const Duration wait = WatchWait(aState, aNow);
     store.mPendingCall = { PendingStoreCall::Kind::kWatch, aNow, wait };
+    ++store.mWatchNumber;
     aEffects.push_back(WatchStore{ store.mRevision, wait });
+    ScheduleStoreCheck(aState, aNow);
+  }
+}
+
+void
+HandleStoreFailure(ForwarderState& aState,
+                   const Error& aError,
+                   TimePoint aNow,
+                   ForwarderEffects& aEffects)
+{
+  StoreState& store = aState.mStore;
+  store.mPendingCall.reset();
+  store.mLastFailure = aNow;
+  ++aState.mCounters.mStoreFailures;
+  if (!store.IsUnavailable()) {
+    store.mUnavailableSince = aNow;
+    aEffects.push_back(
+      WriteDecisionRecord{ { RecordClass::kState,
+                             "store-unavailable",
+                             {},
+                             { { "error", aError.mMessage } } } });
+  }
+  RefuseWaitingVms(aState, aNow, aEffects);
+  const Duration maxRetry =
+    ChooseRelay(aState, aNow) ? kMaxRetryBesideRelay : kMaxRetry;
+  Duration wait = kFirstRetry;
+  for (unsigned count = 0; count < store.mFailures && wait < maxRetry;
+       ++count) {
+    wait *= 2;
+  }
+  ++store.mFailures;
+  // Missed changes are read by listing all entries, because the answers to a
+  // watch that lags far behind hold only a limited number of changes each.
+  store.mNeedsList = true;
+  const auto jitter = Duration(static_cast<std::int64_t>(
+    aState.mRandom.Fraction() * static_cast<double>(wait.count()) / 2));
+  ArmFollowTimer(aState, aNow + std::min(wait, maxRetry) + jitter);
+  if (!aState.mMembership.mIsAskingPeers) {
+    RequestRoutingFromNextPeer(aState, aNow, aEffects);
   }
 }
 
@@ -311,7 +307,7 @@
                     TimePoint aNow,
                     ForwarderEffects& aEffects)
 {
-  aState.mStore.mPendingCall.reset();
+  const auto listed = std::exchange(aState.mStore.mPendingCall, std::nullopt);
   if (!aEvent.mResult) {
     HandleStoreFailure(aState, aEvent.mResult.error(), aNow, aEffects);
     return;
@@ -325,6 +321,9 @@
     return;
   }
   HandleStoreReply(aState, aNow, aEffects);
+  if (listed && store.mNeedsFreshList) {
+    RecordComplete(aState, listed->mSince);
+  }
   const bool isFirst = !store.mIsLoaded;
   ChangeHandler handler{ aState, aNow, aEffects };
   for (const StoreChange& entry : content.mEntries) {
@@ -373,6 +372,7 @@
     return;
   }
   ApplyChanges(aState, changes, aNow, aEffects);
+  RecordComplete(aState, aNow);
   if (store.mIsCatchingUp) {
     store.mIsCatchingUp = false;
     store.mIsLoaded = true;
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.h
@@ -47,9 +47,9 @@
   bool mNeedsFreshList = false;
   /** When the store last answered a list or a watch. */
   TimePoint mLastReply{};
-  /** When the store last answered any call of this VM or of its relay. */
-  TimePoint mFreshAt{};
   std::optional<PendingStoreCall> mPendingCall;
+  /** The number of watches so far, which identifies the one under way. */
+  std::uint64_t mWatchNumber = 0;
   /** The number of consecutive calls that failed. */
   unsigned mFailures = 0;
   TimePoint mLastFailure{};
@@ -109,6 +109,14 @@
                     TimePoint aNow,
                     ForwarderEffects& aEffects);
 
+/** Handles a call that the store did not answer: tries again later, and asks
+    other VMs meanwhile. */
+void
+HandleStoreFailure(ForwarderState& aState,
+                   const Error& aError,
+                   TimePoint aNow,
+                   ForwarderEffects& aEffects);
+
 void
 HandleEntriesListed(ForwarderState& aState,
                     EntriesListed aEvent,
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -34,6 +34,7 @@
 #include "Registry.h"
 #include "ShardOwnership.h"
 #include "StoreFollower.h"
+#include "StoreFreshness.h"
 #include "TargetPool.h"
 
 #include "RequestState.h"
--- a/modules/wasabispread_runtime/PeerTransport.cpp
+++ b/modules/wasabispread_runtime/PeerTransport.cpp
@@ -31,6 +31,8 @@
   /** The attempts that the message requests; empty for messages other than
       BatchRequest. */
   std::vector<AttemptSequence> mAttempts;
+  /** The oldest frame version that has the message. */
+  std::uint32_t mVersion = kOldestFrameVersion;
 };
 
 /** The connection to one VM and the messages queued for it. */
@@ -130,10 +132,10 @@
   }
 
   /** Connects to a VM, exchanges hello frames and checks that the expected VM
-      responded. */
-  Result<std::monostate> Open(Stream& aStream,
-                              VmId aPeer,
-                              const Endpoint& aAddress) const
+      responded. Returns the frame version that both support. */
+  Result<std::uint32_t> Open(Stream& aStream,
+                             VmId aPeer,
+                             const Endpoint& aAddress) const
   {
     aStream.expires_after(kHelloTimeout);
     const IoResult connected = Await([&](auto aHandler) {
@@ -161,11 +163,14 @@
                   "another VM answers at " + ToText(aAddress),
                   "correct the VM list or the settings");
     }
-    return std::monostate{};
+    return NegotiateFrameVersion(*hello);
   }
 
-  /** Writes the queued messages of a link until the link fails. */
-  void RunWriter(Stream& aStream, OutgoingLink& aLink) const
+  /** Writes the queued messages of a link until the link fails. Messages that
+      a peer of frame version aVersion does not know are dropped. */
+  void RunWriter(Stream& aStream,
+                 OutgoingLink& aLink,
+                 std::uint32_t aVersion) const
   {
     while (!aLink.mIsBroken) {
       if (aLink.mQueue.empty()) {
@@ -174,7 +179,9 @@
       }
       std::string bytes;
       for (const QueuedFrame& frame : aLink.mQueue) {
-        bytes += frame.mBytes;
+        if (frame.mVersion <= aVersion) {
+          bytes += frame.mBytes;
+        }
       }
       aLink.mQueue.clear();
       aLink.mQueuedBytes = 0;
@@ -257,7 +264,7 @@
   if (opened) {
     stream->expires_never();
     StartFiber([stream, aLink] { WatchForClose(stream, aLink); });
-    aTransport->RunWriter(*stream, *aLink);
+    aTransport->RunWriter(*stream, *aLink, *opened);
     stream->close();
   } else {
     aTransport->LogWarning(opened.error());
@@ -374,7 +381,8 @@
   }
   std::string bytes = EncodeMessage(aMessage);
   const std::size_t queued = link->mQueuedBytes + bytes.size();
-  link->mQueue.push_back(QueuedFrame{ std::move(bytes), AttemptsIn(aMessage) });
+  link->mQueue.push_back(QueuedFrame{
+    std::move(bytes), AttemptsIn(aMessage), FrameVersionOf(aMessage) });
   link->mQueuedBytes = queued;
   link->mIsBroken = queued > mImplementation->mLimits.mMaxQueuedBytes;
   link->mWake.Notify();
--- a/modules/wasabispread_wire/ControlFrames.cpp
+++ b/modules/wasabispread_wire/ControlFrames.cpp
@@ -486,6 +486,8 @@
     }
     case frame::Message::ChangesReply:
       return DecodeChanges(*aFrame.message_as_ChangesReply());
+    case frame::Message::RevisionReport:
+      return DecodeReport(*aFrame.message_as_RevisionReport());
     default:
       return Invalid("a frame holds a message that this release does not know");
   }
--- a/modules/wasabispread_wire/PeerProtocol.cpp
+++ b/modules/wasabispread_wire/PeerProtocol.cpp
@@ -315,4 +315,13 @@
   return common;
 }
 
+std::uint32_t
+FrameVersionOf(const PeerMessage& aMessage)
+{
+  constexpr std::uint32_t kRevisionReportVersion = 2;
+  return std::holds_alternative<RevisionReport>(aMessage)
+           ? kRevisionReportVersion
+           : kOldestFrameVersion;
+}
+
 } // namespace wasabispread
--- a/modules/wasabispread_wire/PeerProtocol.h
+++ b/modules/wasabispread_wire/PeerProtocol.h
@@ -19,7 +19,7 @@
 
 /** The oldest and the newest frame version that this release supports. */
 inline constexpr std::uint32_t kOldestFrameVersion = 1;
-inline constexpr std::uint32_t kNewestFrameVersion = 1;
+inline constexpr std::uint32_t kNewestFrameVersion = 2;
 
 /** The first frame that each side of a connection sends. */
 struct PeerHello
@@ -60,4 +60,8 @@
 Result<std::uint32_t>
 NegotiateFrameVersion(const PeerHello& aHello);
 
+/** The oldest frame version that has this kind of message. */
+std::uint32_t
+FrameVersionOf(const PeerMessage& aMessage);
+
 } // namespace wasabispread
--- a/modules/wasabispread_wire/SearchFrames.cpp
+++ b/modules/wasabispread_wire/SearchFrames.cpp
@@ -147,6 +147,21 @@
   return { frame::Message::ChangesReply, message.Union() };
 }
 
+EncodedMessage
+EncodeInto(Builder& aBuilder, const RevisionReport& aMessage)
+{
+  const auto message = frame::CreateRevisionReport(
+    aBuilder, aMessage.mRevision, NonNegativeMicroseconds(aMessage.mAge));
+  return { frame::Message::RevisionReport, message.Union() };
+}
+
+Result<PeerFrame>
+DecodeReport(const frame::RevisionReport& aMessage)
+{
+  return PeerFrame(PeerMessage(
+    RevisionReport{ aMessage.revision(), BoundedDuration(aMessage.age_us()) }));
+}
+
 Result<PeerFrame>
 DecodeChanges(const frame::ChangesReply& aMessage)
 {
--- a/modules/wasabispread_wire/SearchFrames.h
+++ b/modules/wasabispread_wire/SearchFrames.h
@@ -27,6 +27,9 @@
 EncodedMessage
 EncodeInto(flatbuffers::FlatBufferBuilder& aBuilder,
            const ChangesReply& aMessage);
+EncodedMessage
+EncodeInto(flatbuffers::FlatBufferBuilder& aBuilder,
+           const RevisionReport& aMessage);
 
 /** Decodes a verified message; kInvalidFrame when its fields are
     inconsistent. */
@@ -36,5 +39,7 @@
 DecodeSearch(const frame::SubSearchReply& aMessage);
 Result<PeerFrame>
 DecodeChanges(const frame::ChangesReply& aMessage);
+Result<PeerFrame>
+DecodeReport(const frame::RevisionReport& aMessage);
 
 } // namespace wasabispread
--- a/tests/processes/BadInputTests.cpp
+++ b/tests/processes/BadInputTests.cpp
@@ -116,14 +116,18 @@
 
   void AcceptsOnlyPeersWithACommonVersion()
   {
-    // This release speaks version 1; the next release still speaks it too.
-    const std::string own = EncodeHello(MakeHello(1, 1));
+    constexpr std::uint32_t kNext = kNewestFrameVersion + 1;
+    RawConnection oldestRelease(mFleet->PeerAddress(0));
+    oldestRelease.Send(
+      EncodeHello(MakeHello(kOldestFrameVersion, kOldestFrameVersion)));
+    CPPUNIT_ASSERT(!oldestRelease.Receive(kFrameLengthBytes).empty());
+    // The next release still speaks the newest version of this one.
     RawConnection nextRelease(mFleet->PeerAddress(0));
-    nextRelease.Send(EncodeHello(MakeHello(1, 2)));
+    nextRelease.Send(EncodeHello(MakeHello(kNewestFrameVersion, kNext)));
     CPPUNIT_ASSERT(!nextRelease.Receive(kFrameLengthBytes).empty());
     // The release after that does not, and its connection is closed.
     RawConnection laterRelease(mFleet->PeerAddress(0));
-    laterRelease.Send(EncodeHello(MakeHello(2, 3)));
+    laterRelease.Send(EncodeHello(MakeHello(kNext, kNext + 1)));
     CPPUNIT_ASSERT_EQUAL(std::string(), laterRelease.ReceiveAll());
     ExpectLogged("incompatible-release");
     ExpectNothingExecutedAndStillServing();
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -150,6 +150,15 @@
   Deliver(ConnectionEnded{ connection, aIsWritten });
 }
 
+void
+ForwarderHarness::AnswerStoreChecksWith(StoreRevision aRevision)
+{
+  mStoreRevision = aRevision;
+  if (mState.mFreshness.mIsCheckPending) {
+    Deliver(StoreChecked{ aRevision });
+  }
+}
+
 void
 ForwarderHarness::RunFor(Duration aDuration)
 {
@@ -228,6 +237,13 @@
     mLists.push_back(*list);
   } else if (const auto* watch = std::get_if<WatchStore>(&aEffect)) {
     mWatches.push_back(*watch);
+  } else if (std::holds_alternative<AbandonWatch>(aEffect)) {
+    ++mAbandonedWatches;
+  } else if (std::holds_alternative<CheckStore>(aEffect)) {
+    ++mStoreChecks;
+    if (mStoreRevision) {
+      mPending.push_back(StoreChecked{ *mStoreRevision });
+    }
   } else if (const auto* write = std::get_if<WriteDecisionRecord>(&aEffect)) {
     mDecisionRecords.push_back(write->mRecord);
   }
--- a/tests/support/ForwarderHarness.h
+++ b/tests/support/ForwarderHarness.h
@@ -70,6 +70,10 @@
       whether the request had been written to the connection. */
   void Break(const std::string& aInstance, bool aIsWritten = true);
 
+  /** Answers the check of the store under way, if there is one, and all later
+      ones with a revision. Until then no check is answered. */
+  void AnswerStoreChecksWith(forwarding::StoreRevision aRevision);
+
   /** Advances the time and delivers a tick whenever a timer is due. */
   void RunFor(Duration aDuration);
 
@@ -91,6 +95,8 @@
   std::vector<forwarding::SendPeerMessage> mPeerMessages;
   std::vector<forwarding::ListStore> mLists;
   std::vector<forwarding::WatchStore> mWatches;
+  std::size_t mAbandonedWatches = 0;
+  std::size_t mStoreChecks = 0;
   std::vector<forwarding::DecisionRecord> mDecisionRecords;
 
 private:
@@ -99,6 +105,7 @@
   std::vector<ReceivedRequest> mReceived;
   std::vector<std::pair<CallerToken, forwarding::CallerAnswer>> mAnswers;
   std::vector<forwarding::ForwarderEvent> mPending;
+  std::optional<forwarding::StoreRevision> mStoreRevision;
   std::uint64_t mNextToken = 1;
   std::uint64_t mRevision = 1;
 };
