--- a/modules/wasabispread_forwarding_decisions/StoreFreshness.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFreshness.h
@@ -14,7 +14,6 @@
 #include "ForwarderEffect.h"
 #include "ForwarderEvent.h"
 
-
 namespace wasabispread::forwarding {
 
 struct ForwarderState;
--- a/tests/platform/ForwarderFleet.cpp
+++ b/tests/platform/ForwarderFleet.cpp
@@ -34,8 +34,23 @@
            { "priority", 0 } };
 }
 
+/** Versions rise by more than one. */
+constexpr std::uint64_t kVersionStep = 3;
+
 } // namespace
 
+std::string
+VersionPrefix(std::uint64_t aVersion)
+{
+  return "/v" + std::to_string(aVersion) + "/";
+}
+
+std::uint64_t
+ForwarderFleet::VersionBefore(std::uint64_t aVersion)
+{
+  return aVersion - kVersionStep;
+}
+
 ForwarderFleet::ForwarderFleet(std::size_t aDaemons, std::size_t aShards)
   : mFolder(MakeFolder())
   , mStore(std::make_unique<StandInStore>(TestLoop()))
@@ -161,9 +176,13 @@
   }
 }
 
-void
+std::uint64_t
 ForwarderFleet::Configure(const std::string& aOneService)
 {
+  mVersion += kVersionStep;
+  Json own = RouteEntry("own", "idempotent");
+  own["prefix"] = VersionPrefix(mVersion);
+  own["service"] = "one";
   Json one = RouteEntry("one", "idempotent");
   one["service"] = aOneService;
   Json once = RouteEntry("once", "non_idempotent");
@@ -187,10 +206,9 @@
   if (aOneService != "one" && aOneService != "once") {
     add(aOneService);
   }
-  mVersion += 3;
   mStore->Put("op/config",
               Json{ { "version", mVersion },
-                    { "routes", { one, once, search } },
+                    { "routes", { one, once, search, own } },
                     { "services", services },
                     { "limits",
                       { { "maxHeaderBytes", 8192 },
@@ -198,6 +216,7 @@
                         { "headerTimeoutMs", 3000 },
                         { "idleTimeoutMs", 15000 } } } }
                 .dump());
+  return mVersion;
 }
 
 ForwarderReply
--- a/tests/platform/ForwarderFleet.h
+++ b/tests/platform/ForwarderFleet.h
@@ -31,6 +31,10 @@
   unsigned Status() const { return mResponse ? mResponse->mStatus : 0; }
 };
 
+/** The prefix of the route that only this version of the configuration has. */
+std::string
+VersionPrefix(std::uint64_t aVersion);
+
 /** A store, targets and daemons. Routes: "/one/" to service "one", whose
     requests are idempotent; "/once/" to service "once", whose requests are
     not; "/search/" to the services "shard-0", "shard-1" and so on. The
@@ -72,9 +76,12 @@
   /** Sets the fault of every target of a service. */
   void SetFault(const std::string& aService, TargetFault aFault);
 
-  /** Writes the next configuration version to the store; its route "/one/"
-      leads to aOneService. */
-  void Configure(const std::string& aOneService = "one");
+  /** Writes the next configuration version to the store and returns it; its
+      route "/one/" leads to aOneService, and its own route to "one". */
+  std::uint64_t Configure(const std::string& aOneService = "one");
+
+  /** The version that was written before this one. */
+  static std::uint64_t VersionBefore(std::uint64_t aVersion);
 
   ForwarderReply SendRequest(const ForwarderRequest& aRequest,
                              std::size_t aDaemon = 0);
