Read and log the request limits that targets name

Change: the adapter reads the field (plain decimal numbers of at least 0 only; AdapterTests::ReadsOnlyValidRequestLimits), and target-limit-named and target-limit-ended are logged when it changes. No decision uses it yet.

--- a/modules/wasabispread_forwarding_decisions/Message.h
+++ b/modules/wasabispread_forwarding_decisions/Message.h
@@ -79,6 +79,9 @@
   /** How long the target keeps the connection open without a request; none when
       it did not say. */
   std::optional<Duration> mKeepAlive;
+  /** The requests per second that the target takes from all VMs together; none
+      when it names no limit. */
+  std::optional<double> mRequestLimit;
 };
 
 /** Forwards a target's reply unchanged to the caller. */
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -350,6 +350,7 @@
   RecordReceived(aState, target.mRecord.mZone);
   const auto reply = std::make_shared<const Reply>(std::move(aEvent.mReply));
   RecordReply(aState, target, connection, reply->mKind, aNow);
+  RecordLimit(aState, target, *reply, aNow, aEffects);
   ReleaseConnection(aState,
                     aEvent.mConnection,
                     reply->mIsReusable,
--- a/modules/wasabispread_forwarding_decisions/TargetPool.h
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.h
@@ -6,6 +6,7 @@
 #include "ForwarderEffect.h"
 #include "ForwarderEvent.h"
 #include "LatencyEstimate.h"
+#include "RequestLimit.h"
 
 #include <deque>
 #include <vector>
@@ -89,6 +90,7 @@
   /** The earliest time at which a further connection may be opened. */
   TimePoint mConnectAfter{};
   Duration mConnectBackoff{};
+  RequestLimit mLimit;
 
   std::size_t BusyCount(const ForwarderState& aState) const;
 };
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -32,6 +32,7 @@
 #include "ChangeRelay.h"
 #include "Membership.h"
 #include "Registry.h"
+#include "RequestLimit.h"
 #include "ShardOwnership.h"
 #include "StoreFollower.h"
 #include "StoreFreshness.h"
