Reproduce a target that gets more requests than its limit (known red)

Three daemons, two targets of one service, one of which names a limit of 5 requests a second. Bound: 1.5 times the limit in any 4 s plus 5, from 4 s after the limit was first named. The test also asserts that all requests are served by the two targets and that what the limit allows is used.

--- a/tests/platform/ForwarderProcessTests.cpp
+++ b/tests/platform/ForwarderProcessTests.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(AppliesVersionsDespiteCompactionAbortsAndInvalidEntries);
   CPPUNIT_TEST(AppliesAVersionAfterAReplyOfTheStoreWasLost);
   CPPUNIT_TEST(RegistersDespiteLostAndLateWrites);
+  CPPUNIT_TEST(KeepsToTheRequestLimitOfATarget);
   CPPUNIT_TEST(LearnsANewVersionFromOtherVms);
   CPPUNIT_TEST(FinishesRequestsBeforeStopping);
   CPPUNIT_TEST(KeepsItsSettingsWhenAReloadIsFaulty);
@@ -491,6 +492,44 @@
     }
   }
 
+  /** Guards against VMs that each use the whole limit, or none. */
+  void KeepsToTheRequestLimitOfATarget()
+  {
+    constexpr std::size_t kDaemons = 3;
+    constexpr unsigned kLimit = 5;
+    constexpr Duration kWindow = std::chrono::seconds(4);
+    constexpr std::size_t kMaxInWindow = 35; // 1.5 * kLimit * 4 s + 5
+    Start(kDaemons);
+    SleepFor(std::chrono::seconds(2));
+    mFleet->Target("one-a").mRequestLimit = kLimit;
+    const TimePoint named = std::chrono::steady_clock::now();
+    const TimePoint end = named + 3 * kWindow;
+    RunConcurrently(3 * kDaemons, [&](std::size_t aFiber) {
+      while (std::chrono::steady_clock::now() < end) {
+        ExpectServed(aFiber % kDaemons);
+        SleepFor(std::chrono::milliseconds(20));
+      }
+    });
+    std::vector<TimePoint> runs;
+    for (const TargetRun& run : mFleet->Runs()) {
+      if (run.mInstance == "one-a" && run.mStarted >= named + kWindow) {
+        runs.push_back(run.mStarted);
+      }
+    }
+    std::size_t most = 0;
+    for (const TimePoint first : runs) {
+      most = std::max<std::size_t>(
+        most, std::count_if(runs.begin(), runs.end(), [&](TimePoint aRun) {
+          return aRun >= first && aRun < first + kWindow;
+        }));
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(most) + " requests in 4 s",
+                           most <= kMaxInWindow);
+    // What the limit allows is used.
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(runs.size()) + " requests in 8 s",
+                           runs.size() >= 2 * kLimit);
+  }
+
   void LearnsANewVersionFromOtherVms()
   {
     Start(2);
--- a/tests/platform/StandInTarget.cpp
+++ b/tests/platform/StandInTarget.cpp
@@ -298,6 +298,10 @@
   std::string Fields(bool aHasSignature)
   {
     std::string fields = IdField();
+    if (Target().mRequestLimit != 0) {
+      fields +=
+        "Server-Limit: " + std::to_string(Target().mRequestLimit) + "\r\n";
+    }
     if (aHasSignature) {
       fields += "Wasabispread-Server-Stamp: " + Target().mInstance + "/" +
                 Field(Request(), "Wasabispread-Request-Id") + "/" +
--- a/tests/platform/StandInTarget.h
+++ b/tests/platform/StandInTarget.h
@@ -116,6 +116,9 @@
   std::size_t mSlots = 2;
   std::size_t mQueue = 16;
   std::size_t mConnectionLimit = 26;
+  /** The requests per second that its replies name as its limit; 0 names
+      none. It is not enforced. */
+  unsigned mRequestLimit = 0;
 
 private:
   struct Server;
