Share a target's request limit among the VMs that query it

Cause: the limit is one for all VMs together, and nothing in the tier counts together. The class of fault: a bound on a sum that each VM would keep for itself; the budget for extra attempts and connections had its division by fleet size, the limit had none.

Change: RequestLimit divides it from the membership, without messages: equal parts for the VMs that query the target (of a shard its owners, or the VMs in its targets' zones), no more of them than the limit has room for; the others send rarely, to learn whether it holds. Requests are counted where they are assigned to a target, hedges and retries too. LimitAdmission refuses at once what limits leave too few shards for, not run and with the time until they do; an owner refuses a sub-search likewise, so that a caller elsewhere is told not run instead of failed.

Why it works: with a part of limit/n, bursts of at most half the limit plus 4 over all senders, and probes of a quarter, any 4 s hold at most 5.5 times the limit plus 4; 6 times plus 5 are allowed.

No call to the store and no message is added.

ForwarderProcessTests: six copies of one wait became AwaitReply.

--- a/modules/wasabispread_decisions/PeerMessage.h
+++ b/modules/wasabispread_decisions/PeerMessage.h
@@ -133,6 +133,9 @@
   Duration mSoftTimeout{};
   /** The time left until the caller's timeout. */
   Duration mCallerTimeout{};
+  /** With fewer of these shards the search cannot reach its minimum
+      coverage. */
+  std::uint32_t mMinShards = 0;
 };
 
 /** The results of a sub-search's shards since its previous reply. The first
@@ -151,6 +154,9 @@
   bool mIsRefused = false;
   /** Whether the VM reaches no targets in other availability zones. */
   bool mIsIsolated = false;
+  /** Not zero when the sub-search was refused because the targets' request
+      limits leave too few shards: how long until they do not. */
+  Duration mRetryAfter{};
 };
 
 /** States that the first reply arrived in time. Before this message a shard is
--- a/modules/wasabispread_forwarding_decisions/Answers.cpp
+++ b/modules/wasabispread_forwarding_decisions/Answers.cpp
@@ -29,7 +29,11 @@
 HasRun(const RequestState& aRequest)
 {
   // A sub-search that another VM has begun may have run.
-  return !aRequest.mSentSubSearches.empty() ||
+  return std::any_of(aRequest.mSentSubSearches.begin(),
+                     aRequest.mSentSubSearches.end(),
+                     [](const SentSubSearch& aSubSearch) {
+                       return !aSubSearch.mHasNotRun;
+                     }) ||
          std::any_of(aRequest.mSubRequests.begin(),
                      aRequest.mSubRequests.end(),
                      [](const SubRequest& aSubRequest) {
@@ -41,7 +45,8 @@
 ProblemAnswer(const RequestState& aRequest, TimePoint aNow)
 {
   if (!HasRun(aRequest)) {
-    return NotRunProblem("no target could accept the request", kBusyRetry);
+    return NotRunProblem("no target could accept the request",
+                         aRequest.mRetryAfter.value_or(kBusyRetry));
   }
   if (aNow >= aRequest.mDeadline) {
     return Problem{ ProblemKind::kTimedOut,
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -54,6 +54,8 @@
                                { "zone", mState.mPolicy.mZone.Value() } } } });
     mState.mTimers.Arm(mNow + kStartupSettleTime,
                        ForwarderTimer::kRefreshAssignments);
+    mState.mTimers.Arm(mNow + kRegistrationTime,
+                       ForwarderTimer::kRefreshAssignments);
     ReportStoreSilence(mState, mNow, mEffects);
     FollowStore(mState, mNow, mEffects);
     AcquireOrRenewLease(mState, mNow, mEffects);
--- a/modules/wasabispread_forwarding_decisions/Membership.cpp
+++ b/modules/wasabispread_forwarding_decisions/Membership.cpp
@@ -24,7 +24,6 @@
     after a start, so that all VMs that start together have had time to
     register. */
 constexpr std::size_t kMinFleetSizeAtStart = 8;
-constexpr Duration kRegistrationTime = std::chrono::seconds(5);
 /** Fleet size that is assumed before any list of VMs was read. */
 constexpr std::size_t kUnknownFleetSize = 16;
 /** Interval between routing requests to other VMs while the store is
@@ -71,11 +70,22 @@
   const auto& members = aState.mMembership.mMembers;
   const auto count = static_cast<std::size_t>(
     std::count_if(members.begin(), members.end(), [aNow](const auto& aMember) {
-      const TimePoint left = aMember.second.mLeftAt;
-      return left == TimePoint::max() || aNow - left < kLeftMemberRetention;
+      return SharesLimits(aMember.second, aNow);
     }));
-  const bool isStarting = aNow - aState.mStarted < kRegistrationTime;
-  return std::max(count, isStarting ? kMinFleetSizeAtStart : 1);
+  return std::max(count, MinFleetSize(aState, aNow));
+}
+
+std::size_t
+MinFleetSize(const ForwarderState& aState, TimePoint aNow)
+{
+  return aNow - aState.mStarted < kRegistrationTime ? kMinFleetSizeAtStart : 1;
+}
+
+bool
+SharesLimits(const Member& aMember, TimePoint aNow)
+{
+  return aMember.mLeftAt == TimePoint::max() ||
+         aNow - aMember.mLeftAt < kLeftMemberRetention;
 }
 
 void
--- a/modules/wasabispread_forwarding_decisions/Membership.h
+++ b/modules/wasabispread_forwarding_decisions/Membership.h
@@ -18,6 +18,9 @@
     connects only to the targets assigned to it. */
 inline constexpr Duration kStartupSettleTime = std::chrono::milliseconds(1200);
 
+/** Time after a start within which VMs that started together register. */
+inline constexpr Duration kRegistrationTime = std::chrono::seconds(5);
+
 /** A VM as its entry in the store describes it. */
 struct Member
 {
@@ -60,6 +63,16 @@
 std::size_t
 FleetSize(const ForwarderState& aState, TimePoint aNow);
 
+/** The least number of VMs by which limits are divided: more than one while VMs
+    that started together with this one may not have registered yet. */
+std::size_t
+MinFleetSize(const ForwarderState& aState, TimePoint aNow);
+
+/** Whether limits are divided by a VM too: it is present, or left so recently
+    that it may be restarting. */
+bool
+SharesLimits(const Member& aMember, TimePoint aNow);
+
 void
 ApplyMember(MembershipState& aMembership, const MemberRecord& aRecord);
 
--- a/modules/wasabispread_forwarding_decisions/Refusal.cpp
+++ b/modules/wasabispread_forwarding_decisions/Refusal.cpp
@@ -62,6 +62,9 @@
     }
     return problem;
   }
+  if (const auto wait = WaitForLimits(aState, *route, aNow)) {
+    return NotRunProblem("the targets' request limits are used up", *wait);
+  }
   return std::nullopt;
 }
 
--- a/modules/wasabispread_forwarding_decisions/RequestLimit.cpp
+++ b/modules/wasabispread_forwarding_decisions/RequestLimit.cpp
@@ -1,10 +1,158 @@
 /*
- * Follows the limits that targets name.
+ * Computes this VM's part of a target's limit and counts its requests.
  */
 #include "wasabispread_forwarding_decisions.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace wasabispread::forwarding {
 
+namespace {
+
+/** The senders that a limit has room for, whatever it is, and how many more for
+    each request per second. */
+constexpr double kMinSenders = 4;
+constexpr double kSendersPerRate = 0.5;
+/** The part of the limit that all VMs together use to learn whether it still
+    holds, if they are not senders, and the least such rate. */
+constexpr double kProbeShare = 0.25;
+constexpr double kMinProbedRate = 1;
+constexpr std::uint64_t kSenderSalt = 0x6c696d6974;
+/** The longest wait that is stated for a limit of nearly nothing. */
+constexpr double kMaxWaitSeconds = 60;
+
+using VmsOfZone = std::map<ZoneName, std::vector<ShardOwnerCandidate>>;
+
+/** The VMs that share limits, this one included, by zone. */
+VmsOfZone
+SharingVms(const ForwarderState& aState, TimePoint aNow)
+{
+  VmsOfZone vms;
+  bool hasSelf = false;
+  for (const auto& [name, member] : aState.mMembership.mMembers) {
+    if (SharesLimits(member, aNow)) {
+      vms[member.mRecord.mZone].push_back(
+        { name, member.mRecord.mProcessorShare });
+      hasSelf = hasSelf || name == aState.mPolicy.mName;
+    }
+  }
+  if (!hasSelf) {
+    vms[aState.mPolicy.mZone].push_back(
+      { aState.mPolicy.mName, aState.mPolicy.mProcessorShare });
+  }
+  return vms;
+}
+
+/** The search route with the most shards among those that query the service;
+    null when none does. */
+const Route*
+SearchRouteOf(const ForwarderState& aState, ServiceId aService)
+{
+  const Route* widest = nullptr;
+  if (aState.mConfiguration == nullptr) {
+    return nullptr;
+  }
+  for (const Route& route : aState.mConfiguration->mRoutes) {
+    const bool queries =
+      std::find(route.mShards.begin(), route.mShards.end(), aService) !=
+      route.mShards.end();
+    if (queries &&
+        (widest == nullptr || route.mShards.size() > widest->mShards.size())) {
+      widest = &route;
+    }
+  }
+  return widest;
+}
+
+bool
+HasTargetIn(const ForwarderState& aState,
+            ServiceId aService,
+            const ZoneName& aZone)
+{
+  const auto targets = aState.mTargetsOfService.find(aService);
+  return targets != aState.mTargetsOfService.end() &&
+         std::any_of(
+           targets->second.begin(), targets->second.end(), [&](TargetKey aKey) {
+             return aState.mTargets.at(aKey).mRecord.mZone == aZone;
+           });
+}
+
+/** The VMs that query a service: of a shard, its owners or else the VMs in the
+    zones of its targets; of any other service, all VMs. */
+std::vector<std::string>
+QueryingVms(const ForwarderState& aState, ServiceId aService, TimePoint aNow)
+{
+  const Route* search = SearchRouteOf(aState, aService);
+  std::vector<std::string> all;
+  std::vector<std::string> ofShard;
+  for (const auto& [zone, vms] : SharingVms(aState, aNow)) {
+    for (const ShardOwnerCandidate& vm : vms) {
+      all.push_back(vm.mName);
+    }
+    if (search == nullptr || !HasTargetIn(aState, aService, zone)) {
+      continue;
+    }
+    const std::vector<std::string> owners =
+      UsesShardOwners(search->mShards.size()) ? ChooseShardOwners(vms)
+                                              : std::vector<std::string>{};
+    if (!owners.empty()) {
+      ofShard.push_back(owners[ChooseShardOwner(owners, aService)]);
+      continue;
+    }
+    for (const ShardOwnerCandidate& vm : vms) {
+      ofShard.push_back(vm.mName);
+    }
+  }
+  return ofShard.empty() ? all : ofShard;
+}
+
+double
+AllowanceAt(const RequestLimit& aLimit, TimePoint aNow)
+{
+  const double seconds =
+    std::chrono::duration<double>(aNow - aLimit.mAllowanceTime).count();
+  return std::min(aLimit.mCapacity,
+                  aLimit.mAllowance + aLimit.mRate * std::max(0.0, seconds));
+}
+
+} // namespace
+
+void
+RefreshLimit(ForwarderState& aState, TargetState& aTarget, TimePoint aNow)
+{
+  RequestLimit& limit = aTarget.mLimit;
+  if (!limit.mPerSecond) {
+    return;
+  }
+  limit.mAllowance = AllowanceAt(limit, aNow);
+  limit.mAllowanceTime = aNow;
+  const double perSecond = *limit.mPerSecond;
+  std::vector<std::string> senders =
+    QueryingVms(aState, aTarget.mRecord.mService, aNow);
+  const double room = std::floor(kSendersPerRate * perSecond) + kMinSenders;
+  const auto most = static_cast<std::size_t>(
+    std::min(room, static_cast<double>(senders.size())));
+  const std::uint64_t salt =
+    StableHash(aTarget.mRecord.mInstance.Value(), kSenderSalt);
+  std::sort(senders.begin(),
+            senders.end(),
+            [&](const std::string& aLeft, const std::string& aRight) {
+              return StableHash(aLeft, salt) < StableHash(aRight, salt);
+            });
+  senders.resize(most);
+  const bool isSender =
+    std::find(senders.begin(), senders.end(), aState.mPolicy.mName) !=
+    senders.end();
+  const double parts =
+    static_cast<double>(std::max(senders.size(), MinFleetSize(aState, aNow)));
+  const double probeRate = kProbeShare * std::max(perSecond, kMinProbedRate) /
+                           static_cast<double>(FleetSize(aState, aNow));
+  limit.mRate = isSender ? std::max(perSecond / parts, probeRate) : probeRate;
+  limit.mCapacity = isSender ? std::max(1.0, room / parts) : 1;
+  limit.mAllowance = std::min(limit.mAllowance, limit.mCapacity);
+}
+
 void
 RecordLimit(ForwarderState& aState,
             TargetState& aTarget,
@@ -12,7 +160,6 @@
             TimePoint aNow,
             ForwarderEffects& aEffects)
 {
-  static_cast<void>(aNow);
   const bool isComplete = aReply.mKind == ReplyKind::kSuccess ||
                           aReply.mKind == ReplyKind::kFailure ||
                           aReply.mKind == ReplyKind::kNotRun;
@@ -20,7 +167,16 @@
   if (!isComplete || aReply.mRequestLimit == limit.mPerSecond) {
     return;
   }
+  const bool isFirst = !limit.mPerSecond;
   limit.mPerSecond = aReply.mRequestLimit;
+  if (isFirst) {
+    // The VMs learn of the limit at about the same time. Different starts keep
+    // those that send rarely from sending at the same time later.
+    limit.mAllowance = -aState.mRandom.Fraction();
+    limit.mAllowanceTime = aNow;
+    limit.mRate = 0;
+  }
+  RefreshLimit(aState, aTarget, aNow);
   DecisionRecord record{
     RecordClass::kState,
     limit.mPerSecond ? "target-limit-named" : "target-limit-ended",
@@ -30,8 +186,36 @@
   };
   if (limit.mPerSecond) {
     record.mFields.push_back({ "requests_per_second", *limit.mPerSecond });
+    record.mFields.push_back({ "own_requests_per_second", limit.mRate });
   }
   aEffects.push_back(WriteDecisionRecord{ std::move(record) });
 }
 
+Duration
+WaitForAllowance(const RequestLimit& aLimit, TimePoint aNow)
+{
+  if (!aLimit.mPerSecond) {
+    return Duration::zero();
+  }
+  const double missing = 1 - AllowanceAt(aLimit, aNow);
+  if (missing <= 0) {
+    return Duration::zero();
+  }
+  const double seconds =
+    std::min(kMaxWaitSeconds,
+             aLimit.mRate > 0 ? missing / aLimit.mRate : kMaxWaitSeconds);
+  return std::max(Duration(1),
+                  std::chrono::duration_cast<Duration>(
+                    std::chrono::duration<double>(seconds)));
+}
+
+void
+TakeAllowance(RequestLimit& aLimit, TimePoint aNow)
+{
+  if (aLimit.mPerSecond) {
+    aLimit.mAllowance = AllowanceAt(aLimit, aNow) - 1;
+    aLimit.mAllowanceTime = aNow;
+  }
+}
+
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding_decisions/RequestState.h
+++ b/modules/wasabispread_forwarding_decisions/RequestState.h
@@ -71,6 +71,8 @@
   bool mHasReported = false;
   /** Whether no more results are expected from it. */
   bool mIsFinished = false;
+  /** Whether the VM stated that it did not begin. */
+  bool mHasNotRun = false;
 };
 
 /** The VM for which this one, as a shard owner, queries shards. */
@@ -120,6 +122,9 @@
   std::vector<SubRequest> mSubRequests;
   std::size_t mAnswered = 0;
   std::size_t mPending = 0;
+  /** When a request that did not run is worth another try, as another VM
+      stated. */
+  std::optional<Duration> mRetryAfter;
   unsigned mHedges = 0;
   unsigned mRetries = 0;
   /** When the earliest timer of this request fires. */
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -168,6 +168,7 @@
                 late.mTarget,
                 aNow,
                 aEffects);
+  TakeAllowance(other->mLimit, aNow);
   SendSubRequest(aState, aRequest, aSubRequest, *other, aNow, aEffects);
 }
 
@@ -187,6 +188,7 @@
     aState, subRequest.mService, aRequest.mRoute->mId, excluded, aNow);
   if (other != nullptr && !other->mIdle.empty()) {
     subRequest.mAwaitedTarget = TargetKey{};
+    TakeAllowance(other->mLimit, aNow);
     SendSubRequest(aState, aRequest, aSubRequest, *other, aNow, aEffects);
   }
 }
@@ -338,6 +340,7 @@
     return false;
   }
   if (!target->mIdle.empty()) {
+    TakeAllowance(target->mLimit, aNow);
     SendSubRequest(aState, aRequest, aSubRequest, *target, aNow, aEffects);
     return true;
   }
@@ -346,6 +349,7 @@
   if (!isInTime) {
     return false;
   }
+  TakeAllowance(target->mLimit, aNow);
   subRequest.mAwaitedTarget = target->mKey;
   subRequest.mWaitingSince = aNow;
   target->mWaiting.push_back(SubRequestRef{ aRequest.mKey, aSubRequest });
--- a/modules/wasabispread_forwarding_decisions/SubSearches.cpp
+++ b/modules/wasabispread_forwarding_decisions/SubSearches.cpp
@@ -111,7 +111,8 @@
 }
 
 SubSearch
-FormatSubSearch(const RequestState& aRequest,
+FormatSubSearch(const ForwarderState& aState,
+                const RequestState& aRequest,
                 const SentSubSearch& aSubSearch,
                 TimePoint aNow)
 {
@@ -137,6 +138,9 @@
       ? timeout
       : aRequest.mSoftDeadline - aNow - aSubSearch.mReportLead;
   search.mCallerTimeout = timeout;
+  const std::size_t maxMissing = MaxMissingShards(aState, *aRequest.mRoute);
+  search.mMinShards = static_cast<std::uint32_t>(
+    search.mShards.size() - std::min(search.mShards.size(), maxMissing));
   return search;
 }
 
@@ -186,6 +190,34 @@
   return request == aState.mRequests.end() ? nullptr : &request->second;
 }
 
+/** Ends a sub-search that was refused because the targets' request limits leave
+    too little: no other VM could send more. */
+void
+HandleSubSearchOverLimits(ForwarderState& aState,
+                          RequestState& aRequest,
+                          SentSubSearch& aSubSearch,
+                          const SubSearchReply& aReply,
+                          ForwarderEffects& aEffects)
+{
+  aSubSearch.mIsFinished = true;
+  aSubSearch.mHasNotRun = true;
+  aState.mSubSearches.erase(aSubSearch.mSequence);
+  aRequest.mRetryAfter =
+    std::max(aReply.mRetryAfter, aRequest.mRetryAfter.value_or(Duration{}));
+  for (const std::uint32_t index : aSubSearch.mSubRequests) {
+    if (aRequest.mSubRequests[index].mStatus == SubRequestStatus::kPending) {
+      FailSubRequest(aRequest, index);
+    }
+  }
+  aEffects.push_back(WriteDecisionRecord{
+    { RecordClass::kNotable,
+      "sub-search-over-limits",
+      aRequest.mRequest->mId,
+      { { "owner", aSubSearch.mVm },
+        { "shards", static_cast<std::int64_t>(aSubSearch.mSubRequests.size()) },
+        { "retry_after_ms", ToMilliseconds(aReply.mRetryAfter) } } } });
+}
+
 /** Accepts the results that a shard owner reported. */
 void
 AcceptSubSearchReply(RequestState& aRequest,
@@ -299,7 +331,7 @@
     aEffects.push_back(
       SendPeerMessage{ IdFromName<VmId>(vm),
                        address,
-                       FormatSubSearch(aRequest, subSearch, aNow) });
+                       FormatSubSearch(aState, aRequest, subSearch, aNow) });
     ++aState.mCounters.mSubSearches;
     aRequest.mSentSubSearches.push_back(std::move(subSearch));
   }
@@ -428,6 +460,11 @@
   if (reply.mIsIsolated && IsInOwnZone(aState, subSearch.mVm)) {
     aState.mShardOwnership.mIsolatedUntil = aNow + kIsolationHold;
   }
+  if (reply.mIsRefused && reply.mRetryAfter > Duration::zero()) {
+    HandleSubSearchOverLimits(aState, *request, subSearch, reply, aEffects);
+    AnswerIfDue(aState, *request, aNow, aEffects);
+    return;
+  }
   if (reply.mIsRefused) {
     AvoidOwner(aState, subSearch.mVm, "sub-search refused", aNow, aEffects);
     ReclaimSubSearch(aState, *request, subSearch, true, aNow, aEffects);
@@ -471,6 +508,12 @@
   acknowledgement.mIsRefused = aState.mIsStopping || !aState.mStore.mIsLoaded;
   acknowledgement.mIsIsolated =
     !acknowledgement.mIsRefused && IsIsolated(aState, aNow);
+  const auto wait =
+    WaitForLimits(aState, search.mShards, search.mMinShards, aNow);
+  if (wait && !acknowledgement.mIsRefused) {
+    acknowledgement.mIsRefused = true;
+    acknowledgement.mRetryAfter = *wait;
+  }
   aEffects.push_back(
     SendPeerMessage{ aEvent.mVm, aEvent.mAddress, acknowledgement });
   if (acknowledgement.mIsRefused) {
--- a/modules/wasabispread_forwarding_decisions/TargetAssignment.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetAssignment.cpp
@@ -108,6 +108,9 @@
     return;
   }
   RefreshShardOwnership(aState, aNow);
+  for (auto& [key, target] : aState.mTargets) {
+    RefreshLimit(aState, target, aNow);
+  }
   ConnectToOwners(aState, aNow, aEffects);
   const std::vector<std::string> vms = MemberNames(aState);
   for (const auto& [service, keys] : aState.mTargetsOfService) {
--- a/modules/wasabispread_forwarding_decisions/TargetSelection.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetSelection.cpp
@@ -146,13 +146,22 @@
   return ToDuration(expected);
 }
 
+bool
+IsConnectable(const ForwarderState& aState,
+              const TargetState& aTarget,
+              TimePoint aNow)
+{
+  return !aTarget.mIsRetired &&
+         (!aTarget.mConnections.empty() || MayConnect(aState, aTarget, aNow));
+}
+
 bool
 CanAcceptRequest(const ForwarderState& aState,
                  const TargetState& aTarget,
                  TimePoint aNow)
 {
-  return !aTarget.mIsRetired &&
-         (!aTarget.mConnections.empty() || MayConnect(aState, aTarget, aNow));
+  return IsConnectable(aState, aTarget, aNow) &&
+         WaitForAllowance(aTarget.mLimit, aNow) == Duration::zero();
 }
 
 TargetState*
--- a/modules/wasabispread_forwarding_decisions/TargetSelection.h
+++ b/modules/wasabispread_forwarding_decisions/TargetSelection.h
@@ -43,6 +43,13 @@
 
 /** Whether the target has a connection, or may get one now. */
 bool
+IsConnectable(const ForwarderState& aState,
+              const TargetState& aTarget,
+              TimePoint aNow);
+
+/** Whether the target is connectable and its limit lets this VM send a request
+    now. */
+bool
 CanAcceptRequest(const ForwarderState& aState,
                  const TargetState& aTarget,
                  TimePoint aNow);
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -44,6 +44,7 @@
 
 #include "AnswerTiming.h"
 #include "Isolation.h"
+#include "LimitAdmission.h"
 #include "Refusal.h"
 #include "TargetAssignment.h"
 #include "TargetSelection.h"
--- a/modules/wasabispread_wire/SearchFrames.cpp
+++ b/modules/wasabispread_wire/SearchFrames.cpp
@@ -79,7 +79,8 @@
                            aMessage.mTopRecords,
                            aMessage.mMaxTargets,
                            NonNegativeMicroseconds(aMessage.mSoftTimeout),
-                           NonNegativeMicroseconds(aMessage.mCallerTimeout));
+                           NonNegativeMicroseconds(aMessage.mCallerTimeout),
+                           aMessage.mMinShards);
   return { frame::Message::SubSearch, message.Union() };
 }
 
@@ -93,14 +94,16 @@
   const auto shards = aBuilder.CreateVector(aMessage.mShards);
   const auto signatureVector = aBuilder.CreateVector(signatures);
   const auto records = Bytes(aBuilder, aMessage.mRecords);
-  const auto message = frame::CreateSubSearchReply(aBuilder,
-                                                   aMessage.mSequence,
-                                                   shards,
-                                                   signatureVector,
-                                                   records,
-                                                   aMessage.mIsLast,
-                                                   aMessage.mIsRefused,
-                                                   aMessage.mIsIsolated);
+  const auto message =
+    frame::CreateSubSearchReply(aBuilder,
+                                aMessage.mSequence,
+                                shards,
+                                signatureVector,
+                                records,
+                                aMessage.mIsLast,
+                                aMessage.mIsRefused,
+                                aMessage.mIsIsolated,
+                                NonNegativeMicroseconds(aMessage.mRetryAfter));
   return { frame::Message::SubSearchReply, message.Union() };
 }
 
@@ -203,6 +206,7 @@
   search.mMaxTargets = aMessage.most_targets();
   search.mSoftTimeout = BoundedDuration(aMessage.aim_us());
   search.mCallerTimeout = BoundedDuration(aMessage.patience_us());
+  search.mMinShards = aMessage.least_shards();
   return PeerFrame(PeerMessage(std::move(search)));
 }
 
@@ -227,6 +231,7 @@
   reply.mIsLast = aMessage.is_last();
   reply.mIsRefused = aMessage.is_refused();
   reply.mIsIsolated = aMessage.is_cut_off();
+  reply.mRetryAfter = BoundedDuration(aMessage.retry_after_us());
   return PeerFrame(PeerMessage(std::move(reply)));
 }
 
--- a/tests/platform/ForwarderProcessTests.cpp
+++ b/tests/platform/ForwarderProcessTests.cpp
@@ -110,6 +110,21 @@
                      .find("/" + aReply.mRequestId + "/") != std::string::npos);
   }
 
+  /** Waits until the route "/one/" leads to a service whose replies begin like
+      this. */
+  void AwaitReply(const std::string& aBegin,
+                  const std::string& aWhat,
+                  Duration aTimeout = std::chrono::seconds(20))
+  {
+    AwaitCondition(
+      [&] {
+        const ForwarderReply reply = mFleet->SendRequest({});
+        return reply.mResponse && reply.mResponse->mBody.starts_with(aBegin);
+      },
+      aWhat,
+      aTimeout);
+  }
+
   void ForwardsRequestsAndRepliesUnchanged()
   {
     ForwarderRequest request;
@@ -394,12 +409,7 @@
       mFleet->Store().SetAllVmPortStates(VmPortState::kServes);
     }
     mFleet->Configure("once");
-    AwaitCondition(
-      [&] {
-        const ForwarderReply reply = mFleet->SendRequest({});
-        return reply.mResponse->mBody.starts_with("reply of once");
-      },
-      "the newest version is in force");
+    AwaitReply("reply of once", "the newest version is in force");
   }
 
   void StartsDuringAStoreOutage()
@@ -436,19 +446,9 @@
     mFleet->Store().Compact();
     mFleet->Store().AbortWatches();
     mFleet->Configure("once");
-    AwaitCondition(
-      [&] {
-        const ForwarderReply reply = mFleet->SendRequest({});
-        return reply.mResponse->mBody.starts_with("reply of once");
-      },
-      "the newest version is in force");
+    AwaitReply("reply of once", "the newest version is in force");
     mFleet->Configure("one");
-    AwaitCondition(
-      [&] {
-        const ForwarderReply reply = mFleet->SendRequest({});
-        return reply.mResponse->mBody.starts_with("reply of one-");
-      },
-      "the version after it is in force");
+    AwaitReply("reply of one-", "the version after it is in force");
   }
 
   /** Guards against a VM that waits on a connection whose answer was lost. */
@@ -461,13 +461,8 @@
     SleepFor(std::chrono::milliseconds(300));
     mFleet->Store().SetAllVmPortStates(VmPortState::kServes);
     mFleet->Configure("once");
-    AwaitCondition(
-      [&] {
-        const ForwarderReply reply = mFleet->SendRequest({});
-        return reply.mResponse->mBody.starts_with("reply of once");
-      },
-      "the newest version is in force",
-      kInForceAfterOutage);
+    AwaitReply(
+      "reply of once", "the newest version is in force", kInForceAfterOutage);
   }
 
   /** Guards against a VM that stays unlisted when its first writes to the
@@ -538,12 +533,8 @@
     mFleet->Store().SetVmPortState(0, VmPortState::kRefuses);
     mFleet->Configure("once");
     const TimePoint since = std::chrono::steady_clock::now();
-    AwaitCondition(
-      [&] {
-        const ForwarderReply reply = mFleet->SendRequest({});
-        return reply.mResponse->mBody.starts_with("reply of once");
-      },
-      "the VM that the store refuses has the newest version");
+    AwaitReply("reply of once",
+               "the VM that the store refuses has the newest version");
     // A version must be in force on all VMs within this time.
     CPPUNIT_ASSERT(std::chrono::steady_clock::now() - since <
                    std::chrono::seconds(3));
@@ -588,12 +579,8 @@
     mFleet->Configure("once");
     SleepFor(std::chrono::milliseconds(1500));
     mFleet->Daemon(0).Thaw();
-    AwaitCondition(
-      [&] {
-        const ForwarderReply reply = mFleet->SendRequest({});
-        return reply.mResponse->mBody.starts_with("reply of once");
-      },
-      "the newest version is in force after the freeze");
+    AwaitReply("reply of once",
+               "the newest version is in force after the freeze");
     mFleet->Configure("one");
     mFleet->Daemon(0).Kill();
     mFleet->StartDaemon(0);
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -135,6 +135,10 @@
   reply.mKind = aKind;
   reply.mSignature = "proof of " + aInstance;
   reply.mIsReusable = true;
+  const auto limit = mRequestLimits.find(aInstance);
+  if (limit != mRequestLimits.end()) {
+    reply.mRequestLimit = limit->second;
+  }
   reply.mMessage.mStatus = aStatus;
   reply.mMessage.mBody = aBody;
   Deliver(ReplyArrived{ connection, std::move(reply) });
--- a/tests/support/ForwarderHarness.h
+++ b/tests/support/ForwarderHarness.h
@@ -6,6 +6,7 @@
 
 #include <wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h>
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -87,6 +88,8 @@
   TimePoint mNow{ std::chrono::seconds(1000) };
   /** Targets that accept connections and reset them at once. */
   std::vector<std::string> mResetting;
+  /** The limits that targets name in their replies, by instance. */
+  std::map<std::string, double> mRequestLimits;
   /** Whether every attempt to connect is refused. */
   bool mRefusesAllConnections = false;
   std::size_t mOpenedConnections = 0;
