--- a/modules/wasabispread_forwarding_decisions/LimitAdmission.cpp
+++ b/modules/wasabispread_forwarding_decisions/LimitAdmission.cpp
@@ -36,17 +36,16 @@
 std::size_t
 MaxMissingShards(const ForwarderState& aState, const Route& aRoute)
 {
-  double minCoverage = aRoute.mMinCoverage;
+  double coverage = aRoute.mMinCoverage;
   for (const Route& other : aState.mConfiguration->mRoutes) {
     if (other.mPriority <= aRoute.mPriority &&
         other.mShards == aRoute.mShards) {
-      minCoverage = std::max(minCoverage, other.mMinCoverage);
+      coverage = std::max(coverage, other.mMinCoverage);
     }
   }
   const auto shards = static_cast<double>(aRoute.mShards.size());
-  return aRoute.mShards.size() -
-         static_cast<std::size_t>(
-           std::clamp(std::ceil(minCoverage * shards), 0.0, shards));
+  return aRoute.mShards.size() - static_cast<std::size_t>(std::clamp(
+                                   std::ceil(coverage * shards), 0.0, shards));
 }
 
 std::optional<Duration>
