--- a/modules/wasabispread_forwarding/ForwarderRunner.h
+++ b/modules/wasabispread_forwarding/ForwarderRunner.h
@@ -81,11 +81,10 @@
 
   /** Opens the port for messages of other VMs. */
   Result<std::monostate> StartTransport();
-  /** Handles another VM's message about routing or a sub-search; ignores all
-      other messages. */
   /** Reads the changes of the store that another VM passed on. */
   PeerChanges ReadChanges(const ChangesReply& aReply) const;
-
+  /** Delivers another VM's message to the reducer; ignores those of other
+      parts. */
   void HandlePeerMessage(VmId aPeer,
                          const Endpoint& aAddress,
                          const PeerMessage& aMessage);
--- a/modules/wasabispread_forwarding/StoreClient.cpp
+++ b/modules/wasabispread_forwarding/StoreClient.cpp
@@ -25,22 +25,21 @@
 }
 
 Result<HttpResponse>
-StoreClient::Call(const std::shared_ptr<Channel>& aChannel,
+StoreClient::Call(Channel& aChannel,
                   const HttpRequest& aRequest,
                   Duration aTimeout)
 {
-  const std::shared_ptr<Channel> channel = aChannel;
-  if (channel->mConnection == nullptr) {
-    auto connection = std::make_shared<HttpConnection>(mLoop);
+  if (aChannel.mConnection == nullptr) {
+    auto connection = std::make_unique<HttpConnection>(mLoop);
     const auto connected = connection->Connect(mAddress, kCallTimeout);
     if (!connected) {
       return tl::unexpected<Error>(connected.error());
     }
-    channel->mConnection = std::move(connection);
+    aChannel.mConnection = std::move(connection);
   }
-  auto response = channel->mConnection->Exchange(aRequest, aTimeout);
+  auto response = aChannel.mConnection->Exchange(aRequest, aTimeout);
   if (!response || !response->mKeepAlive) {
-    channel->mConnection.reset();
+    aChannel.mConnection.reset();
   }
   return response;
 }
@@ -48,11 +47,12 @@
 Result<StoreContent>
 StoreClient::List(const ListStore& aList)
 {
+  const std::shared_ptr<Channel> channel = mWatchChannel;
   StoreContent content;
   std::string after;
   do {
     const auto response =
-      Call(mWatchChannel, mAdapter.WriteStoreList(aList, after), kCallTimeout);
+      Call(*channel, mAdapter.WriteStoreList(aList, after), kCallTimeout);
     auto page = response.and_then([&](const HttpResponse& aResponse) {
       return mAdapter.ReadStoreList(aResponse);
     });
@@ -75,7 +75,8 @@
 Result<StoreChanges>
 StoreClient::Watch(const WatchStore& aWatch)
 {
-  return Call(mWatchChannel,
+  const std::shared_ptr<Channel> channel = mWatchChannel;
+  return Call(*channel,
               mAdapter.WriteStoreWatch(aWatch),
               aWatch.mWait + kWatchMargin)
     .and_then([&](const HttpResponse& aResponse) {
--- a/modules/wasabispread_forwarding/StoreClient.h
+++ b/modules/wasabispread_forwarding/StoreClient.h
@@ -44,21 +44,21 @@
       a failure. */
   struct Channel
   {
-    std::shared_ptr<HttpConnection> mConnection;
+    std::unique_ptr<HttpConnection> mConnection;
   };
 
   /** Makes one call, connecting first if necessary. aTimeout limits the
       exchange without the connecting. */
-  Result<HttpResponse> Call(const std::shared_ptr<Channel>& aChannel,
+  Result<HttpResponse> Call(Channel& aChannel,
                             const HttpRequest& aRequest,
                             Duration aTimeout);
 
   IoLoop& mLoop;
   Endpoint mAddress;
   const PlatformAdapter& mAdapter;
-  /** Replaced when a watch is abandoned; the call keeps the one it uses. */
+  /** Replaced when a watch is abandoned; a call keeps the one that it uses. */
   std::shared_ptr<Channel> mWatchChannel = std::make_shared<Channel>();
-  std::shared_ptr<Channel> mLeaseChannel = std::make_shared<Channel>();
+  Channel mLeaseChannel;
 };
 
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
@@ -36,6 +36,18 @@
          aMember.mRecord.mZone == aState.mPolicy.mZone;
 }
 
+/** Whether the VMs of this zone are enough to share one watch. */
+bool
+SharesWatch(const ForwarderState& aState)
+{
+  const auto& members = aState.mMembership.mMembers;
+  const auto present =
+    std::count_if(members.begin(), members.end(), [&](const auto& aMember) {
+      return IsPresentInZone(aState, aMember.second);
+    });
+  return static_cast<std::size_t>(present) >= kMinVms;
+}
+
 /** The VM of a zone with the highest rank watches for the others. */
 std::tuple<double, std::uint64_t>
 RelayRank(const Member& aMember)
@@ -140,17 +152,6 @@
   return best->mRecord.mName;
 }
 
-bool
-SharesWatch(const ForwarderState& aState)
-{
-  const auto& members = aState.mMembership.mMembers;
-  const auto present =
-    std::count_if(members.begin(), members.end(), [&](const auto& aMember) {
-      return IsPresentInZone(aState, aMember.second);
-    });
-  return static_cast<std::size_t>(present) >= kMinVms;
-}
-
 std::vector<const Member*>
 Followers(const ForwarderState& aState)
 {
--- a/modules/wasabispread_forwarding_decisions/ChangeRelay.h
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelay.h
@@ -65,10 +65,6 @@
 std::optional<std::string>
 ChooseRelay(const ForwarderState& aState, TimePoint aNow);
 
-/** Whether the VMs of this zone are enough to share one watch. */
-bool
-SharesWatch(const ForwarderState& aState);
-
 /** The VMs that watch the store themselves, in an order that all VMs share:
     all VMs of a small zone, and of any other the one that is asked first. */
 std::vector<const Member*>
--- a/tests/platform/ForwarderProcessTests.cpp
+++ b/tests/platform/ForwarderProcessTests.cpp
@@ -522,7 +522,7 @@
                            most <= kMaxInWindow);
     // What the limit allows is used.
     CPPUNIT_ASSERT_MESSAGE(std::to_string(runs.size()) + " requests in 8 s",
-                           runs.size() >= 2 * kLimit);
+                           runs.size() >= std::size_t{ 2 } * kLimit);
   }
 
   void LearnsANewVersionFromOtherVms()
