Bound the log of limits that change with each reply; skip services without a limit

A target that names another limit in each reply would have written a line for each; the record now is of a class with a rate limit. Admission looked at the connections of every target of a search although no limit was named; it now looks for a limit first.

--- a/modules/wasabispread_forwarding_decisions/LimitAdmission.cpp
+++ b/modules/wasabispread_forwarding_decisions/LimitAdmission.cpp
@@ -17,7 +17,11 @@
 WaitForService(const ForwarderState& aState, ServiceId aService, TimePoint aNow)
 {
   const auto targets = aState.mTargetsOfService.find(aService);
-  if (targets == aState.mTargetsOfService.end()) {
+  const auto isLimited = [&](TargetKey aKey) {
+    return aState.mTargets.at(aKey).mLimit.mPerSecond.has_value();
+  };
+  if (targets == aState.mTargetsOfService.end() ||
+      std::none_of(targets->second.begin(), targets->second.end(), isLimited)) {
     return Duration::zero();
   }
   std::optional<Duration> shortest;
--- a/modules/wasabispread_forwarding_decisions/RequestLimit.cpp
+++ b/modules/wasabispread_forwarding_decisions/RequestLimit.cpp
@@ -178,7 +178,7 @@
   }
   RefreshLimit(aState, aTarget, aNow);
   DecisionRecord record{
-    RecordClass::kState,
+    RecordClass::kNotable,
     limit.mPerSecond ? "target-limit-named" : "target-limit-ended",
     {},
     { { "target", aTarget.mRecord.mInstance.Value() },
