--- a/tests/platform/ConfigurationSoakTests.cpp
+++ b/tests/platform/ConfigurationSoakTests.cpp
@@ -70,8 +70,13 @@
       }
     });
     EndFaults();
-    ExpectInForceEverywhere(kStableTime);
-    ExpectInForceEverywhere(kInForceTime);
+    try {
+      ExpectInForceEverywhere(kStableTime);
+      ExpectInForceEverywhere(kInForceTime);
+    } catch (const std::runtime_error&) {
+      PrintLastRecords();
+      throw;
+    }
   }
 
 private:
@@ -254,6 +259,19 @@
     boost::this_fiber::sleep_until(end);
   }
 
+  void PrintLastRecords() const
+  {
+    constexpr std::size_t kRecords = 40;
+    for (std::size_t vm = 0; vm < mVms; ++vm) {
+      const auto records = mFleet.LogRecords(vm);
+      const std::size_t first =
+        records.size() - std::min(kRecords, records.size());
+      for (std::size_t index = first; index < records.size(); ++index) {
+        std::cout << records[index].dump() << "\n";
+      }
+    }
+  }
+
   Random mRandom;
   ForwarderFleet mFleet;
   std::size_t mVms;
--- a/tests/processes/FreePorts.cpp
+++ b/tests/processes/FreePorts.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::uint16_t kFirstPort = 25000;
-constexpr std::uint16_t kPortCount = 1000;
+constexpr std::uint16_t kPortCount = 7000;
 
 bool
 IsFree(std::uint16_t aPort)
@@ -39,7 +39,7 @@
 {
   // Starts at a port that depends on the process id, so that two test programs
   // that run at the same time try different ports.
-  static unsigned next = static_cast<unsigned>(getpid()) * 97U;
+  static unsigned next = static_cast<unsigned>(getpid()) * 701U;
   for (unsigned attempts = 0; attempts < kPortCount; ++attempts) {
     const auto port =
       static_cast<std::uint16_t>(kFirstPort + next++ % kPortCount);
@@ -47,7 +47,7 @@
       return port;
     }
   }
-  throw std::runtime_error("no free loopback port among the 1000 from 25000");
+  throw std::runtime_error("no free loopback port among the 7000 from 25000");
 }
 
 } // namespace wasabispread::testing
