--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,8 +6,8 @@
 import time
 
 from standins.backend import Backend
-from standins.bed import (BOUNDS, TROUBLE, Node, configuration, exchange,
-                          free_ports, play, route, wait_until)
+from standins.bed import (BOUNDS, TROUBLE, CannotRun, Node, configuration,
+                          exchange, free_ports, play, route, wait_until)
 from standins.store import Store
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -39,6 +39,8 @@
             record, store, name, instance, ZONES[number % 2], ports.pop(),
             slots=6, work=lambda request: 0.1))
         await backends[-1].start()
+    # All replicas know all backends before the daemons start.
+    await asyncio.sleep(max(LAGS) + 0.5)
     for zone in ZONES:
         nodes.append(Node(record, files, f"front-{zone}-1", zone, store_port,
                           [ports.pop() for _ in range(3)]))
@@ -48,17 +50,6 @@
     await asyncio.sleep(5)
 
     victim, leaving = nodes[0], backends[-1]
-    leaving.drain()
-    accepted = time.monotonic()
-    record("drain-accepted", leaving.instance)
-    await asyncio.sleep(0.5)
-    if TROUBLE:
-        victim.signal(signal.SIGKILL)
-        await asyncio.sleep(0.6)
-        await wait_until(victim.is_ready, 5, "the killed node is ready again")
-    ready = time.monotonic()
-    record("ready-again", victim.name)
-    in_touch = ready + BOUNDS["stableWindowMs"] / 1000
     statuses = {}
 
     async def send(request_id):
@@ -76,6 +67,20 @@
         record("answer", request_id, status)
         statuses[request_id] = status
 
+    await asyncio.gather(*[send(f"k{number:02d}") for number in range(60)])
+    if not leaving.runs or set(statuses.values()) != {200}:
+        raise CannotRun(f"before the report: {len(leaving.runs)} runs there")
+    leaving.drain()
+    accepted = time.monotonic()
+    record("drain-accepted", leaving.instance)
+    await asyncio.sleep(0.5)
+    if TROUBLE:
+        victim.signal(signal.SIGKILL)
+        await asyncio.sleep(0.6)
+        await wait_until(victim.is_ready, 5, "the killed node is ready again")
+    ready = time.monotonic()
+    record("ready-again", victim.name)
+    in_touch = ready + BOUNDS["stableWindowMs"] / 1000
     tasks, number = [], 0
     has_left = False
     while time.monotonic() < accepted + LEAVING_S + 2:
