--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,8 +4,8 @@
 import pathlib
 
 from standins.backend import Backend
-from standins.bed import (TROUBLE, Node, configuration, exchange, free_ports,
-                          play, route, wait_until)
+from standins.bed import (TROUBLE, CannotRun, Node, configuration, exchange,
+                          free_ports, play, route, wait_until)
 from standins.store import Store
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -33,6 +33,8 @@
     for node in nodes:
         await wait_until(node.is_ready, 10, f"{node.name} is ready")
     await asyncio.sleep(5)
+    if any(node.ends_of_its_own for node in nodes):
+        raise CannotRun("a daemon ended before the entry was written")
     if TROUBLE:
         key, port = "servers/i-77d0", ports.pop()
         entry = {"service": "orders", "address": f"127.0.0:{port}",
