Treat an entry that cannot be used as unreadable instead of ending the process

Cause: the reader took any text of digits and dots for an address, and the conversion to the socket library's type throws for what is none. An exception that leaves a fiber ends the process. The class: no reader or user of an entry may throw, whatever the entry holds.

Ruled out: parsing. Entries that do not parse were put aside before; the process ends only when the connection is due, about 1.2 s after the start.

Change: one ParseEndpoint for settings and entries, as strict as the library; AwaitConnect returns an error for any other host, for targets and VMs alike. Unreadable entries of targets are counted and logged too.

--- a/modules/wasabispread_config/TableReader.cpp
+++ b/modules/wasabispread_config/TableReader.cpp
@@ -21,26 +21,6 @@
   return value;
 }
 
-bool
-IsDottedAddress(std::string_view aHost)
-{
-  constexpr std::uint64_t kMaxOctet = 255;
-  constexpr int kOctets = 4;
-  for (int octet = 0; octet < kOctets; ++octet) {
-    const std::size_t dot = aHost.find('.');
-    const bool isLast = octet == kOctets - 1;
-    if (isLast != (dot == std::string_view::npos)) {
-      return false;
-    }
-    const auto value = ParseWhole(aHost.substr(0, dot));
-    if (!value || *value > kMaxOctet) {
-      return false;
-    }
-    aHost.remove_prefix(isLast ? aHost.size() : dot + 1);
-  }
-  return true;
-}
-
 std::string
 DurationText(Duration aDuration)
 {
@@ -63,22 +43,6 @@
          aFault.mRemedy;
 }
 
-std::optional<Endpoint>
-ParseEndpoint(std::string_view aText)
-{
-  constexpr std::uint64_t kMaxPort = 65535;
-  const std::size_t colon = aText.rfind(':');
-  if (colon == std::string_view::npos) {
-    return std::nullopt;
-  }
-  const auto port = ParseWhole(aText.substr(colon + 1));
-  const std::string_view host = aText.substr(0, colon);
-  if (!port || *port == 0 || *port > kMaxPort || !IsDottedAddress(host)) {
-    return std::nullopt;
-  }
-  return Endpoint{ std::string(host), static_cast<std::uint16_t>(*port) };
-}
-
 std::optional<Duration>
 ParseDuration(std::string_view aText)
 {
--- a/modules/wasabispread_config/TableReader.h
+++ b/modules/wasabispread_config/TableReader.h
@@ -108,10 +108,6 @@
         Faults& aFaults,
         LogLevel& aLevel);
 
-/** Parses "host:port" with a dotted IPv4 host and a port from 1 to 65535. */
-std::optional<Endpoint>
-ParseEndpoint(std::string_view aText);
-
 /** Parses a non-negative integer followed by us, ms, s, min or h. */
 std::optional<Duration>
 ParseDuration(std::string_view aText);
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -80,6 +80,9 @@
 
   void operator()(const TargetRemoval& aChange)
   {
+    if (!aChange.mReason.empty()) {
+      ReportUnreadable("target " + aChange.mInstance.Value(), aChange.mReason);
+    }
     RemoveTarget(mState, aChange.mInstance, mNow, mEffects);
   }
 
@@ -94,13 +97,18 @@
   }
 
   void operator()(const UnreadableEntry& aChange)
+  {
+    ReportUnreadable(aChange.mKey, aChange.mReason);
+  }
+
+  void ReportUnreadable(const std::string& aEntry, const std::string& aReason)
   {
     ++mState.mCounters.mUnreadableEntries;
-    mEffects.push_back(WriteDecisionRecord{
-      { RecordClass::kState,
-        "entry-unreadable",
-        {},
-        { { "key", aChange.mKey }, { "reason", aChange.mReason } } } });
+    mEffects.push_back(
+      WriteDecisionRecord{ { RecordClass::kState,
+                             "entry-unreadable",
+                             {},
+                             { { "key", aEntry }, { "reason", aReason } } } });
   }
 };
 
--- a/modules/wasabispread_forwarding_decisions/StoreMessage.h
+++ b/modules/wasabispread_forwarding_decisions/StoreMessage.h
@@ -50,6 +50,8 @@
 struct TargetRemoval
 {
   InstanceId mInstance;
+  /** Why the entry cannot be read; empty when it was removed. */
+  std::string mReason = {};
 };
 
 /** A VM's entry was written. */
--- a/modules/wasabispread_runtime/AsioSupport.h
+++ b/modules/wasabispread_runtime/AsioSupport.h
@@ -37,12 +37,23 @@
   return result;
 }
 
-/** Converts an endpoint to Asio's type. The host must be an IP address in
-    text form; any other host throws boost::system::system_error. */
-inline boost::asio::ip::tcp::endpoint
-ToAsio(const Endpoint& aEndpoint)
+/** Connects a socket or stream and blocks the calling fiber meanwhile. An
+    endpoint whose host is not an IP address gives an error, as a failed
+    connection does. */
+template<class Stream>
+IoResult
+AwaitConnect(Stream& aStream, const Endpoint& aEndpoint)
 {
-  return { boost::asio::ip::make_address(aEndpoint.mHost), aEndpoint.mPort };
+  IoResult result;
+  const auto address =
+    boost::asio::ip::make_address(aEndpoint.mHost, result.mError);
+  if (result.mError) {
+    return result;
+  }
+  return Await([&](auto aHandler) {
+    aStream.async_connect(
+      boost::asio::ip::tcp::endpoint(address, aEndpoint.mPort), aHandler);
+  });
 }
 
 /** Whether the peer has closed the connection. Peeks at the input and consumes
@@ -68,12 +79,15 @@
   namespace asio = boost::asio;
   asio::ip::tcp::acceptor acceptor(aContext);
   boost::system::error_code error;
-  acceptor.open(asio::ip::tcp::v4(), error);
+  const auto address = asio::ip::make_address(aEndpoint.mHost, error);
+  if (!error) {
+    acceptor.open(asio::ip::tcp::v4(), error);
+  }
   if (!error) {
     acceptor.set_option(asio::socket_base::reuse_address(true), error);
   }
   if (!error) {
-    acceptor.bind(ToAsio(aEndpoint), error);
+    acceptor.bind({ address, aEndpoint.mPort }, error);
   }
   if (!error) {
     acceptor.listen(asio::socket_base::max_listen_connections, error);
--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -334,9 +334,7 @@
   Implementation& connection = *mImplementation;
   connection.mPeer = ToText(aAddress);
   connection.ExpireAt(std::chrono::steady_clock::now() + aTimeout);
-  const IoResult connected = Await([&](auto aHandler) {
-    connection.mSocket.async_connect(ToAsio(aAddress), aHandler);
-  });
+  const IoResult connected = AwaitConnect(connection.mSocket, aAddress);
   connection.ExpireAt(TimePoint::max());
   if (connected.mError) {
     return ConnectionFailure(
--- a/modules/wasabispread_runtime/PeerTransport.cpp
+++ b/modules/wasabispread_runtime/PeerTransport.cpp
@@ -138,9 +138,7 @@
                              const Endpoint& aAddress) const
   {
     aStream.expires_after(kHelloTimeout);
-    const IoResult connected = Await([&](auto aHandler) {
-      aStream.async_connect(ToAsio(aAddress), aHandler);
-    });
+    const IoResult connected = AwaitConnect(aStream, aAddress);
     if (connected.mError) {
       return Fail(ErrorKind::kConnectionFailed,
                   "cannot reach the VM at " + ToText(aAddress) + ": " +
--- a/modules/wasabispread_units/Identifiers.h
+++ b/modules/wasabispread_units/Identifiers.h
@@ -7,6 +7,7 @@
 #include "StrongType.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -91,6 +92,11 @@
 std::string
 ToText(const Endpoint& aEndpoint);
 
+/** Parses "ADDRESS:PORT"; none unless the address is an IPv4 address of four
+    decimal numbers without leading zeros and the port is 1 to 65535. */
+std::optional<Endpoint>
+ParseEndpoint(std::string_view aText);
+
 } // namespace wasabispread
 
 /** Hashes all three fields of an attempt's identifier. */
