Refuse late in a stop what may outlive the process, and answer the rest

Cause: requests were accepted for 0.6 of the grace, whatever time they may take, and what was in flight at the end was dropped. Nothing compared a request's deadline with the time that the process has.

Ruled out: an end that comes too early. The process uses the grace but for 0.35 s, and orders that fit are answered.

Change: Shutdown plans the stop. In the first half of the grace every request is accepted, since a caller may reach this VM again until the load balancer has noticed. Then only a request whose deadline ends before the last answers; the others are refused at once, not run, and the connection closes. Deadlines of all requests, also sub-searches of other VMs, end 0.5 s before the grace does, so that timeouts answer what is left: a search in part, an order that was sent as timed out, one that was not sent as not run.

Why it works: no request is in progress when the process ends, and a request that is refused was not sent.

--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -14,12 +14,9 @@
 namespace {
 
 constexpr Duration kStopPollInterval = std::chrono::milliseconds(5);
-/** The share of the stop's grace during which new requests are still accepted:
-    the load balancer needs some seconds to direct connections to other VMs. */
-constexpr double kServingShare = 0.6;
-/** The time left unused at the end of the stop's grace, so that the process
-    exits before it is killed. */
-constexpr Duration kStopMargin = std::chrono::milliseconds(350);
+/** The share of the stop's grace during which new connections are accepted: the
+    load balancer needs some seconds to direct them to other VMs. */
+constexpr double kListeningShare = 0.6;
 /** The time between two checks of the settings file for changes. */
 constexpr Duration kSettingsPollInterval = std::chrono::seconds(2);
 
@@ -209,15 +206,14 @@
 ForwarderDaemon::Stop()
 {
   const TimePoint stopStart = ForwarderRunner::Now();
-  const TimePoint deadline = stopStart + mSettings.mStopGrace - kStopMargin;
-  mRunner.Deliver(ForwarderStopRequested{});
+  mRunner.Deliver(ForwarderStopRequested{ mSettings.mStopGrace });
+  const TimePoint exit = mRunner.State().mStop->mExit;
   mCallers->AnnounceStop();
-  const auto servingTime = Duration(static_cast<std::int64_t>(
-    kServingShare * static_cast<double>(mSettings.mStopGrace.count())));
-  boost::this_fiber::sleep_until(stopStart + servingTime);
-  mCallers->Stop(deadline);
-  while (!mRunner.State().mRequests.empty() &&
-         ForwarderRunner::Now() < deadline) {
+  const auto listeningTime = Duration(static_cast<std::int64_t>(
+    kListeningShare * static_cast<double>(mSettings.mStopGrace.count())));
+  boost::this_fiber::sleep_until(stopStart + listeningTime);
+  mCallers->Stop(exit);
+  while (!mRunner.State().mRequests.empty() && ForwarderRunner::Now() < exit) {
     boost::this_fiber::sleep_for(kStopPollInterval);
   }
   mDecisionLog.Write(
--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -29,10 +29,10 @@
       port is not returned. */
   Result<std::monostate> Start();
 
-  /** Shuts down. The readiness check fails at once; requests are accepted for a
-      while longer, until the load balancer has noticed; then the requests in
+  /** Shuts down. The readiness check fails at once; connections are accepted for
+      a while longer, until the load balancer has noticed; then the requests in
       flight are finished. Returns when none is left or the stop's grace is
-      nearly over. */
+      nearly over; all requests are answered by then. */
   void Stop();
 
 private:
--- a/modules/wasabispread_forwarding_decisions/AnswerTiming.cpp
+++ b/modules/wasabispread_forwarding_decisions/AnswerTiming.cpp
@@ -41,6 +41,20 @@
   return aNow + std::max(timeout, Duration::zero());
 }
 
+TimePoint
+DeadlineOf(const ForwarderState& aState,
+           const ForwardedRequest& aRequest,
+           const Route& aRoute,
+           TimePoint aNow)
+{
+  return DeadlineOf(
+    aRequest,
+    aRoute,
+    aState.mPolicy.mCallerRoundTrip,
+    ReserveForAnswer(aState.mAnswerReserve, aRoute.mShards.size()),
+    aNow);
+}
+
 TimePoint
 SoftDeadlineOf(const ForwardedRequest& aRequest,
                const Route& aRoute,
--- a/modules/wasabispread_forwarding_decisions/AnswerTiming.h
+++ b/modules/wasabispread_forwarding_decisions/AnswerTiming.h
@@ -17,6 +17,13 @@
            Duration aReserve,
            TimePoint aNow);
 
+/** As above, with what this VM measured, and without regard to a stop. */
+TimePoint
+DeadlineOf(const ForwarderState& aState,
+           const ForwardedRequest& aRequest,
+           const Route& aRoute,
+           TimePoint aNow);
+
 /** When an answer must be due to arrive within the route's soft timeout,
     counted from the caller's first attempt. For a caller whose soft timeout is
     already over, the time by which most shards usually have answered.
--- a/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
@@ -60,7 +60,7 @@
 bool
 IsAvailable(const ForwarderState& aState)
 {
-  return !aState.mIsStopping && aState.mStore.mIsLoaded &&
+  return !aState.IsStopping() && aState.mStore.mIsLoaded &&
          !aState.mStore.mNeedsList && !aState.mStore.IsUnavailable();
 }
 
--- a/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
@@ -170,7 +170,10 @@
 
 /** The process was asked to stop. */
 struct ForwarderStopRequested
-{};
+{
+  /** How long the stop may take. */
+  Duration mGrace = std::chrono::seconds(6);
+};
 
 /** A timer is due. Sent when the time of ForwarderState::NextDue() is
     reached. */
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -172,12 +172,13 @@
     HandleRelayLost(mState, aEvent.mVm, mNow, mEffects);
   }
 
-  void operator()(ForwarderStopRequested)
+  void operator()(const ForwarderStopRequested& aEvent)
   {
-    if (mState.mIsStopping) {
+    if (mState.IsStopping()) {
       return;
     }
-    mState.mIsStopping = true;
+    mState.mStop = PlanStop(aEvent.mGrace, mNow);
+    ShortenDeadlines(mState, mNow);
     RefuseWaitingVms(mState, mNow, mEffects);
     if (mState.mMembership.mLeaseStatus == LeaseStatus::kHeld) {
       mEffects.push_back(EndLease{ mState.mMembership.mLease });
@@ -253,7 +254,7 @@
 bool
 ForwarderState::IsReady(TimePoint aNow) const
 {
-  return !mIsStopping && mConfiguration != nullptr && mStore.mIsLoaded &&
+  return !IsStopping() && mConfiguration != nullptr && mStore.mIsLoaded &&
          !IsIsolated(*this, aNow);
 }
 
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -9,6 +9,7 @@
 #include "Membership.h"
 #include "RequestState.h"
 #include "ShardOwnership.h"
+#include "Shutdown.h"
 #include "StoreFollower.h"
 #include "StoreFreshness.h"
 
@@ -156,7 +157,10 @@
   /** Starts at the process's seed, so that no reply to a sub-search of an
       earlier process is accepted. */
   std::uint64_t mNextSubSearch = 1;
-  bool mIsStopping = false;
+  /** None before a stop was requested. */
+  std::optional<StopPlan> mStop;
+
+  bool IsStopping() const { return mStop.has_value(); }
 
   /** Whether callers' requests can be served. */
   bool IsReady(TimePoint aNow) const;
--- a/modules/wasabispread_forwarding_decisions/Membership.cpp
+++ b/modules/wasabispread_forwarding_decisions/Membership.cpp
@@ -113,7 +113,7 @@
                     TimePoint aNow,
                     ForwarderEffects& aEffects)
 {
-  if (aState.mIsStopping) {
+  if (aState.IsStopping()) {
     return;
   }
   MembershipState& membership = aState.mMembership;
@@ -198,7 +198,7 @@
                            TimePoint aNow,
                            ForwarderEffects& aEffects)
 {
-  if (!aState.mStore.IsUnavailable() || aState.mIsStopping) {
+  if (!aState.mStore.IsUnavailable() || aState.IsStopping()) {
     aState.mMembership.mIsAskingPeers = false;
     return;
   }
--- a/modules/wasabispread_forwarding_decisions/Refusal.cpp
+++ b/modules/wasabispread_forwarding_decisions/Refusal.cpp
@@ -10,9 +10,6 @@
 /** Retry delay after a start: a daemon that has just started knows its routes
     and targets within about this time. */
 constexpr Duration kStartRetry = std::chrono::milliseconds(250);
-/** Retry delay for a caller that should connect to another VM, which can serve
-    it at once; the load balancer assigns the new connection. */
-constexpr Duration kOtherVmRetry = std::chrono::milliseconds(20);
 /** Retry delay while targets are missing: they come back with their next
     registration. */
 constexpr Duration kNoTargetRetry = std::chrono::milliseconds(400);
@@ -62,6 +59,10 @@
     }
     return problem;
   }
+  const TimePoint deadline = DeadlineOf(aState, aRequest, *route, aNow);
+  if (auto problem = RefuseWhileStopping(aState.mStop, deadline, aNow)) {
+    return problem;
+  }
   if (const auto wait = WaitForLimits(aState, *route, aNow)) {
     return NotRunProblem("the targets' request limits are used up", *wait);
   }
--- a/modules/wasabispread_forwarding_decisions/Refusal.h
+++ b/modules/wasabispread_forwarding_decisions/Refusal.h
@@ -15,6 +15,10 @@
              const ForwardedRequest& aRequest,
              TimePoint aNow);
 
+/** Retry delay for a caller that should connect to another VM, which can serve
+    it at once; the load balancer assigns the new connection. */
+inline constexpr Duration kOtherVmRetry = std::chrono::milliseconds(20);
+
 /** A refusal because no target or connection is available. No part of the
     request has run. */
 Problem
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -88,9 +88,11 @@
   const Duration roundTrip = aState.mPolicy.mCallerRoundTrip;
   const Duration reserve =
     ReserveForAnswer(aState.mAnswerReserve, route->mShards.size());
-  request.mDeadline = DeadlineOf(*aMessage, *route, roundTrip, reserve, aNow);
-  request.mSoftDeadline =
-    SoftDeadlineOf(*aMessage, *route, routeState, roundTrip, reserve, aNow);
+  request.mDeadline =
+    BeforeExit(aState.mStop, DeadlineOf(aState, *aMessage, *route, aNow));
+  request.mSoftDeadline = BeforeExit(
+    aState.mStop,
+    SoftDeadlineOf(*aMessage, *route, routeState, roundTrip, reserve, aNow));
   AddSubRequests(request, routeState);
   aState.mRequestOfCaller[aMessage->mToken] = request.mKey;
   const RequestKey key = request.mKey;
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -228,7 +228,7 @@
 void
 FollowStore(ForwarderState& aState, TimePoint aNow, ForwarderEffects& aEffects)
 {
-  const auto relay = aState.mStore.mNeedsList || aState.mIsStopping
+  const auto relay = aState.mStore.mNeedsList || aState.IsStopping()
                        ? std::nullopt
                        : ChooseRelay(aState, aNow);
   if (relay) {
--- a/modules/wasabispread_forwarding_decisions/StoreFreshness.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFreshness.cpp
@@ -40,7 +40,7 @@
 bool
 NeedsCheck(const ForwarderState& aState)
 {
-  return IsWatching(aState.mStore) && !aState.mIsStopping &&
+  return IsWatching(aState.mStore) && !aState.IsStopping() &&
          aState.mStore.mPendingCall->mWait >= kMinCheckedWait;
 }
 
--- a/modules/wasabispread_forwarding_decisions/SubSearches.cpp
+++ b/modules/wasabispread_forwarding_decisions/SubSearches.cpp
@@ -342,7 +342,7 @@
                 TimePoint aNow,
                 ForwarderEffects& aEffects)
 {
-  if (aNow < aState.mStarted + kStartupSettleTime || aState.mIsStopping) {
+  if (aNow < aState.mStarted + kStartupSettleTime || aState.IsStopping()) {
     return;
   }
   ShardOwnership& ownership = aState.mShardOwnership;
@@ -505,7 +505,7 @@
   const SubSearch& search = aEvent.mSearch;
   SubSearchReply acknowledgement;
   acknowledgement.mSequence = search.mSequence;
-  acknowledgement.mIsRefused = aState.mIsStopping || !aState.mStore.mIsLoaded;
+  acknowledgement.mIsRefused = aState.IsStopping() || !aState.mStore.mIsLoaded;
   acknowledgement.mIsIsolated =
     !acknowledgement.mIsRefused && IsIsolated(aState, aNow);
   const auto wait =
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -34,6 +34,7 @@
 #include "Registry.h"
 #include "RequestLimit.h"
 #include "ShardOwnership.h"
+#include "Shutdown.h"
 #include "StoreFollower.h"
 #include "StoreFreshness.h"
 #include "TargetPool.h"
--- a/tests/platform/ForwarderProcessTests.cpp
+++ b/tests/platform/ForwarderProcessTests.cpp
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(KeepsToTheRequestLimitOfATarget);
   CPPUNIT_TEST(LearnsANewVersionFromOtherVms);
   CPPUNIT_TEST(FinishesRequestsBeforeStopping);
+  CPPUNIT_TEST(AnswersOrRefusesWhatArrivesInTheGraceOfAStop);
   CPPUNIT_TEST(KeepsItsSettingsWhenAReloadIsFaulty);
   CPPUNIT_TEST(ServesAgainAfterAFreezeAndAKill);
   CPPUNIT_TEST_SUITE_END();
@@ -562,6 +563,62 @@
                          mFleet->Store().CountWithPrefix("vms/"));
   }
 
+  /** Guards against orders that a stopping daemon passes on and cuts off when
+      it ends, and against a refusal of an order that runs. */
+  void AnswersOrRefusesWhatArrivesInTheGraceOfAStop()
+  {
+    constexpr Duration kGrace = std::chrono::seconds(4);
+    constexpr Duration kServiceTime = std::chrono::milliseconds(1500);
+    constexpr std::size_t kCallers = 26;
+    // Until this time the daemon keeps connections free for VMs that started
+    // with it.
+    SleepFor(std::chrono::seconds(5));
+    std::vector<std::unique_ptr<HttpConnection>> connections;
+    ForwarderRequest order;
+    order.mMethod = "POST";
+    order.mPath = "/once/x";
+    for (std::size_t caller = 0; caller < kCallers; ++caller) {
+      connections.push_back(std::make_unique<HttpConnection>(TestLoop()));
+      CPPUNIT_ASSERT(connections.back()->Connect(mFleet->CallerEndpoint(0),
+                                                 std::chrono::seconds(1)));
+      CPPUNIT_ASSERT_EQUAL(
+        200U, mFleet->SendRequestOn(*connections.back(), order).Status());
+    }
+    for (const char* instance : { "once-a", "once-b" }) {
+      mFleet->Target(instance).mServiceTime = kServiceTime;
+      mFleet->Target(instance).mSlots = kCallers;
+    }
+    const TimePoint stop = std::chrono::steady_clock::now();
+    mFleet->Daemon(0).Terminate();
+    std::size_t served = 0;
+    std::size_t refused = 0;
+    RunConcurrently(kCallers, [&](std::size_t aCaller) {
+      const Duration offset =
+        kGrace * static_cast<int>(aCaller) / static_cast<int>(kCallers);
+      boost::this_fiber::sleep_until(stop + offset);
+      const ForwarderReply reply =
+        mFleet->SendRequestOn(*connections[aCaller], order);
+      boost::this_fiber::sleep_until(stop + kGrace + kServiceTime);
+      const std::size_t runs = mFleet->CountRuns(reply.mRequestId);
+      const std::string what =
+        "sent " +
+        std::to_string(
+          std::chrono::duration_cast<std::chrono::milliseconds>(offset)
+            .count()) +
+        " ms after SIGTERM, status " + std::to_string(reply.Status());
+      const bool isNotRun = reply.Status() == 0 || reply.Status() == 503;
+      CPPUNIT_ASSERT_MESSAGE(what, runs <= 1);
+      CPPUNIT_ASSERT_MESSAGE(what, !isNotRun || runs == 0);
+      CPPUNIT_ASSERT_MESSAGE(what,
+                             offset >= kGrace / 2 || reply.Status() == 200);
+      served += reply.Status() == 200 ? 1 : 0;
+      refused += reply.Status() == 503 ? 1 : 0;
+    });
+    CPPUNIT_ASSERT(served > 0);
+    CPPUNIT_ASSERT(refused > 0);
+    CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
+  }
+
   void KeepsItsSettingsWhenAReloadIsFaulty()
   {
     const std::string good = ReadWholeFile(mFleet->SettingsFile(0));
