Begin the watch at the oldest page of a list

Daemons that started within seconds after targets registered never learned of some.

Cause: a list took the revision of its first page, and the watch began there. Pages that may be old come from replicas of different ages, so a later page can be older; a change between the two revisions is in neither the list nor the watch, and the entry is not written again.

Ruled out: late entries of the same start. They are ordered by sequence, and the log of the reproduction has no such change.

Change: StoreListing joins the pages and is as old as its oldest one. A list with pages of different ages is caught up with at once, the first one until the watch has passed its newest page, before the VM is ready. Pages that do not lead on fail the list. The stand-in store serves old reads from replicas with a lag each, and pages of any size; it answered them as of the present.

Why it works: every change after the oldest page's revision is in the watch. Those that newer pages had too are applied again; entries' versions order them, and a removal comes after the writing that it removes.

--- a/modules/wasabispread_forwarding/PlatformAdapter.h
+++ b/modules/wasabispread_forwarding/PlatformAdapter.h
@@ -49,14 +49,6 @@
   virtual HttpRequest WriteStoreList(const ListStore& aEffect,
                                      const std::string& aAfter) const = 0;
 
-  /** One page of the store's entries. */
-  struct StorePage
-  {
-    StoreContent mContent;
-    /** The key after which the next page begins; empty for the last page. */
-    std::string mContinueAfter;
-  };
-
   virtual Result<StorePage> ReadStoreList(
     const HttpResponse& aMessage) const = 0;
 
--- a/modules/wasabispread_forwarding/StoreClient.cpp
+++ b/modules/wasabispread_forwarding/StoreClient.cpp
@@ -48,28 +48,22 @@
 StoreClient::List(const ListStore& aList)
 {
   const std::shared_ptr<Channel> channel = mWatchChannel;
-  StoreContent content;
-  std::string after;
+  StoreListing listing;
   do {
-    const auto response =
-      Call(*channel, mAdapter.WriteStoreList(aList, after), kCallTimeout);
-    auto page = response.and_then([&](const HttpResponse& aResponse) {
-      return mAdapter.ReadStoreList(aResponse);
-    });
-    if (!page) {
-      return tl::unexpected<Error>(page.error());
-    }
-    // The pages are read at different revisions. The watch starts at the first
-    // page's revision, so that it also reports changes made between two pages.
-    if (after.empty()) {
-      content.mRevision = page->mContent.mRevision;
-    }
-    for (StoreChange& entry : page->mContent.mEntries) {
-      content.mEntries.push_back(std::move(entry));
+    const auto added =
+      Call(*channel,
+           mAdapter.WriteStoreList(aList, listing.mContinueAfter),
+           kCallTimeout)
+        .and_then([&](const HttpResponse& aResponse) {
+          return mAdapter.ReadStoreList(aResponse);
+        })
+        .and_then(
+          [&](StorePage aPage) { return AddPage(listing, std::move(aPage)); });
+    if (!added) {
+      return tl::unexpected<Error>(added.error());
     }
-    after = page->mContinueAfter;
-  } while (!after.empty());
-  return content;
+  } while (!listing.mContinueAfter.empty());
+  return std::move(listing.mContent);
 }
 
 Result<StoreChanges>
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -343,10 +343,11 @@
   store.mNeedsList = false;
   store.mNeedsFreshList = false;
   store.mRevision = content.mRevision;
+  store.mNewestListed = content.mNewestRevision;
   ForgetChanges(aState.mRelay, content.mRevision);
   // The entries may be old: a target that left since must not be used again.
-  if (isFirst) {
-    store.mIsCatchingUp = true;
+  store.mIsCatchingUp = isFirst || content.mRevision < content.mNewestRevision;
+  if (store.mIsCatchingUp) {
     FollowStoreDirectly(aState, aNow, aEffects);
   } else {
     FollowStore(aState, aNow, aEffects);
@@ -382,6 +383,13 @@
   ApplyChanges(aState, changes, aNow, aEffects);
   RecordComplete(aState, aNow);
   if (store.mIsCatchingUp) {
+    const bool isBehind = store.mRevision < store.mNewestListed ||
+                          changes.mChanges.size() >= kManyChanges;
+    if (isBehind) {
+      RefreshAssignments(aState, aNow, aEffects);
+      FollowStoreDirectly(aState, aNow, aEffects);
+      return;
+    }
     store.mIsCatchingUp = false;
     store.mIsLoaded = true;
     RefreshAssignments(aState, aNow, aEffects);
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.h
@@ -35,9 +35,11 @@
 {
   /** Whether its entries, and the changes since, were read at least once. */
   bool mIsLoaded = false;
-  /** Whether the entries that were listed first may be old, so that the changes
-      since are read before anything is decided by them. */
+  /** Whether the listed entries may be old, so that the changes since are read
+      at once; after the first list, before anything is decided by them. */
   bool mIsCatchingUp = false;
+  /** The revision of the newest page of the last list. */
+  StoreRevision mNewestListed;
   /** Whether the next call lists all entries instead of watching for
       changes. */
   bool mNeedsList = true;
--- /dev/null
+++ b/modules/wasabispread_forwarding_decisions/StoreListing.cpp
@@ -0,0 +1,34 @@
+/*
+ * Joins pages, and finds the revisions between which their content lies.
+ */
+#include "wasabispread_forwarding_decisions.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace wasabispread::forwarding {
+
+Result<std::monostate>
+AddPage(StoreListing& aListing, StorePage aPage)
+{
+  const bool isLast = aPage.mContinueAfter.empty();
+  if (!isLast && aPage.mContinueAfter <= aListing.mContinueAfter) {
+    return Fail(ErrorKind::kPlatformUnavailable,
+                "a page of the store's list does not lead on from the one "
+                "before it",
+                "wait until the store is available again");
+  }
+  StoreContent& content = aListing.mContent;
+  content.mRevision = aListing.mHasPages
+                        ? std::min(content.mRevision, aPage.mRevision)
+                        : aPage.mRevision;
+  content.mNewestRevision = std::max(content.mNewestRevision, aPage.mRevision);
+  std::move(aPage.mEntries.begin(),
+            aPage.mEntries.end(),
+            std::back_inserter(content.mEntries));
+  aListing.mContinueAfter = std::move(aPage.mContinueAfter);
+  aListing.mHasPages = true;
+  return std::monostate{};
+}
+
+} // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding_decisions/StoreMessage.h
+++ b/modules/wasabispread_forwarding_decisions/StoreMessage.h
@@ -80,11 +80,23 @@
                                  MemberRemoval,
                                  UnreadableEntry>;
 
-/** All entries of the store. */
+/** Entries of the store. */
 struct StoreContent
 {
   std::vector<StoreChange> mEntries;
+  /** Every change up to this revision is in the entries. */
   StoreRevision mRevision;
+  /** No change after this revision is in the entries; at least mRevision. */
+  StoreRevision mNewestRevision;
+};
+
+/** One page of the store's entries, as of one revision. */
+struct StorePage
+{
+  std::vector<StoreChange> mEntries;
+  StoreRevision mRevision;
+  /** The key after which the next page begins; empty for the last page. */
+  std::string mContinueAfter;
 };
 
 /** The changes in the store since a revision. */
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -17,6 +17,7 @@
 
 #include "TargetRecord.h"
 
+#include "StoreListing.h"
 #include "StoreMessage.h"
 
 #include "DecisionRecord.h"
--- a/tests/platform/StandInStore.cpp
+++ b/tests/platform/StandInStore.cpp
@@ -27,7 +27,8 @@
 constexpr Duration kPollInterval = std::chrono::milliseconds(2);
 constexpr Duration kLostReplyPollInterval = std::chrono::milliseconds(50);
 constexpr Duration kLateWriteDelay = std::chrono::seconds(1);
-constexpr std::size_t kMaxItems = 500;
+/** For how long earlier content is kept: longer than any replica lags. */
+constexpr Duration kSnapshotTime = std::chrono::seconds(10);
 constexpr std::size_t kMaxEntries = 32;
 constexpr std::int64_t kMaxWaitMs = 30'000;
 
@@ -157,6 +158,24 @@
     mCompactedRevision = mRevision - 1;
   }
   mHistory[mRevision] = std::move(aEvent);
+  mSnapshots.push_back({ Now(), mRevision, mItems });
+  while (mSnapshots.size() > 1 &&
+         mSnapshots[1].mSince < Now() - kSnapshotTime) {
+    mSnapshots.pop_front();
+  }
+}
+
+StandInStore::Snapshot
+StandInStore::NextReplica(bool aIsFirstPage)
+{
+  mNextReplica = aIsFirstPage ? 0 : mNextReplica + 1;
+  const TimePoint at =
+    Now() - mReplicaLags.at(mNextReplica % mReplicaLags.size());
+  const auto found = std::find_if(
+    mSnapshots.rbegin(), mSnapshots.rend(), [&](const Snapshot& aSnapshot) {
+      return aSnapshot.mSince <= at;
+    });
+  return found == mSnapshots.rend() ? Snapshot{ {}, 1, {} } : *found;
 }
 
 StandInStore::Json
@@ -208,7 +227,10 @@
 StandInStore::Read(const HttpPath& aPath)
 {
   const bool mayBeStale = Parameter(aPath, "serializable") == "1";
-  const Items& items = mayBeStale && mStaleItems ? *mStaleItems : mItems;
+  const std::string after = Parameter(aPath, "after");
+  const Snapshot read =
+    mayBeStale ? NextReplica(after.empty()) : Snapshot{ {}, mRevision, mItems };
+  const Items& items = read.mItems;
   if (aPath.mSegments[1] == "kv-key") {
     const auto position = items.find(Parameter(aPath, "key"));
     return position == items.end()
@@ -218,23 +240,23 @@
   }
   Json found = Json::array();
   const std::string prefix = Parameter(aPath, "prefix");
-  const std::string after = Parameter(aPath, "after");
   bool hasMore = false;
   for (auto position = items.upper_bound(after); position != items.end();
        ++position) {
     if (!position->first.starts_with(prefix)) {
       continue;
     }
-    if (found.size() == kMaxItems) {
+    if (found.size() == mPageSize) {
       hasMore = true;
       break;
     }
     found.push_back(Describe(position->first, position->second));
   }
-  return JsonResponse(
-    kOk,
-    Json{ { "items", found }, { "hasMore", hasMore }, { "asOf", mRevision } }
-      .dump());
+  return JsonResponse(kOk,
+                      Json{ { "items", found },
+                            { "hasMore", hasMore },
+                            { "asOf", read.mRevision } }
+                        .dump());
 }
 
 HttpResponse
--- a/tests/platform/StandInStore.h
+++ b/tests/platform/StandInStore.h
@@ -6,9 +6,9 @@
 #include <wasabispread_runtime/wasabispread_runtime.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -73,9 +73,13 @@
   /** Ends each waiting watch without an answer. */
   void AbortWatches();
 
-  /** Keeps a copy of the present content, with which all later reads that
-      allow stale content are answered. */
-  void KeepStaleItems() { mStaleItems = mItems; }
+  /** Answers the reads that allow stale content from replicas in turn: the
+      first page of each list from the first one. Each replica has its own
+      lag. */
+  void ServeFromReplicas(std::vector<Duration> aLags)
+  {
+    mReplicaLags = std::move(aLags);
+  }
 
   bool Has(const std::string& aKey) const { return mItems.contains(aKey); }
   std::size_t CountWithPrefix(const std::string& aPrefix) const;
@@ -86,6 +90,8 @@
   /** Whether leases expire while no port serves; otherwise they are extended
       meanwhile. */
   bool mLeasesExpireDuringOutage = true;
+  /** The most items of a page. */
+  std::size_t mPageSize = 500;
   /** The number of calls received so far, in every state of the ports. */
   std::uint64_t mCalls = 0;
 
@@ -130,8 +136,21 @@
   IoLoop& mLoop;
   std::vector<std::unique_ptr<VmPort>> mVmPorts;
   Items mItems;
-  /** The content that stale reads return, if KeepStaleItems was called. */
-  std::optional<Items> mStaleItems;
+  /** The content since a time, with its revision. */
+  struct Snapshot
+  {
+    TimePoint mSince{};
+    std::uint64_t mRevision = 0;
+    Items mItems;
+  };
+
+  /** The snapshot that the next read which allows stale content gets. */
+  Snapshot NextReplica(bool aIsFirstPage);
+
+  std::vector<Duration> mReplicaLags{ Duration::zero() };
+  std::size_t mNextReplica = 0;
+  /** The last seconds of content, oldest first. */
+  std::deque<Snapshot> mSnapshots;
   /** Every change since the last compaction, by its revision. */
   std::map<std::uint64_t, Json> mHistory;
   std::uint64_t mRevision = 7;
--- a/tests/platform/StoreContentProcessTests.cpp
+++ b/tests/platform/StoreContentProcessTests.cpp
@@ -4,6 +4,8 @@
  */
 #include "ForwarderFleet.h"
 
+#include <algorithm>
+
 #include <boost/fiber/operations.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -14,6 +16,8 @@
 {
   CPPUNIT_TEST_SUITE(StoreContentProcessTests);
   CPPUNIT_TEST(SurvivesEntriesOfOtherWriters);
+  CPPUNIT_TEST(LearnsOfDrainingTargetsThoughPagesAreOld);
+  CPPUNIT_TEST(LearnsOfAllTargetsThoughPagesAreOld);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +82,82 @@
       CPPUNIT_ASSERT(fleet.HasLogged(daemon, "entry-unreadable"));
     }
   }
+  /** Guards against a restarted daemon that uses a draining target, because the
+      list's later pages were older than the first one. */
+  void LearnsOfDrainingTargetsThoughPagesAreOld()
+  {
+    ForwarderFleet fleet(1, kShards);
+    ServeSmallOldPages(fleet);
+    boost::this_fiber::sleep_for(2 * kLag);
+    const std::string draining = "shard-9-a";
+    fleet.Register(fleet.Target(draining), "draining");
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(300));
+    fleet.Daemon(0).Kill();
+    fleet.StartDaemon(0);
+    AwaitCondition([&] { return fleet.IsReady(0); }, "the daemon is ready");
+    const std::size_t before = fleet.Runs().size();
+    for (unsigned count = 0; count < 20; ++count) {
+      CPPUNIT_ASSERT_EQUAL(200U, fleet.SendRequest(Search()).Status());
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
+    }
+    const auto& runs = fleet.Runs();
+    CPPUNIT_ASSERT(std::none_of(
+      runs.begin() + static_cast<std::ptrdiff_t>(before),
+      runs.end(),
+      [&](const TargetRun& aRun) { return aRun.mInstance == draining; }));
+  }
+
+  /** Guards against a daemon that never learns of targets which registered just
+      before its start, because the later pages of its list are from before. */
+  void LearnsOfAllTargetsThoughPagesAreOld()
+  {
+    ForwarderFleet fleet(1, kShards);
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      const std::string name = "shard-" + std::to_string(shard);
+      fleet.Store().Remove("servers/" + name + "-a");
+      fleet.Store().Remove("servers/" + name + "-b");
+    }
+    boost::this_fiber::sleep_for(2 * kLag);
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      const std::string name = "shard-" + std::to_string(shard);
+      fleet.Register(fleet.Target(name + "-a"));
+      fleet.Register(fleet.Target(name + "-b"));
+    }
+    ServeSmallOldPages(fleet);
+    fleet.Daemon(0).Kill();
+    fleet.StartDaemon(0);
+    AwaitCondition([&] { return fleet.IsReady(0); }, "the daemon is ready");
+    AwaitCondition(
+      [&] {
+        const ForwarderReply reply = fleet.SendRequest(Search());
+        return reply.Status() == 200 &&
+               FindHeader(reply.mResponse->mHeaders,
+                          "Wasabispread-Missing-Parts") == "0";
+      },
+      "a search has all shards",
+      std::chrono::seconds(4));
+  }
+
+private:
+  static constexpr std::size_t kShards = 30;
+  static constexpr Duration kLag = std::chrono::milliseconds(1500);
+
+  /** Divides the store's content into pages of which the first one is the
+      newest. */
+  static void ServeSmallOldPages(ForwarderFleet& aFleet)
+  {
+    constexpr std::size_t kPageSize = 25;
+    aFleet.Store().mPageSize = kPageSize;
+    aFleet.Store().ServeFromReplicas(
+      { Duration::zero(), kLag, kLag - std::chrono::milliseconds(300) });
+  }
+
+  static ForwarderRequest Search()
+  {
+    ForwarderRequest request;
+    request.mPath = "/search/q";
+    return request;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreContentProcessTests);
