Ignore further stop signals during a stop, and reloads before the start

Cause: the signal handler was removed when the first SIGTERM had arrived, and SIGHUP had its default action until the daemon had started.

Change: IoLoop keeps the handler of stop signals; main() ignores SIGHUP until the daemon handles it. A SIGHUP before main() still ends the process.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -6,6 +6,7 @@
 
 #include <platform/platform.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -183,5 +184,8 @@
 int
 main(int aCount, char** aArguments)
 {
+  // Until the daemon handles SIGHUP, the settings are not read yet, and there
+  // is nothing to reload.
+  std::signal(SIGHUP, SIG_IGN);
   return wasabispread::Main(aCount, aArguments);
 }
--- a/modules/wasabispread_runtime/IoLoop.cpp
+++ b/modules/wasabispread_runtime/IoLoop.cpp
@@ -94,10 +94,11 @@
 void
 IoLoop::WaitForStopSignal()
 {
-  boost::asio::signal_set signals(*mContext, SIGTERM, SIGINT);
-  Await([&signals](auto aHandler) {
-    signals.async_wait([aHandler](boost::system::error_code aError,
-                                  int) mutable { aHandler(aError); });
+  mStopSignals =
+    std::make_shared<boost::asio::signal_set>(*mContext, SIGTERM, SIGINT);
+  Await([this](auto aHandler) {
+    mStopSignals->async_wait([aHandler](boost::system::error_code aError,
+                                        int) mutable { aHandler(aError); });
   });
 }
 
--- a/modules/wasabispread_runtime/IoLoop.h
+++ b/modules/wasabispread_runtime/IoLoop.h
@@ -6,9 +6,8 @@
 #include <functional>
 #include <memory>
 
-namespace boost::asio {
-class io_context;
-}
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 
 namespace wasabispread {
 
@@ -27,7 +26,8 @@
   /** The context that runs the I/O of all sockets and timers. */
   boost::asio::io_context& Context();
 
-  /** Blocks the calling fiber until the process receives SIGTERM or SIGINT. */
+  /** Blocks the calling fiber until the process receives SIGTERM or SIGINT.
+      Further ones are ignored, so that they do not cut the stop short. */
   void WaitForStopSignal();
 
   /** Calls aAction in a new fiber for each SIGHUP, which then no longer
@@ -36,6 +36,8 @@
 
 private:
   std::shared_ptr<boost::asio::io_context> mContext;
+  /** None before the first WaitForStopSignal(). */
+  std::shared_ptr<boost::asio::signal_set> mStopSignals;
 };
 
 /** Starts a detached fiber that runs aBody. */
--- a/tests/platform/ForwarderProcessTests.cpp
+++ b/tests/platform/ForwarderProcessTests.cpp
@@ -78,6 +78,7 @@
   CPPUNIT_TEST(LearnsANewVersionFromOtherVms);
   CPPUNIT_TEST(FinishesRequestsBeforeStopping);
   CPPUNIT_TEST(AnswersOrRefusesWhatArrivesInTheGraceOfAStop);
+  CPPUNIT_TEST(SurvivesSignalsInSeries);
   CPPUNIT_TEST(KeepsItsSettingsWhenAReloadIsFaulty);
   CPPUNIT_TEST(ServesAgainAfterAFreezeAndAKill);
   CPPUNIT_TEST_SUITE_END();
@@ -662,6 +663,36 @@
     CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
   }
 
+  /** Guards against a stop that a second SIGTERM cuts short, and against a
+      daemon that a SIGHUP ends because it has just started. */
+  void SurvivesSignalsInSeries()
+  {
+    mFleet->Daemon(0).Kill();
+    mFleet->StartDaemon(0);
+    for (unsigned count = 0; count < 20; ++count) {
+      // Before about this time the program is not loaded.
+      SleepFor(std::chrono::milliseconds(count == 0 ? 50 : 2));
+      mFleet->Daemon(0).Reload();
+    }
+    AwaitCondition([&] { return mFleet->IsReady(0); }, "the daemon is ready");
+    mFleet->Target("one-a").mServiceTime = std::chrono::milliseconds(800);
+    mFleet->Target("one-b").mServiceTime = std::chrono::milliseconds(800);
+    std::size_t served = 0;
+    RunConcurrently(3, [&](std::size_t aFiber) {
+      if (aFiber != 0) {
+        served += mFleet->SendRequest({}).Status() == 200 ? 1 : 0;
+        return;
+      }
+      for (unsigned count = 0; count < 4; ++count) {
+        SleepFor(std::chrono::milliseconds(100));
+        mFleet->Daemon(0).Terminate();
+        mFleet->Daemon(0).Reload();
+      }
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, served);
+    CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
+  }
+
   void KeepsItsSettingsWhenAReloadIsFaulty()
   {
     const std::string good = ReadWholeFile(mFleet->SettingsFile(0));
