--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -105,7 +105,7 @@
   {
     ++mState.mCounters.mUnreadableEntries;
     mEffects.push_back(
-      WriteDecisionRecord{ { RecordClass::kState,
+      WriteDecisionRecord{ { RecordClass::kNotable,
                              "entry-unreadable",
                              {},
                              { { "key", aEntry }, { "reason", aReason } } } });
--- a/tests/platform/StandInTarget.cpp
+++ b/tests/platform/StandInTarget.cpp
@@ -194,8 +194,11 @@
     if (isShed) {
       const std::string pause =
         target.mPause.empty() ? "" : "Retry-After: " + target.mPause + "\r\n";
-      mOut = FormatReply(
-        503, "Wasabispread-Not-Executed: 1\r\n" + IdField() + pause, "");
+      mOut = FormatReply(503,
+                         "Wasabispread-Not-Executed: 1\r\n" +
+                           (target.mNamesRefused ? IdField() : LeavingField()) +
+                           pause,
+                         "");
       Write(false);
       return;
     }
@@ -299,7 +302,12 @@
   {
     return "Wasabispread-Request-Id: " +
            Field(Request(), "Wasabispread-Request-Id") + "\r\n" +
-           (Target().mIsLeaving ? "Server-Leaving: 1\r\n" : "");
+           LeavingField();
+  }
+
+  std::string LeavingField() const
+  {
+    return Target().mIsLeaving ? "Server-Leaving: 1\r\n" : "";
   }
 
   std::string Fields(bool aHasSignature)
--- a/tests/platform/StandInTarget.h
+++ b/tests/platform/StandInTarget.h
@@ -134,6 +134,8 @@
 
   /** Whether its replies state that it leaves. */
   bool mIsLeaving = false;
+  /** Whether it names the request when it turns one away. */
+  bool mNamesRefused = true;
   /** The text of the pause that it asks for when it sheds a request; empty for
       none. */
   std::string mPause;
--- a/tests/platform/TargetPauseProcessTests.cpp
+++ b/tests/platform/TargetPauseProcessTests.cpp
@@ -135,6 +135,7 @@
       Wait(std::chrono::seconds(1));
       since = Now();
       for (const char* instance : { "once-a", "once-b", "one-a", "one-b" }) {
+        Target(instance).mNamesRefused = false;
         Shed(instance, "3");
       }
       Shed("shard-1-a", "3");
