Ignore a pause of no length; indent continued comments

A Retry-After of 0 put a target aside for no time and bounded the load of the others for it. IgnoresAPauseOfNoLength was written with the change.

--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -30,8 +30,8 @@
   Result<std::monostate> Start();
 
   /** Shuts down. The readiness check fails at once; connections are accepted
-     for a while longer, until the load balancer has noticed; then the requests
-     in flight are finished. Returns when none is left or the stop's grace is
+      for a while longer, until the load balancer has noticed; then the requests
+      in flight are finished. Returns when none is left or the stop's grace is
       nearly over; all requests are answered by then. */
   void Stop();
 
--- a/modules/wasabispread_forwarding_decisions/LimitAdmission.h
+++ b/modules/wasabispread_forwarding_decisions/LimitAdmission.h
@@ -33,7 +33,7 @@
 };
 
 /** How long until a request can be sent to some target of the service; zero
-   when one can be sent now, or when no target states a limit or a pause. */
+    when one can be sent now, or when no target states a limit or a pause. */
 RoomWait
 WaitForRoom(const ForwarderState& aState, ServiceId aService, TimePoint aNow);
 
--- a/modules/wasabispread_forwarding_decisions/LoadPace.cpp
+++ b/modules/wasabispread_forwarding_decisions/LoadPace.cpp
@@ -15,7 +15,7 @@
 /** The least part of kAveragingTime from which a rate is computed. */
 constexpr double kMinAveraged = 0.25;
 /** A weighted rate below this means that hardly any request was sent for
-   several times kAveragingTime. */
+    several times kAveragingTime. */
 constexpr double kNegligibleRate = 0.01;
 /** The least usual rate, in requests per second: a target that was hardly used
     may take some requests. */
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -22,7 +22,7 @@
 
 /** The largest reply to a whole request, and the largest part of a search. A
     search reads hundreds of parts at a time, of which each needs to hold no
-   more than the records that the answer may take from it. */
+    more than the records that the answer may take from it. */
 constexpr std::uint64_t kMaxReplyBytes = 16ULL << 20U;
 constexpr std::uint64_t kMaxPartBytes = 1ULL << 20U;
 
--- a/modules/wasabispread_forwarding_decisions/StoreFreshness.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFreshness.cpp
@@ -12,7 +12,7 @@
 
 /** Age of the knowledge from which on the store's revision is read. A lost
     answer is then noticed, and the changes are read, within the seconds in
-   which a configuration must be in force. */
+    which a configuration must be in force. */
 constexpr Duration kCheckInterval = std::chrono::milliseconds(800);
 /** How much later each further VM reads the revision than the one before it,
     so that a report arrives first. */
--- a/modules/wasabispread_forwarding_decisions/TargetPause.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetPause.cpp
@@ -108,7 +108,9 @@
             ForwarderEffects& aEffects)
 {
   const TimePoint until = aNow + aPause;
-  if (aTarget.mIsRetired || until <= aTarget.mPausedUntil) {
+  const bool isLonger =
+    aPause > Duration::zero() && until > aTarget.mPausedUntil;
+  if (aTarget.mIsRetired || !isLonger) {
     return;
   }
   const bool isFirst = WaitForPause(aTarget, aNow) == Duration::zero();
--- a/modules/wasabispread_forwarding_decisions/TargetPauseTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetPauseTests.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(RefusesAtOnceWhenAllTargetsLeave);
   CPPUNIT_TEST(SendsNothingDuringAPause);
   CPPUNIT_TEST(KeepsToTheLatestEndOfSeveralPauses);
+  CPPUNIT_TEST(IgnoresAPauseOfNoLength);
   CPPUNIT_TEST(RefusesAtOnceUntilTheFirstPauseEnds);
   CPPUNIT_TEST(AnswersSearchesWithoutShardsInAPause);
   CPPUNIT_TEST(WaitsForAPauseOnlyWhenTheMinimumCoverageNeedsIt);
@@ -268,6 +269,14 @@
     CPPUNIT_ASSERT(mForwarder->Has("orders-a"));
   }
 
+  void IgnoresAPauseOfNoLength()
+  {
+    mForwarder->mWantedPauses["orders-a"] = Duration::zero();
+    UseUntil("/orders/x", "orders-a");
+    CPPUNIT_ASSERT_EQUAL(0U, CountRecords("target-put-aside"));
+    CPPUNIT_ASSERT(PausedUntil("orders-a") <= mForwarder->mNow);
+  }
+
   /** Guards against requests that wait until their deadline, and against a time
       to retry at which there is no place yet. */
   void RefusesAtOnceUntilTheFirstPauseEnds()
--- a/tests/platform/TargetLoad.cpp
+++ b/tests/platform/TargetLoad.cpp
@@ -15,7 +15,7 @@
 /** The interval between two requests of one kind to one VM. */
 constexpr Duration kInterval = std::chrono::milliseconds(30);
 /** How long after a target asked for a pause requests that were on their way
-   may still reach it. */
+    may still reach it. */
 constexpr Duration kOnTheWay = std::chrono::milliseconds(500);
 
 TimePoint
--- a/tests/platform/TargetLoad.h
+++ b/tests/platform/TargetLoad.h
@@ -15,7 +15,7 @@
     it. */
 inline constexpr Duration kDrainTime = std::chrono::seconds(3);
 /** The most requests of one VM that may reach a target in a pause, without
-   those that were on their way. */
+    those that were on their way. */
 inline constexpr std::size_t kMaxInPause = 2;
 
 /** A request of the load and its answer. */
@@ -75,8 +75,8 @@
              const Restarts& aRestarts = {});
 
 /** The requests that reached a target although their caller sent them later
-   than kDrainTime after the VM had its first answer there since aSince, or
-   since the VM's restart. */
+    than kDrainTime after the VM had its first answer there since aSince, or
+    since the VM's restart. */
 std::size_t
 CountAfterDrain(const StandInTarget& aTarget,
                 const TargetLoad& aLoad,
--- a/tests/support/ForwarderHarness.h
+++ b/tests/support/ForwarderHarness.h
@@ -25,7 +25,7 @@
 
 /** Passes events to Reduce() and carries out the effects. Connections open at
     once unless mRefusesAllConnections or mResetting says otherwise; requests
-   stay unanswered until a test calls Reply() or Break(). */
+    stay unanswered until a test calls Reply() or Break(). */
 class ForwarderHarness
 {
 public:
