Detect pages that lead back without assuming an order of keys

A page had to begin after the one before it in the order of bytes. The pages of the platform do not state the order of keys; with another one, no list would ever have been accepted. A list now fails only when a page leads back to one that was listed already. RejectsPagesThatLeadBack is changed accordingly: it still rejects each repetition.

--- a/modules/wasabispread_forwarding_decisions/StoreFollowerTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollowerTests.cpp
@@ -150,6 +150,9 @@
     StoreListing listing;
     CPPUNIT_ASSERT(AddPage(listing, PageOf({}, 9, "b")));
     CPPUNIT_ASSERT(!AddPage(listing, PageOf({}, 9, "b")));
+    // The order of keys is the store's.
+    CPPUNIT_ASSERT(AddPage(listing, PageOf({}, 9, "a")));
+    CPPUNIT_ASSERT(!AddPage(listing, PageOf({}, 9, "b")));
     CPPUNIT_ASSERT(!AddPage(listing, PageOf({}, 9, "a")));
   }
 
--- a/modules/wasabispread_forwarding_decisions/StoreListing.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreListing.cpp
@@ -12,10 +12,9 @@
 AddPage(StoreListing& aListing, StorePage aPage)
 {
   const bool isLast = aPage.mContinueAfter.empty();
-  if (!isLast && aPage.mContinueAfter <= aListing.mContinueAfter) {
+  if (!isLast && !aListing.mBegins.insert(aPage.mContinueAfter).second) {
     return Fail(ErrorKind::kPlatformUnavailable,
-                "a page of the store's list does not lead on from the one "
-                "before it",
+                "a page of the store's list leads back to an earlier one",
                 "wait until the store is available again");
   }
   StoreContent& content = aListing.mContent;
--- a/modules/wasabispread_forwarding_decisions/StoreListing.h
+++ b/modules/wasabispread_forwarding_decisions/StoreListing.h
@@ -5,6 +5,8 @@
 
 #include "StoreMessage.h"
 
+#include <unordered_set>
+
 namespace wasabispread::forwarding {
 
 /** The pages that were read so far. */
@@ -15,11 +17,13 @@
       after the last one. */
   std::string mContinueAfter;
   bool mHasPages = false;
+  /** The keys after which a page began. */
+  std::unordered_set<std::string> mBegins;
 };
 
 /** Adds the next page. The pages may be read from replicas of different ages,
     so that a page can be older than the one before it. The list is as old as
-    its oldest page. An error when the page leads back to keys that were listed
+    its oldest page. An error when the page leads back to one that was listed
     already. */
 Result<std::monostate>
 AddPage(StoreListing& aListing, StorePage aPage);
