Let property tests fail when their property does not hold

They passed whatever came out. Found when MissesNoChangeForAnyAgesOfPages was tried with the former logic (a list as old as its first page): RapidCheck printed a counterexample after 31 cases, and the test passed.

--- a/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
@@ -199,48 +199,49 @@
       no request that ran is answered as not run. */
   void RunsAtMostOnceUnderRandomFailures()
   {
-    rc::check("at most one run, and refused requests never ran", [this] {
-      StartWithTwoTargets(Repeatability::kAtMostOnce);
-      Random random(*rc::gen::arbitrary<std::uint64_t>());
-      std::set<RequestId> mayHaveRun;
-      std::vector<std::pair<CallerToken, RequestId>> asked;
-      for (int step = 0; step < 60; ++step) {
-        if (random.Below(3) == 0) {
-          const CallerToken caller = mForwarder->Ask("/s/1");
-          asked.emplace_back(caller,
-                             RequestId("r-" + std::to_string(caller.Value())));
-        }
-        mForwarder->RunFor(kShort * random.Below(10));
-        if (mForwarder->Received().empty()) {
-          continue;
-        }
-        const auto received = mForwarder->Received().back();
-        RC_ASSERT(!mayHaveRun.contains(received.mId));
-        const auto choice = random.Below(5);
-        if (choice == 0) {
-          mForwarder->Reply(received.mInstance, ReplyKind::kNotRun, "", 503);
-          continue;
-        }
-        if (choice == 1) {
-          mForwarder->Break(received.mInstance, false);
-          continue;
+    CPPUNIT_ASSERT(
+      rc::check("at most one run, and refused requests never ran", [this] {
+        StartWithTwoTargets(Repeatability::kAtMostOnce);
+        Random random(*rc::gen::arbitrary<std::uint64_t>());
+        std::set<RequestId> mayHaveRun;
+        std::vector<std::pair<CallerToken, RequestId>> asked;
+        for (int step = 0; step < 60; ++step) {
+          if (random.Below(3) == 0) {
+            const CallerToken caller = mForwarder->Ask("/s/1");
+            asked.emplace_back(
+              caller, RequestId("r-" + std::to_string(caller.Value())));
+          }
+          mForwarder->RunFor(kShort * random.Below(10));
+          if (mForwarder->Received().empty()) {
+            continue;
+          }
+          const auto received = mForwarder->Received().back();
+          RC_ASSERT(!mayHaveRun.contains(received.mId));
+          const auto choice = random.Below(5);
+          if (choice == 0) {
+            mForwarder->Reply(received.mInstance, ReplyKind::kNotRun, "", 503);
+            continue;
+          }
+          if (choice == 1) {
+            mForwarder->Break(received.mInstance, false);
+            continue;
+          }
+          mayHaveRun.insert(received.mId);
+          if (choice == 2) {
+            mForwarder->Break(received.mInstance, true);
+          } else if (choice == 3) {
+            mForwarder->Reply(received.mInstance, ReplyKind::kFailure, "", 503);
+          } else {
+            mForwarder->Reply(received.mInstance, ReplyKind::kSuccess);
+          }
         }
-        mayHaveRun.insert(received.mId);
-        if (choice == 2) {
-          mForwarder->Break(received.mInstance, true);
-        } else if (choice == 3) {
-          mForwarder->Reply(received.mInstance, ReplyKind::kFailure, "", 503);
-        } else {
-          mForwarder->Reply(received.mInstance, ReplyKind::kSuccess);
+        for (const auto& [caller, id] : asked) {
+          const auto* problem = ProblemOf(mForwarder->AnswerTo(caller));
+          const bool isRefused =
+            problem != nullptr && problem->mKind == ProblemKind::kNotRun;
+          RC_ASSERT(!isRefused || !mayHaveRun.contains(id));
         }
-      }
-      for (const auto& [caller, id] : asked) {
-        const auto* problem = ProblemOf(mForwarder->AnswerTo(caller));
-        const bool isRefused =
-          problem != nullptr && problem->mKind == ProblemKind::kNotRun;
-        RC_ASSERT(!isRefused || !mayHaveRun.contains(id));
-      }
-    });
+      }));
   }
 
 private:
--- a/modules/wasabispread_forwarding_decisions/LoadPaceTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/LoadPaceTests.cpp
@@ -57,24 +57,27 @@
   /** Guards against a bound that bursts, or low rates, get past. */
   void StaysBelowTheBoundAtAnyDemand()
   {
-    rc::check("the load of one second is at most what the bound allows", [] {
-      const double usual = *rc::gen::inRange(0, 400) / 2.0;
-      const auto interval =
-        std::chrono::milliseconds(*rc::gen::inRange(1, 300));
-      const auto after = std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
-      LoadPace pace;
-      SendRate rate;
-      BeginTakeover(pace, usual, kStart);
-      SendFor(pace, rate, kStart, after, interval);
-      const unsigned sent =
-        SendFor(pace, rate, kStart + after, std::chrono::seconds(1), interval);
-      const double seconds = std::chrono::duration<double>(after).count();
-      const double bound = std::max(2.0, usual) * (1.25 + 0.5 * (seconds + 1));
-      RC_ASSERT(sent <= bound * 1.2 + 3);
-      // What the bound allows is sent when there is demand for it.
-      const double demand = 1000.0 / static_cast<double>(interval.count());
-      RC_ASSERT(sent + 2 >= std::min(demand, std::max(2.0, usual)) * 0.8);
-    });
+    CPPUNIT_ASSERT(
+      rc::check("the load of one second is at most what the bound allows", [] {
+        const double usual = *rc::gen::inRange(0, 400) / 2.0;
+        const auto interval =
+          std::chrono::milliseconds(*rc::gen::inRange(1, 300));
+        const auto after =
+          std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
+        LoadPace pace;
+        SendRate rate;
+        BeginTakeover(pace, usual, kStart);
+        SendFor(pace, rate, kStart, after, interval);
+        const unsigned sent = SendFor(
+          pace, rate, kStart + after, std::chrono::seconds(1), interval);
+        const double seconds = std::chrono::duration<double>(after).count();
+        const double bound =
+          std::max(2.0, usual) * (1.25 + 0.5 * (seconds + 1));
+        RC_ASSERT(sent <= bound * 1.2 + 3);
+        // What the bound allows is sent when there is demand for it.
+        const double demand = 1000.0 / static_cast<double>(interval.count());
+        RC_ASSERT(sent + 2 >= std::min(demand, std::max(2.0, usual)) * 0.8);
+      }));
   }
 
   void EndsByItself()
--- a/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
@@ -182,7 +182,7 @@
       force only rises. */
   void NeverAdoptsAnOlderConfiguration()
   {
-    rc::check("the version in force only rises", [] {
+    CPPUNIT_ASSERT(rc::check("the version in force only rises", [] {
       ForwarderHarness forwarder;
       const auto versions = *rc::gen::container<std::vector<std::uint64_t>>(
         rc::gen::inRange<std::uint64_t>(1, 50));
@@ -193,7 +193,7 @@
         newest = std::max(newest, version);
         RC_ASSERT(forwarder.mState.mConfiguration->mVersion.Value() == newest);
       }
-    });
+    }));
   }
 
   /** Guards against reconnecting without delay to a target over its connection
--- a/modules/wasabispread_forwarding_decisions/RoutingTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RoutingTests.cpp
@@ -94,21 +94,21 @@
 
   void MergesLikeSortingAllRecords()
   {
-    rc::check("equal to sorting all records", [] {
+    CPPUNIT_ASSERT(rc::check("equal to sorting all records", [] {
       const auto parts = *rc::gen::container<std::vector<std::string>>(
         rc::gen::container<std::string>(rc::gen::inRange<char>('a', 'c')));
       const auto maxCount = *rc::gen::inRange<std::size_t>(0, 20);
       const std::vector<std::string_view> views(parts.begin(), parts.end());
       RC_ASSERT(GreatestRecords(views, maxCount) ==
                 NaiveGreatest(parts, maxCount));
-    });
+    }));
   }
 
   /** VMs that send as many extra attempts as they may, with uneven traffic: no
       window of the rule's length holds more than the rule allows. */
   void KeepsTheExtraAttemptRuleInEveryWindow()
   {
-    rc::check("sum over all VMs within the rule", [] {
+    CPPUNIT_ASSERT(rc::check("sum over all VMs within the rule", [] {
       const ExtraAttemptRule rule{ 0.2, 54, std::chrono::seconds(10) };
       const auto vms = *rc::gen::inRange<std::size_t>(1, 12);
       std::vector<WindowedExtraAttemptBudget> budgets(vms);
@@ -145,7 +145,7 @@
         RC_ASSERT(within(extraAttempts, from) <=
                   rule.mShare * counted + rule.mFixed);
       }
-    });
+    }));
   }
 
   /** With more VMs than a target accepts connections, every VM gets a target,
--- a/modules/wasabispread_forwarding_decisions/StoreFollowerTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollowerTests.cpp
@@ -62,7 +62,7 @@
       compares what is in use with the store. */
   void MissesNoChangeForAnyAgesOfPages()
   {
-    rc::check("the targets in use are those of the store", [] {
+    CPPUNIT_ASSERT(rc::check("the targets in use are those of the store", [] {
       constexpr std::uint64_t kRevisions = 24;
       constexpr int kTargets = 6;
       // The state of each target after each revision: absent, ready, draining.
@@ -141,7 +141,7 @@
         }
       }
       RC_ASSERT(used == expected);
-    });
+    }));
   }
 
   /** Guards against a list without end. */
--- a/modules/wasabispread_forwarding_decisions/SubSearchTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/SubSearchTests.cpp
@@ -158,18 +158,19 @@
 
   void MovesOnlyShardsOfOwnersThatLeft()
   {
-    rc::check("the other owners keep their shards", [](std::uint8_t aGone) {
-      auto owners = ChooseShardOwners(Candidates(40));
-      const std::size_t gone = aGone % owners.size();
-      auto left = owners;
-      left.erase(left.begin() + static_cast<std::ptrdiff_t>(gone));
-      for (std::size_t shard = 0; shard < kShards; ++shard) {
-        const auto id = IdFromName<ServiceId>(std::to_string(shard));
-        const std::string& before = owners[ChooseShardOwner(owners, id)];
-        RC_ASSERT(before == owners[gone] ||
-                  before == left[ChooseShardOwner(left, id)]);
-      }
-    });
+    CPPUNIT_ASSERT(
+      rc::check("the other owners keep their shards", [](std::uint8_t aGone) {
+        auto owners = ChooseShardOwners(Candidates(40));
+        const std::size_t gone = aGone % owners.size();
+        auto left = owners;
+        left.erase(left.begin() + static_cast<std::ptrdiff_t>(gone));
+        for (std::size_t shard = 0; shard < kShards; ++shard) {
+          const auto id = IdFromName<ServiceId>(std::to_string(shard));
+          const std::string& before = owners[ChooseShardOwner(owners, id)];
+          RC_ASSERT(before == owners[gone] ||
+                    before == left[ChooseShardOwner(left, id)]);
+        }
+      }));
   }
 
   void SendsEachShardToItsOwner()
