Log answers that could not be sent, and count what was closed unread

The server counts requests read, responses not written and connections that it closed with unread input; the daemon logs each answer that could not be sent with its reason, states the counts in its record of the stop, and exports them as metrics.

--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -112,8 +112,10 @@
         HttpResponse response;
         response.mHeaders.push_back(
           { "Content-Type", "text/plain; version=0.0.4" });
-        response.mBody = FormatForwarderMetrics(
-          mRunner.State(), mDecisionLog, ForwarderRunner::Now());
+        response.mBody = FormatForwarderMetrics(mRunner.State(),
+                                                mCallers->Counters(),
+                                                mDecisionLog,
+                                                ForwarderRunner::Now());
         return response;
       });
     if (!metrics) {
@@ -223,7 +225,14 @@
       {},
       { { "took_ms", ToMilliseconds(ForwarderRunner::Now() - stopStart) },
         { "in_flight",
-          static_cast<std::int64_t>(mRunner.State().mRequests.size()) } } },
+          static_cast<std::int64_t>(mRunner.State().mRequests.size()) },
+        { "connections",
+          static_cast<std::int64_t>(mCallers->ConnectionCount()) },
+        { "answers_not_sent",
+          static_cast<std::int64_t>(mCallers->Counters().mResponsesNotSent) },
+        { "closed_with_input",
+          static_cast<std::int64_t>(
+            mCallers->Counters().mClosedWithInput) } } },
     ForwarderRunner::Now());
 }
 
--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -8,6 +8,7 @@
 
 std::string
 FormatForwarderMetrics(const ForwarderState& aState,
+                       const HttpServerCounters& aCallers,
                        const DecisionLog& aLog,
                        TimePoint aNow)
 {
@@ -27,6 +28,16 @@
   list.AddCounter("callers_gone_total",
                   "Callers that closed their connection before the answer.",
                   counters.mCallersDisconnected);
+  list.AddCounter("answers_not_sent_total",
+                  "Answers that could not be written to their caller.",
+                  aCallers.mResponsesNotSent);
+  list.AddCounter("connections_closed_with_input_total",
+                  "Callers' connections that this VM closed although it had "
+                  "not read all they sent.",
+                  aCallers.mClosedWithInput);
+  list.AddCounter("connections_refused_total",
+                  "Callers' connections closed because too many were open.",
+                  aCallers.mConnectionsRefused);
   list.AddCounter(
     "sendings_total", "Requests sent to targets.", counters.mAttempts);
   list.AddCounter("hedges_total",
--- a/modules/wasabispread_forwarding/ForwarderMetrics.h
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.h
@@ -5,13 +5,17 @@
 
 #include "DecisionLog.h"
 
+#include <wasabispread_runtime/wasabispread_runtime.h>
+
 #include <string>
 
 namespace wasabispread::forwarding {
 
-/** Formats every metric of a forwarder as of aNow. */
+/** Formats every metric of a forwarder as of aNow. aCallers are the counters of
+    the server that callers connect to. */
 std::string
 FormatForwarderMetrics(const ForwarderState& aState,
+                       const HttpServerCounters& aCallers,
                        const DecisionLog& aLog,
                        TimePoint aNow);
 
--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -230,7 +230,16 @@
     aWatch([this, token] { HandleCallerDisconnect(token); });
   }
   HttpResponse response = mAdapter.WriteAnswer(id, future.get());
-  response.mWhenWritten = [this, token] { Deliver(AnswerWritten{ token }); };
+  response.mWhenWritten = [this, token, id](const std::string& aError) {
+    Deliver(AnswerWritten{ token });
+    if (!aError.empty()) {
+      mLog.Write(DecisionRecord{ RecordClass::kFailure,
+                                 "answer-not-sent",
+                                 id,
+                                 { { "reason", aError } } },
+                 Now());
+    }
+  };
   return response;
 }
 
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -84,13 +84,13 @@
   bool mStopAnnounced = false;
   bool mStopping = false;
   std::size_t mPeakConnections = 0;
-  std::uint64_t mRefusedConnections = 0;
+  HttpServerCounters mCounters;
 };
 
 namespace {
 
-/** Writes a response; false when the connection failed. */
-bool
+/** Writes a response and returns the error of the connection, if any. */
+boost::system::error_code
 WriteResponse(ServerConnection& aConnection,
               HttpResponse aResponse,
               bool aKeepAlive)
@@ -99,7 +99,7 @@
   const IoResult written = Await([&](auto aHandler) {
     http::async_write(aConnection.mStream, response, aHandler);
   });
-  return !written.mError;
+  return written.mError;
 }
 
 /** The error to send for a failed read; std::nullopt when the connection ended
@@ -249,6 +249,7 @@
   HttpRequest request = FromBeast(parser.release());
   request.mIsFirstOnConnection = aConnection.mRequestsRead == 0;
   ++aConnection.mRequestsRead;
+  ++aServer.mCounters.mRequestsRead;
   HttpResponse response = RunHandler(aServer, aConnection, request);
   if (response.mStatus == kNoResponse) {
     return false;
@@ -257,12 +258,12 @@
                          !aServer.mStopAnnounced && !aServer.mStopping;
   aConnection.mStream.expires_after(aServer.mLimits.mTransferLimit);
   const auto whenWritten = std::move(response.mWhenWritten);
-  const bool isWritten =
-    WriteResponse(aConnection, std::move(response), keepAlive);
+  const auto error = WriteResponse(aConnection, std::move(response), keepAlive);
+  aServer.mCounters.mResponsesNotSent += error ? 1 : 0;
   if (whenWritten) {
-    whenWritten();
+    whenWritten(error ? error.message() : "");
   }
-  return isWritten && keepAlive;
+  return !error && keepAlive;
 }
 
 /** Serves the requests of one connection until it ends. */
@@ -284,9 +285,12 @@
 }
 
 void
-CloseStream(beast::tcp_stream& aStream)
+CloseStream(beast::tcp_stream& aStream, HttpServerCounters& aCounters)
 {
   boost::system::error_code ignored;
+  const bool hasInput =
+    aStream.socket().is_open() && aStream.socket().available(ignored) != 0;
+  aCounters.mClosedWithInput += hasInput ? 1 : 0;
   aStream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both,
                             ignored);
   aStream.close();
@@ -300,7 +304,7 @@
                 boost::asio::ip::tcp::socket aSocket)
 {
   if (aServer->mConnections.size() >= aServer->mLimits.mMaxConnections) {
-    ++aServer->mRefusedConnections;
+    ++aServer->mCounters.mConnectionsRefused;
     return;
   }
   boost::system::error_code ignored;
@@ -312,7 +316,7 @@
     std::max(aServer->mPeakConnections, aServer->mConnections.size());
   StartFiber([aServer, connection] {
     ServeConnection(*aServer, *connection);
-    CloseStream(connection->mStream);
+    CloseStream(connection->mStream, aServer->mCounters);
     aServer->mConnections.erase(connection);
   });
 }
@@ -422,7 +426,7 @@
   }
   for (const auto& connection : mImplementation->mConnections) {
     if (connection->mIsIdle) {
-      CloseStream(connection->mStream);
+      CloseStream(connection->mStream, mImplementation->mCounters);
     }
   }
   while (!mImplementation->mConnections.empty() &&
@@ -443,10 +447,10 @@
   return mImplementation->mPeakConnections;
 }
 
-std::uint64_t
-HttpServer::RefusedConnectionCount() const
+const HttpServerCounters&
+HttpServer::Counters() const
 {
-  return mImplementation->mRefusedConnections;
+  return mImplementation->mCounters;
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -49,6 +49,18 @@
   Duration mTransferLimit = std::chrono::seconds(10);
 };
 
+/** What a server read, and what it could not answer. */
+struct HttpServerCounters
+{
+  std::uint64_t mRequestsRead = 0;
+  /** Responses that were not written completely. */
+  std::uint64_t mResponsesNotSent = 0;
+  /** Connections that the server closed although input was unread. */
+  std::uint64_t mClosedWithInput = 0;
+  /** Connections closed at once because too many were open. */
+  std::uint64_t mConnectionsRefused = 0;
+};
+
 /** Serves one address until it is stopped. */
 class HttpServer
 {
@@ -90,8 +102,7 @@
   /** The largest number of connections that were open at the same time. */
   std::size_t PeakConnectionCount() const;
 
-  /** The number of connections closed at once because too many were open. */
-  std::uint64_t RefusedConnectionCount() const;
+  const HttpServerCounters& Counters() const;
 
 private:
   struct Implementation;
--- a/modules/wasabispread_wire/HttpMessage.h
+++ b/modules/wasabispread_wire/HttpMessage.h
@@ -37,9 +37,10 @@
   std::string mBody;
   /** Whether the connection stays open for another exchange. */
   bool mKeepAlive = true;
-  /** Called by a server once the response was written or could not be written;
-      may be empty. */
-  std::function<void()> mWhenWritten;
+  /** Called by a server once the response was written or could not be written,
+      with the reason in the latter case and else with an empty text; may be
+      empty. */
+  std::function<void(const std::string&)> mWhenWritten;
 };
 
 /** Returns the value of the first field with a name, ignoring case; empty when
--- a/tests/standins/target/TargetFleet.cpp
+++ b/tests/standins/target/TargetFleet.cpp
@@ -125,7 +125,8 @@
   for (const auto& [name, target] : mTargets) {
     json[name] = { { "open", target.mServer->ConnectionCount() },
                    { "peak", target.mServer->PeakConnectionCount() },
-                   { "refused", target.mServer->RefusedConnectionCount() } };
+                   { "refused",
+                     target.mServer->Counters().mConnectionsRefused } };
   }
   return json.dump();
 }
