--- /dev/null
+++ b/tests/processes/HttpServerTests.cpp
@@ -0,0 +1,149 @@
+/*
+ * Tests that the HTTP server answers what it has received: when it closes idle
+ * connections, while the thread is held up, and to slow clients.
+ */
+#include "RawConnection.h"
+#include "TestLoop.h"
+
+#include <tests/processes/FreePorts.h>
+
+#include <algorithm>
+#include <thread>
+
+#include <boost/fiber/operations.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace wasabispread;
+using namespace wasabispread::testing;
+
+namespace {
+
+constexpr const char* kRequest = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr std::size_t kClients = 20;
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+std::size_t
+CountResponses(const std::string& aText)
+{
+  constexpr std::string_view kStatus = "HTTP/1.1 200";
+  std::size_t count = 0;
+  for (auto at = aText.find(kStatus); at != std::string::npos;
+       at = aText.find(kStatus, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+} // namespace
+
+class HttpServerTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(HttpServerTests);
+  CPPUNIT_TEST(AnswersRequestsThatArriveAsAStopClosesIdleConnections);
+  CPPUNIT_TEST(AnswersRequestsThatArriveAsTheIdleLimitEnds);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    mHandled = 0;
+    mBody = "answer";
+  }
+
+  void tearDown() override
+  {
+    mConnections.clear();
+    mServer.reset();
+  }
+
+  void Start(HttpServerLimits aLimits = {})
+  {
+    mAddress = Endpoint{ "127.0.0.1", NextFreePort() };
+    auto server = HttpServer::Start(
+      TestLoop(), mAddress, aLimits, [this](const HttpRequest&) {
+        ++mHandled;
+        HttpResponse response;
+        response.mBody = mBody;
+        return response;
+      });
+    CPPUNIT_ASSERT(server);
+    mServer = std::move(*server);
+  }
+
+  /** Opens connections on each of which one request is answered. */
+  void OpenUsedConnections(std::size_t aCount)
+  {
+    for (std::size_t client = 0; client < aCount; ++client) {
+      mConnections.push_back(std::make_unique<RawConnection>(mAddress));
+      mConnections.back()->Send(kRequest);
+    }
+    AwaitCondition([&] { return mHandled == aCount; }, "requests are handled");
+  }
+
+  /** Sends a request on each connection while the server's thread does nothing,
+      until aUntil. */
+  void SendWhileHeldUp(TimePoint aUntil)
+  {
+    for (const auto& connection : mConnections) {
+      connection->Send(kRequest);
+    }
+    std::this_thread::sleep_until(aUntil);
+  }
+
+  /** Two responses on each connection. */
+  void ExpectBothAnswers()
+  {
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
+    std::size_t answers = 0;
+    for (const auto& connection : mConnections) {
+      connection->FinishSending();
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(2));
+      answers += CountResponses(connection->ReceiveAll());
+    }
+    CPPUNIT_ASSERT_EQUAL(2 * mConnections.size(), answers);
+    CPPUNIT_ASSERT_EQUAL(answers, mHandled);
+  }
+
+  void AnswersRequestsThatArriveAsAStopClosesIdleConnections()
+  {
+    Start();
+    OpenUsedConnections(kClients);
+    const TimePoint stop = Now();
+    bool isStopped = false;
+    StartFiber([&] {
+      mServer->Stop(stop + std::chrono::seconds(2));
+      isStopped = true;
+    });
+    // Idle connections are closed 200 ms after the stop began.
+    boost::this_fiber::sleep_until(stop + std::chrono::milliseconds(150));
+    SendWhileHeldUp(stop + std::chrono::milliseconds(250));
+    AwaitCondition([&] { return isStopped; }, "the server has stopped");
+    ExpectBothAnswers();
+  }
+
+  void AnswersRequestsThatArriveAsTheIdleLimitEnds()
+  {
+    HttpServerLimits limits;
+    limits.mIdleLimit = std::chrono::milliseconds(300);
+    Start(limits);
+    OpenUsedConnections(kClients);
+    const TimePoint idle = Now();
+    boost::this_fiber::sleep_until(idle + std::chrono::milliseconds(200));
+    SendWhileHeldUp(idle + std::chrono::milliseconds(400));
+    ExpectBothAnswers();
+  }
+
+private:
+  Endpoint mAddress;
+  std::unique_ptr<HttpServer> mServer;
+  std::vector<std::unique_ptr<RawConnection>> mConnections;
+  std::size_t mHandled = 0;
+  std::string mBody;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTests);
