Close a caller's connection only after a look at what has arrived on it

Cause: a stop closed from its own fiber the connections that it believed idle. A connection counted as idle until its own fiber had run; that fiber runs after the stop's one if both become ready in the same turn, and turns are long when the processor is short. Idle limits and limits of transfers closed the socket from a timer in the same way, whatever had arrived or been accepted meanwhile: an answer of 32 MB to a caller that read 20 MB a second was cut after the limit, and a body that arrived in steps was, too.

Ruled out: the order of input and idle timer in one turn. There the input is seen first (AnswersRequestsThatArriveAsTheIdleLimitEnds passed before).

Change: only the fiber that serves a connection closes it. A stop and a timer cancel what it waits for; it then looks for input, and serves it. An idle limit that grows applies to idle connections, since callers go by the newest one. The limit of a transfer is a limit of no progress. Responses are written at once where the socket accepts them, without a timer.

Why it works: no decision to close is made on a fact that another fiber has yet to learn; what is left is a request that crosses the close on the network.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -1,5 +1,9 @@
 /*
  * The HTTP server: accepts connections and serves the requests on them.
+ *
+ * Only the fiber that serves a connection closes it. A stop and a timer cancel
+ * what the fiber waits for; the fiber looks for input that has arrived since
+ * before it gives up.
  */
 #include "AsioSupport.h"
 #include "TransferCoding.h"
@@ -16,12 +20,17 @@
 
 namespace {
 
+namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
-
-/** The size of the first read of a request and of each discarding read, in
-    bytes. */
-constexpr std::size_t kFirstReadBytes = 4096;
+using Tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+using RequestParser = http::request_parser<http::string_body>;
+
+/** The size of the reads of a request's header and of each discarding read, and
+    of the reads of its body, in bytes. */
+constexpr std::size_t kHeaderReadBytes = 4096;
+constexpr std::size_t kBodyReadBytes = 64U << 10U;
 /** The maximum input that is read and discarded after a request was rejected,
     in bytes. Discarding it lets the client read the rejection. */
 constexpr std::size_t kMaxDiscardedBytes = 64U << 20U;
@@ -67,45 +76,167 @@
 } // namespace
 
 /** An open connection. */
-struct ServerConnection
+struct ServerConnection : std::enable_shared_from_this<ServerConnection>
 {
-  beast::tcp_stream mStream;
-  /** Whether no request is being handled; Stop() closes idle connections. */
-  bool mIsIdle = true;
+  explicit ServerConnection(Tcp::socket aSocket)
+    : mSocket(std::move(aSocket))
+    , mTimer(mSocket.get_executor())
+  {
+  }
+
+  /** Cancels the operations of the socket at aTime unless a later call changes
+      that time. A running timer is kept when the time moves later, and is set
+      again only when it fires before that time. */
+  void ExpireAt(TimePoint aTime)
+  {
+    mExpiry = aTime;
+    mIsExpired = false;
+    if (aTime < mTimerDue) {
+      ArmTimer(aTime);
+    }
+  }
+
+  /** Moves the time set by ExpireAt() later, unless it has passed. */
+  void ExtendExpiry(TimePoint aTime)
+  {
+    if (!mIsExpired) {
+      mExpiry = std::max(mExpiry, aTime);
+    }
+  }
+
+  void ArmTimer(TimePoint aTime)
+  {
+    mTimerDue = aTime;
+    mTimer.expires_at(aTime);
+    mTimer.async_wait([self = shared_from_this()](error_code aError) {
+      if (!aError) {
+        self->HandleTimer();
+      }
+    });
+  }
+
+  void HandleTimer()
+  {
+    mTimerDue = TimePoint::max();
+    if (mExpiry == TimePoint::max()) {
+      return;
+    }
+    if (std::chrono::steady_clock::now() < mExpiry) {
+      ArmTimer(mExpiry);
+    } else {
+      Expire();
+    }
+  }
+
+  /** Ends the operation that the fiber of the connection waits for, or the next
+      one. */
+  void Expire()
+  {
+    error_code ignored;
+    mIsExpired = true;
+    mSocket.cancel(ignored);
+  }
+
+  /** Whether input has arrived that was not read. */
+  bool HasInput()
+  {
+    error_code error;
+    return mSocket.available(error) != 0 && !error;
+  }
+
+  /** Reads what arrives next into mBuffer; timed_out when mExpiry passes and
+      nothing has arrived. */
+  error_code ReadSome(std::size_t aBytes)
+  {
+    while (!mIsExpired || HasInput()) {
+      const IoResult read = Await([&](auto aHandler) {
+        mSocket.async_read_some(mBuffer.prepare(aBytes), aHandler);
+      });
+      mBuffer.commit(read.mBytes);
+      if (read.mError != asio::error::operation_aborted) {
+        return read.mError;
+      }
+    }
+    return asio::error::timed_out;
+  }
+
+  /** Waits until the socket accepts output; timed_out when mExpiry passes. */
+  error_code AwaitWritable()
+  {
+    if (mIsExpired) {
+      return asio::error::timed_out;
+    }
+    const IoResult waited = Await([&](auto aHandler) {
+      mSocket.async_wait(Tcp::socket::wait_write, aHandler);
+    });
+    return mIsExpired ? asio::error::timed_out : waited.mError;
+  }
+
+  Tcp::socket mSocket;
+  asio::steady_timer mTimer;
+  /** When the timer fires; TimePoint::max() while it is not set. */
+  TimePoint mTimerDue = TimePoint::max();
+  /** When to end the operations of the socket; TimePoint::max() while there is
+      no limit. */
+  TimePoint mExpiry = TimePoint::max();
+  bool mIsExpired = false;
+  beast::flat_buffer mBuffer;
+  /** When the connection became idle; TimePoint::max() while a request is
+      received or handled. */
+  TimePoint mIdleSince = TimePoint::max();
   std::uint64_t mRequestsRead = 0;
 };
 
 struct HttpServer::Implementation
 {
-  boost::asio::ip::tcp::acceptor mAcceptor;
+  Tcp::acceptor mAcceptor;
   HttpServerLimits mLimits;
   WatchingHttpHandler mHandler;
   std::set<std::shared_ptr<ServerConnection>> mConnections;
   bool mStopAnnounced = false;
   bool mStopping = false;
+  /** Whether connections without a request are closed. */
+  bool mClosesIdle = false;
   std::size_t mPeakConnections = 0;
   HttpServerCounters mCounters;
 };
 
 namespace {
 
-/** Writes a response and returns the error of the connection, if any. */
-boost::system::error_code
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+/** Writes a response and returns the error of the connection, if any; timed_out
+    when the client accepts nothing for aLimit. */
+error_code
 WriteResponse(ServerConnection& aConnection,
               HttpResponse aResponse,
-              bool aKeepAlive)
+              bool aKeepAlive,
+              Duration aLimit)
 {
-  auto response = ToBeast(std::move(aResponse), aKeepAlive);
-  const IoResult written = Await([&](auto aHandler) {
-    http::async_write(aConnection.mStream, response, aHandler);
-  });
-  return written.mError;
+  const auto response = ToBeast(std::move(aResponse), aKeepAlive);
+  http::response_serializer<http::string_body> serializer(response);
+  error_code error;
+  while (!error && !serializer.is_done()) {
+    serializer.next(error, [&](error_code& aError, const auto& aBuffers) {
+      serializer.consume(aConnection.mSocket.write_some(aBuffers, aError));
+    });
+    if (error == asio::error::would_block) {
+      aConnection.ExpireAt(Now() + aLimit);
+      error = aConnection.AwaitWritable();
+    }
+  }
+  aConnection.ExpireAt(TimePoint::max());
+  return error;
 }
 
 /** The error to send for a failed read; std::nullopt when the connection ended
     or timed out, so that no response can be sent. */
 std::optional<Error>
-ReadProblem(boost::system::error_code aError)
+ReadProblem(error_code aError)
 {
   if (aError == http::error::body_limit) {
     return Error{ ErrorKind::kRequestTooLarge,
@@ -153,42 +284,66 @@
     socket with unread input would reset the connection, and the client could
     lose the last response. */
 void
-DiscardInput(beast::tcp_stream& aStream)
+DiscardInput(ServerConnection& aConnection)
 {
-  boost::system::error_code ignored;
-  aStream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
-                            ignored);
-  aStream.expires_after(kDiscardTimeout);
-  std::array<char, kFirstReadBytes> bytes{};
+  error_code error;
+  aConnection.mSocket.shutdown(Tcp::socket::shutdown_send, error);
+  aConnection.ExpireAt(Now() + kDiscardTimeout);
   std::size_t discarded = 0;
-  while (discarded < kMaxDiscardedBytes) {
-    const IoResult read = Await([&](auto aHandler) {
-      aStream.async_read_some(boost::asio::buffer(bytes), aHandler);
-    });
-    if (read.mError) {
-      return;
-    }
-    discarded += read.mBytes;
+  while (!error && !aConnection.mIsExpired && discarded < kMaxDiscardedBytes) {
+    aConnection.mBuffer.clear();
+    error = aConnection.ReadSome(kHeaderReadBytes);
+    discarded += aConnection.mBuffer.size();
   }
 }
 
-/** Waits for the first bytes of a request; false when the connection ended or
-    the limit passed. */
+/** Waits for the first bytes of a request; false when the connection ended, or
+    is to be closed and nothing has arrived. */
+template<class Server>
 bool
-AwaitRequest(ServerConnection& aConnection,
-             beast::flat_buffer& aBuffer,
-             Duration aIdleLimit)
+AwaitRequest(const Server& aServer, ServerConnection& aConnection)
 {
-  if (aBuffer.size() != 0) {
+  if (aConnection.mBuffer.size() != 0) {
     return true;
   }
-  aConnection.mStream.expires_after(aIdleLimit);
-  const IoResult read = Await([&](auto aHandler) {
-    aConnection.mStream.async_read_some(aBuffer.prepare(kFirstReadBytes),
-                                        aHandler);
-  });
-  aBuffer.commit(read.mBytes);
-  return !read.mError;
+  aConnection.mIdleSince = Now();
+  aConnection.ExpireAt(aConnection.mIdleSince + aServer.mLimits.mIdleLimit);
+  aConnection.mIsExpired = aServer.mClosesIdle;
+  const error_code error = aConnection.ReadSome(kHeaderReadBytes);
+  aConnection.mIdleSince = TimePoint::max();
+  return !error;
+}
+
+/** Reads a request, of which some bytes are in the connection's buffer. */
+template<class Server>
+error_code
+ReadRequest(const Server& aServer,
+            ServerConnection& aConnection,
+            RequestParser& aParser)
+{
+  aParser.eager(true);
+  aParser.body_limit(aServer.mLimits.mMaxBodyBytes);
+  aParser.header_limit(aServer.mLimits.mMaxHeaderBytes);
+  aConnection.ExpireAt(Now() + aServer.mLimits.mTransferLimit);
+  while (true) {
+    error_code error;
+    const std::size_t used = aParser.put(aConnection.mBuffer.data(), error);
+    aConnection.mBuffer.consume(used);
+    if (error && error != http::error::need_more) {
+      return error;
+    }
+    if (aParser.is_done()) {
+      return {};
+    }
+    if (aParser.is_header_done()) {
+      aConnection.ExpireAt(Now() + aServer.mLimits.mTransferLimit);
+    }
+    error = aConnection.ReadSome(aParser.is_header_done() ? kBodyReadBytes
+                                                          : kHeaderReadBytes);
+    if (error) {
+      return error;
+    }
+  }
 }
 
 /** Runs the handler, which may register an action for a disconnect of the
@@ -199,7 +354,7 @@
            ServerConnection& aConnection,
            const HttpRequest& aRequest)
 {
-  auto& socket = aConnection.mStream.socket();
+  auto& socket = aConnection.mSocket;
   const auto isHandled = std::make_shared<bool>(false);
   bool isWatched = false;
   const DisconnectWatch watch = [&](std::function<void()> aAction) {
@@ -215,7 +370,7 @@
   HttpResponse response = aServer.mHandler(aRequest, watch);
   *isHandled = true;
   if (isWatched) {
-    boost::system::error_code ignored;
+    error_code ignored;
     socket.cancel(ignored);
   }
   return response;
@@ -224,27 +379,22 @@
 /** Serves the next request; false when the connection must be closed. */
 template<class Server>
 bool
-ServeRequest(Server& aServer,
-             ServerConnection& aConnection,
-             beast::flat_buffer& aBuffer)
+ServeRequest(Server& aServer, ServerConnection& aConnection)
 {
-  http::request_parser<http::string_body> parser;
-  parser.body_limit(aServer.mLimits.mMaxBodyBytes);
-  parser.header_limit(aServer.mLimits.mMaxHeaderBytes);
-  aConnection.mStream.expires_after(aServer.mLimits.mTransferLimit);
-  const IoResult read = Await([&](auto aHandler) {
-    http::async_read(aConnection.mStream, aBuffer, parser, aHandler);
-  });
+  const Duration writeLimit = aServer.mLimits.mTransferLimit;
+  RequestParser parser;
+  const error_code error = ReadRequest(aServer, aConnection, parser);
   const auto problem =
-    read.mError ? ReadProblem(read.mError) : RequestProblem(parser.get());
-  if (read.mError || problem) {
+    error ? ReadProblem(error) : RequestProblem(parser.get());
+  if (error || problem) {
     if (problem) {
-      aConnection.mStream.expires_after(aServer.mLimits.mTransferLimit);
-      WriteResponse(aConnection, FormatProblem(*problem, ""), false);
-      DiscardInput(aConnection.mStream);
+      WriteResponse(
+        aConnection, FormatProblem(*problem, ""), false, writeLimit);
+      DiscardInput(aConnection);
     }
     return false;
   }
+  aConnection.ExpireAt(TimePoint::max());
   const bool wantsKeepAlive = parser.keep_alive();
   HttpRequest request = FromBeast(parser.release());
   request.mIsFirstOnConnection = aConnection.mRequestsRead == 0;
@@ -256,14 +406,14 @@
   }
   const bool keepAlive = wantsKeepAlive && response.mKeepAlive &&
                          !aServer.mStopAnnounced && !aServer.mStopping;
-  aConnection.mStream.expires_after(aServer.mLimits.mTransferLimit);
   const auto whenWritten = std::move(response.mWhenWritten);
-  const auto error = WriteResponse(aConnection, std::move(response), keepAlive);
-  aServer.mCounters.mResponsesNotSent += error ? 1 : 0;
+  const error_code writeError =
+    WriteResponse(aConnection, std::move(response), keepAlive, writeLimit);
+  aServer.mCounters.mResponsesNotSent += writeError ? 1 : 0;
   if (whenWritten) {
-    whenWritten(error ? error.message() : "");
+    whenWritten(writeError ? writeError.message() : "");
   }
-  return !error && keepAlive;
+  return !writeError && keepAlive;
 }
 
 /** Serves the requests of one connection until it ends. */
@@ -274,49 +424,41 @@
   if (aServer.mLimits.mConnectionDelay > Duration::zero()) {
     boost::this_fiber::sleep_for(aServer.mLimits.mConnectionDelay);
   }
-  beast::flat_buffer buffer;
-  while (AwaitRequest(aConnection, buffer, aServer.mLimits.mIdleLimit)) {
-    aConnection.mIsIdle = false;
-    if (!ServeRequest(aServer, aConnection, buffer)) {
-      return;
-    }
-    aConnection.mIsIdle = true;
+  while (AwaitRequest(aServer, aConnection) &&
+         ServeRequest(aServer, aConnection)) {
   }
 }
 
 void
-CloseStream(beast::tcp_stream& aStream, HttpServerCounters& aCounters)
+CloseConnection(ServerConnection& aConnection, HttpServerCounters& aCounters)
 {
-  boost::system::error_code ignored;
-  const bool hasInput =
-    aStream.socket().is_open() && aStream.socket().available(ignored) != 0;
-  aCounters.mClosedWithInput += hasInput ? 1 : 0;
-  aStream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both,
-                            ignored);
-  aStream.close();
+  error_code ignored;
+  aCounters.mClosedWithInput += aConnection.HasInput() ? 1 : 0;
+  aConnection.mTimer.cancel();
+  aConnection.mSocket.shutdown(Tcp::socket::shutdown_both, ignored);
+  aConnection.mSocket.close(ignored);
 }
 
 /** Starts a fiber that serves an accepted connection, or closes the connection
     when too many are open. */
 template<class Server>
 void
-StartConnection(const std::shared_ptr<Server>& aServer,
-                boost::asio::ip::tcp::socket aSocket)
+StartConnection(const std::shared_ptr<Server>& aServer, Tcp::socket aSocket)
 {
   if (aServer->mConnections.size() >= aServer->mLimits.mMaxConnections) {
     ++aServer->mCounters.mConnectionsRefused;
     return;
   }
-  boost::system::error_code ignored;
-  aSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  auto connection = std::make_shared<ServerConnection>(
-    ServerConnection{ beast::tcp_stream(std::move(aSocket)) });
+  error_code ignored;
+  aSocket.set_option(Tcp::no_delay(true), ignored);
+  aSocket.non_blocking(true, ignored);
+  auto connection = std::make_shared<ServerConnection>(std::move(aSocket));
   aServer->mConnections.insert(connection);
   aServer->mPeakConnections =
     std::max(aServer->mPeakConnections, aServer->mConnections.size());
   StartFiber([aServer, connection] {
     ServeConnection(*aServer, *connection);
-    CloseStream(connection->mStream, aServer->mCounters);
+    CloseConnection(*connection, aServer->mCounters);
     aServer->mConnections.erase(connection);
   });
 }
@@ -327,7 +469,7 @@
 AcceptConnections(std::shared_ptr<Server> aServer)
 {
   while (!aServer->mStopping) {
-    boost::asio::ip::tcp::socket socket(aServer->mAcceptor.get_executor());
+    Tcp::socket socket(aServer->mAcceptor.get_executor());
     const IoResult accepted = Await([&](auto aHandler) {
       aServer->mAcceptor.async_accept(socket, aHandler);
     });
@@ -345,10 +487,10 @@
 void
 AcceptPending(const std::shared_ptr<Server>& aServer)
 {
-  boost::system::error_code error;
+  error_code error;
   aServer->mAcceptor.non_blocking(true, error);
   while (!error) {
-    boost::asio::ip::tcp::socket socket(aServer->mAcceptor.get_executor());
+    Tcp::socket socket(aServer->mAcceptor.get_executor());
     aServer->mAcceptor.accept(socket, error);
     if (!error) {
       StartConnection(aServer, std::move(socket));
@@ -398,7 +540,7 @@
 HttpServer::~HttpServer()
 {
   mImplementation->mStopping = true;
-  boost::system::error_code ignored;
+  error_code ignored;
   mImplementation->mAcceptor.close(ignored);
 }
 
@@ -406,6 +548,11 @@
 HttpServer::ChangeLimits(HttpServerLimits aLimits)
 {
   mImplementation->mLimits = aLimits;
+  for (const auto& connection : mImplementation->mConnections) {
+    if (connection->mIdleSince != TimePoint::max()) {
+      connection->ExtendExpiry(connection->mIdleSince + aLimits.mIdleLimit);
+    }
+  }
 }
 
 void
@@ -418,15 +565,16 @@
 HttpServer::Stop(TimePoint aUntil)
 {
   mImplementation->mStopping = true;
-  boost::system::error_code ignored;
+  error_code ignored;
   AcceptPending(mImplementation);
   mImplementation->mAcceptor.close(ignored);
   if (!mImplementation->mConnections.empty()) {
     boost::this_fiber::sleep_for(kIdleCloseDelay);
   }
+  mImplementation->mClosesIdle = true;
   for (const auto& connection : mImplementation->mConnections) {
-    if (connection->mIsIdle) {
-      CloseStream(connection->mStream, mImplementation->mCounters);
+    if (connection->mIdleSince != TimePoint::max()) {
+      connection->Expire();
     }
   }
   while (!mImplementation->mConnections.empty() &&
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -44,8 +44,8 @@
   Duration mConnectionDelay{};
   /** How long a connection may stay open without a request. */
   Duration mIdleLimit = std::chrono::minutes(2);
-  /** How long receiving a request may take, and how long sending a response
-      may take. */
+  /** How long receiving a request's header may take, and how long a client may
+      send nothing of its body, or accept nothing of a response. */
   Duration mTransferLimit = std::chrono::seconds(10);
 };
 
@@ -85,15 +85,16 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   /** Changes the limits; each connection applies them from its next request
-      on. */
+      on. Idle connections stay open for the longer of both idle limits. */
   void ChangeLimits(HttpServerLimits aLimits);
 
   /** Continues to serve, but from now on closes each connection after its next
       response, so that clients reconnect to another VM before Stop(). */
   void AnnounceStop();
 
-  /** Stops accepting connections, closes idle ones and waits for requests in
-      flight. Returns when all connections are closed, or at aUntil. */
+  /** Stops accepting connections, closes those on which no request has arrived
+      and waits for requests in flight. Returns when all connections are closed,
+      or at aUntil. */
   void Stop(TimePoint aUntil);
 
   /** The number of open connections. */
--- a/tests/processes/HttpServerTests.cpp
+++ b/tests/processes/HttpServerTests.cpp
@@ -46,6 +46,10 @@
   CPPUNIT_TEST_SUITE(HttpServerTests);
   CPPUNIT_TEST(AnswersRequestsThatArriveAsAStopClosesIdleConnections);
   CPPUNIT_TEST(AnswersRequestsThatArriveAsTheIdleLimitEnds);
+  CPPUNIT_TEST(KeepsIdleConnectionsForAnIdleLimitThatGrew);
+  CPPUNIT_TEST(SendsAnAnswerWholeToAClientThatReadsSlowly);
+  CPPUNIT_TEST(ClosesAConnectionWhoseClientDoesNotRead);
+  CPPUNIT_TEST(ReadsABodyThatArrivesSlowly);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -138,6 +142,68 @@
     ExpectBothAnswers();
   }
 
+  void KeepsIdleConnectionsForAnIdleLimitThatGrew()
+  {
+    HttpServerLimits limits;
+    limits.mIdleLimit = std::chrono::milliseconds(300);
+    Start(limits);
+    OpenUsedConnections(2);
+    limits.mIdleLimit = std::chrono::seconds(5);
+    mServer->ChangeLimits(limits);
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(600));
+    SendWhileHeldUp(Now());
+    ExpectBothAnswers();
+  }
+
+  void SendsAnAnswerWholeToAClientThatReadsSlowly()
+  {
+    constexpr std::size_t kBytes = 32U << 20U;
+    HttpServerLimits limits;
+    limits.mTransferLimit = std::chrono::milliseconds(500);
+    Start(limits);
+    mBody = std::string(kBytes, 'x');
+    RawConnection client(mAddress);
+    client.Send(kRequest);
+    AwaitCondition([&] { return mHandled == 1; }, "the request is handled");
+    std::size_t received = 0;
+    std::string part = "x";
+    while (!part.empty() && received < kBytes) {
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(50));
+      part = client.ReceiveArrived();
+      received += part.size();
+    }
+    CPPUNIT_ASSERT(received > kBytes);
+  }
+
+  void ClosesAConnectionWhoseClientDoesNotRead()
+  {
+    HttpServerLimits limits;
+    limits.mTransferLimit = std::chrono::milliseconds(200);
+    Start(limits);
+    mBody = std::string(32U << 20U, 'x');
+    RawConnection client(mAddress);
+    client.Send(kRequest);
+    AwaitCondition([&] { return mServer->Counters().mResponsesNotSent == 1; },
+                   "the server gives up",
+                   std::chrono::seconds(3));
+  }
+
+  void ReadsABodyThatArrivesSlowly()
+  {
+    HttpServerLimits limits;
+    limits.mTransferLimit = std::chrono::milliseconds(200);
+    Start(limits);
+    RawConnection client(mAddress);
+    client.Send("PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n");
+    for (unsigned byte = 0; byte < 10; ++byte) {
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(60));
+      client.Send("x");
+    }
+    AwaitCondition([&] { return mHandled == 1; },
+                   "the request is handled",
+                   std::chrono::seconds(1));
+  }
+
 private:
   Endpoint mAddress;
   std::unique_ptr<HttpServer> mServer;
--- a/tests/processes/RawConnection.cpp
+++ b/tests/processes/RawConnection.cpp
@@ -71,6 +71,17 @@
   return received;
 }
 
+std::string
+RawConnection::ReceiveArrived() const
+{
+  constexpr std::size_t kMaxBytes = 1U << 20U;
+  std::string received(kMaxBytes, '\0');
+  const ssize_t count =
+    recv(mSocket, received.data(), received.size(), MSG_DONTWAIT);
+  received.resize(count <= 0 ? 0 : static_cast<std::size_t>(count));
+  return received;
+}
+
 std::string
 RawConnection::ReceiveAll() const
 {
--- a/tests/processes/RawConnection.h
+++ b/tests/processes/RawConnection.h
@@ -32,6 +32,9 @@
    */
   std::string Receive(std::size_t aBytes) const;
 
+  /** Reads what has arrived, without waiting; empty when nothing has. */
+  std::string ReceiveArrived() const;
+
   /** Reads until the connection ends, fails or times out, at most 1 MiB. */
   std::string ReceiveAll() const;
 
