Answer pipelined requests before a stop closes their connection

A caller that had sent three requests at once to a stopping server got one answer; the others had been read and were dropped.

Cause: the first answer announced the close, whatever else had arrived.

Change: while the server stops, a connection on which more has arrived stays open until that is answered.

Evidence: AnswersPipelinedRequestsBeforeItCloses had 1 of 3 answers before, and passes.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -376,6 +376,21 @@
   return response;
 }
 
+/** Whether the connection stays open after a response. While the server stops,
+    it does if more requests have arrived, because the client would have to
+    assume that they may have run. */
+template<class Server>
+bool
+StaysOpen(const Server& aServer,
+          ServerConnection& aConnection,
+          const HttpResponse& aResponse)
+{
+  const bool isClosing =
+    !aResponse.mKeepAlive || aServer.mStopAnnounced || aServer.mStopping;
+  return !isClosing || aConnection.mBuffer.size() != 0 ||
+         aConnection.HasInput();
+}
+
 /** Serves the next request; false when the connection must be closed. */
 template<class Server>
 bool
@@ -404,8 +419,8 @@
   if (response.mStatus == kNoResponse) {
     return false;
   }
-  const bool keepAlive = wantsKeepAlive && response.mKeepAlive &&
-                         !aServer.mStopAnnounced && !aServer.mStopping;
+  const bool keepAlive =
+    wantsKeepAlive && StaysOpen(aServer, aConnection, response);
   const auto whenWritten = std::move(response.mWhenWritten);
   const error_code writeError =
     WriteResponse(aConnection, std::move(response), keepAlive, writeLimit);
--- a/tests/processes/HttpServerTests.cpp
+++ b/tests/processes/HttpServerTests.cpp
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(AnswersRequestsThatArriveAsAStopClosesIdleConnections);
   CPPUNIT_TEST(AnswersRequestsThatArriveAsTheIdleLimitEnds);
   CPPUNIT_TEST(KeepsIdleConnectionsForAnIdleLimitThatGrew);
+  CPPUNIT_TEST(AnswersPipelinedRequestsBeforeItCloses);
   CPPUNIT_TEST(SendsAnAnswerWholeToAClientThatReadsSlowly);
   CPPUNIT_TEST(ClosesAConnectionWhoseClientDoesNotRead);
   CPPUNIT_TEST(ReadsABodyThatArrivesSlowly);
@@ -155,6 +156,21 @@
     ExpectBothAnswers();
   }
 
+  void AnswersPipelinedRequestsBeforeItCloses()
+  {
+    Start();
+    RawConnection client(mAddress);
+    mServer->AnnounceStop();
+    client.Send(std::string(kRequest) + kRequest + kRequest);
+    AwaitCondition([&] { return mHandled != 0; }, "a request is handled");
+    AwaitCondition([&] { return mServer->ConnectionCount() == 0; },
+                   "the server closes the connection");
+    const std::string text = client.ReceiveAll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, CountResponses(text));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, mHandled);
+    CPPUNIT_ASSERT(text.rfind("Connection: close") > text.rfind("HTTP/1.1"));
+  }
+
   void SendsAnAnswerWholeToAClientThatReadsSlowly()
   {
     constexpr std::size_t kBytes = 32U << 20U;
