Reject a request that does not arrive in time, by the operators' limit

A request whose header or body stopped midway was closed without a word after 10 s; the operators' limit on the header was read and never applied.

Change: the limit of the header is the operators' one. A request that is not completed gets 408, which states that it did not run.

Evidence: StatesThatARequestThatIsNotCompletedHasNotRun got no answer before, and passes.

--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -158,6 +158,7 @@
   HttpServerLimits limits;
   limits.mMaxBodyBytes = aLimits.mBodyBytes;
   limits.mMaxHeaderBytes = aLimits.mHeaderBytes;
+  limits.mHeaderLimit = aLimits.mHeaderTime;
   limits.mIdleLimit = aLimits.mIdleTime;
   mCallers->ChangeLimits(limits);
 }
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -248,6 +248,11 @@
                   "the request's header is too large",
                   "send fewer or shorter header fields" };
   }
+  if (aError == asio::error::timed_out) {
+    return Error{ ErrorKind::kRequestIncomplete,
+                  "the request did not arrive in time",
+                  "send the request without pauses" };
+  }
   const bool isProtocolError =
     aError.category() ==
       http::make_error_code(http::error::bad_version).category() &&
@@ -324,7 +329,7 @@
   aParser.eager(true);
   aParser.body_limit(aServer.mLimits.mMaxBodyBytes);
   aParser.header_limit(aServer.mLimits.mMaxHeaderBytes);
-  aConnection.ExpireAt(Now() + aServer.mLimits.mTransferLimit);
+  aConnection.ExpireAt(Now() + aServer.mLimits.mHeaderLimit);
   while (true) {
     error_code error;
     const std::size_t used = aParser.put(aConnection.mBuffer.data(), error);
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -44,8 +44,11 @@
   Duration mConnectionDelay{};
   /** How long a connection may stay open without a request. */
   Duration mIdleLimit = std::chrono::minutes(2);
-  /** How long receiving a request's header may take, and how long a client may
-      send nothing of its body, or accept nothing of a response. */
+  /** How long receiving a request's header may take, from its first byte on;
+      after that the request is rejected with 408. */
+  Duration mHeaderLimit = std::chrono::seconds(10);
+  /** How long a client may send nothing of a request's body, or accept nothing
+      of a response. */
   Duration mTransferLimit = std::chrono::seconds(10);
 };
 
--- a/modules/wasabispread_units/Error.cpp
+++ b/modules/wasabispread_units/Error.cpp
@@ -19,6 +19,8 @@
       return "invalid-patience";
     case ErrorKind::kRequestTooLarge:
       return "request-too-large";
+    case ErrorKind::kRequestIncomplete:
+      return "request-incomplete";
     case ErrorKind::kNotReady:
       return "not-ready";
     case ErrorKind::kOverloaded:
--- a/modules/wasabispread_units/Error.h
+++ b/modules/wasabispread_units/Error.h
@@ -19,6 +19,7 @@
   kOperationNotOffered,
   kInvalidTimeout,
   kRequestTooLarge,
+  kRequestIncomplete,
   kNotReady,
   kOverloaded,
   kTimeout,
--- a/modules/wasabispread_wire/CallerProtocol.cpp
+++ b/modules/wasabispread_wire/CallerProtocol.cpp
@@ -230,6 +230,7 @@
   constexpr unsigned kBadRequest = 400;
   constexpr unsigned kNotFound = 404;
   constexpr unsigned kNotAllowed = 405;
+  constexpr unsigned kRequestTimeout = 408;
   constexpr unsigned kConflict = 409;
   constexpr unsigned kTooLarge = 413;
   constexpr unsigned kServerError = 500;
@@ -250,6 +251,8 @@
     case ErrorKind::kConflict:
     case ErrorKind::kDuplicateRequest:
       return kConflict;
+    case ErrorKind::kRequestIncomplete:
+      return kRequestTimeout;
     case ErrorKind::kRequestTooLarge:
     case ErrorKind::kValueTooLarge:
       return kTooLarge;
--- a/tests/processes/HttpServerTests.cpp
+++ b/tests/processes/HttpServerTests.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(SendsAnAnswerWholeToAClientThatReadsSlowly);
   CPPUNIT_TEST(ClosesAConnectionWhoseClientDoesNotRead);
   CPPUNIT_TEST(ReadsABodyThatArrivesSlowly);
+  CPPUNIT_TEST(StatesThatARequestThatIsNotCompletedHasNotRun);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -220,6 +221,24 @@
                    std::chrono::seconds(1));
   }
 
+  void StatesThatARequestThatIsNotCompletedHasNotRun()
+  {
+    HttpServerLimits limits;
+    limits.mHeaderLimit = std::chrono::milliseconds(200);
+    limits.mTransferLimit = std::chrono::milliseconds(200);
+    Start(limits);
+    for (const char* part :
+         { "GET /x HTTP/1.1\r\nHost: a\r\n",
+           "PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nx" }) {
+      RawConnection client(mAddress);
+      client.Send(part);
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(400));
+      const std::string text = client.Receive(12);
+      CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 408"), text);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, mHandled);
+  }
+
 private:
   Endpoint mAddress;
   std::unique_ptr<HttpServer> mServer;
