Bound what a request without end keeps in memory

Change: input that makes up no part of a body is limited to 64 KiB, then the request is rejected with 413.

Evidence: BoundsTheMemoryOfARequestWithoutEnd got no answer to 2 MiB of it before, and passes.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -31,6 +31,9 @@
     of the reads of its body, in bytes. */
 constexpr std::size_t kHeaderReadBytes = 4096;
 constexpr std::size_t kBodyReadBytes = 64U << 10U;
+/** The most input that is kept because it does not make up a complete part of a
+    body yet, as in a chunk header without end. */
+constexpr std::size_t kMaxUnparsedBytes = 64U << 10U;
 /** The maximum input that is read and discarded after a request was rejected,
     in bytes. Discarding it lets the client read the rejection. */
 constexpr std::size_t kMaxDiscardedBytes = 64U << 20U;
@@ -253,6 +256,11 @@
                   "the request did not arrive in time",
                   "send the request without pauses" };
   }
+  if (aError == http::error::buffer_overflow) {
+    return Error{ ErrorKind::kRequestTooLarge,
+                  "a chunk header of the request's body is too large",
+                  "send chunk headers without extensions" };
+  }
   const bool isProtocolError =
     aError.category() ==
       http::make_error_code(http::error::bad_version).category() &&
@@ -342,6 +350,9 @@
     }
     if (aParser.is_header_done()) {
       aConnection.ExpireAt(Now() + aServer.mLimits.mTransferLimit);
+      if (aConnection.mBuffer.size() > kMaxUnparsedBytes) {
+        return http::error::buffer_overflow;
+      }
     }
     error = aConnection.ReadSome(aParser.is_header_done() ? kBodyReadBytes
                                                           : kHeaderReadBytes);
--- a/tests/processes/HttpServerTests.cpp
+++ b/tests/processes/HttpServerTests.cpp
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(ClosesAConnectionWhoseClientDoesNotRead);
   CPPUNIT_TEST(ReadsABodyThatArrivesSlowly);
   CPPUNIT_TEST(StatesThatARequestThatIsNotCompletedHasNotRun);
+  CPPUNIT_TEST(BoundsTheMemoryOfARequestWithoutEnd);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -239,6 +240,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, mHandled);
   }
 
+  void BoundsTheMemoryOfARequestWithoutEnd()
+  {
+    Start();
+    RawConnection client(mAddress);
+    client.Send("PUT /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+                "\r\n1;");
+    const std::string part(64U << 10U, 'x');
+    for (unsigned count = 0; count < 32; ++count) {
+      client.Send(part);
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(2));
+    }
+    const std::string text = client.Receive(12);
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 413"), text);
+  }
+
 private:
   Endpoint mAddress;
   std::unique_ptr<HttpServer> mServer;
