Try to write once more when the limit of a response passes

A caller that read its answer while the daemon got no processor for the whole limit had it cut: the limit had passed, although the socket accepted output again.

Change: a response is given up only if the socket still accepts nothing. A connection's buffer that a long body made large is released when it is idle.

Evidence: SendsAnAnswerWholeAlthoughItIsHeldUpForItsLimit failed before, and passes.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -163,16 +163,16 @@
     return asio::error::timed_out;
   }
 
-  /** Waits until the socket accepts output; timed_out when mExpiry passes. */
+  /** Waits until the socket accepts output or mExpiry passes. */
   error_code AwaitWritable()
   {
     if (mIsExpired) {
-      return asio::error::timed_out;
+      return {};
     }
     const IoResult waited = Await([&](auto aHandler) {
       mSocket.async_wait(Tcp::socket::wait_write, aHandler);
     });
-    return mIsExpired ? asio::error::timed_out : waited.mError;
+    return mIsExpired ? error_code{} : waited.mError;
   }
 
   Tcp::socket mSocket;
@@ -223,14 +223,23 @@
   const auto response = ToBeast(std::move(aResponse), aKeepAlive);
   http::response_serializer<http::string_body> serializer(response);
   error_code error;
+  bool isBlocked = false;
   while (!error && !serializer.is_done()) {
     serializer.next(error, [&](error_code& aError, const auto& aBuffers) {
       serializer.consume(aConnection.mSocket.write_some(aBuffers, aError));
     });
-    if (error == asio::error::would_block) {
+    if (error != asio::error::would_block) {
+      isBlocked = false;
+      continue;
+    }
+    if (!isBlocked) {
+      isBlocked = true;
       aConnection.ExpireAt(Now() + aLimit);
-      error = aConnection.AwaitWritable();
+    } else if (aConnection.mIsExpired) {
+      error = asio::error::timed_out;
+      break;
     }
+    error = aConnection.AwaitWritable();
   }
   aConnection.ExpireAt(TimePoint::max());
   return error;
@@ -319,6 +328,9 @@
   if (aConnection.mBuffer.size() != 0) {
     return true;
   }
+  if (aConnection.mBuffer.capacity() > kBodyReadBytes / 2) {
+    aConnection.mBuffer.shrink_to_fit();
+  }
   aConnection.mIdleSince = Now();
   aConnection.ExpireAt(aConnection.mIdleSince + aServer.mLimits.mIdleLimit);
   aConnection.mIsExpired = aServer.mClosesIdle;
--- a/tests/processes/HttpServerTests.cpp
+++ b/tests/processes/HttpServerTests.cpp
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(KeepsIdleConnectionsForAnIdleLimitThatGrew);
   CPPUNIT_TEST(AnswersPipelinedRequestsBeforeItCloses);
   CPPUNIT_TEST(SendsAnAnswerWholeToAClientThatReadsSlowly);
+  CPPUNIT_TEST(SendsAnAnswerWholeAlthoughItIsHeldUpForItsLimit);
   CPPUNIT_TEST(ClosesAConnectionWhoseClientDoesNotRead);
   CPPUNIT_TEST(ReadsABodyThatArrivesSlowly);
   CPPUNIT_TEST(StatesThatARequestThatIsNotCompletedHasNotRun);
@@ -183,14 +184,39 @@
     RawConnection client(mAddress);
     client.Send(kRequest);
     AwaitCondition([&] { return mHandled == 1; }, "the request is handled");
+    CPPUNIT_ASSERT(ReceiveSlowly(client) > kBytes);
+  }
+
+  /** Reads all that the server sends, in steps, and returns its size. */
+  static std::size_t ReceiveSlowly(const RawConnection& aClient)
+  {
     std::size_t received = 0;
     std::string part = "x";
-    while (!part.empty() && received < kBytes) {
+    while (!part.empty()) {
       boost::this_fiber::sleep_for(std::chrono::milliseconds(50));
-      part = client.ReceiveArrived();
+      part = aClient.ReceiveArrived();
       received += part.size();
     }
-    CPPUNIT_ASSERT(received > kBytes);
+    return received;
+  }
+
+  void SendsAnAnswerWholeAlthoughItIsHeldUpForItsLimit()
+  {
+    HttpServerLimits limits;
+    limits.mTransferLimit = std::chrono::milliseconds(300);
+    Start(limits);
+    mBody = std::string(32U << 20U, 'x');
+    RawConnection client(mAddress);
+    client.Send(kRequest);
+    AwaitCondition([&] { return mHandled == 1; }, "the request is handled");
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
+    std::size_t received = 0;
+    for (unsigned step = 0; step < 20; ++step) {
+      received += client.ReceiveArrived().size();
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    received += ReceiveSlowly(client);
+    CPPUNIT_ASSERT(received > mBody.size());
   }
 
   void ClosesAConnectionWhoseClientDoesNotRead()
