--- a/tests/processes/HttpClientTests.cpp
+++ b/tests/processes/HttpClientTests.cpp
@@ -81,6 +81,7 @@
 {
   CPPUNIT_TEST_SUITE(HttpClientTests);
   CPPUNIT_TEST(FailsWhenAReplyIsCutOffAnywhere);
+  CPPUNIT_TEST(FailsWhenATrailerIsTooLarge);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,6 +108,17 @@
     }
   }
 
+  /** Guards against an exception that ends the process. */
+  void FailsWhenATrailerIsTooLarge()
+  {
+    constexpr std::size_t kBytes = 66000;
+    const std::string reply =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+      "\r\n0\r\nX-Long: " +
+      std::string(kBytes, 'x') + "\r\n\r\n";
+    CPPUNIT_ASSERT_NO_THROW(ExpectFailure(reply, reply.size(), 0, false));
+  }
+
 private:
   static void ExpectFailure(const std::string& aReply,
                             std::size_t aCut,
