Reject a field that the HTTP library cannot hold

One caller's request with a trailer field of 64 KiB ended the daemon, and with it every request in progress; a header field did so if the operators' limit allowed it.

Cause: Beast's fields hold at most 64 KiB. For more it throws, in the fiber of the connection, where nothing catches it. The limit of the header does not hold for trailers.

Change: the server rejects such a request with 413.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -11,6 +11,7 @@
 #include "wasabispread_runtime.h"
 
 #include <set>
+#include <stdexcept>
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -352,8 +353,13 @@
   aConnection.ExpireAt(Now() + aServer.mLimits.mHeaderLimit);
   while (true) {
     error_code error;
-    const std::size_t used = aParser.put(aConnection.mBuffer.data(), error);
-    aConnection.mBuffer.consume(used);
+    try {
+      const auto used = aParser.put(aConnection.mBuffer.data(), error);
+      aConnection.mBuffer.consume(used);
+    } catch (const std::length_error&) {
+      // Beast's fields hold at most 64 KiB.
+      return http::error::header_limit;
+    }
     if (error && error != http::error::need_more) {
       return error;
     }
