End a stop only once no more connections end

Callers of a daemon that was held up across the end of its stop got no answer, although the answers were due and there was time to write them.

The fiber that waits for the end looked at the clock alone, and ran before the fibers that had answers to write. A connection that was accepted while no other was open was not waited for either.

Change: after its time, the stop goes on while connections end. It always waits for requests on their way before it closes idle connections.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -617,18 +617,21 @@
   error_code ignored;
   AcceptPending(mImplementation);
   mImplementation->mAcceptor.close(ignored);
-  if (!mImplementation->mConnections.empty()) {
-    boost::this_fiber::sleep_for(kIdleCloseDelay);
-  }
+  boost::this_fiber::sleep_for(kIdleCloseDelay);
   mImplementation->mClosesIdle = true;
   for (const auto& connection : mImplementation->mConnections) {
     if (connection->mIdleSince != TimePoint::max()) {
       connection->Expire();
     }
   }
-  while (!mImplementation->mConnections.empty() &&
-         std::chrono::steady_clock::now() < aUntil) {
+  // After a hold-up that went past aUntil, answers may be due that are not
+  // written yet.
+  bool isEnding = false;
+  while (!isEnding && !mImplementation->mConnections.empty()) {
+    const std::size_t open = mImplementation->mConnections.size();
+    const bool isLate = Now() >= aUntil;
     boost::this_fiber::sleep_for(kStopPollInterval);
+    isEnding = isLate && mImplementation->mConnections.size() >= open;
   }
 }
 
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -97,7 +97,7 @@
 
   /** Stops accepting connections, closes those on which no request has arrived
       and waits for requests in flight. Returns when all connections are closed,
-      or at aUntil. */
+      or after aUntil as soon as no more are. */
   void Stop(TimePoint aUntil);
 
   /** The number of open connections. */
