Send the last answer of a connection whole although more input follows

A caller that sent anything after its last request, as one that pipelines does when a stop announces the close, got a large answer cut short.

Cause: a socket that is closed with unread input is reset, which discards what is not sent yet. Only rejections were followed by reading until the client had closed.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -303,11 +303,11 @@
                 "send the body chunked or with its length" };
 }
 
-/** Shuts down the sending side and discards input for a limited time. Closing a
-    socket with unread input would reset the connection, and the client could
-    lose the last response. */
+/** Shuts down the sending side and discards input until the client closes its
+    side, for a limited time. Closing a socket with unread input would reset the
+    connection, and the client could lose the last response. */
 void
-DiscardInput(ServerConnection& aConnection)
+AwaitCloseByClient(ServerConnection& aConnection)
 {
   error_code error;
   aConnection.mSocket.shutdown(Tcp::socket::shutdown_send, error);
@@ -439,7 +439,7 @@
     if (problem) {
       WriteResponse(
         aConnection, FormatProblem(*problem, ""), false, writeLimit);
-      DiscardInput(aConnection);
+      AwaitCloseByClient(aConnection);
     }
     return false;
   }
@@ -462,6 +462,9 @@
   if (whenWritten) {
     whenWritten(writeError ? writeError.message() : "");
   }
+  if (!writeError && !keepAlive) {
+    AwaitCloseByClient(aConnection);
+  }
   return !writeError && keepAlive;
 }
 
