Send no body in a response to HEAD

A problem in response to HEAD carried its JSON, which a client reads as the next response on the connection.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -453,6 +453,9 @@
   if (response.mStatus == kNoResponse) {
     return false;
   }
+  if (request.mMethod == "HEAD") {
+    response.mBody.clear();
+  }
   const bool keepAlive =
     wantsKeepAlive && StaysOpen(aServer, aConnection, response);
   const auto whenWritten = std::move(response.mWhenWritten);
