End uploads and answers that would never end

Change: a whole body or response may take twelve times the limit of one step.

Evidence: EndsTransfersThatWouldNeverEnd fails without the bound (no answer to the sender), and passes.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -35,6 +35,9 @@
 /** The most input that is kept because it does not make up a complete part of a
     body yet, as in a chunk header without end. */
 constexpr std::size_t kMaxUnparsedBytes = 64U << 10U;
+/** The longest that a whole body or response may take, in multiples of the time
+    that it may make no progress. */
+constexpr int kMaxTransferLimits = 12;
 /** The maximum input that is read and discarded after a request was rejected,
     in bytes. Discarding it lets the client read the rejection. */
 constexpr std::size_t kMaxDiscardedBytes = 64U << 20U;
@@ -223,6 +226,7 @@
 {
   const auto response = ToBeast(std::move(aResponse), aKeepAlive);
   http::response_serializer<http::string_body> serializer(response);
+  const TimePoint end = Now() + kMaxTransferLimits * aLimit;
   error_code error;
   bool isBlocked = false;
   while (!error && !serializer.is_done()) {
@@ -235,7 +239,7 @@
     }
     if (!isBlocked) {
       isBlocked = true;
-      aConnection.ExpireAt(Now() + aLimit);
+      aConnection.ExpireAt(std::min(Now() + aLimit, end));
     } else if (aConnection.mIsExpired) {
       error = asio::error::timed_out;
       break;
@@ -350,7 +354,9 @@
   aParser.eager(true);
   aParser.body_limit(aServer.mLimits.mMaxBodyBytes);
   aParser.header_limit(aServer.mLimits.mMaxHeaderBytes);
-  aConnection.ExpireAt(Now() + aServer.mLimits.mHeaderLimit);
+  const Duration bodyLimit = aServer.mLimits.mTransferLimit;
+  const TimePoint start = Now();
+  aConnection.ExpireAt(start + aServer.mLimits.mHeaderLimit);
   while (true) {
     error_code error;
     try {
@@ -367,7 +373,8 @@
       return {};
     }
     if (aParser.is_header_done()) {
-      aConnection.ExpireAt(Now() + aServer.mLimits.mTransferLimit);
+      aConnection.ExpireAt(
+        std::min(Now() + bodyLimit, start + kMaxTransferLimits * bodyLimit));
       if (aConnection.mBuffer.size() > kMaxUnparsedBytes) {
         return http::error::buffer_overflow;
       }
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -48,7 +48,7 @@
       after that the request is rejected with 408. */
   Duration mHeaderLimit = std::chrono::seconds(10);
   /** How long a client may send nothing of a request's body, or accept nothing
-      of a response. */
+      of a response. A whole body or response may take twelve times as long. */
   Duration mTransferLimit = std::chrono::seconds(10);
 };
 
--- a/tests/processes/HttpServerTests.cpp
+++ b/tests/processes/HttpServerTests.cpp
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(SendsAnAnswerWholeAlthoughItIsHeldUpForItsLimit);
   CPPUNIT_TEST(ClosesAConnectionWhoseClientDoesNotRead);
   CPPUNIT_TEST(ReadsABodyThatArrivesSlowly);
+  CPPUNIT_TEST(EndsTransfersThatWouldNeverEnd);
   CPPUNIT_TEST(StatesThatARequestThatIsNotCompletedHasNotRun);
   CPPUNIT_TEST(BoundsTheMemoryOfARequestWithoutEnd);
   CPPUNIT_TEST_SUITE_END();
@@ -248,6 +249,26 @@
                    std::chrono::seconds(1));
   }
 
+  void EndsTransfersThatWouldNeverEnd()
+  {
+    HttpServerLimits limits;
+    limits.mTransferLimit = std::chrono::milliseconds(50);
+    Start(limits);
+    mBody = std::string(64U << 20U, 'x');
+    RawConnection sender(mAddress);
+    RawConnection reader(mAddress);
+    sender.Send("PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n");
+    reader.Send(kRequest);
+    for (unsigned step = 0; step < 60; ++step) {
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+      sender.Send("x");
+      reader.Receive(1U << 17U);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 408"), sender.Receive(12));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 },
+                         mServer->Counters().mResponsesNotSent);
+  }
+
   void StatesThatARequestThatIsNotCompletedHasNotRun()
   {
     HttpServerLimits limits;
