Skip empty lines before a request

A caller that sends an empty line after a body got a 400 for it, or no answer to its next request; during a stop, the line kept the connection in use.

Change: empty lines between requests are skipped, as RFC 9112 section 2.2 asks.

Evidence: SkipsEmptyLinesBetweenRequests failed before, and passes.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -324,12 +324,22 @@
   }
 }
 
+/** Skips empty lines before a request: some clients send one after a body. */
+void
+SkipEmptyLines(beast::flat_buffer& aBuffer)
+{
+  const std::string_view text(static_cast<const char*>(aBuffer.data().data()),
+                              aBuffer.size());
+  aBuffer.consume(std::min(text.size(), text.find_first_not_of("\r\n")));
+}
+
 /** Waits for the first bytes of a request; false when the connection ended, or
     is to be closed and nothing has arrived. */
 template<class Server>
 bool
 AwaitRequest(const Server& aServer, ServerConnection& aConnection)
 {
+  SkipEmptyLines(aConnection.mBuffer);
   if (aConnection.mBuffer.size() != 0) {
     return true;
   }
@@ -339,7 +349,11 @@
   aConnection.mIdleSince = Now();
   aConnection.ExpireAt(aConnection.mIdleSince + aServer.mLimits.mIdleLimit);
   aConnection.mIsExpired = aServer.mClosesIdle;
-  const error_code error = aConnection.ReadSome(kHeaderReadBytes);
+  error_code error;
+  while (!error && aConnection.mBuffer.size() == 0) {
+    error = aConnection.ReadSome(kHeaderReadBytes);
+    SkipEmptyLines(aConnection.mBuffer);
+  }
   aConnection.mIdleSince = TimePoint::max();
   return !error;
 }
--- a/tests/processes/HttpServerTests.cpp
+++ b/tests/processes/HttpServerTests.cpp
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(AnswersRequestsThatArriveAsTheIdleLimitEnds);
   CPPUNIT_TEST(KeepsIdleConnectionsForAnIdleLimitThatGrew);
   CPPUNIT_TEST(AnswersPipelinedRequestsBeforeItCloses);
+  CPPUNIT_TEST(SkipsEmptyLinesBetweenRequests);
   CPPUNIT_TEST(SendsAnAnswerWholeToAClientThatReadsSlowly);
   CPPUNIT_TEST(SendsAnAnswerWholeAlthoughItIsHeldUpForItsLimit);
   CPPUNIT_TEST(ClosesAConnectionWhoseClientDoesNotRead);
@@ -175,6 +176,22 @@
     CPPUNIT_ASSERT(text.rfind("Connection: close") > text.rfind("HTTP/1.1"));
   }
 
+  void SkipsEmptyLinesBetweenRequests()
+  {
+    Start();
+    RawConnection client(mAddress);
+    const std::string request = kRequest;
+    client.Send("\r\n" + request + "\r\n");
+    AwaitCondition([&] { return mHandled == 1; }, "a request is handled");
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+    client.Send("\r\n" + request);
+    AwaitCondition([&] { return mHandled == 2; }, "a request is handled");
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+    const std::string text = client.ReceiveArrived();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, CountResponses(text));
+    CPPUNIT_ASSERT(text.find("HTTP/1.1 400") == std::string::npos);
+  }
+
   void SendsAnAnswerWholeToAClientThatReadsSlowly()
   {
     constexpr std::size_t kBytes = 32U << 20U;
