Pass on the reply that follows a target's interim replies

Callers saw 502 for each request that a target answered after an interim reply (100 Continue, 103 Early Hints), although the request had run and the target sent its answer. RFC 9110 15.2: a client must be able to parse interim responses, also those that it did not ask for.

Cause: an exchange took the first response for the reply to the request. An interim one names no request, so it passed for the right one; it lacks the target's signature, so the reply was invalid.

Ruled out: the answer is not lost by the parser, which ends an interim response at its head; the bytes of the final one stay in the buffer.

Change: an exchange discards interim responses before each response, but no more than 16, so that a target that sends them without end is given up as before. 101 is no interim reply here, as no request asks for an upgrade.

--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -6,6 +6,8 @@
 
 #include "wasabispread_runtime.h"
 
+#include <optional>
+
 #include <netinet/tcp.h>
 
 #include <boost/beast/core.hpp>
@@ -35,6 +37,8 @@
 constexpr std::size_t kMaxUnparsedBytes = 64U << 10U;
 /** The most responses to other requests that are discarded in one exchange. */
 constexpr unsigned kMaxOtherResponses = 4;
+/** The most interim responses that are discarded before one response. */
+constexpr unsigned kMaxInterimResponses = 16;
 /** The buffer space that each read offers, in bytes. */
 constexpr std::size_t kReadBytes = 4096;
 
@@ -79,6 +83,15 @@
   return bytes;
 }
 
+/** Whether the final response follows this one (RFC 9110 15.2). */
+bool
+IsInterim(const ResponseParser& aParser)
+{
+  constexpr unsigned kStatusesOfAClass = 100;
+  return aParser.get().result_int() / kStatusesOfAClass == 1 &&
+         aParser.get().result() != http::status::switching_protocols;
+}
+
 HttpResponse
 FromBeast(http::response<http::string_body>&& aResponse)
 {
@@ -378,12 +391,18 @@
   }
   bool canKeepAlive = true;
   for (unsigned others = 0; others <= kMaxOtherResponses; ++others) {
-    ResponseParser parser;
-    parser.eager(true);
-    parser.body_limit(aMaxBodyBytes);
-    parser.skip(aRequest.mMethod == "HEAD");
-    error_code failure = connection.Read(parser);
-    if (!failure && HasUnknownTransferCoding(parser.get())) {
+    std::optional<ResponseParser> parser;
+    error_code failure;
+    unsigned interim = 0;
+    do {
+      parser.emplace();
+      parser->eager(true);
+      parser->body_limit(aMaxBodyBytes);
+      parser->skip(aRequest.mMethod == "HEAD");
+      failure = connection.Read(*parser);
+    } while (!failure && IsInterim(*parser) &&
+             interim++ < kMaxInterimResponses);
+    if (!failure && HasUnknownTransferCoding(parser->get())) {
       failure = http::error::bad_transfer_encoding;
     }
     if (connection.mMemory != nullptr) {
@@ -393,7 +412,7 @@
       connection.ExpireAt(TimePoint::max());
       return ConnectionFailure(failure, connection.mPeer, Execution::kUnknown);
     }
-    HttpResponse response = FromBeast(parser.release());
+    HttpResponse response = FromBeast(parser->release());
     // Bytes after the response would be read as the next response, and the rest
     // of an incompletely written request would run into the next request.
     canKeepAlive =
--- a/tests/platform/StandInTarget.cpp
+++ b/tests/platform/StandInTarget.cpp
@@ -375,6 +375,12 @@
         mOut = other + FormatReply(200, Fields(true), body);
         Write(false);
         return;
+      case TargetFault::kSendsInterimReplies:
+        mOut = "HTTP/1.1 100 Continue\r\n\r\n"
+               "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n" +
+               FormatReply(200, Fields(true), body);
+        Write(false);
+        return;
       case TargetFault::kSendsNoLength:
       case TargetFault::kResetsNoLength:
         mOut = FormatReply(200, Fields(true), body, false);
--- a/tests/platform/StandInTarget.h
+++ b/tests/platform/StandInTarget.h
@@ -87,6 +87,8 @@
   kSendsEndlessSmallChunks,
   /** Sends a chunk extension without end. */
   kSendsEndlessChunkHead,
+  /** Sends two interim replies before the final one. */
+  kSendsInterimReplies,
   /** Sends interim replies without end. */
   kSendsEndlessInterimReplies,
   /** Sends replies to other requests without end. */
