Send nothing to a target once the deadline of the request has passed

A request that waits for a connection was sent when one became free, even if its deadline had passed and only its timer had not acted yet, as after the process was held up. The target ran it, and the timer answered 504 at once: an order ran though its caller could have been told that it did not.

Cause: sending what waits looks at the order of the queue alone; only the timer looked at the deadline.

Change: a waiting request whose deadline has passed is answered instead. It has not run, so the answer says so (503).

--- a/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(RetriesAnIdempotentRequestAtAnotherTarget);
   CPPUNIT_TEST(HedgesALateRequest);
   CPPUNIT_TEST(AnswersAtTheRoutesTimeout);
+  CPPUNIT_TEST(SendsNothingAfterTheDeadline);
   CPPUNIT_TEST(ClosesConnectionsWhenTheCallerDisconnects);
   CPPUNIT_TEST(RetiresATargetWhoseAddressIsReused);
   CPPUNIT_TEST(RunsAtMostOnceUnderRandomFailures);
@@ -167,6 +168,32 @@
     CPPUNIT_ASSERT(problem->mKind == ProblemKind::kTimedOut);
   }
 
+  /** Guards against runs whose reply comes too late for the answer, when a
+      connection becomes free before the timer of the deadline has acted. */
+  void SendsNothingAfterTheDeadline()
+  {
+    constexpr std::chrono::milliseconds kTimeout{ 500 };
+    constexpr std::size_t kMaxAsked = 100;
+    mForwarder = std::make_unique<ForwarderHarness>();
+    mForwarder->Configure({ SingleRoute("s", Repeatability::kAtMostOnce) });
+    mForwarder->AddTarget("t-1", "s");
+    mForwarder->RunFor(std::chrono::seconds(1));
+    CallerToken waiting;
+    std::size_t asked = 0;
+    while (mForwarder->Received().size() == asked && asked < kMaxAsked) {
+      waiting = mForwarder->Ask("/s/1", kTimeout);
+      ++asked;
+    }
+    CPPUNIT_ASSERT_EQUAL(asked - 1, mForwarder->Received().size());
+    CPPUNIT_ASSERT(mForwarder->AnswerTo(waiting) == nullptr);
+    mForwarder->mNow += 2 * kTimeout;
+    mForwarder->Reply("t-1", ReplyKind::kSuccess, "late");
+    CPPUNIT_ASSERT_EQUAL(asked - 2, mForwarder->Received().size());
+    const auto* problem = ProblemOf(mForwarder->AnswerTo(waiting));
+    CPPUNIT_ASSERT(problem != nullptr);
+    CPPUNIT_ASSERT(problem->mKind == ProblemKind::kNotRun);
+  }
+
   void ClosesConnectionsWhenTheCallerDisconnects()
   {
     StartWithTwoTargets(Repeatability::kIdempotent);
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -459,6 +459,10 @@
       return;
     }
     RequestState& request = aState.mRequests.at(next->mRequest);
+    if (aNow >= request.mDeadline) {
+      AnswerIfDue(aState, request, aNow, aEffects);
+      continue;
+    }
     request.mSubRequests[next->mIndex].mAwaitedTarget = TargetKey{};
     SendSubRequest(aState, request, next->mIndex, target, aNow, aEffects);
     ArmReview(aState, request, aNow);
