Read the replies that have arrived before a late timer gives their requests up

Callers saw 504 for requests whose replies were there: a process that was held up across their deadline acted on the timer first and read the replies afterwards, when no one waited for them. Orders had run.

Cause: after a wait the loop completes one operation, resumes the fibers that are due, and polls again only when no fiber is ready. The timer fiber was due at once, so that it came before all replies but one.

Ruled out: the timeouts of the connections themselves.

Change: before due timers act, what has arrived is read and handled, in at most eight turns, so that endless input cannot hold timers up.

--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -6,6 +6,8 @@
 
 #include <optional>
 
+#include <boost/fiber/operations.hpp>
+
 namespace wasabispread::forwarding {
 
 namespace {
@@ -19,6 +21,10 @@
 constexpr const char* kCallerDisconnectedMessage =
   "the caller closed its connection";
 
+/** The most turns of reading before due timers act; a turn reads a few
+    kilobytes of each reply. Input that never ends must not hold timers up. */
+constexpr unsigned kMaxInputTurns = 8;
+
 /** The memory for all replies that are being received: a fifth of that of the
     smallest VMs. */
 constexpr std::size_t kMaxReplyMemory = 32U << 20U;
@@ -400,12 +406,24 @@
   while (true) {
     mTimerDue = mState.NextDue();
     mTimerWake.WaitUntil(mTimerDue);
+    if (mTimerDue <= Now()) {
+      HandleArrivedInput();
+    }
     if (mState.NextDue() <= Now()) {
       Deliver(ForwarderTick{});
     }
   }
 }
 
+void
+ForwarderRunner::HandleArrivedInput()
+{
+  for (unsigned turn = 0; turn < kMaxInputTurns && mLoop.Context().poll() != 0;
+       ++turn) {
+    boost::this_fiber::yield();
+  }
+}
+
 void
 ForwarderRunner::RunTargetLink(const OpenConnection& aOpening,
                                TargetLink& aLink)
--- a/modules/wasabispread_forwarding/ForwarderRunner.h
+++ b/modules/wasabispread_forwarding/ForwarderRunner.h
@@ -93,6 +93,10 @@
   void HandleCallerDisconnect(CallerToken aToken);
   /** Delivers a ForwarderTick whenever the state's next timer is due. */
   void RunTimers();
+  /** Handles input that has arrived but is unread, as after this process was
+      held up. Otherwise a due timer would give up a request whose reply is
+      there. */
+  void HandleArrivedInput();
   /** Connects to a target and runs exchanges until the connection ends. */
   void RunTargetLink(const OpenConnection& aOpening, TargetLink& aLink);
   /** Sends the next request of a connection and delivers the target's reply, or
--- a/tests/platform/TargetSideLossTests.cpp
+++ b/tests/platform/TargetSideLossTests.cpp
@@ -1,12 +1,14 @@
 /*
  * Tests that real daemons pass on the replies of targets when these arrive in
- * unusual ways.
+ * unusual ways: after interim replies, or while the daemon is held up.
  */
 #include "ForwarderFleet.h"
 
+#include <algorithm>
 #include <iostream>
 #include <map>
 
+#include <boost/fiber/operations.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace wasabispread;
@@ -16,6 +18,12 @@
 
 constexpr std::size_t kCallers = 10;
 
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
 /** How many requests got each status; 0 stands for no answer. */
 using Statuses = std::map<unsigned, std::size_t>;
 
@@ -35,6 +43,8 @@
 {
   CPPUNIT_TEST_SUITE(TargetSideLossTests);
   CPPUNIT_TEST(PassesOnTheReplyThatFollowsInterimReplies);
+  CPPUNIT_TEST(PassesOnRepliesThatArriveWhileHeldUpBeyondTheDeadline);
+  CPPUNIT_TEST(SendsNothingTwiceWhenRepliesArriveWhileHeldUp);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,8 +83,86 @@
     }
   }
 
+  /** Sends requests from all callers at once and holds the daemon up meanwhile,
+      while their replies arrive. */
+  Statuses SendWhileHeldUp(const ForwarderRequest& aRequest, Duration aUntil)
+  {
+    constexpr Duration kHeldUpFrom = std::chrono::milliseconds(60);
+    Statuses statuses;
+    mRuns.clear();
+    const TimePoint start = Now();
+    RunConcurrently(kCallers + 1, [&](std::size_t aFiber) {
+      if (aFiber == kCallers) {
+        boost::this_fiber::sleep_until(start + kHeldUpFrom);
+        mFleet->Daemon(0).Freeze();
+        boost::this_fiber::sleep_until(start + aUntil);
+        mFleet->Daemon(0).Thaw();
+        return;
+      }
+      const ForwarderReply reply = mFleet->SendRequest(aRequest);
+      ++statuses[reply.Status()];
+      const bool hasRun = mFleet->CountRuns(reply.mRequestId) != 0;
+      mRanWithoutReply += hasRun && reply.Status() != 200 ? 1 : 0;
+      mRuns[std::min<std::size_t>(mFleet->CountRuns(reply.mRequestId), 9)]++;
+    });
+    std::cout << aRequest.mPath << ToText(statuses) << ", runs" << ToText(mRuns)
+              << std::endl;
+    return statuses;
+  }
+
+  /** Starts a daemon whose targets take 100 ms and any number of requests at
+      once. */
+  void StartWithSlowTargets()
+  {
+    mFleet = std::make_unique<ForwarderFleet>();
+    for (const char* instance : { "one-a", "one-b", "once-a", "once-b" }) {
+      mFleet->Target(instance).mSlots = 2 * kCallers;
+      mFleet->Target(instance).mServiceTime = std::chrono::milliseconds(100);
+    }
+    // Opens the connections that all callers need.
+    for (const char* path : { "/one/x", "/once/x" }) {
+      for (unsigned count = 0; count < 5; ++count) {
+        RunConcurrently(
+          kCallers, [&](std::size_t) { mFleet->SendRequest(RequestOf(path)); });
+      }
+    }
+  }
+
+  /** Guards against 504 for requests whose replies wait unread when a timer is
+      late. */
+  void PassesOnRepliesThatArriveWhileHeldUpBeyondTheDeadline()
+  {
+    StartWithSlowTargets();
+    for (const unsigned until : { 600U, 3000U }) {
+      for (const char* path : { "/once/x", "/one/x" }) {
+        Statuses statuses = SendWhileHeldUp(RequestOf(path, "400"),
+                                            std::chrono::milliseconds(until));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          path + ToText(statuses), std::size_t{ 0 }, mRanWithoutReply);
+        CPPUNIT_ASSERT_MESSAGE(path + ToText(statuses), statuses[200] > 0);
+      }
+    }
+  }
+
+  /** Guards against hedges of requests whose replies wait unread. */
+  void SendsNothingTwiceWhenRepliesArriveWhileHeldUp()
+  {
+    constexpr Duration kUntil = std::chrono::milliseconds(500);
+    StartWithSlowTargets();
+    for (const char* path : { "/once/x", "/one/x" }) {
+      Statuses statuses = SendWhileHeldUp(RequestOf(path), kUntil);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        path + ToText(statuses), kCallers, statuses[200]);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(path + ToText(mRuns), kCallers, mRuns[1]);
+    }
+  }
+
 private:
   std::unique_ptr<ForwarderFleet> mFleet;
+  /** How many requests ran each number of times. */
+  Statuses mRuns;
+  /** How many requests ran and got no reply of a target. */
+  std::size_t mRanWithoutReply = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetSideLossTests);
