Make and write the last answers before a stop that was held up ends

Callers saw: connections closed without an answer when a stopping daemon was held up just before its end.

Cause: the last answers are due 150 ms before the end of the stop's plan. A daemon that did not run from before the one to after the other found both due in the same turn. The end was looked at first, and the process exited with all requests in progress and unanswered.

Change: at its end the stop first answers what is due, and then waits while connections end. A caller that reads nothing ends no connection and so does not delay it.

--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -31,8 +31,9 @@
 
   /** Shuts down. The readiness check fails at once; connections are accepted
       for a while longer, until the load balancer has noticed; then the requests
-      in flight are finished. Returns when none is left or the stop's grace is
-      nearly over; all requests are answered by then. */
+      in flight are finished. Returns when none is left and all answers are
+      written, or when the stop's grace is nearly over; a caller that reads
+      nothing does not delay it further. */
   void Stop();
 
 private:
@@ -46,6 +47,10 @@
   /** Applies the settings file if its text has changed. */
   void ReloadSettings();
   void ApplySettings(const std::string& aText);
+  /** Answers what is due and writes for as long as that ends connections. At
+      the end of the stop's plan, a process that was held up has not yet done
+      what was due before. */
+  void WriteLastAnswers();
 
   IoLoop& mLoop;
   ForwarderSettings mSettings;
--- /dev/null
+++ b/tests/platform/StopEndTests.cpp
@@ -0,0 +1,157 @@
+/*
+ * Tests that a real daemon ends only after it has written the answers to the
+ * requests that are in progress at the end of its stop.
+ */
+#include "ForwarderFleet.h"
+
+#include <fstream>
+
+#include <boost/fiber/operations.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace wasabispread;
+using namespace wasabispread::testing;
+
+namespace {
+
+constexpr std::size_t kCallers = 400;
+/** The stop's grace in the settings of the fleet's daemons. */
+constexpr Duration kGrace = std::chrono::seconds(4);
+/** Late enough that the requests' deadlines lie after the end of the process,
+    and early enough that they are accepted. */
+constexpr Duration kSentAfter = std::chrono::milliseconds(1800);
+
+/** How the callers' requests ended. */
+struct StopOutcome
+{
+  std::size_t mAnswered = 0;
+  /** Those of mAnswered whose answer came late in the grace. */
+  std::size_t mAnsweredLate = 0;
+  std::size_t mWithoutAnswer = 0;
+  int mExitCode = -1;
+};
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+class StopEndTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(StopEndTests);
+  CPPUNIT_TEST(AnswersWhatIsInProgressBeforeItEnds);
+  CPPUNIT_TEST(AnswersWhatIsInProgressWithAQuarterOfTheProcessor);
+  CPPUNIT_TEST(AnswersWhatIsInProgressAfterAHoldUpBeforeTheEnd);
+  CPPUNIT_TEST(AnswersWhatIsInProgressWhileItsSettingsChange);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void AnswersWhatIsInProgressBeforeItEnds()
+  {
+    ForwarderFleet fleet;
+    ExpectAnswers(StopWithRequests(fleet, [](TimePoint) {}));
+  }
+
+  void AnswersWhatIsInProgressWithAQuarterOfTheProcessor()
+  {
+    ForwarderFleet fleet;
+    ExpectAnswers(StopWithRequests(fleet, [&](TimePoint aStop) {
+      while (Now() < aStop + kGrace && !fleet.Daemon(0).HasEnded()) {
+        fleet.Daemon(0).Freeze();
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(75));
+        fleet.Daemon(0).Thaw();
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(25));
+      }
+    }));
+  }
+
+  /** Guards against a process that ends at its time although its last answers
+      are due. */
+  void AnswersWhatIsInProgressAfterAHoldUpBeforeTheEnd()
+  {
+    ForwarderFleet fleet;
+    ExpectAnswers(StopWithRequests(fleet, [&](TimePoint aStop) {
+      boost::this_fiber::sleep_until(aStop + kGrace -
+                                     std::chrono::milliseconds(540));
+      fleet.Daemon(0).Freeze();
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(200));
+      fleet.Daemon(0).Thaw();
+    }));
+  }
+
+  void AnswersWhatIsInProgressWhileItsSettingsChange()
+  {
+    ForwarderFleet fleet;
+    const std::string file = fleet.SettingsFile(0);
+    const std::string text = ReadWholeFile(file);
+    std::size_t round = 0;
+    ExpectAnswers(StopWithRequests(fleet, [&](TimePoint aStop) {
+      while (Now() < aStop + kGrace && !fleet.Daemon(0).HasEnded()) {
+        std::string next = text;
+        const std::array<std::string, 3> graces{ "= 1", "= 4", "= 9" };
+        const std::size_t grace = next.find("= 4\n");
+        next.replace(grace, 3, graces.at(round % graces.size()));
+        if (round % 2 == 1) {
+          next.resize(round * 37 % next.size());
+        }
+        std::ofstream(file, std::ios::trunc) << next;
+        fleet.Daemon(0).Reload();
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+        ++round;
+      }
+    }));
+    CPPUNIT_ASSERT(round > 100);
+  }
+
+private:
+  /** Stops a daemon that has requests in progress at targets that do not reply;
+      calls aDisturb meanwhile with the time of the stop. */
+  static StopOutcome StopWithRequests(
+    ForwarderFleet& aFleet,
+    const std::function<void(TimePoint)>& aDisturb)
+  {
+    aFleet.SetFault("one", TargetFault::kNeverReplies);
+    for (std::size_t shard = 0; shard < 4; ++shard) {
+      aFleet.SetFault("shard-" + std::to_string(shard),
+                      TargetFault::kNeverReplies);
+    }
+    std::vector<std::unique_ptr<HttpConnection>> connections;
+    for (std::size_t caller = 0; caller < kCallers; ++caller) {
+      connections.push_back(std::make_unique<HttpConnection>(TestLoop()));
+      CPPUNIT_ASSERT(connections.back()->Connect(aFleet.CallerEndpoint(0),
+                                                 std::chrono::seconds(1)));
+    }
+    const TimePoint stop = Now();
+    aFleet.Daemon(0).Terminate();
+    StopOutcome outcome;
+    RunConcurrently(kCallers + 1, [&](std::size_t aFiber) {
+      if (aFiber == kCallers) {
+        aDisturb(stop);
+        return;
+      }
+      boost::this_fiber::sleep_until(stop + kSentAfter);
+      ForwarderRequest request;
+      request.mPath = aFiber % 2 == 0 ? "/one/x" : "/search/x";
+      const ForwarderReply reply =
+        aFleet.SendRequestOn(*connections[aFiber], request);
+      const bool isLate = Now() > stop + kGrace * 3 / 4;
+      outcome.mAnswered += reply.mResponse ? 1 : 0;
+      outcome.mAnsweredLate += reply.mResponse && isLate ? 1 : 0;
+      outcome.mWithoutAnswer += reply.mResponse ? 0 : 1;
+    });
+    outcome.mExitCode = aFleet.Daemon(0).WaitForExit();
+    return outcome;
+  }
+
+  static void ExpectAnswers(const StopOutcome& aOutcome)
+  {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, aOutcome.mWithoutAnswer);
+    CPPUNIT_ASSERT(aOutcome.mAnsweredLate > kCallers / 2);
+    CPPUNIT_ASSERT_EQUAL(0, aOutcome.mExitCode);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StopEndTests);
