--- a/modules/wasabispread_forwarding_decisions/Shutdown.h
+++ b/modules/wasabispread_forwarding_decisions/Shutdown.h
@@ -22,7 +22,7 @@
   /** When the requests that are still in progress are answered, so that no
       connection closes without an answer. */
   TimePoint mLastAnswer{};
-  /** When the process ends at the latest. */
+  /** When the process ends even if answers are not written yet. */
   TimePoint mExit{};
 };
 
--- a/modules/wasabispread_forwarding_decisions/ShutdownTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ShutdownTests.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(StatesNotRunOnlyForRequestsThatWereNotSent);
   CPPUNIT_TEST(AnswersSearchesInPartBeforeTheProcessEnds);
   CPPUNIT_TEST(KeepsItsStepsInOrderForAnyGrace);
+  CPPUNIT_TEST(LeavesTimeToWriteTheLastAnswers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -132,6 +133,18 @@
     }
   }
 
+  /** Guards against answers that are cut off although there was time to write
+      them. */
+  void LeavesTimeToWriteTheLastAnswers()
+  {
+    const TimePoint now{ std::chrono::seconds(5) };
+    for (const auto grace : { 16, 100, 500, 1000, 4000, 6000, 3600000 }) {
+      const TimePoint end = now + std::chrono::milliseconds(grace);
+      const StopPlan plan = PlanStop(std::chrono::milliseconds(grace), now);
+      CPPUNIT_ASSERT(plan.mExit - plan.mLastAnswer > 2 * (end - plan.mExit));
+    }
+  }
+
 private:
   std::unique_ptr<ForwarderHarness> mForwarder;
 };
--- a/tests/platform/StandInTarget.cpp
+++ b/tests/platform/StandInTarget.cpp
@@ -330,7 +330,8 @@
     const std::string id = Field(Request(), "Wasabispread-Request-Id");
     return Target().mService.starts_with("shard")
              ? RecordsOf(Target().mService, id)
-             : ReplyBodyOf(Target().mInstance, id);
+             : ReplyBodyOf(Target().mInstance, id) +
+                 std::string(Target().mExtraBodyBytes, 'x');
   }
 
   void Reply()
--- a/tests/platform/StandInTarget.h
+++ b/tests/platform/StandInTarget.h
@@ -132,6 +132,9 @@
       none. It is not enforced. */
   unsigned mRequestLimit = 0;
 
+  /** The bytes by which its replies' bodies are longer than usual. */
+  std::size_t mExtraBodyBytes = 0;
+
   /** Whether its replies state that it leaves. */
   bool mIsLeaving = false;
   /** Whether it names the request when it turns one away. */
--- a/tests/platform/StopEndTests.cpp
+++ b/tests/platform/StopEndTests.cpp
@@ -4,6 +4,8 @@
  */
 #include "ForwarderFleet.h"
 
+#include <tests/processes/RawConnection.h>
+
 #include <fstream>
 
 #include <boost/fiber/operations.hpp>
@@ -15,6 +17,8 @@
 namespace {
 
 constexpr std::size_t kCallers = 400;
+/** More than the buffers of a connection hold. */
+constexpr std::size_t kLargeBytes = std::size_t{ 12 } << 20U;
 /** The stop's grace in the settings of the fleet's daemons. */
 constexpr Duration kGrace = std::chrono::seconds(4);
 /** Late enough that the requests' deadlines lie after the end of the process,
@@ -46,6 +50,8 @@
   CPPUNIT_TEST(AnswersWhatIsInProgressWithAQuarterOfTheProcessor);
   CPPUNIT_TEST(AnswersWhatIsInProgressAfterAHoldUpBeforeTheEnd);
   CPPUNIT_TEST(AnswersWhatIsInProgressWhileItsSettingsChange);
+  CPPUNIT_TEST(WritesLargeAnswersToCallersThatReadLate);
+  CPPUNIT_TEST(EndsInTimeForCallersThatReadNothing);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,7 +112,65 @@
     CPPUNIT_ASSERT(round > 100);
   }
 
+  /** Guards against answers that are cut off although there was time to write
+      them. */
+  void WritesLargeAnswersToCallersThatReadLate()
+  {
+    ForwarderFleet fleet;
+    const auto callers = AskForLargeAnswers(fleet);
+    const TimePoint stop = Now();
+    fleet.Daemon(0).Terminate();
+    boost::this_fiber::sleep_until(stop + kGrace -
+                                   std::chrono::milliseconds(290));
+    std::size_t complete = 0;
+    for (const auto& caller : callers) {
+      complete += caller->Receive(kLargeBytes).size() == kLargeBytes ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(callers.size(), complete);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.Daemon(0).WaitForExit());
+  }
+
+  void EndsInTimeForCallersThatReadNothing()
+  {
+    ForwarderFleet fleet;
+    const auto callers = AskForLargeAnswers(fleet);
+    fleet.Daemon(0).Terminate();
+    CPPUNIT_ASSERT_EQUAL(0, fleet.Daemon(0).WaitForExit());
+    for (const auto& record : fleet.LogRecords(0)) {
+      if (record.value("event", "") == "stopped") {
+        CPPUNIT_ASSERT_EQUAL(callers.size(),
+                             record.value("connections", std::size_t{ 0 }));
+        const std::chrono::duration<double, std::milli> took(
+          record.value("took_ms", 0.0));
+        CPPUNIT_ASSERT(took < kGrace);
+        return;
+      }
+    }
+    CPPUNIT_FAIL("the daemon logged no stop");
+  }
+
 private:
+  /** Sends requests whose answers have more than kLargeBytes, and reads
+      nothing. */
+  static std::vector<std::unique_ptr<RawConnection>> AskForLargeAnswers(
+    ForwarderFleet& aFleet)
+  {
+    constexpr std::size_t kLargeCallers = 4;
+    for (const char* name : { "one-a", "one-b" }) {
+      aFleet.Target(name).mExtraBodyBytes = kLargeBytes;
+    }
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    for (std::size_t caller = 0; caller < kLargeCallers; ++caller) {
+      callers.push_back(
+        std::make_unique<RawConnection>(aFleet.CallerEndpoint(0)));
+      callers.back()->Send("GET /one/x HTTP/1.1\r\nHost: host.example\r\n"
+                           "Wasabispread-Request-Id: large-" +
+                           std::to_string(caller) + "\r\n\r\n");
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(300));
+    }
+    return callers;
+  }
+
   /** Stops a daemon that has requests in progress at targets that do not reply;
       calls aDisturb meanwhile with the time of the stop. */
   static StopOutcome StopWithRequests(
