Pass on a TRACE request with a body instead of ending the process

What callers saw: one TRACE request with a body to a forwarding daemon, and the connections of all callers ended without an answer.

Cause: Beast's prepare_payload() throws std::invalid_argument for such a request. The exception left a fiber, which ends the process. HTTP asks clients not to send such a body, but none is stopped.

Change: its length is set without prepare_payload().

Ruled out: 32 other unusual requests (methods, targets, bytes above 0x7f, fields at and above the limits, invalid lengths and chunks) and 54 unusual replies of targets (Keep-Alive, Retry-After, request limits and lengths out of range) each got an answer, and the process served on.

Evidence: AnswersATraceRequestWithABody got no answer before, and passes.

--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -53,7 +53,12 @@
     request.insert(header.mName, header.mValue);
   }
   request.body() = aRequest.mBody;
-  request.prepare_payload();
+  if (request.method() == http::verb::trace && !aRequest.mBody.empty()) {
+    // prepare_payload() would throw: a client should not send such a body.
+    request.content_length(aRequest.mBody.size());
+  } else {
+    request.prepare_payload();
+  }
   return request;
 }
 
--- /dev/null
+++ b/tests/platform/ProcessEndTests.cpp
@@ -0,0 +1,392 @@
+/*
+ * Tests that real daemons go on serving, and end only by their stop, whatever
+ * callers and targets send and whatever happens to their output, descriptors
+ * and signals.
+ */
+#include "ForwarderFleet.h"
+
+#include <tests/processes/RawConnection.h>
+
+#include <algorithm>
+#include <csignal>
+
+#include <boost/asio.hpp>
+#include <boost/fiber/operations.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <tests/processes/FreePorts.h>
+
+using namespace wasabispread;
+using namespace wasabispread::testing;
+
+namespace {
+
+namespace asio = boost::asio;
+
+/** A target that replies to each request with given bytes, in which "$ID" is
+    replaced by the request's id. */
+class RawTarget : public std::enable_shared_from_this<RawTarget>
+{
+public:
+  RawTarget(std::uint16_t aPort, std::string aReply)
+    : mAcceptor(TestLoop().Context(),
+                { asio::ip::address_v4::loopback(), aPort })
+    , mReply(std::move(aReply))
+  {
+  }
+
+  void Accept()
+  {
+    mAcceptor.async_accept(
+      [self = shared_from_this()](boost::system::error_code aError,
+                                  asio::ip::tcp::socket aSocket) {
+        if (!aError) {
+          self->Read(std::make_shared<Session>(std::move(aSocket)));
+          self->Accept();
+        }
+      });
+  }
+
+  /** Accepts no more connections. */
+  void Close() { mAcceptor.close(); }
+
+  std::size_t mReplies = 0;
+
+private:
+  struct Session
+  {
+    explicit Session(asio::ip::tcp::socket aSocket)
+      : mSocket(std::move(aSocket))
+    {
+    }
+
+    asio::ip::tcp::socket mSocket;
+    std::string mInput;
+    std::string mOutput;
+  };
+
+  void Read(const std::shared_ptr<Session>& aSession)
+  {
+    asio::async_read_until(
+      aSession->mSocket,
+      asio::dynamic_buffer(aSession->mInput),
+      "\r\n\r\n",
+      [self = shared_from_this(), aSession](boost::system::error_code aError,
+                                            std::size_t aBytes) {
+        if (!aError) {
+          self->Reply(aSession, aSession->mInput.substr(0, aBytes));
+        }
+      });
+  }
+
+  void Reply(const std::shared_ptr<Session>& aSession, const std::string& aHead)
+  {
+    constexpr std::string_view kField = "Wasabispread-Request-Id: ";
+    const auto at = aHead.find(kField);
+    const auto begin = at == std::string::npos ? 0 : at + kField.size();
+    const std::string id = aHead.substr(begin, aHead.find('\r', begin) - begin);
+    ++mReplies;
+    aSession->mInput.clear();
+    aSession->mOutput = mReply;
+    for (auto place = aSession->mOutput.find("$ID"); place != std::string::npos;
+         place = aSession->mOutput.find("$ID")) {
+      aSession->mOutput.replace(place, 3, id);
+    }
+    asio::async_write(aSession->mSocket,
+                      asio::buffer(aSession->mOutput),
+                      [self = shared_from_this(), aSession](
+                        boost::system::error_code aError, std::size_t) {
+                        if (!aError) {
+                          self->Read(aSession);
+                        }
+                      });
+  }
+
+  asio::ip::tcp::acceptor mAcceptor;
+  std::string mReply;
+};
+
+std::string
+Repeat(std::size_t aCount, char aCharacter)
+{
+  return std::string(aCount, aCharacter);
+}
+
+/** The fields that a caller's request must have. */
+std::string
+CallerFields(const std::string& aId)
+{
+  return "Host: host.example\r\nWasabispread-Request-Id: " + aId +
+         "\r\nWasabispread-Request-Deadline-Ms: 1000\r\n";
+}
+
+} // namespace
+
+class ProcessEndTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ProcessEndTests);
+  CPPUNIT_TEST(AnswersATraceRequestWithABody);
+  CPPUNIT_TEST(AnswersWhateverCallersSend);
+  CPPUNIT_TEST(AnswersWhateverFieldsTargetsSend);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override { mFleet = std::make_unique<ForwarderFleet>(); }
+  void tearDown() override { mFleet.reset(); }
+
+  void AnswersATraceRequestWithABody()
+  {
+    CPPUNIT_ASSERT_MESSAGE(
+      "no answer",
+      !Exchange("TRACE /one/x HTTP/1.1\r\nContent-Length: 5\r\n", "hello")
+         .empty());
+    AssertServes("after it");
+  }
+
+  /** Each of these has a complete head; so each gets some answer. */
+  void AnswersWhateverCallersSend()
+  {
+    const std::vector<std::pair<std::string, std::string>> requests{
+      { "TRACE /one/x HTTP/1.1\r\n", "" },
+      { "CONNECT host.example:80 HTTP/1.1\r\n", "" },
+      { "CONNECT /one/x HTTP/1.1\r\nContent-Length: 3\r\n", "abc" },
+      { "OPTIONS * HTTP/1.1\r\n", "" },
+      { "OPTIONS /one/x HTTP/1.1\r\nContent-Length: 3\r\n", "abc" },
+      { "HEAD /one/x HTTP/1.1\r\n", "" },
+      { "HEAD /one/x HTTP/1.1\r\nContent-Length: 3\r\n", "abc" },
+      { "GET /one/\x80\xff\xfe HTTP/1.1\r\n", "" },
+      { "GET /one/%00%ff%zz HTTP/1.1\r\n", "" },
+      { "GET /one/" + Repeat(7000, 'x') + " HTTP/1.1\r\n", "" },
+      { "GET " + Repeat(70'000, '/') + " HTTP/1.1\r\n", "" },
+      { "GET http://host.example/one/x HTTP/1.1\r\n", "" },
+      { "GET ?/one/x HTTP/1.1\r\n", "" },
+      { "get /one/x HTTP/1.1\r\n", "" },
+      { Repeat(3000, 'M') + " /one/x HTTP/1.1\r\n", "" },
+      { "GET /one/x HTTP/1.0\r\n", "" },
+      { "GET /one/x HTTP/1.1\r\nX: \x80\xff\r\n", "" },
+      { "GET /one/x HTTP/1.1\r\nConnection: ,,  ,x, ,close,\r\n", "" },
+      { "GET /one/x HTTP/1.1\r\nUpgrade: h2c\r\nConnection: upgrade\r\n", "" },
+      { "GET /one/x HTTP/1.1\r\nX: " + Repeat(7500, 'v') + "\r\n", "" },
+      { "GET /one/x HTTP/1.1\r\nX: " + Repeat(70'000, 'v') + "\r\n", "" },
+      { "GET /one/x HTTP/1.1\r\nX: a\r\n b\r\n\tc\r\n", "" },
+      { "POST /one/x HTTP/1.1\r\nContent-Length: 18446744073709551615\r\n",
+        "x" },
+      { "POST /one/x HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n",
+        "x" },
+      { "POST /one/x HTTP/1.1\r\nContent-Length: -1\r\n", "x" },
+      { "POST /one/x HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 0\r\n",
+        "" },
+      { "POST /one/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n",
+        "ffffffffffffffff\r\nx" },
+      { "POST /one/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n",
+        "fffffffffffffffff\r\nx" },
+      { "POST /one/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n",
+        "1\r\nx\r\n0\r\nX: y\r\n\r\n" },
+      { "POST /one/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n",
+        "1\r\nx\r\n0\r\nX: " + Repeat(9000, 'v') + "\r\n\r\n" },
+      { "POST /one/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n",
+        "0;" + Repeat(60'000, 'e') + "\r\n\r\n" },
+      { "GET /one/x HTTP/1.1\r\nExpect: nothing\r\n", "" },
+    };
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+      const auto& [head, body] = requests[index];
+      const std::string what = "request " + std::to_string(index);
+      CPPUNIT_ASSERT_MESSAGE(what, !Exchange(head, body).empty());
+      AssertServes(what);
+    }
+  }
+
+  void AnswersWhateverFieldsTargetsSend()
+  {
+    UseRawTargets();
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::vector<std::pair<std::string, std::string>> replies{
+      { "Keep-Alive: timeout=4294967295\r\n", "" },
+      { "Keep-Alive: timeout=99999999999999999999\r\n", "" },
+      { "Keep-Alive: timeout=-1\r\n", "" },
+      { "Keep-Alive: timeout=0\r\n", "" },
+      { "Retry-After: 1e308\r\n", "" },
+      { "Retry-After: nan\r\n", "" },
+      { "Retry-After: -5\r\n", "" },
+      { "Server-Limit: 1e308\r\n", "" },
+      { "Server-Limit: 0\r\n", "" },
+      { "Server-Limit: 1e-308\r\n", "" },
+      { "Server-Limit: inf\r\n", "" },
+      { "X: " + Repeat(7000, 'v') + "\r\n", "" },
+      { "X: " + Repeat(9000, 'v') + "\r\n", "" },
+      { "X: " + Repeat(70'000, 'v') + "\r\n", "" },
+      { "X: \x80\xff\x01\r\n", "" },
+      { "Content-Length: 18446744073709551615\r\n", "x" },
+      { "Content-Length: 60000000\r\n", "x" },
+      { chunked, "ffffffffffffffff\r\nx" },
+    };
+    for (std::size_t index = 0; index < replies.size(); ++index) {
+      const auto& [fields, body] = replies[index];
+      for (const std::string status : { "200", "503", "500" }) {
+        const std::string what =
+          "reply " + std::to_string(index) + " with " + status;
+        AnswerTo("HTTP/1.1 " + status +
+                   " R\r\nWasabispread-Request-Id: $ID\r\n"
+                   "Wasabispread-Server-Stamp: s/$ID/1\r\n" +
+                   fields + "\r\n" + body,
+                 what);
+        AssertServes(what);
+      }
+    }
+  }
+
+private:
+  /** Sends a request with the fields that a caller must send and returns what
+      arrives until the daemon closes the connection. */
+  std::string Exchange(const std::string& aHead, const std::string& aBody)
+  {
+    const RawConnection connection(mFleet->CallerEndpoint(0));
+    connection.Send(aHead + CallerFields("x" + std::to_string(mSent++)) +
+                    "Connection: close\r\n\r\n" + aBody);
+    return ReceiveAll(connection);
+  }
+
+  /** Reads until the connection ends, for at most 8 s, while the stand-ins in
+      this process run. */
+  static std::string ReceiveAll(const RawConnection& aConnection)
+  {
+    std::string received;
+    const TimePoint until =
+      std::chrono::steady_clock::now() + std::chrono::seconds(8);
+    while (std::chrono::steady_clock::now() < until) {
+      const std::string arrived = aConnection.ReceiveArrived();
+      received += arrived;
+      if (received.find("\r\n\r\n") != std::string::npos ||
+          aConnection.HasEnded()) {
+        break;
+      }
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
+    }
+    return received;
+  }
+
+  void AssertServes(const std::string& aWhat)
+  {
+    CPPUNIT_ASSERT_MESSAGE(aWhat + ": the daemon ended",
+                           !mFleet->Daemon(0).HasEnded());
+    const ForwarderReply reply = mFleet->SendRequest({ .mPath = mServedPath });
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(aWhat, 200U, reply.Status());
+  }
+
+  /** Directs the route "/one/" to a service of RawTargets. */
+  void UseRawTargets()
+  {
+    mServedPath = VersionPrefix(mFleet->Configure("raw")) + "x";
+    AwaitCondition(
+      [&] {
+        return mFleet->SendRequest({ .mPath = mServedPath }).Status() == 200;
+      },
+      "the configuration is in force");
+  }
+
+  /** The answer to a request to which a new target, the only one of its
+      service, replies with the given bytes. */
+  std::string AnswerTo(const std::string& aReply, const std::string& aWhat)
+  {
+    const std::uint16_t port = NextFreePort();
+    const auto target = std::make_shared<RawTarget>(port, aReply);
+    target->Accept();
+    const std::string key = "servers/raw-" + std::to_string(port);
+    mFleet->Store().Put(
+      key,
+      nlohmann::json{ { "service", "raw" },
+                      { "address", "127.0.0.1:" + std::to_string(port) },
+                      { "zone", "zone-a" },
+                      { "version", "1" },
+                      { "slots", 2 },
+                      { "state", "ready" },
+                      { "warmupLeftMs", 0 },
+                      { "seq", 1 },
+                      { "born", 1 } }
+        .dump());
+    std::string answer;
+    AwaitCondition(
+      [&] {
+        answer = Exchange("GET /one/x HTTP/1.1\r\n", "");
+        CPPUNIT_ASSERT_MESSAGE(aWhat + ": no answer", !answer.empty());
+        return target->mReplies != 0;
+      },
+      aWhat + " is sent");
+    mFleet->Store().Remove(key);
+    target->Close();
+    return answer;
+  }
+
+  /** Restarts the daemon with a pipe as its output, and returns the pipe's
+      reading end. */
+  int RestartWithPipe()
+  {
+    const std::string pipe = mFleet->LogFile(0);
+    mFleet->Daemon(0).Kill();
+    std::remove(pipe.c_str());
+    CPPUNIT_ASSERT_EQUAL(0, mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR));
+    const int reader = open(pipe.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+    mFleet->StartDaemon(0);
+    AwaitCondition([&] { return mFleet->IsReady(0); }, "the daemon is ready");
+    return reader;
+  }
+
+  using Connections = std::vector<std::unique_ptr<RawConnection>>;
+
+  /** Leaves the daemon 64 descriptors and opens 100 connections to it. */
+  Connections ConnectBeyondTheDescriptors()
+  {
+    constexpr rlim_t kDescriptors = 64;
+    constexpr std::size_t kCallers = 100;
+    const rlimit limit{ kDescriptors, kDescriptors };
+    CPPUNIT_ASSERT_EQUAL(
+      0, prlimit(mFleet->Daemon(0).Pid(), RLIMIT_NOFILE, &limit, nullptr));
+    Connections connections;
+    for (std::size_t caller = 0; caller < kCallers; ++caller) {
+      connections.push_back(
+        std::make_unique<RawConnection>(mFleet->CallerEndpoint(0)));
+    }
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(300));
+    return connections;
+  }
+
+  static void SendOnEach(const Connections& aConnections,
+                         const std::string& aFields)
+  {
+    for (std::size_t caller = 0; caller < aConnections.size(); ++caller) {
+      aConnections[caller]->Send("GET /one/x HTTP/1.1\r\n" +
+                                 CallerFields("d" + std::to_string(caller)) +
+                                 aFields + "\r\n");
+    }
+  }
+
+  static std::size_t CountAnswered(const Connections& aConnections)
+  {
+    return static_cast<std::size_t>(std::count_if(
+      aConnections.begin(), aConnections.end(), [](const auto& aConnection) {
+        return ReceiveAll(*aConnection).starts_with("HTTP/1.1 ");
+      }));
+  }
+
+  double ProcessorSeconds()
+  {
+    std::istringstream text(ReadWholeFile(
+      "/proc/" + std::to_string(mFleet->Daemon(0).Pid()) + "/stat"));
+    std::string word;
+    double ticks = 0;
+    for (unsigned field = 1; text >> word; ++field) {
+      ticks += field == 14 || field == 15 ? std::stod(word) : 0;
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+  }
+
+  std::unique_ptr<ForwarderFleet> mFleet;
+  std::string mServedPath = "/one/x";
+  unsigned mSent = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ProcessEndTests);
--- a/tests/processes/ChildProcess.h
+++ b/tests/processes/ChildProcess.h
@@ -35,6 +35,9 @@
   /** Whether the process has been started and its exit not yet collected. */
   bool IsOwned() const { return mPid != 0; }
 
+  /** The process's id; 0 when there is none. */
+  pid_t Pid() const { return mPid; }
+
   /** Whether a test has killed, terminated or frozen the process. */
   bool WasKilledOrFrozen() const { return mWasKilledOrFrozen; }
 
--- a/tests/processes/RawConnection.cpp
+++ b/tests/processes/RawConnection.cpp
@@ -3,6 +3,7 @@
  */
 #include "RawConnection.h"
 
+#include <cerrno>
 #include <stdexcept>
 
 #include <arpa/inet.h>
@@ -82,6 +83,14 @@
   return received;
 }
 
+bool
+RawConnection::HasEnded() const
+{
+  char byte = 0;
+  const ssize_t count = recv(mSocket, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 std::string
 RawConnection::ReceiveAll() const
 {
--- a/tests/processes/RawConnection.h
+++ b/tests/processes/RawConnection.h
@@ -35,6 +35,10 @@
   /** Reads what has arrived, without waiting; empty when nothing has. */
   std::string ReceiveArrived() const;
 
+  /** Whether the connection has ended or failed and nothing is left to read;
+      does not wait. */
+  bool HasEnded() const;
+
   /** Reads until the connection ends, fails or times out, at most 1 MiB. */
   std::string ReceiveAll() const;
 
