Reject a reply with a trailer field of 64 KiB instead of ending the process

What callers saw: one target sent a chunked reply whose trailer had a field of 65540 bytes, and the connections of all callers ended without an answer.

Cause: Beast's fields hold less than 64 KiB each and throw std::length_error for more, from inside the parser. The limit of 8 KiB on the header does not cover trailers, and up to 64 KiB of unparsed input plus one read are kept. The exception left a fiber, which ends the process.

Change: the exception makes the exchange fail, as a header that is too large does.

Ruled out: trailers of 9000, 65000 and 65520 bytes.

Evidence: AnswersWhenATargetSendsALongTrailer got no answer at 65540 bytes before, and passes with up to 69000.

--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -6,6 +6,8 @@
 
 #include "wasabispread_runtime.h"
 
+#include <stdexcept>
+
 #include <netinet/tcp.h>
 
 #include <boost/beast/core.hpp>
@@ -247,6 +249,18 @@
     }
   }
 
+  /** Parses the buffer and returns how many bytes were used. */
+  std::size_t Parse(ResponseParser& aParser, error_code& aError) const
+  {
+    try {
+      return aParser.put(mBuffer.data(), aError);
+    } catch (const std::length_error&) {
+      // Beast stores fields of less than 64 KiB only; a trailer may have more.
+      aError = http::error::header_limit;
+      return 0;
+    }
+  }
+
   /** Reads until the response is complete. The buffer is modified only while no
       read is pending, since a pending read writes into it. */
   error_code Read(ResponseParser& aParser)
@@ -267,8 +281,7 @@
       if (mReadError) {
         return mReadError;
       }
-      const std::size_t used = aParser.put(mBuffer.data(), error);
-      mBuffer.consume(used);
+      mBuffer.consume(Parse(aParser, error));
       if (error && error != http::error::need_more) {
         return error;
       }
--- a/tests/platform/ProcessEndTests.cpp
+++ b/tests/platform/ProcessEndTests.cpp
@@ -132,6 +132,7 @@
   CPPUNIT_TEST(AnswersATraceRequestWithABody);
   CPPUNIT_TEST(AnswersWhateverCallersSend);
   CPPUNIT_TEST(AnswersWhateverFieldsTargetsSend);
+  CPPUNIT_TEST(AnswersWhenATargetSendsALongTrailer);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -239,6 +240,21 @@
     }
   }
 
+  void AnswersWhenATargetSendsALongTrailer()
+  {
+    UseRawTargets();
+    for (const std::size_t size :
+         { 9000U, 65'000U, 65'520U, 65'540U, 66'500U, 68'000U, 69'000U }) {
+      const std::string what = "trailer of " + std::to_string(size);
+      AnswerTo("HTTP/1.1 200 R\r\nWasabispread-Request-Id: $ID\r\n"
+               "Wasabispread-Server-Stamp: s/$ID/1\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX: " +
+                 Repeat(size, 'v') + "\r\n\r\n",
+               what);
+      AssertServes(what);
+    }
+  }
+
 private:
   /** Sends a request with the fields that a caller must send and returns what
       arrives until the daemon closes the connection. */
