Answer when a target replies with a status that is no final one

What callers saw: a target replied with the status 000, and the caller's connection was closed without an answer, although the request had run.

Cause: the client accepts every status of three digits, and the server takes 0 for the request to close the connection without an answer. Likewise, an interim reply (1xx) was taken for the final one.

Change: a status below 100, and 101, which no request asks for, make the exchange fail; then the caller gets 502 or, if it may, another target's reply. Other interim replies are discarded, and the final reply is awaited.

Evidence: AnswersWhateverStatusTargetsSend got no answer for 000 before, and passes for 19 statuses with and without a body.

--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -35,7 +35,8 @@
 /** The most bytes that are kept because they do not make up a complete part of
     a response yet, as in a chunk header without end. */
 constexpr std::size_t kMaxUnparsedBytes = 64U << 10U;
-/** The most responses to other requests that are discarded in one exchange. */
+/** The most interim responses and responses to other requests that are
+   discarded in one exchange. */
 constexpr unsigned kMaxOtherResponses = 4;
 /** The buffer space that each read offers, in bytes. */
 constexpr std::size_t kReadBytes = 4096;
@@ -86,6 +87,25 @@
   return bytes;
 }
 
+/** Whether a response has a status that no client can act on: one below 100, or
+    101, since no request asks for another protocol. */
+bool
+HasUnusableStatus(const http::response<http::string_body>& aResponse)
+{
+  constexpr unsigned kFirstStatus = 100;
+  constexpr unsigned kSwitchingProtocols = 101;
+  return aResponse.result_int() < kFirstStatus ||
+         aResponse.result_int() == kSwitchingProtocols;
+}
+
+/** Whether another response to the same request follows. */
+bool
+IsInterim(const http::response<http::string_body>& aResponse)
+{
+  constexpr unsigned kFirstFinalStatus = 200;
+  return aResponse.result_int() < kFirstFinalStatus;
+}
+
 HttpResponse
 FromBeast(http::response<http::string_body>&& aResponse)
 {
@@ -404,6 +424,9 @@
     if (!failure && HasUnknownTransferCoding(parser.get())) {
       failure = http::error::bad_transfer_encoding;
     }
+    if (!failure && HasUnusableStatus(parser.get())) {
+      failure = http::error::bad_status;
+    }
     if (connection.mMemory != nullptr) {
       connection.mMemory->Release(&connection);
     }
@@ -411,6 +434,9 @@
       connection.ExpireAt(TimePoint::max());
       return ConnectionFailure(failure, connection.mPeer, Execution::kUnknown);
     }
+    if (IsInterim(parser.get())) {
+      continue;
+    }
     HttpResponse response = FromBeast(parser.release());
     // Bytes after the response would be read as the next response, and the rest
     // of an incompletely written request would run into the next request.
--- a/tests/platform/ProcessEndTests.cpp
+++ b/tests/platform/ProcessEndTests.cpp
@@ -131,6 +131,7 @@
   CPPUNIT_TEST_SUITE(ProcessEndTests);
   CPPUNIT_TEST(AnswersATraceRequestWithABody);
   CPPUNIT_TEST(AnswersWhateverCallersSend);
+  CPPUNIT_TEST(AnswersWhateverStatusTargetsSend);
   CPPUNIT_TEST(AnswersWhateverFieldsTargetsSend);
   CPPUNIT_TEST(AnswersWhenATargetSendsALongTrailer);
   CPPUNIT_TEST_SUITE_END();
@@ -201,6 +202,46 @@
     }
   }
 
+  void AnswersWhateverStatusTargetsSend()
+  {
+    UseRawTargets();
+    for (const std::string status : { "000",
+                                      "001",
+                                      "099",
+                                      "100",
+                                      "101",
+                                      "103",
+                                      "199",
+                                      "200",
+                                      "204",
+                                      "205",
+                                      "299",
+                                      "304",
+                                      "399",
+                                      "407",
+                                      "408",
+                                      "426",
+                                      "599",
+                                      "600",
+                                      "999" }) {
+      for (const std::string body : { "", "x" }) {
+        const std::string what = "status " + status + ", body '" + body + "'";
+        const std::string answer =
+          AnswerTo("HTTP/1.1 " + status +
+                     " R\r\nWasabispread-Request-Id: $ID\r\n"
+                     "Wasabispread-Server-Stamp: s/$ID/1\r\n"
+                     "Content-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body,
+                   what);
+        // An interim answer (1xx) would leave the caller waiting.
+        CPPUNIT_ASSERT_MESSAGE(what + ": " + answer.substr(0, 20),
+                               answer.starts_with("HTTP/1.1 ") &&
+                                 answer[9] >= '2' && answer[9] <= '9');
+        AssertServes(what);
+      }
+    }
+  }
+
   void AnswersWhateverFieldsTargetsSend()
   {
     UseRawTargets();
