Serve on when the output has lost its reader or may not grow

What callers saw: the process that reads the daemon's log ended, as in a restart of the log collector, and with the next log line the connections of all callers ended without an answer. The same when the log file reached the limit on its size.

Cause: the kernel sends SIGPIPE or SIGXFSZ to a process that writes such output; by default each ends the process. Sockets were not affected: Asio writes to them without SIGPIPE.

Change: both signals are ignored. The log then ends, and the daemon serves on.

Evidence: ServesWithoutAReaderOfItsOutput got no answer to its first request without a reader before; ServesWhenItsLogFileReachesItsLargestSize none to request 22 of 200.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -187,5 +187,9 @@
   // Until the daemon handles SIGHUP, the settings are not read yet, and there
   // is nothing to reload.
   std::signal(SIGHUP, SIG_IGN);
+  // Output that has lost its reader, or a log file that may not grow, must not
+  // end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
   return wasabispread::Main(aCount, aArguments);
 }
--- a/tests/platform/ProcessEndTests.cpp
+++ b/tests/platform/ProcessEndTests.cpp
@@ -134,6 +134,8 @@
   CPPUNIT_TEST(AnswersWhateverStatusTargetsSend);
   CPPUNIT_TEST(AnswersWhateverFieldsTargetsSend);
   CPPUNIT_TEST(AnswersWhenATargetSendsALongTrailer);
+  CPPUNIT_TEST(ServesWithoutAReaderOfItsOutput);
+  CPPUNIT_TEST(ServesWhenItsLogFileReachesItsLargestSize);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -296,6 +298,30 @@
     }
   }
 
+  void ServesWithoutAReaderOfItsOutput()
+  {
+    const int reader = RestartWithPipe();
+    AssertServes("with a reader");
+    close(reader);
+    for (unsigned count = 0; count < 5; ++count) {
+      AssertServes("without a reader");
+    }
+    mFleet->Daemon(0).Terminate();
+    CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
+  }
+
+  void ServesWhenItsLogFileReachesItsLargestSize()
+  {
+    const rlimit limit{ 8192, 8192 };
+    CPPUNIT_ASSERT_EQUAL(
+      0, prlimit(mFleet->Daemon(0).Pid(), RLIMIT_FSIZE, &limit, nullptr));
+    for (unsigned count = 0; count < 200; ++count) {
+      AssertServes("request " + std::to_string(count));
+    }
+    mFleet->Daemon(0).Terminate();
+    CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
+  }
+
 private:
   /** Sends a request with the fields that a caller must send and returns what
       arrives until the daemon closes the connection. */
