End a stop in its grace although nobody reads the output

What operators saw: a daemon whose output is a full pipe that nobody reads served on, but after SIGTERM did not end: 6 s into a grace of 4 s it still ran, until it is killed.

Cause: the last log lines were awaited without a limit.

Change: they are awaited for 100 ms.

Ruled out: while the pipe is full, 2000 of 2000 requests were answered, and so was one during the stop; the queue of lines drops what does not fit.

Evidence: StopsWhileNobodyReadsItsOutput failed before, and passes.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -6,6 +6,7 @@
 
 #include <platform/platform.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr int kExitUsage = 2;
+/** How long the last log lines may take. */
+constexpr Duration kFlushLimit = std::chrono::milliseconds(100);
 
 /** The options given on the command line. */
 struct CommandLine
@@ -113,7 +116,7 @@
   loop.WaitForStopSignal();
   daemon.BeginStop();
   daemon.FinishStop();
-  log.Flush();
+  log.Flush(kFlushLimit);
   // Some fibers never end and hold references to this function's local objects.
   // quick_exit() ends the process without destroying these objects.
   std::quick_exit(EXIT_SUCCESS);
@@ -132,7 +135,7 @@
   }
   loop.WaitForStopSignal();
   daemon.Stop();
-  log.Flush();
+  log.Flush(kFlushLimit);
   // Ends without destroying local objects, for the reason given in RunDaemon().
   std::quick_exit(EXIT_SUCCESS);
 }
--- a/modules/wasabispread_telemetry/LogWriter.cpp
+++ b/modules/wasabispread_telemetry/LogWriter.cpp
@@ -7,7 +7,9 @@
 
 #include <atomic>
 #include <fstream>
+#include <future>
 #include <iostream>
+#include <thread>
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
@@ -101,10 +103,15 @@
   BOOST_LOG(mImplementation->mLogger) << aLine;
 }
 
-void
-LogWriter::Flush()
+bool
+LogWriter::Flush(Duration aLimit)
 {
-  mImplementation->mSink->flush();
+  const auto written = std::make_shared<std::promise<void>>();
+  std::thread([sink = mImplementation->mSink, written] {
+    sink->flush();
+    written->set_value();
+  }).detach();
+  return written->get_future().wait_for(aLimit) == std::future_status::ready;
 }
 
 std::uint64_t
--- a/modules/wasabispread_telemetry/LogWriter.h
+++ b/modules/wasabispread_telemetry/LogWriter.h
@@ -36,8 +36,10 @@
   /** Queues a line; never blocks. */
   void Write(const std::string& aLine);
 
-  /** Blocks until all queued lines are written. */
-  void Flush();
+  /** Blocks until all queued lines are written, but not longer than aLimit: the
+      reader of the output may have stopped reading. Returns whether they are
+      written; if not, only ending the process is possible. */
+  bool Flush(Duration aLimit);
 
   /** The number of lines dropped since the process started. */
   static std::uint64_t DroppedLines();
--- a/tests/platform/ProcessEndTests.cpp
+++ b/tests/platform/ProcessEndTests.cpp
@@ -135,6 +135,7 @@
   CPPUNIT_TEST(AnswersWhateverFieldsTargetsSend);
   CPPUNIT_TEST(AnswersWhenATargetSendsALongTrailer);
   CPPUNIT_TEST(ServesWithoutAReaderOfItsOutput);
+  CPPUNIT_TEST(StopsWhileNobodyReadsItsOutput);
   CPPUNIT_TEST(ServesWhenItsLogFileReachesItsLargestSize);
   CPPUNIT_TEST_SUITE_END();
 
@@ -310,6 +311,25 @@
     CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
   }
 
+  void StopsWhileNobodyReadsItsOutput()
+  {
+    const int reader = RestartWithPipe();
+    for (unsigned count = 0; count < 2000; ++count) {
+      AssertServes("while nobody reads");
+    }
+    mFleet->Daemon(0).Terminate();
+    AssertServes("while it stops");
+    const TimePoint stop = std::chrono::steady_clock::now();
+    AwaitCondition([&] { return mFleet->Daemon(0).HasEnded(); },
+                   "the daemon ends",
+                   std::chrono::seconds(6));
+    CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
+    // The grace is 4 s.
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - stop <
+                   std::chrono::seconds(4));
+    close(reader);
+  }
+
   void ServesWhenItsLogFileReachesItsLargestSize()
   {
     const rlimit limit{ 8192, 8192 };
