Catch SIGTERM before the port is open

What callers saw: a daemon that got SIGTERM while it started, as in a rolling restart that is broken off, ended at once, and the requests that it had accepted got no answer.

Cause: the port for callers was opened before SIGTERM and SIGINT were caught.

Change: they are caught before any port is opened. A signal that comes earlier still ends the process, which has no connection then; the same holds for SIGHUP before main().

Evidence: AnswersRequestsWhenStoppedWhileItStarts lost the request of start 4 (the fifth of 40) before, and passes.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -107,6 +107,7 @@
 RunDaemon(const DaemonSettings& aSettings)
 {
   IoLoop loop;
+  loop.CatchStopSignals();
   LogWriter log(aSettings.mLogFile, aSettings.mLogLevel);
   Daemon daemon(loop, log, aSettings);
   const auto started = daemon.Start();
@@ -126,6 +127,7 @@
 RunForwarder(const ForwarderSettings& aSettings, const std::string& aFile)
 {
   IoLoop loop;
+  loop.CatchStopSignals();
   LogWriter log(kStandardOutput, aSettings.mLogLevel);
   const auto adapter = platform::MakeAdapter();
   forwarding::ForwarderDaemon daemon(loop, log, aSettings, aFile, *adapter);
--- a/modules/wasabispread_runtime/IoLoop.cpp
+++ b/modules/wasabispread_runtime/IoLoop.cpp
@@ -91,11 +91,19 @@
   return *mContext;
 }
 
+void
+IoLoop::CatchStopSignals()
+{
+  if (mStopSignals == nullptr) {
+    mStopSignals =
+      std::make_shared<boost::asio::signal_set>(*mContext, SIGTERM, SIGINT);
+  }
+}
+
 void
 IoLoop::WaitForStopSignal()
 {
-  mStopSignals =
-    std::make_shared<boost::asio::signal_set>(*mContext, SIGTERM, SIGINT);
+  CatchStopSignals();
   Await([this](auto aHandler) {
     mStopSignals->async_wait([aHandler](boost::system::error_code aError,
                                         int) mutable { aHandler(aError); });
--- a/modules/wasabispread_runtime/IoLoop.h
+++ b/modules/wasabispread_runtime/IoLoop.h
@@ -26,6 +26,10 @@
   /** The context that runs the I/O of all sockets and timers. */
   boost::asio::io_context& Context();
 
+  /** From now on SIGTERM and SIGINT no longer end the process, but
+      WaitForStopSignal() returns, also for one that comes before its call. */
+  void CatchStopSignals();
+
   /** Blocks the calling fiber until the process receives SIGTERM or SIGINT.
       Further ones are ignored, so that they do not cut the stop short. */
   void WaitForStopSignal();
@@ -36,7 +40,7 @@
 
 private:
   std::shared_ptr<boost::asio::io_context> mContext;
-  /** None before the first WaitForStopSignal(). */
+  /** None before CatchStopSignals(). */
   std::shared_ptr<boost::asio::signal_set> mStopSignals;
 };
 
--- a/tests/platform/ProcessEndTests.cpp
+++ b/tests/platform/ProcessEndTests.cpp
@@ -137,6 +137,7 @@
   CPPUNIT_TEST(ServesWithoutAReaderOfItsOutput);
   CPPUNIT_TEST(StopsWhileNobodyReadsItsOutput);
   CPPUNIT_TEST(ServesWhenItsLogFileReachesItsLargestSize);
+  CPPUNIT_TEST(AnswersRequestsWhenStoppedWhileItStarts);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -342,6 +343,30 @@
     CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
   }
 
+  void AnswersRequestsWhenStoppedWhileItStarts()
+  {
+    constexpr unsigned kStarts = 40;
+    const std::string request = "GET /one/x HTTP/1.1\r\n" + CallerFields("s") +
+                                "Connection: close\r\n\r\n";
+    for (unsigned start = 0; start < kStarts; ++start) {
+      mFleet->Daemon(0).Kill();
+      mFleet->StartDaemon(0);
+      std::unique_ptr<RawConnection> connection;
+      while (connection == nullptr) {
+        try {
+          connection =
+            std::make_unique<RawConnection>(mFleet->CallerEndpoint(0));
+        } catch (const std::runtime_error&) {
+          // The port is not open yet.
+        }
+      }
+      connection->Send(request);
+      mFleet->Daemon(0).Terminate();
+      CPPUNIT_ASSERT_MESSAGE("start " + std::to_string(start),
+                             !ReceiveAll(*connection).empty());
+    }
+  }
+
 private:
   /** Sends a request with the fields that a caller must send and returns what
       arrives until the daemon closes the connection. */
