Log the stop signals that a stopping daemon ignores

Whoever sends a second SIGTERM could not see whether it arrived, nor that the stop goes on as planned.

Change: "stop-signal-ignored" states the signal and the time since the stop began, for the first 10.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 
 #include <boost/program_options.hpp>
@@ -21,6 +22,9 @@
 /** How long the last log lines may take. */
 constexpr Duration kFlushLimit = std::chrono::milliseconds(100);
 
+/** The most further stop signals that are logged. */
+constexpr unsigned kMaxIgnoredSignals = 10;
+
 /** The options given on the command line. */
 struct CommandLine
 {
@@ -103,6 +107,26 @@
   return aExit;
 }
 
+/** Calls aLog with each further stop signal and the time since this call, at
+    most kMaxIgnoredSignals times. */
+void
+LogIgnoredSignals(
+  IoLoop& aLoop,
+  std::function<void(int aSignal, std::chrono::milliseconds aSinceFirst)> aLog)
+{
+  const auto first = std::chrono::steady_clock::now();
+  aLoop.OnFurtherStopSignal([first,
+                             log = std::move(aLog),
+                             left = kMaxIgnoredSignals](int aSignal) mutable {
+    if (left > 0) {
+      --left;
+      log(aSignal,
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - first));
+    }
+  });
+}
+
 int
 RunDaemon(const DaemonSettings& aSettings)
 {
@@ -115,6 +139,15 @@
     std::quick_exit(Report(started.error(), EXIT_FAILURE));
   }
   loop.WaitForStopSignal();
+  LogIgnoredSignals(
+    loop, [&](int aSignal, std::chrono::milliseconds aSinceFirst) {
+      log.Write(FormatMessage(LogLevel::kWarning,
+                              aSettings.mName,
+                              "ignored signal " + std::to_string(aSignal) +
+                                ", " + std::to_string(aSinceFirst.count()) +
+                                " ms after the stop began",
+                              WallClockText()));
+    });
   daemon.BeginStop();
   daemon.FinishStop();
   log.Flush(kFlushLimit);
@@ -136,6 +169,18 @@
     std::quick_exit(Report(started.error(), EXIT_FAILURE));
   }
   loop.WaitForStopSignal();
+  LogIgnoredSignals(loop,
+                    [&](int aSignal, std::chrono::milliseconds aSinceFirst) {
+                      const forwarding::DecisionRecord record{
+                        forwarding::RecordClass::kState,
+                        "stop-signal-ignored",
+                        {},
+                        { { "signal", std::int64_t{ aSignal } },
+                          { "after_ms", std::int64_t{ aSinceFirst.count() } } }
+                      };
+                      log.Write(forwarding::FormatDecisionRecord(
+                        record, aSettings.mName, WallClockText()));
+                    });
   daemon.Stop();
   log.Flush(kFlushLimit);
   // Ends without destroying local objects, for the reason given in RunDaemon().
--- a/modules/wasabispread_runtime/IoLoop.cpp
+++ b/modules/wasabispread_runtime/IoLoop.cpp
@@ -110,6 +110,27 @@
   });
 }
 
+void
+IoLoop::OnFurtherStopSignal(std::function<void(int aSignal)> aAction)
+{
+  StartFiber([signals = mStopSignals, action = std::move(aAction)] {
+    while (true) {
+      int signal = 0;
+      const IoResult waited = Await([&](auto aHandler) {
+        signals->async_wait(
+          [aHandler, &signal](boost::system::error_code aError,
+                              int aSignal) mutable {
+            signal = aSignal;
+            aHandler(aError);
+          });
+      });
+      if (!waited.mError) {
+        action(signal);
+      }
+    }
+  });
+}
+
 void
 IoLoop::OnReloadSignal(std::function<void()> aAction)
 {
--- a/modules/wasabispread_runtime/IoLoop.h
+++ b/modules/wasabispread_runtime/IoLoop.h
@@ -34,6 +34,10 @@
       Further ones are ignored, so that they do not cut the stop short. */
   void WaitForStopSignal();
 
+  /** Calls aAction with the number of each further SIGTERM and SIGINT. To be
+      called once, after WaitForStopSignal(). */
+  void OnFurtherStopSignal(std::function<void(int aSignal)> aAction);
+
   /** Calls aAction in a new fiber for each SIGHUP, which then no longer
       terminates the process. */
   void OnReloadSignal(std::function<void()> aAction);
--- a/tests/platform/ProcessEndTests.cpp
+++ b/tests/platform/ProcessEndTests.cpp
@@ -138,6 +138,7 @@
   CPPUNIT_TEST(StopsWhileNobodyReadsItsOutput);
   CPPUNIT_TEST(ServesWhenItsLogFileReachesItsLargestSize);
   CPPUNIT_TEST(AnswersRequestsWhenStoppedWhileItStarts);
+  CPPUNIT_TEST(LogsFurtherStopSignals);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -367,6 +368,30 @@
     }
   }
 
+  void LogsFurtherStopSignals()
+  {
+    const pid_t pid = mFleet->Daemon(0).Pid();
+    mFleet->Daemon(0).Terminate();
+    for (unsigned count = 0; count < 40; ++count) {
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+      kill(pid, count % 2 == 0 ? SIGTERM : SIGINT);
+    }
+    AssertServes("while it stops");
+    CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
+    std::size_t logged = 0;
+    std::int64_t last = 0;
+    for (const auto& record : mFleet->LogRecords(0)) {
+      if (record.value("event", "") == "stop-signal-ignored") {
+        ++logged;
+        CPPUNIT_ASSERT(record.at("signal") == SIGTERM ||
+                       record.at("signal") == SIGINT);
+        CPPUNIT_ASSERT(record.at("after_ms").get<std::int64_t>() > last);
+        last = record.at("after_ms").get<std::int64_t>();
+      }
+    }
+    CPPUNIT_ASSERT(logged >= 2 && logged <= 20);
+  }
+
 private:
   /** Sends a request with the fields that a caller must send and returns what
       arrives until the daemon closes the connection. */
