Use as many descriptors as the operators' hard limit allows

What callers saw: with a soft limit below the callers' connections (1024 is a usual one, 4096 connections are accepted), the connections beyond it waited, and were reset without an answer when the daemon stopped.

Cause: the process kept the soft limit that it was started with.

Change: it raises the soft limit to the hard limit when it starts. Where the hard limit is too low too, the connections still wait.

Ruled out: with 64 descriptors and 100 connections, the daemon neither ends nor spins (less than 0.3 s of processor in 1 s, with a reload), and answers all 100 as connections become free.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -13,6 +13,7 @@
 #include <iostream>
 
 #include <boost/program_options.hpp>
+#include <sys/resource.h>
 
 namespace wasabispread {
 
@@ -205,6 +206,18 @@
   return aRun(*aSettings);
 }
 
+/** Allows as many descriptors as the operators' hard limit does: the soft limit
+    is often 1024, less than the connections that callers may open. */
+void
+RaiseDescriptorLimit()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 int
 Main(int aCount, char** aArguments)
 {
@@ -241,5 +254,6 @@
   // end the process.
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGXFSZ, SIG_IGN);
+  wasabispread::RaiseDescriptorLimit();
   return wasabispread::Main(aCount, aArguments);
 }
--- a/tests/platform/ProcessEndTests.cpp
+++ b/tests/platform/ProcessEndTests.cpp
@@ -139,6 +139,8 @@
   CPPUNIT_TEST(ServesWhenItsLogFileReachesItsLargestSize);
   CPPUNIT_TEST(AnswersRequestsWhenStoppedWhileItStarts);
   CPPUNIT_TEST(LogsFurtherStopSignals);
+  CPPUNIT_TEST(AnswersMoreCallersThanTheSoftLimitOfDescriptors);
+  CPPUNIT_TEST(AnswersWithFewDescriptors);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -392,6 +394,43 @@
     CPPUNIT_ASSERT(logged >= 2 && logged <= 20);
   }
 
+  void AnswersMoreCallersThanTheSoftLimitOfDescriptors()
+  {
+    constexpr rlim_t kDescriptors = 256;
+    constexpr std::size_t kCallers = 300;
+    rlimit own{};
+    CPPUNIT_ASSERT_EQUAL(0, getrlimit(RLIMIT_NOFILE, &own));
+    const rlimit lower{ kDescriptors, own.rlim_max };
+    mFleet->Daemon(0).Kill();
+    CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &lower));
+    mFleet->StartDaemon(0);
+    CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &own));
+    AwaitCondition([&] { return mFleet->IsReady(0); }, "the daemon is ready");
+    const Connections kept = Connect(kCallers);
+    SendOnEach(kept, "");
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(500));
+    mFleet->Daemon(0).Terminate();
+    CPPUNIT_ASSERT_EQUAL(kCallers, CountAnswered(kept));
+    CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
+  }
+
+  void AnswersWithFewDescriptors()
+  {
+    const auto idle = ConnectBeyondTheDescriptors();
+    const double before = ProcessorSeconds();
+    mFleet->Daemon(0).Reload();
+    boost::this_fiber::sleep_for(std::chrono::seconds(1));
+    const double used = ProcessorSeconds() - before;
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(used) + " s", used < 0.3);
+    // Those beyond the limit wait until others are closed.
+    SendOnEach(idle, "Connection: close\r\n");
+    CPPUNIT_ASSERT_EQUAL(idle.size(), CountAnswered(idle));
+    AwaitCondition([&] { return mFleet->SendRequest({}).Status() == 200; },
+                   "it serves as before");
+    mFleet->Daemon(0).Terminate();
+    CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
+  }
+
 private:
   /** Sends a request with the fields that a caller must send and returns what
       arrives until the daemon closes the connection. */
@@ -490,6 +529,16 @@
 
   using Connections = std::vector<std::unique_ptr<RawConnection>>;
 
+  Connections Connect(std::size_t aCount) const
+  {
+    Connections connections;
+    for (std::size_t caller = 0; caller < aCount; ++caller) {
+      connections.push_back(
+        std::make_unique<RawConnection>(mFleet->CallerEndpoint(0)));
+    }
+    return connections;
+  }
+
   /** Leaves the daemon 64 descriptors and opens 100 connections to it. */
   Connections ConnectBeyondTheDescriptors()
   {
@@ -498,11 +547,7 @@
     const rlimit limit{ kDescriptors, kDescriptors };
     CPPUNIT_ASSERT_EQUAL(
       0, prlimit(mFleet->Daemon(0).Pid(), RLIMIT_NOFILE, &limit, nullptr));
-    Connections connections;
-    for (std::size_t caller = 0; caller < kCallers; ++caller) {
-      connections.push_back(
-        std::make_unique<RawConnection>(mFleet->CallerEndpoint(0)));
-    }
+    Connections connections = Connect(kCallers);
     boost::this_fiber::sleep_for(std::chrono::milliseconds(300));
     return connections;
   }
