Reproduce a caller that ends the process with a long trailer

A caller's chunked request whose trailer has a field of 64 KiB or more ends the process, and with it every request in progress: Beast's parser throws std::length_error in ReadRequest(). And a stop with no descriptor left resets the connections that wait to be accepted.

--- a/tests/platform/ProcessEndTests.cpp
+++ b/tests/platform/ProcessEndTests.cpp
@@ -134,6 +134,7 @@
   CPPUNIT_TEST(AnswersWhateverStatusTargetsSend);
   CPPUNIT_TEST(AnswersWhateverFieldsTargetsSend);
   CPPUNIT_TEST(AnswersWhenATargetSendsALongTrailer);
+  CPPUNIT_TEST(AnswersWhenACallerSendsALongTrailer);
   CPPUNIT_TEST(ServesWithoutAReaderOfItsOutput);
   CPPUNIT_TEST(StopsWhileNobodyReadsItsOutput);
   CPPUNIT_TEST(ServesWhenItsLogFileReachesItsLargestSize);
@@ -141,6 +142,7 @@
   CPPUNIT_TEST(LogsFurtherStopSignals);
   CPPUNIT_TEST(AnswersMoreCallersThanTheSoftLimitOfDescriptors);
   CPPUNIT_TEST(AnswersWithFewDescriptors);
+  CPPUNIT_TEST(AnswersWaitingCallersWhenStoppedWithFewDescriptors);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -303,6 +305,20 @@
     }
   }
 
+  void AnswersWhenACallerSendsALongTrailer()
+  {
+    for (const std::size_t size :
+         { 7000U, 65'540U, 70'000U, 100'000U, 200'000U }) {
+      const std::string what = "trailer of " + std::to_string(size);
+      CPPUNIT_ASSERT_MESSAGE(
+        what,
+        !Exchange("POST /one/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n",
+                  "1\r\nx\r\n0\r\nX: " + Repeat(size, 'v') + "\r\n\r\n")
+           .empty());
+      AssertServes(what);
+    }
+  }
+
   void ServesWithoutAReaderOfItsOutput()
   {
     const int reader = RestartWithPipe();
@@ -431,6 +447,16 @@
     CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
   }
 
+  void AnswersWaitingCallersWhenStoppedWithFewDescriptors()
+  {
+    const auto idle = ConnectBeyondTheDescriptors();
+    SendOnEach(idle, "");
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(500));
+    mFleet->Daemon(0).Terminate();
+    CPPUNIT_ASSERT_EQUAL(idle.size(), CountAnswered(idle));
+    CPPUNIT_ASSERT_EQUAL(0, mFleet->Daemon(0).WaitForExit());
+  }
+
 private:
   /** Sends a request with the fields that a caller must send and returns what
       arrives until the daemon closes the connection. */
