--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -6,17 +6,25 @@
 
 #include <platform/platform.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 
 #include <boost/program_options.hpp>
+#include <sys/resource.h>
 
 namespace wasabispread {
 
 namespace {
 
 constexpr int kExitUsage = 2;
+/** How long the last log lines may take. */
+constexpr Duration kFlushLimit = std::chrono::milliseconds(100);
+
+/** The most further stop signals that are logged. */
+constexpr unsigned kMaxIgnoredSignals = 10;
 
 /** The options given on the command line. */
 struct CommandLine
@@ -100,10 +108,31 @@
   return aExit;
 }
 
+/** Calls aLog with each further stop signal and the time since this call, at
+    most kMaxIgnoredSignals times. */
+void
+LogIgnoredSignals(
+  IoLoop& aLoop,
+  std::function<void(int aSignal, std::chrono::milliseconds aSinceFirst)> aLog)
+{
+  const auto first = std::chrono::steady_clock::now();
+  aLoop.OnFurtherStopSignal([first,
+                             log = std::move(aLog),
+                             left = kMaxIgnoredSignals](int aSignal) mutable {
+    if (left > 0) {
+      --left;
+      log(aSignal,
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - first));
+    }
+  });
+}
+
 int
 RunDaemon(const DaemonSettings& aSettings)
 {
   IoLoop loop;
+  loop.CatchStopSignals();
   LogWriter log(aSettings.mLogFile, aSettings.mLogLevel);
   Daemon daemon(loop, log, aSettings);
   const auto started = daemon.Start();
@@ -111,9 +140,18 @@
     std::quick_exit(Report(started.error(), EXIT_FAILURE));
   }
   loop.WaitForStopSignal();
+  LogIgnoredSignals(
+    loop, [&](int aSignal, std::chrono::milliseconds aSinceFirst) {
+      log.Write(FormatMessage(LogLevel::kWarning,
+                              aSettings.mName,
+                              "ignored signal " + std::to_string(aSignal) +
+                                ", " + std::to_string(aSinceFirst.count()) +
+                                " ms after the stop began",
+                              WallClockText()));
+    });
   daemon.BeginStop();
   daemon.FinishStop();
-  log.Flush();
+  log.Flush(kFlushLimit);
   // Some fibers never end and hold references to this function's local objects.
   // quick_exit() ends the process without destroying these objects.
   std::quick_exit(EXIT_SUCCESS);
@@ -123,6 +161,7 @@
 RunForwarder(const ForwarderSettings& aSettings, const std::string& aFile)
 {
   IoLoop loop;
+  loop.CatchStopSignals();
   LogWriter log(kStandardOutput, aSettings.mLogLevel);
   const auto adapter = platform::MakeAdapter();
   forwarding::ForwarderDaemon daemon(loop, log, aSettings, aFile, *adapter);
@@ -131,8 +170,20 @@
     std::quick_exit(Report(started.error(), EXIT_FAILURE));
   }
   loop.WaitForStopSignal();
+  LogIgnoredSignals(loop,
+                    [&](int aSignal, std::chrono::milliseconds aSinceFirst) {
+                      const forwarding::DecisionRecord record{
+                        forwarding::RecordClass::kState,
+                        "stop-signal-ignored",
+                        {},
+                        { { "signal", std::int64_t{ aSignal } },
+                          { "after_ms", std::int64_t{ aSinceFirst.count() } } }
+                      };
+                      log.Write(forwarding::FormatDecisionRecord(
+                        record, aSettings.mName, WallClockText()));
+                    });
   daemon.Stop();
-  log.Flush();
+  log.Flush(kFlushLimit);
   // Ends without destroying local objects, for the reason given in RunDaemon().
   std::quick_exit(EXIT_SUCCESS);
 }
@@ -155,6 +206,18 @@
   return aRun(*aSettings);
 }
 
+/** Allows as many descriptors as the operators' hard limit does: the soft limit
+    is often 1024, less than the connections that callers may open. */
+void
+RaiseDescriptorLimit()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 int
 Main(int aCount, char** aArguments)
 {
@@ -187,5 +250,10 @@
   // Until the daemon handles SIGHUP, the settings are not read yet, and there
   // is nothing to reload.
   std::signal(SIGHUP, SIG_IGN);
+  // Output that has lost its reader, or a log file that may not grow, must not
+  // end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
+  wasabispread::RaiseDescriptorLimit();
   return wasabispread::Main(aCount, aArguments);
 }
--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -7,6 +7,7 @@
 #include "wasabispread_runtime.h"
 
 #include <optional>
+#include <stdexcept>
 
 #include <netinet/tcp.h>
 
@@ -57,7 +58,12 @@
     request.insert(header.mName, header.mValue);
   }
   request.body() = aRequest.mBody;
-  request.prepare_payload();
+  if (request.method() == http::verb::trace && !aRequest.mBody.empty()) {
+    // prepare_payload() would throw: a client should not send such a body.
+    request.content_length(aRequest.mBody.size());
+  } else {
+    request.prepare_payload();
+  }
   return request;
 }
 
@@ -92,6 +98,14 @@
          aParser.get().result() != http::status::switching_protocols;
 }
 
+/** Whether a response has a status that is none of a final response. */
+bool
+HasUnusableStatus(const ResponseParser& aParser)
+{
+  constexpr unsigned kFirstFinalStatus = 200;
+  return aParser.get().result_int() < kFirstFinalStatus;
+}
+
 HttpResponse
 FromBeast(http::response<http::string_body>&& aResponse)
 {
@@ -255,6 +269,18 @@
     }
   }
 
+  /** Parses the buffer and returns how many bytes were used. */
+  std::size_t Parse(ResponseParser& aParser, error_code& aError) const
+  {
+    try {
+      return aParser.put(mBuffer.data(), aError);
+    } catch (const std::length_error&) {
+      // Beast stores fields of less than 64 KiB only; a trailer may have more.
+      aError = http::error::header_limit;
+      return 0;
+    }
+  }
+
   /** Reads until the response is complete. The buffer is modified only while no
       read is pending, since a pending read writes into it. */
   error_code Read(ResponseParser& aParser)
@@ -275,8 +301,7 @@
       if (mReadError) {
         return mReadError;
       }
-      const std::size_t used = aParser.put(mBuffer.data(), error);
-      mBuffer.consume(used);
+      mBuffer.consume(Parse(aParser, error));
       if (error && error != http::error::need_more) {
         return error;
       }
@@ -405,6 +430,9 @@
     if (!failure && HasUnknownTransferCoding(parser->get())) {
       failure = http::error::bad_transfer_encoding;
     }
+    if (!failure && HasUnusableStatus(*parser)) {
+      failure = http::error::bad_status;
+    }
     if (connection.mMemory != nullptr) {
       connection.mMemory->Release(&connection);
     }
--- a/modules/wasabispread_runtime/IoLoop.cpp
+++ b/modules/wasabispread_runtime/IoLoop.cpp
@@ -91,17 +91,46 @@
   return *mContext;
 }
 
+void
+IoLoop::CatchStopSignals()
+{
+  if (mStopSignals == nullptr) {
+    mStopSignals =
+      std::make_shared<boost::asio::signal_set>(*mContext, SIGTERM, SIGINT);
+  }
+}
+
 void
 IoLoop::WaitForStopSignal()
 {
-  mStopSignals =
-    std::make_shared<boost::asio::signal_set>(*mContext, SIGTERM, SIGINT);
+  CatchStopSignals();
   Await([this](auto aHandler) {
     mStopSignals->async_wait([aHandler](boost::system::error_code aError,
                                         int) mutable { aHandler(aError); });
   });
 }
 
+void
+IoLoop::OnFurtherStopSignal(std::function<void(int aSignal)> aAction)
+{
+  StartFiber([signals = mStopSignals, action = std::move(aAction)] {
+    while (true) {
+      int signal = 0;
+      const IoResult waited = Await([&](auto aHandler) {
+        signals->async_wait(
+          [aHandler, &signal](boost::system::error_code aError,
+                              int aSignal) mutable {
+            signal = aSignal;
+            aHandler(aError);
+          });
+      });
+      if (!waited.mError) {
+        action(signal);
+      }
+    }
+  });
+}
+
 void
 IoLoop::OnReloadSignal(std::function<void()> aAction)
 {
