Count a stop's grace from the start of a hold-up that has just ended

Callers saw: connections closed without an answer when a daemon that was held up by more than the margin of its plan received SIGTERM meanwhile.

Cause: the plan of the stop began when the signal was handled, so it was longer than the time until the kill by as long as the process had been held up. Requests were accepted and passed on that could not end.

Ruled out: the time at which the signal was sent. The kernel does not tell it.

Change: the daemon checks each 250 ms whether it was held up by more than that, which costs four wake-ups a second. A stop that is handled within 100 ms of the end of a hold-up takes the hold-up's start as the time of the signal. The signal may have come later; then the stop is shorter than it could be, by the hold-up at most, and an eighth of the grace is left in any case. A suspension that the steady clock does not count is not seen either.

--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -20,6 +20,8 @@
 constexpr double kListeningShare = 0.6;
 /** The time between two checks of the settings file for changes. */
 constexpr Duration kSettingsPollInterval = std::chrono::seconds(2);
+/** The time between two checks of whether the process was held up. */
+constexpr Duration kHoldUpPollInterval = std::chrono::milliseconds(250);
 
 ForwarderPolicy
 PolicyFrom(const ForwarderSettings& aSettings)
@@ -133,6 +135,7 @@
     mFileText = *text;
   }
   StartFiber([this] { WatchSettings(); });
+  StartFiber([this] { WatchHoldUps(); });
   mLoop.OnReloadSignal([this] { ReloadSettings(); });
   return std::monostate{};
 }
@@ -173,6 +176,26 @@
   }
 }
 
+void
+ForwarderDaemon::WatchHoldUps()
+{
+  mLastHoldUpCheck = ForwarderRunner::Now();
+  while (true) {
+    boost::this_fiber::sleep_for(kHoldUpPollInterval);
+    CheckHoldUp();
+    mLastHoldUpCheck = ForwarderRunner::Now();
+  }
+}
+
+void
+ForwarderDaemon::CheckHoldUp()
+{
+  const TimePoint now = ForwarderRunner::Now();
+  if (now > mLastHoldUpCheck + 2 * kHoldUpPollInterval) {
+    mLastHoldUp = HoldUp{ mLastHoldUpCheck, now };
+  }
+}
+
 void
 ForwarderDaemon::ReloadSettings()
 {
@@ -210,11 +233,14 @@
 ForwarderDaemon::Stop()
 {
   const TimePoint stopStart = ForwarderRunner::Now();
-  mRunner.Deliver(ForwarderStopRequested{ mSettings.mStopGrace });
+  CheckHoldUp();
+  const Duration grace =
+    GraceLeft(mSettings.mStopGrace, mLastHoldUp, stopStart);
+  mRunner.Deliver(ForwarderStopRequested{ grace });
   const TimePoint exit = mRunner.State().mStop->mExit;
   mCallers->AnnounceStop();
   const auto listeningTime = Duration(static_cast<std::int64_t>(
-    kListeningShare * static_cast<double>(mSettings.mStopGrace.count())));
+    kListeningShare * static_cast<double>(grace.count())));
   boost::this_fiber::sleep_until(stopStart + listeningTime);
   mCallers->Stop(exit);
   while (!mRunner.State().mRequests.empty() && ForwarderRunner::Now() < exit) {
--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -44,6 +44,10 @@
   /** Puts the configuration's limits in force on the caller port. */
   void ApplyCallerLimits(const CallerLimits& aLimits);
   void WatchSettings();
+  /** Checks at times whether the process was held up. */
+  void WatchHoldUps();
+  /** Records a hold-up when the last check is long ago. */
+  void CheckHoldUp();
   /** Applies the settings file if its text has changed. */
   void ReloadSettings();
   void ApplySettings(const std::string& aText);
@@ -60,6 +64,8 @@
   const PlatformAdapter& mAdapter;
   DecisionLog mDecisionLog;
   ForwarderRunner mRunner;
+  TimePoint mLastHoldUpCheck = ForwarderRunner::Now();
+  HoldUp mLastHoldUp;
   std::unique_ptr<HttpServer> mCallers;
   std::unique_ptr<HttpServer> mReadiness;
   std::unique_ptr<HttpServer> mMetrics;
--- a/modules/wasabispread_forwarding_decisions/Shutdown.cpp
+++ b/modules/wasabispread_forwarding_decisions/Shutdown.cpp
@@ -19,9 +19,22 @@
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(350);
 constexpr int kExitMarginDivisor = 12;
 constexpr int kAnswerMarginDivisor = 3;
+/** How long after a hold-up a signal that came during it may be handled. */
+constexpr Duration kSignalDelay = std::chrono::milliseconds(100);
+/** One over the share of the grace that is left after the longest hold-up. */
+constexpr int kMinGraceDivisor = 8;
 
 } // namespace
 
+Duration
+GraceLeft(Duration aGrace, const HoldUp& aLast, TimePoint aNow)
+{
+  if (aNow > aLast.mUntil + kSignalDelay) {
+    return aGrace;
+  }
+  return std::max(aGrace - (aNow - aLast.mFrom), aGrace / kMinGraceDivisor);
+}
+
 StopPlan
 PlanStop(Duration aGrace, TimePoint aNow)
 {
--- a/modules/wasabispread_forwarding_decisions/Shutdown.h
+++ b/modules/wasabispread_forwarding_decisions/Shutdown.h
@@ -26,6 +26,19 @@
   TimePoint mExit{};
 };
 
+/** A time during which the process did not run, or hardly did. */
+struct HoldUp
+{
+  TimePoint mFrom{};
+  TimePoint mUntil{};
+};
+
+/** What is left of a stop's grace when the signal is handled at aNow. When
+    aLast has just ended, the signal may have come at any time of it, so that
+   the grace is counted from its start; a small part is left in any case. */
+Duration
+GraceLeft(Duration aGrace, const HoldUp& aLast, TimePoint aNow);
+
 /** Divides the time that the stop may take. */
 StopPlan
 PlanStop(Duration aGrace, TimePoint aNow);
--- a/tests/platform/StopEndTests.cpp
+++ b/tests/platform/StopEndTests.cpp
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(AnswersWhatIsInProgressWithAQuarterOfTheProcessor);
   CPPUNIT_TEST(AnswersWhatIsInProgressAfterAHoldUpBeforeTheEnd);
   CPPUNIT_TEST(AnswersWhatIsInProgressWhileItsSettingsChange);
+  CPPUNIT_TEST(AnswersWhatIsInProgressWhenTheSignalIsHandledLate);
   CPPUNIT_TEST(WritesLargeAnswersToCallersThatReadLate);
   CPPUNIT_TEST(EndsInTimeForCallersThatReadNothing);
   CPPUNIT_TEST_SUITE_END();
@@ -112,6 +113,24 @@
     CPPUNIT_ASSERT(round > 100);
   }
 
+  /** Guards against a plan that is longer than the grace that is left. */
+  void AnswersWhatIsInProgressWhenTheSignalIsHandledLate()
+  {
+    ForwarderFleet fleet;
+    fleet.Daemon(0).Freeze();
+    ExpectAnswers(StopWithRequests(
+      fleet,
+      [&](TimePoint aStop) {
+        boost::this_fiber::sleep_until(aStop + std::chrono::milliseconds(1500));
+        fleet.Daemon(0).Thaw();
+        boost::this_fiber::sleep_until(aStop + kGrace);
+        if (!fleet.Daemon(0).HasEnded()) {
+          fleet.Daemon(0).Kill();
+        }
+      },
+      std::chrono::milliseconds(2300)));
+  }
+
   /** Guards against answers that are cut off although there was time to write
       them. */
   void WritesLargeAnswersToCallersThatReadLate()
@@ -175,7 +194,8 @@
       calls aDisturb meanwhile with the time of the stop. */
   static StopOutcome StopWithRequests(
     ForwarderFleet& aFleet,
-    const std::function<void(TimePoint)>& aDisturb)
+    const std::function<void(TimePoint)>& aDisturb,
+    Duration aSentAfter = kSentAfter)
   {
     aFleet.SetFault("one", TargetFault::kNeverReplies);
     for (std::size_t shard = 0; shard < 4; ++shard) {
@@ -196,7 +216,7 @@
         aDisturb(stop);
         return;
       }
-      boost::this_fiber::sleep_until(stop + kSentAfter);
+      boost::this_fiber::sleep_until(stop + aSentAfter);
       ForwarderRequest request;
       request.mPath = aFiber % 2 == 0 ? "/one/x" : "/search/x";
       const ForwarderReply reply =
