Test a stop under 300 callers that keep sending to overloaded targets

A further play of the end of a stop; it found no fault. 300 callers send on kept connections, and on new ones when these are closed, until the port is closed, to targets with one slot.

--- a/tests/platform/StopEndTests.cpp
+++ b/tests/platform/StopEndTests.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(AnswersWhatIsInProgressWhenTheSignalIsHandledLate);
   CPPUNIT_TEST(WritesLargeAnswersToCallersThatReadLate);
   CPPUNIT_TEST(EndsInTimeForCallersThatReadNothing);
+  CPPUNIT_TEST(AnswersWhatCallersKeepSendingToOverloadedTargets);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -168,6 +169,60 @@
     CPPUNIT_FAIL("the daemon logged no stop");
   }
 
+  void AnswersWhatCallersKeepSendingToOverloadedTargets()
+  {
+    constexpr std::size_t kSenders = 300;
+    constexpr Duration kSlack = std::chrono::milliseconds(200);
+    ForwarderFleet fleet;
+    for (const char* name : { "one-a", "one-b", "once-a", "once-b" }) {
+      fleet.Target(name).mSlots = 1;
+      fleet.Target(name).mServiceTime = std::chrono::milliseconds(40);
+      fleet.Register(fleet.Target(name));
+    }
+    std::size_t answered = 0;
+    std::size_t crossed = 0;
+    std::size_t ranWithoutAnswer = 0;
+    std::size_t lateWithoutAnswer = 0;
+    std::size_t connections = 0;
+    TimePoint stop = TimePoint::max();
+    RunConcurrently(kSenders + 1, [&](std::size_t aFiber) {
+      if (aFiber == kSenders) {
+        boost::this_fiber::sleep_for(std::chrono::seconds(1));
+        stop = Now();
+        fleet.Daemon(0).Terminate();
+        return;
+      }
+      bool isOpen = true;
+      while (isOpen) {
+        HttpConnection connection(TestLoop());
+        isOpen =
+          connection.Connect(fleet.CallerEndpoint(0), std::chrono::seconds(1))
+            .has_value();
+        connections += isOpen ? 1 : 0;
+        bool isKept = isOpen;
+        while (isKept) {
+          ForwarderRequest request;
+          request.mPath = aFiber % 3 == 0 ? "/once/x" : "/one/x";
+          request.mTimeoutMs = aFiber % 2 == 0 ? "300" : "1500";
+          const TimePoint sent = Now();
+          const ForwarderReply reply = fleet.SendRequestOn(connection, request);
+          isKept = reply.mResponse && reply.mResponse->mKeepAlive;
+          const bool hasRun = fleet.CountRuns(reply.mRequestId) != 0;
+          const bool isLate = Now() > sent + kSlack;
+          answered += reply.mResponse ? 1 : 0;
+          crossed += reply.mResponse ? 0 : 1;
+          ranWithoutAnswer += !reply.mResponse && hasRun ? 1 : 0;
+          lateWithoutAnswer += !reply.mResponse && isLate ? 1 : 0;
+          boost::this_fiber::sleep_for(std::chrono::milliseconds(aFiber % 50));
+        }
+      }
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, ranWithoutAnswer);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, lateWithoutAnswer);
+    CPPUNIT_ASSERT(answered > 10 * kSenders);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.Daemon(0).WaitForExit());
+  }
+
 private:
   /** Sends requests whose answers have more than kLargeBytes, and reads
       nothing. */
