--- a/tests/platform/StopEndTests.cpp
+++ b/tests/platform/StopEndTests.cpp
@@ -50,8 +50,10 @@
   CPPUNIT_TEST(AnswersWhatIsInProgressWithAQuarterOfTheProcessor);
   CPPUNIT_TEST(AnswersWhatIsInProgressAfterAHoldUpBeforeTheEnd);
   CPPUNIT_TEST(AnswersWhatIsInProgressWhileItsSettingsChange);
+  CPPUNIT_TEST(AnswersWhatIsInProgressWhenTheSignalIsHandledLate);
   CPPUNIT_TEST(WritesLargeAnswersToCallersThatReadLate);
   CPPUNIT_TEST(EndsInTimeForCallersThatReadNothing);
+  CPPUNIT_TEST(AnswersWhatCallersKeepSendingToOverloadedTargets);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -112,6 +114,24 @@
     CPPUNIT_ASSERT(round > 100);
   }
 
+  /** Guards against a plan that is longer than the grace that is left. */
+  void AnswersWhatIsInProgressWhenTheSignalIsHandledLate()
+  {
+    ForwarderFleet fleet;
+    fleet.Daemon(0).Freeze();
+    ExpectAnswers(StopWithRequests(
+      fleet,
+      [&](TimePoint aStop) {
+        boost::this_fiber::sleep_until(aStop + std::chrono::milliseconds(1500));
+        fleet.Daemon(0).Thaw();
+        boost::this_fiber::sleep_until(aStop + kGrace);
+        if (!fleet.Daemon(0).HasEnded()) {
+          fleet.Daemon(0).Kill();
+        }
+      },
+      std::chrono::milliseconds(2300)));
+  }
+
   /** Guards against answers that are cut off although there was time to write
       them. */
   void WritesLargeAnswersToCallersThatReadLate()
@@ -149,6 +169,60 @@
     CPPUNIT_FAIL("the daemon logged no stop");
   }
 
+  void AnswersWhatCallersKeepSendingToOverloadedTargets()
+  {
+    constexpr std::size_t kSenders = 300;
+    constexpr Duration kSlack = std::chrono::milliseconds(200);
+    ForwarderFleet fleet;
+    for (const char* name : { "one-a", "one-b", "once-a", "once-b" }) {
+      fleet.Target(name).mSlots = 1;
+      fleet.Target(name).mServiceTime = std::chrono::milliseconds(40);
+      fleet.Register(fleet.Target(name));
+    }
+    std::size_t answered = 0;
+    std::size_t crossed = 0;
+    std::size_t ranWithoutAnswer = 0;
+    std::size_t lateWithoutAnswer = 0;
+    std::size_t connections = 0;
+    TimePoint stop = TimePoint::max();
+    RunConcurrently(kSenders + 1, [&](std::size_t aFiber) {
+      if (aFiber == kSenders) {
+        boost::this_fiber::sleep_for(std::chrono::seconds(1));
+        stop = Now();
+        fleet.Daemon(0).Terminate();
+        return;
+      }
+      bool isOpen = true;
+      while (isOpen) {
+        HttpConnection connection(TestLoop());
+        isOpen =
+          connection.Connect(fleet.CallerEndpoint(0), std::chrono::seconds(1))
+            .has_value();
+        connections += isOpen ? 1 : 0;
+        bool isKept = isOpen;
+        while (isKept) {
+          ForwarderRequest request;
+          request.mPath = aFiber % 3 == 0 ? "/once/x" : "/one/x";
+          request.mTimeoutMs = aFiber % 2 == 0 ? "300" : "1500";
+          const TimePoint sent = Now();
+          const ForwarderReply reply = fleet.SendRequestOn(connection, request);
+          isKept = reply.mResponse && reply.mResponse->mKeepAlive;
+          const bool hasRun = fleet.CountRuns(reply.mRequestId) != 0;
+          const bool isLate = Now() > sent + kSlack;
+          answered += reply.mResponse ? 1 : 0;
+          crossed += reply.mResponse ? 0 : 1;
+          ranWithoutAnswer += !reply.mResponse && hasRun ? 1 : 0;
+          lateWithoutAnswer += !reply.mResponse && isLate ? 1 : 0;
+          boost::this_fiber::sleep_for(std::chrono::milliseconds(aFiber % 50));
+        }
+      }
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, ranWithoutAnswer);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, lateWithoutAnswer);
+    CPPUNIT_ASSERT(answered > 10 * kSenders);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.Daemon(0).WaitForExit());
+  }
+
 private:
   /** Sends requests whose answers have more than kLargeBytes, and reads
       nothing. */
@@ -175,7 +249,8 @@
       calls aDisturb meanwhile with the time of the stop. */
   static StopOutcome StopWithRequests(
     ForwarderFleet& aFleet,
-    const std::function<void(TimePoint)>& aDisturb)
+    const std::function<void(TimePoint)>& aDisturb,
+    Duration aSentAfter = kSentAfter)
   {
     aFleet.SetFault("one", TargetFault::kNeverReplies);
     for (std::size_t shard = 0; shard < 4; ++shard) {
@@ -196,7 +271,7 @@
         aDisturb(stop);
         return;
       }
-      boost::this_fiber::sleep_until(stop + kSentAfter);
+      boost::this_fiber::sleep_until(stop + aSentAfter);
       ForwarderRequest request;
       request.mPath = aFiber % 2 == 0 ? "/one/x" : "/search/x";
       const ForwarderReply reply =
