Test that requests survive changes of targets and VMs that own shards

Searched for requests that end without an answer, or with 502 or 504, because state about targets or other VMs is out of date.

--- a/tests/platform/TargetSideLossTests.cpp
+++ b/tests/platform/TargetSideLossTests.cpp
@@ -1,6 +1,7 @@
 /*
  * Tests that real daemons pass on the replies of targets when these arrive in
- * unusual ways: after interim replies, or while the daemon is held up.
+ * unusual ways: while the daemon is held up, after interim replies, from VMs
+ * that stop, and while the configuration and the targets change.
  */
 #include "ForwarderFleet.h"
 
@@ -45,6 +46,8 @@
   CPPUNIT_TEST(PassesOnTheReplyThatFollowsInterimReplies);
   CPPUNIT_TEST(PassesOnRepliesThatArriveWhileHeldUpBeyondTheDeadline);
   CPPUNIT_TEST(SendsNothingTwiceWhenRepliesArriveWhileHeldUp);
+  CPPUNIT_TEST(AnswersWhileTheConfigurationAndTargetsChange);
+  CPPUNIT_TEST(AnswersWhileTwoOwnersStop);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -157,6 +160,122 @@
     }
   }
 
+  /** Sends requests of each path from several callers for a while, to the
+      daemons from aFirst on, and calls aDisturb meanwhile. */
+  std::map<std::string, Statuses> Load(std::size_t aFirst,
+                                       std::size_t aDaemons,
+                                       const std::vector<std::string>& aPaths,
+                                       Duration aTime,
+                                       const std::function<void()>& aDisturb)
+  {
+    const TimePoint end = Now() + aTime;
+    std::map<std::string, Statuses> statuses;
+    RunConcurrently(kCallers + 1, [&](std::size_t aFiber) {
+      if (aFiber == kCallers) {
+        aDisturb();
+        return;
+      }
+      const std::string& path = aPaths[aFiber % aPaths.size()];
+      const std::size_t daemon = aFirst + aFiber % (aDaemons - aFirst);
+      HttpConnection connection(TestLoop());
+      CPPUNIT_ASSERT(connection.Connect(mFleet->CallerEndpoint(daemon),
+                                        std::chrono::seconds(1)));
+      while (Now() < end) {
+        const ForwarderReply reply =
+          mFleet->SendRequestOn(connection, RequestOf(path));
+        ++statuses[path][reply.Status()];
+        if (!reply.mResponse) {
+          return;
+        }
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(10));
+      }
+    });
+    for (const auto& [path, counts] : statuses) {
+      std::cout << path << ToText(counts) << std::endl;
+    }
+    return statuses;
+  }
+
+  /** Guards against requests that end without an answer, or with 502 or 504,
+      because their target or service goes. */
+  void AnswersWhileTheConfigurationAndTargetsChange()
+  {
+    mFleet = std::make_unique<ForwarderFleet>();
+    for (const char* instance : { "one-a", "one-b", "once-a", "once-b" }) {
+      mFleet->Target(instance).mSlots = kCallers;
+      mFleet->Target(instance).mServiceTime = std::chrono::milliseconds(20);
+    }
+    auto statuses =
+      Load(0,
+           1,
+           { "/one/x", "/once/x", "/search/q" },
+           std::chrono::seconds(10),
+           [&] {
+             const TimePoint end = Now() + std::chrono::seconds(10);
+             for (unsigned round = 0; Now() < end; ++round) {
+               mFleet->Configure(round % 3 == 0 ? "shard-0" : "one");
+               const std::string suffix = round % 2 == 0 ? "-a" : "-b";
+               for (const char* service : { "one", "once", "shard-1" }) {
+                 StandInTarget& target = mFleet->Target(service + suffix);
+                 if (round % 4 < 2) {
+                   mFleet->Register(target, "draining");
+                 } else {
+                   mFleet->Store().Remove("servers/" + target.Instance());
+                 }
+               }
+               mFleet->Store().Put("servers/other", "{\"service\":7}");
+               boost::this_fiber::sleep_for(std::chrono::milliseconds(60));
+               for (const char* service : { "one", "once", "shard-1" }) {
+                 mFleet->Register(mFleet->Target(service + suffix));
+               }
+               boost::this_fiber::sleep_for(std::chrono::milliseconds(60));
+             }
+           });
+    for (auto& [path, counts] : statuses) {
+      for (const unsigned status : { 0U, 502U, 504U }) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          path + ToText(counts), std::size_t{ 0 }, counts[status]);
+      }
+      CPPUNIT_ASSERT_MESSAGE(path + ToText(counts), counts[200] > 100);
+    }
+  }
+
+  /** Guards against searches at other VMs that fail because the VMs that own
+      their shards stop, also with a second SIGTERM, and start again. */
+  void AnswersWhileTwoOwnersStop()
+  {
+    constexpr std::size_t kDaemons = 5;
+    constexpr std::size_t kShards = 44;
+    mFleet = std::make_unique<ForwarderFleet>(kDaemons, kShards);
+    AwaitCondition(
+      [&] { return mFleet->Store().CountWithPrefix("vms/") == kDaemons; },
+      "the VMs are registered");
+    boost::this_fiber::sleep_for(std::chrono::seconds(3));
+    auto statuses =
+      Load(2, kDaemons, { "/search/q" }, std::chrono::seconds(14), [&] {
+        for (unsigned round = 0; round < 2; ++round) {
+          boost::this_fiber::sleep_for(std::chrono::seconds(1));
+          mFleet->Daemon(0).Terminate();
+          mFleet->Daemon(1).Terminate();
+          boost::this_fiber::sleep_for(std::chrono::milliseconds(300));
+          mFleet->Daemon(0).Terminate();
+          for (const std::size_t daemon : { 0U, 1U }) {
+            AwaitCondition([&] { return mFleet->Daemon(daemon).HasEnded(); },
+                           "the daemon ends");
+            mFleet->StartDaemon(daemon);
+          }
+        }
+      });
+    for (const std::size_t daemon : { 0U, 1U }) {
+      CPPUNIT_ASSERT(mFleet->HasLogged(daemon, "sub-search-answered"));
+    }
+    auto& counts = statuses["/search/q"];
+    const std::size_t served = counts[200];
+    CPPUNIT_ASSERT_MESSAGE(ToText(counts), served > 100);
+    counts.erase(200);
+    CPPUNIT_ASSERT_MESSAGE(ToText(counts), counts.empty());
+  }
+
 private:
   std::unique_ptr<ForwarderFleet> mFleet;
   /** How many requests ran each number of times. */
