Send nothing on a connection whose keep-alive time is nearly over

A target closes a connection that was idle for the time that it states. This process closes it earlier, at 0.8 of that time, so that no order crosses the target's close, which would be answered 502. The close depends on a timer; a request that is handled before a late timer was sent on the connection all the same, at a moment at which the target may be closing it.

Ruled out: a close that has arrived. Sending looks at the socket first and reports that nothing was sent, so that the order goes to another connection. Only a close under way is not seen.

Change: the time is checked when a request is about to use the connection.

Measured with the reducer alone: a request 1 ms before the end of a keep-alive time of 10 s, with the timer not run, went out on the idle connection before, and on a new one after. Not seen on real processes, where the close would have to cross the request within a round trip.

--- a/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(HedgesALateRequest);
   CPPUNIT_TEST(AnswersAtTheRoutesTimeout);
   CPPUNIT_TEST(SendsNothingAfterTheDeadline);
+  CPPUNIT_TEST(SendsNothingOnAConnectionThatTheTargetMayBeClosing);
   CPPUNIT_TEST(ClosesConnectionsWhenTheCallerDisconnects);
   CPPUNIT_TEST(RetiresATargetWhoseAddressIsReused);
   CPPUNIT_TEST(RunsAtMostOnceUnderRandomFailures);
@@ -194,6 +195,28 @@
     CPPUNIT_ASSERT(problem->mKind == ProblemKind::kNotRun);
   }
 
+  /** Guards against orders that are lost because the target closes the idle
+      connection, when a request comes before a late timer. */
+  void SendsNothingOnAConnectionThatTheTargetMayBeClosing()
+  {
+    constexpr std::chrono::seconds kKeepAlive{ 10 };
+    mForwarder = std::make_unique<ForwarderHarness>();
+    mForwarder->Configure({ SingleRoute("s", Repeatability::kAtMostOnce) });
+    mForwarder->AddTarget("t-1", "s");
+    mForwarder->RunFor(std::chrono::seconds(1));
+    mForwarder->Ask("/s/1");
+    const ConnectionId used = mForwarder->At("t-1").mConnection;
+    Reply reply;
+    reply.mKind = ReplyKind::kSuccess;
+    reply.mIsReusable = true;
+    reply.mKeepAlive = kKeepAlive;
+    mForwarder->Deliver(ReplyArrived{ used, std::move(reply) });
+    mForwarder->mNow += kKeepAlive - std::chrono::milliseconds(1);
+    mForwarder->Ask("/s/2");
+    CPPUNIT_ASSERT(mForwarder->At("t-1").mConnection != used);
+    CPPUNIT_ASSERT(mForwarder->mClosed == std::vector<ConnectionId>{ used });
+  }
+
   void ClosesConnectionsWhenTheCallerDisconnects()
   {
     StartWithTwoTargets(Repeatability::kIdempotent);
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -183,6 +183,26 @@
   SendSubRequest(aState, aRequest, aSubRequest, *other, aNow, aEffects);
 }
 
+/** Closes the idle connections of a target whose keep-alive time is nearly over
+    and whose timer has not acted yet: the target may be closing them. Keeps
+    them while no other connection may be opened. */
+void
+CloseOverdueConnections(ForwarderState& aState,
+                        TargetState& aTarget,
+                        TimePoint aNow,
+                        ForwarderEffects& aEffects)
+{
+  if (aNow < aTarget.mConnectAfter) {
+    return;
+  }
+  const std::vector<ConnectionId> idle = aTarget.mIdle;
+  for (const ConnectionId id : idle) {
+    if (aNow >= aState.mConnections.at(id).mIdleUntil) {
+      CloseTargetConnection(aState, id, aEffects);
+    }
+  }
+}
+
 /** Sends a waiting sub-request to another target that has an idle connection,
     if there is one. */
 void
@@ -396,6 +416,7 @@
   if (target == nullptr) {
     return false;
   }
+  CloseOverdueConnections(aState, *target, aNow, aEffects);
   if (!target->mIdle.empty()) {
     CountSend(*target, aNow);
     SendSubRequest(aState, aRequest, aSubRequest, *target, aNow, aEffects);
