Wait for descriptors before a stop closes its port, and end it in one place

The stop's last answers were awaited by the server and again by the daemon; the server's wait is enough, since it covers the tick that answers them.

Connections that waited in the backlog of a stopping process without a free descriptor were reset when the port closed. The stop now waits for connections to end and accepts those that wait, for half of its remaining time.

--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <fstream>
-#include <limits>
 #include <sstream>
 
 #include <boost/fiber/operations.hpp>
@@ -246,7 +245,6 @@
   while (!mRunner.State().mRequests.empty() && ForwarderRunner::Now() < exit) {
     boost::this_fiber::sleep_for(kStopPollInterval);
   }
-  WriteLastAnswers();
   mDecisionLog.Write(
     DecisionRecord{
       RecordClass::kState,
@@ -265,17 +263,4 @@
     ForwarderRunner::Now());
 }
 
-void
-ForwarderDaemon::WriteLastAnswers()
-{
-  mRunner.Deliver(ForwarderTick{});
-  std::size_t before = 0;
-  std::size_t open = std::numeric_limits<std::size_t>::max();
-  do {
-    before = open;
-    boost::this_fiber::sleep_for(kStopPollInterval);
-    open = mCallers->ConnectionCount();
-  } while (open != 0 && open < before);
-}
-
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -51,10 +51,6 @@
   /** Applies the settings file if its text has changed. */
   void ReloadSettings();
   void ApplySettings(const std::string& aText);
-  /** Answers what is due and writes for as long as that ends connections. At
-      the end of the stop's plan, a process that was held up has not yet done
-      what was due before. */
-  void WriteLastAnswers();
 
   IoLoop& mLoop;
   ForwarderSettings mSettings;
--- a/modules/wasabispread_forwarding_decisions/Shutdown.cpp
+++ b/modules/wasabispread_forwarding_decisions/Shutdown.cpp
@@ -12,9 +12,9 @@
 /** The share of the grace during which every request is accepted. */
 constexpr double kAcceptAllShare = 0.5;
 /** The time left unused at the end of the grace, so that the process ends
-    before it is killed, and the time for writing the last answers, which is
-   only used up by a process that was held up and by callers that read late.
-   Both are shorter when the grace is short. */
+    before it is killed, and the time for writing the last answers, which only
+    a process that was held up and callers that read late use up. Both are
+    shorter when the grace is short. */
 constexpr Duration kExitMargin = std::chrono::milliseconds(150);
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(350);
 constexpr int kExitMarginDivisor = 12;
--- a/modules/wasabispread_forwarding_decisions/Shutdown.h
+++ b/modules/wasabispread_forwarding_decisions/Shutdown.h
@@ -35,7 +35,7 @@
 
 /** What is left of a stop's grace when the signal is handled at aNow. When
     aLast has just ended, the signal may have come at any time of it, so that
-   the grace is counted from its start; a small part is left in any case. */
+    the grace is counted from its start; a small part is left in any case. */
 Duration
 GraceLeft(Duration aGrace, const HoldUp& aLast, TimePoint aNow);
 
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -558,10 +558,11 @@
 }
 
 /** Accepts the connections that wait in the kernel's backlog; closing the
-    listening socket would reset them. */
+    listening socket would reset them. While the process has no descriptor left,
+    it waits for connections to end, until aUntil. */
 template<class Server>
 void
-AcceptPending(const std::shared_ptr<Server>& aServer)
+AcceptPending(const std::shared_ptr<Server>& aServer, TimePoint aUntil)
 {
   error_code error;
   aServer->mAcceptor.non_blocking(true, error);
@@ -570,6 +571,9 @@
     aServer->mAcceptor.accept(socket, error);
     if (!error) {
       StartConnection(aServer, std::move(socket));
+    } else if (error == asio::error::no_descriptors && Now() < aUntil) {
+      error = {};
+      boost::this_fiber::sleep_for(kStopPollInterval);
     }
   }
 }
@@ -642,7 +646,8 @@
 {
   mImplementation->mStopping = true;
   error_code ignored;
-  AcceptPending(mImplementation);
+  const TimePoint now = Now();
+  AcceptPending(mImplementation, now + (aUntil - now) / 2);
   mImplementation->mAcceptor.close(ignored);
   boost::this_fiber::sleep_for(kIdleCloseDelay);
   mImplementation->mClosesIdle = true;
