--- a/tests/platform/ForwarderFleet.cpp
+++ b/tests/platform/ForwarderFleet.cpp
@@ -179,18 +179,33 @@
 std::uint64_t
 ForwarderFleet::Configure(const std::string& aOneService)
 {
+  ConfigurationChoice choice;
+  choice.mOneService = aOneService;
+  return Configure(choice);
+}
+
+std::uint64_t
+ForwarderFleet::Configure(const ConfigurationChoice& aChoice)
+{
+  const std::string& oneService = aChoice.mOneService;
+  const auto milliseconds = [](Duration aTime) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  };
   mVersion += kVersionStep;
   Json own = RouteEntry("own", "idempotent");
   own["prefix"] = VersionPrefix(mVersion);
   own["service"] = "one";
   Json one = RouteEntry("one", "idempotent");
-  one["service"] = aOneService;
+  one["service"] = oneService;
   Json once = RouteEntry("once", "non_idempotent");
   once["service"] = "once";
   Json search = RouteEntry("search", "idempotent");
   search["gather"] = Json::array();
   search["topK"] = 5;
   search["minCoverage"] = 0.5;
+  for (Json* route : { &own, &one, &once, &search }) {
+    (*route)["timeoutMs"] = milliseconds(aChoice.mTimeout);
+  }
   Json services = Json::array();
   const auto add = [&](const std::string& aName) {
     services.push_back({ { "name", aName },
@@ -203,19 +218,20 @@
   }
   add("one");
   add("once");
-  if (aOneService != "one" && aOneService != "once") {
-    add(aOneService);
+  if (oneService != "one" && oneService != "once") {
+    add(oneService);
   }
-  mStore->Put("op/config",
-              Json{ { "version", mVersion },
-                    { "routes", { one, once, search, own } },
-                    { "services", services },
-                    { "limits",
-                      { { "maxHeaderBytes", 8192 },
-                        { "maxBodyBytes", 100000 },
-                        { "headerTimeoutMs", 3000 },
-                        { "idleTimeoutMs", 15000 } } } }
-                .dump());
+  mStore->Put(
+    "op/config",
+    Json{ { "version", mVersion },
+          { "routes", { one, once, search, own } },
+          { "services", services },
+          { "limits",
+            { { "maxHeaderBytes", aChoice.mHeaderBytes },
+              { "maxBodyBytes", 100000 },
+              { "headerTimeoutMs", 3000 },
+              { "idleTimeoutMs", milliseconds(aChoice.mIdleTime) } } } }
+      .dump());
   return mVersion;
 }
 
--- a/tests/platform/ForwarderFleet.h
+++ b/tests/platform/ForwarderFleet.h
@@ -22,6 +22,16 @@
   std::vector<HttpHeader> mHeaders;
 };
 
+/** What a version of the configuration sets. */
+struct ConfigurationChoice
+{
+  /** The service to which the route "/one/" leads. */
+  std::string mOneService = "one";
+  Duration mTimeout = std::chrono::seconds(2);
+  Duration mIdleTime = std::chrono::seconds(15);
+  unsigned mHeaderBytes = 8192;
+};
+
 /** The id of a request and its response or error. */
 struct ForwarderReply
 {
@@ -79,6 +89,7 @@
   /** Writes the next configuration version to the store and returns it; its
       route "/one/" leads to aOneService, and its own route to "one". */
   std::uint64_t Configure(const std::string& aOneService = "one");
+  std::uint64_t Configure(const ConfigurationChoice& aChoice);
 
   /** The version that was written before this one. */
   static std::uint64_t VersionBefore(std::uint64_t aVersion);
--- a/tests/platform/StandInTarget.cpp
+++ b/tests/platform/StandInTarget.cpp
@@ -159,6 +159,7 @@
   void ReplyEarly()
   {
     Begin();
+    mServer->mRuns[*mRun].mFinished = mServer->mRuns[*mRun].mStarted;
     mOut = FormatReply(200, Fields(true), Body());
     asio::async_write(
       mSocket,
@@ -328,13 +329,19 @@
   std::string Body() const
   {
     const std::string id = Field(Request(), "Wasabispread-Request-Id");
-    return Target().mService.starts_with("shard")
-             ? RecordsOf(Target().mService, id)
-             : ReplyBodyOf(Target().mInstance, id);
+    if (Target().mService.starts_with("shard")) {
+      return RecordsOf(Target().mService, id);
+    }
+    std::string body = ReplyBodyOf(Target().mInstance, id);
+    if (Request().target().ends_with(kLargeReply)) {
+      body.resize(std::max(body.size(), Target().mLargeReply), '.');
+    }
+    return body;
   }
 
   void Reply()
   {
+    mServer->mRuns[*mRun].mFinished = std::chrono::steady_clock::now();
     const std::string body = Body();
     const std::string other =
       FormatReply(200,
--- a/tests/platform/StandInTarget.h
+++ b/tests/platform/StandInTarget.h
@@ -15,6 +15,9 @@
 
 namespace wasabispread::testing {
 
+/** The end of the paths whose replies are large. */
+inline constexpr const char* kLargeReply = "/large";
+
 /** A request that a target ran or started to run. */
 struct TargetRun
 {
@@ -26,6 +29,8 @@
   std::string mBody;
   std::vector<HttpHeader> mHeaders;
   TimePoint mStarted{};
+  /** When the target had its reply; TimePoint::max() if it never had one. */
+  TimePoint mFinished = TimePoint::max();
   /** Whether the caller closed the connection before the run ended. */
   bool mIsCancelled = false;
 };
@@ -132,6 +137,9 @@
       none. It is not enforced. */
   unsigned mRequestLimit = 0;
 
+  /** The length of its replies to paths that end with kLargeReply. */
+  std::size_t mLargeReply = 1U << 20U;
+
   /** Whether its replies state that it leaves. */
   bool mIsLeaving = false;
   /** Whether it names the request when it turns one away. */
--- a/tests/processes/ChildProcess.cpp
+++ b/tests/processes/ChildProcess.cpp
@@ -153,10 +153,21 @@
   }
 }
 
+void
+ChildProcess::Interrupt()
+{
+  mWasKilledOrFrozen = true;
+  if (mPid != 0) {
+    kill(mPid, SIGINT);
+  }
+}
+
 void
 ChildProcess::Reload() const
 {
-  kill(mPid, SIGHUP);
+  if (mPid != 0) {
+    kill(mPid, SIGHUP);
+  }
 }
 
 void
--- a/tests/processes/ChildProcess.h
+++ b/tests/processes/ChildProcess.h
@@ -44,6 +44,9 @@
   /** Sends SIGTERM without waiting for the end. */
   void Terminate();
 
+  /** Sends SIGINT without waiting for the end. */
+  void Interrupt();
+
   /** Sends SIGHUP, which makes the process reload its settings. */
   void Reload() const;
 
