--- a/tests/platform/LossLoad.cpp
+++ b/tests/platform/LossLoad.cpp
@@ -102,6 +102,8 @@
   Tcp::socket mSocket;
   asio::steady_timer mTimer;
   bool mIsExpired = false;
+  /** Whether an answer told that the connection closes. */
+  bool mIsClosing = false;
   boost::beast::flat_buffer mBuffer;
 };
 
@@ -265,8 +267,10 @@
     sent += piece.size();
   }
   const TimePoint sent = Now();
+  const bool wasClosing = mConnection->mIsClosing;
   for (LossRequest& request : aRequests) {
     request.mFirstByte = start;
+    request.mIsAfterClose = wasClosing;
     if (isOpen) {
       request.mLastByte = sent;
       request.mStatus = Receive(request.mKind == "large");
@@ -301,6 +305,7 @@
       boost::this_fiber::sleep_for(milliseconds(5 + Pick(20)));
     }
   }
+  mConnection->mIsClosing = parser.is_done() && !parser.keep_alive();
   return parser.is_done() && !parser.need_eof() ? parser.get().result_int() : 0;
 }
 
@@ -374,6 +379,7 @@
        << SinceText(daemon.mStarts, aRequest.mEnded)
        << " ms after the start, deadline "
        << WholeMilliseconds(aRequest.mDeadline) << " ms, "
+       << (aRequest.mIsAfterClose ? "after \"close\", " : "")
        << (isHeld ? "held up" : "not held up") << ", test late by "
        << WholeMilliseconds(aLog.mMaxLag) << " ms at most\n";
   const auto [first, last] = aRuns.equal_range(aRequest.mId);
@@ -434,7 +440,7 @@
         counts.mBrokenPromises.push_back(explain());
       }
     } else if (request.mHasGivenUp) {
-      ++counts.mSilent;
+      counts.mSilent.push_back(explain());
     } else if (begun == 0 && request.mEnded <= request.mLastByte + kSlack) {
       ++counts.mCrossed;
     } else if (request.mEnded >= request.mFirstByte + request.mDeadline ||
--- a/tests/platform/LossLoad.h
+++ b/tests/platform/LossLoad.h
@@ -67,6 +67,9 @@
   Duration mDeadline{};
   /** 0 without a complete answer. */
   unsigned mStatus = 0;
+  /** Whether an answer had told the client before that the connection closes.
+   */
+  bool mIsAfterClose = false;
   /** Whether the client gave up; otherwise a request without an answer ended
       with its connection. */
   bool mHasGivenUp = false;
@@ -123,10 +126,12 @@
   /** Ended without an answer, in the ways that the rule allows: crossed a
       close, or reached their deadline or the end of the grace. */
   std::size_t mCrossed = 0;
+  /** Never begun, and sent although the answer before said "close". */
+  std::size_t mAfterClose = 0;
   std::size_t mLate = 0;
   std::size_t mGraceEnded = 0;
   /** The client waited in vain, on an open connection. */
-  std::size_t mSilent = 0;
+  std::vector<std::string> mSilent;
   /** Lost requests, orders that ran twice and requests that ran although the
       answer promises that they did not, each with what is known of it. */
   std::vector<std::string> mLost;
--- a/tests/platform/LossSoakTests.cpp
+++ b/tests/platform/LossSoakTests.cpp
@@ -431,17 +431,18 @@
                 << ", served " << counts.mServed << ", refused "
                 << counts.mRefused << ", crossed a close " << counts.mCrossed
                 << ", late " << counts.mLate << ", ended by the grace "
-                << counts.mGraceEnded << ", silent " << counts.mSilent
+                << counts.mGraceEnded << ", silent " << counts.mSilent.size()
                 << ", lost " << counts.mLost.size() << ", twice "
                 << counts.mTwice.size() << ", broken promises "
                 << counts.mBrokenPromises.size() << std::endl;
+      Print("silent", counts.mSilent);
       Print("lost", counts.mLost);
       Print("twice", counts.mTwice);
       Print("broken promise", counts.mBrokenPromises);
       const bool isFailed = !counts.mLost.empty() || !counts.mTwice.empty() ||
                             !counts.mBrokenPromises.empty();
       failed += isFailed ? 1 : 0;
-      if (isFailed && !folder.empty()) {
+      if ((isFailed || !counts.mSilent.empty()) && !folder.empty()) {
         run.KeepLogs(folder);
       }
     }
