Tell requests sent after an answer that said "close" from lost ones in the soak test

The rule counts requests that the process has read, and callers respect "close".

Such a request is counted on its own if no target has begun it and the daemon has logged nothing of it. It is lost as before otherwise.

--- a/tests/platform/LossLoad.cpp
+++ b/tests/platform/LossLoad.cpp
@@ -404,6 +404,14 @@
   return text.str();
 }
 
+/** Whether a daemon has logged anything of a request. */
+bool
+HasRecord(const ForwarderFleet& aFleet, const LossRequest& aRequest)
+{
+  return ReadWholeFile(aFleet.LogFile(aRequest.mDaemon))
+           .find("\"" + aRequest.mId + "\"") != std::string::npos;
+}
+
 /** Whether an answer promises that the request did not run. */
 bool
 IsPromise(unsigned aStatus)
@@ -443,6 +451,10 @@
       counts.mSilent.push_back(explain());
     } else if (begun == 0 && request.mEnded <= request.mLastByte + kSlack) {
       ++counts.mCrossed;
+    } else if (begun == 0 && request.mIsAfterClose &&
+               !HasRecord(aFleet, request)) {
+      // Callers respect "close"; the daemon has not read this request.
+      ++counts.mAfterClose;
     } else if (request.mEnded >= request.mFirstByte + request.mDeadline ||
                request.mEnded >=
                  request.mLastByte +
--- a/tests/platform/LossSoakTests.cpp
+++ b/tests/platform/LossSoakTests.cpp
@@ -430,11 +430,12 @@
       std::cout << "loss soak seed " << seed << ": sent " << counts.mSent
                 << ", served " << counts.mServed << ", refused "
                 << counts.mRefused << ", crossed a close " << counts.mCrossed
-                << ", late " << counts.mLate << ", ended by the grace "
-                << counts.mGraceEnded << ", silent " << counts.mSilent.size()
-                << ", lost " << counts.mLost.size() << ", twice "
-                << counts.mTwice.size() << ", broken promises "
-                << counts.mBrokenPromises.size() << std::endl;
+                << ", sent after \"close\" " << counts.mAfterClose << ", late "
+                << counts.mLate << ", ended by the grace " << counts.mGraceEnded
+                << ", silent " << counts.mSilent.size() << ", lost "
+                << counts.mLost.size() << ", twice " << counts.mTwice.size()
+                << ", broken promises " << counts.mBrokenPromises.size()
+                << std::endl;
       Print("silent", counts.mSilent);
       Print("lost", counts.mLost);
       Print("twice", counts.mTwice);
