Accept waiting connections of a stop without descriptors; survive stated lengths

With an operators' limit of 2^63-1 on bodies, one caller's stated length ended the daemon (bad_alloc); it is rejected with 413.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -10,6 +10,7 @@
 
 #include "wasabispread_runtime.h"
 
+#include <new>
 #include <set>
 #include <stdexcept>
 
@@ -379,6 +380,9 @@
     } catch (const std::length_error&) {
       // Beast's fields hold at most 64 KiB.
       return http::error::header_limit;
+    } catch (const std::bad_alloc&) {
+      // Beast reserves the length that the request states.
+      return http::error::body_limit;
     }
     if (error && error != http::error::need_more) {
       return error;
@@ -557,9 +561,21 @@
   }
 }
 
+/** Ends the waits of the connections on which no request has arrived. */
+template<class Server>
+void
+ExpireIdle(Server& aServer)
+{
+  for (const auto& connection : aServer.mConnections) {
+    if (connection->mIdleSince != TimePoint::max()) {
+      connection->Expire();
+    }
+  }
+}
+
 /** Accepts the connections that wait in the kernel's backlog; closing the
     listening socket would reset them. While the process has no descriptor left,
-    it waits for connections to end, until aUntil. */
+    it closes idle connections and waits for others to end, until aUntil. */
 template<class Server>
 void
 AcceptPending(const std::shared_ptr<Server>& aServer, TimePoint aUntil)
@@ -573,6 +589,7 @@
       StartConnection(aServer, std::move(socket));
     } else if (error == asio::error::no_descriptors && Now() < aUntil) {
       error = {};
+      ExpireIdle(*aServer);
       boost::this_fiber::sleep_for(kStopPollInterval);
     }
   }
@@ -651,11 +668,7 @@
   mImplementation->mAcceptor.close(ignored);
   boost::this_fiber::sleep_for(kIdleCloseDelay);
   mImplementation->mClosesIdle = true;
-  for (const auto& connection : mImplementation->mConnections) {
-    if (connection->mIdleSince != TimePoint::max()) {
-      connection->Expire();
-    }
-  }
+  ExpireIdle(*mImplementation);
   // After a hold-up that went past aUntil, answers may be due that are not
   // written yet.
   bool isEnding = false;
