Hold the daemon up past the end of its stop in HeldUpExitTests

Since the process ends 150 ms before the kill, not 350, so that the hold-up of the test ended before it. The test now holds up until 70 ms after that end, as it did before.

--- a/tests/platform/HeldUpExitTests.cpp
+++ b/tests/platform/HeldUpExitTests.cpp
@@ -23,10 +23,10 @@
   {
     constexpr std::size_t kCallers = 8;
     // With a grace of 4 s, the last answers are due 3.5 s after SIGTERM, and
-    // the process ends after 3.65 s.
+    // the process ends after 3.85 s.
     constexpr Duration kSentAt = std::chrono::milliseconds(1980);
     constexpr Duration kHeldUpFrom = std::chrono::milliseconds(3150);
-    constexpr Duration kHeldUpUntil = std::chrono::milliseconds(3750);
+    constexpr Duration kHeldUpUntil = std::chrono::milliseconds(3920);
     ForwarderFleet fleet;
     for (const char* target : { "once-a", "once-b" }) {
       fleet.Target(target).mServiceTime = std::chrono::milliseconds(1300);
