--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -31,9 +31,9 @@
 
   /** Shuts down. The readiness check fails at once; connections are accepted
       for a while longer, until the load balancer has noticed; then the requests
-      in flight are finished. Returns when none is left and all answers are
-      written, or when the stop's grace is nearly over; a caller that reads
-      nothing does not delay it further. */
+      in flight are finished. Returns when none is left and callers have closed
+      their connections, at the latest when the grace is nearly over; a caller
+      that does not read its answer does not delay it longer. */
   void Stop();
 
 private:
--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -21,9 +21,9 @@
 constexpr const char* kCallerDisconnectedMessage =
   "the caller closed its connection";
 
-/** How late a timer is after a hold-up; timers of an idle process are less
-    late. */
-constexpr Duration kHoldUp = std::chrono::milliseconds(5);
+/** A timer that is this late suggests that input arrived while the process did
+    not run. */
+constexpr Duration kLateTimer = std::chrono::milliseconds(5);
 /** The most turns of reading before due timers act; a turn reads a few
     kilobytes of each reply. Input that never ends must not hold timers up. */
 constexpr unsigned kMaxInputTurns = 8;
@@ -409,7 +409,7 @@
   while (true) {
     mTimerDue = mState.NextDue();
     mTimerWake.WaitUntil(mTimerDue);
-    if (mTimerDue <= Now() - kHoldUp) {
+    if (mTimerDue <= Now() - kLateTimer) {
       HandleArrivedInput();
     }
     if (mState.NextDue() <= Now()) {
--- a/modules/wasabispread_forwarding/ForwarderRunner.h
+++ b/modules/wasabispread_forwarding/ForwarderRunner.h
@@ -95,7 +95,7 @@
   void RunTimers();
   /** Handles input that has arrived but is unread, as after this process was
       held up. Otherwise a due timer would give up a request whose reply is
-      there. */
+      there. Polling here is safe: completed operations only wake fibers. */
   void HandleArrivedInput();
   /** Connects to a target and runs exchanges until the connection ends. */
   void RunTargetLink(const OpenConnection& aOpening, TargetLink& aLink);
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -96,8 +96,8 @@
   void AnnounceStop();
 
   /** Stops accepting connections, closes those on which no request has arrived
-      and waits for requests in flight. Returns when all connections are closed,
-      or after aUntil as soon as no more are. */
+      and waits for requests in flight. Returns when all connections are closed;
+      after aUntil, as soon as none closes for 2 ms. */
   void Stop(TimePoint aUntil);
 
   /** The number of open connections. */
