Reject malformed settings instead of ending the process

What callers saw: after a SIGHUP, or within two seconds without one, a daemon whose settings file holds "x = [}" or "[=x]" ends with SIGABRT, and all its requests lose their connections.

Cause: the TOML library has assertions that fail for some malformed texts; our builds keep assertions enabled, but for Release builds.

The library is included without its assertions, so that it reports the error it would have reported.

--- a/modules/wasabispread_config/TableReader.h
+++ b/modules/wasabispread_config/TableReader.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <string_view>
 
-#include <toml++/toml.h>
+#include "TomlLibrary.h"
 
 namespace wasabispread {
 
--- a/tests/platform/SettingsReloadTests.cpp
+++ b/tests/platform/SettingsReloadTests.cpp
@@ -49,6 +49,8 @@
   CPPUNIT_TEST(ServesAfterNestedArrays);
   CPPUNIT_TEST(ServesAfterNestedTables);
   CPPUNIT_TEST(ServesAfterAKeyOfManyParts);
+  CPPUNIT_TEST(ServesAfterABracketThatIsNotClosed);
+  CPPUNIT_TEST(ServesAfterAHeaderWithoutAKey);
   CPPUNIT_TEST(ServesAfterAFileThatIsTooLarge);
   CPPUNIT_TEST(ServesAfterAFileThatIsAPipe);
   CPPUNIT_TEST(ServesAfterAFileThatIsADirectory);
@@ -70,6 +72,10 @@
     RequireServesAfter(Repeat(20'000, "a.") + "a = 1");
   }
 
+  void ServesAfterABracketThatIsNotClosed() { RequireServesAfter("x = [}"); }
+
+  void ServesAfterAHeaderWithoutAKey() { RequireServesAfter("[=x]"); }
+
   void ServesAfterAFileThatIsTooLarge()
   {
     ForwarderFleet fleet;
