Read only regular settings files of at most 1 MiB

What callers saw: with a pipe in place of the settings file no request is answered any more, since opening it blocks the process's only thread. A file of 512 MiB was read whole into memory, in the same thread.

--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -4,6 +4,7 @@
 #include "wasabispread_forwarding.h"
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -21,6 +22,8 @@
 constexpr Duration kSettingsPollInterval = std::chrono::seconds(2);
 /** The time between two checks of whether the process was held up. */
 constexpr Duration kHoldUpPollInterval = std::chrono::milliseconds(250);
+/** The largest settings file that is read, in bytes. */
+constexpr std::uintmax_t kMaxSettingsBytes = 1U << 20U;
 
 ForwarderPolicy
 PolicyFrom(const ForwarderSettings& aSettings)
@@ -49,12 +52,24 @@
 Result<std::string>
 ReadFile(const std::string& aFile)
 {
-  std::ifstream stream(aFile);
-  if (!stream) {
+  // Opening a pipe would block all fibers.
+  std::error_code error;
+  const bool isFile = std::filesystem::is_regular_file(aFile, error);
+  std::ifstream stream;
+  if (isFile) {
+    stream.open(aFile);
+  }
+  if (!isFile || !stream) {
     return Fail(ErrorKind::kInvalidSettings,
                 "the file " + aFile + " cannot be read",
                 "check its name and its read permission");
   }
+  if (std::filesystem::file_size(aFile, error) > kMaxSettingsBytes) {
+    return Fail(ErrorKind::kInvalidSettings,
+                "the file " + aFile + " is larger than " +
+                  std::to_string(kMaxSettingsBytes) + " bytes",
+                "remove what is no setting");
+  }
   std::ostringstream text;
   text << stream.rdbuf();
   return text.str();
