Handle I/O while fibers stay ready

Suspected in the record of requests closed without an answer: a comment in IoLoop.cpp said that I/O is polled while fibers are ready, a disassembly of the library's scheduler that it is not.

Seen: IoLoopTests (public behaviour only, three fibers that always yield) fail on: input and a timer that were due were handled only after the 2 s for which the fibers stayed ready, 2 of 2 tests. A process that wakes with hundreds of ready fibers reads no input, sees no signal and no closed connection until all of them and those that they wake have run.

Change: pick_next() polls, but only on the turns of the dispatcher fiber, where no fiber is about to suspend and may hold the lock of a future, and only when the last poll is 1 ms ago, so that short rounds cost no system call. Reading arrived input before late timers counts what the loop has handled by itself, too; otherwise it would end early.

--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -421,7 +421,7 @@
 void
 ForwarderRunner::HandleArrivedInput()
 {
-  for (unsigned turn = 0; turn < kMaxInputTurns && mLoop.Context().poll() != 0;
+  for (unsigned turn = 0; turn < kMaxInputTurns && mLoop.HandleArrived() != 0;
        ++turn) {
     boost::this_fiber::yield();
   }
--- a/modules/wasabispread_runtime/IoLoop.cpp
+++ b/modules/wasabispread_runtime/IoLoop.cpp
@@ -5,6 +5,8 @@
 
 #include "wasabispread_runtime.h"
 
+#include <utility>
+
 #include <boost/fiber/algo/algorithm.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
@@ -14,14 +16,27 @@
 
 namespace {
 
+/** How long fibers may stay ready before I/O is polled. */
+constexpr Duration kMaxTimeWithoutPoll = std::chrono::milliseconds(1);
+
+/** Whether no fiber is running or about to suspend. */
+bool
+IsDispatching()
+{
+  return boost::fibers::context::active()->is_context(
+    boost::fibers::type::dispatcher_context);
+}
+
 /** Runs ready fibers in round-robin order, and waits in the Asio context when
     none is ready. */
 class IoScheduler : public boost::fibers::algo::algorithm
 {
 public:
-  explicit IoScheduler(std::shared_ptr<boost::asio::io_context> aContext)
+  IoScheduler(std::shared_ptr<boost::asio::io_context> aContext,
+              std::shared_ptr<IoProgress> aProgress)
     : mContext(std::move(aContext))
     , mGuard(boost::asio::make_work_guard(*mContext))
+    , mProgress(std::move(aProgress))
   {
   }
 
@@ -30,37 +45,35 @@
     aFiber->ready_link(mReady);
   }
 
+  // Polls only on the turns of the dispatcher fiber, of which each round of
+  // ready fibers has one. A fiber that is about to suspend may still hold the
+  // lock of the future that a completed operation would set.
   boost::fibers::context* pick_next() noexcept override
   {
     if (mReady.empty()) {
       return nullptr;
     }
+    if (IsDispatching() && std::chrono::steady_clock::now() >= mPollDue) {
+      Poll();
+    }
     boost::fibers::context* fiber = &mReady.front();
     mReady.pop_front();
     return fiber;
   }
 
-  // The dispatcher fiber calls this function on each of its turns, so polling
-  // here keeps I/O going while fibers are always ready. Polling in pick_next()
-  // could complete an operation while its fiber still holds the lock of its
-  // future.
-  bool has_ready_fibers() const noexcept override
-  {
-    mContext->poll();
-    return !mReady.empty();
-  }
+  bool has_ready_fibers() const noexcept override { return !mReady.empty(); }
 
   void suspend_until(
     const std::chrono::steady_clock::time_point& aUntil) noexcept override
   {
-    if (mContext->poll() != 0) {
+    if (Poll() != 0) {
       return;
     }
-    if (aUntil == std::chrono::steady_clock::time_point::max()) {
-      mContext->run_one();
-    } else {
-      mContext->run_one_until(aUntil);
-    }
+    mProgress->mHandled +=
+      aUntil == std::chrono::steady_clock::time_point::max()
+        ? mContext->run_one()
+        : mContext->run_one_until(aUntil);
+    mPollDue = std::chrono::steady_clock::now() + kMaxTimeWithoutPoll;
   }
 
   void notify() noexcept override
@@ -69,9 +82,22 @@
   }
 
 private:
+  /** Runs all that is due now; returns how many operations that were. */
+  std::size_t Poll() noexcept
+  {
+    const TimePoint start = std::chrono::steady_clock::now();
+    const std::size_t handled = mContext->poll();
+    mProgress->mHandled += handled;
+    mPollDue = start + kMaxTimeWithoutPoll;
+    return handled;
+  }
+
   std::shared_ptr<boost::asio::io_context> mContext;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     mGuard;
+  std::shared_ptr<IoProgress> mProgress;
+  /** When I/O is polled although fibers are ready. */
+  TimePoint mPollDue{};
   boost::fibers::scheduler::ready_queue_type mReady;
 };
 
@@ -79,8 +105,9 @@
 
 IoLoop::IoLoop()
   : mContext(std::make_shared<boost::asio::io_context>(1))
+  , mProgress(std::make_shared<IoProgress>())
 {
-  boost::fibers::use_scheduling_algorithm<IoScheduler>(mContext);
+  boost::fibers::use_scheduling_algorithm<IoScheduler>(mContext, mProgress);
 }
 
 IoLoop::~IoLoop() = default;
@@ -91,6 +118,13 @@
   return *mContext;
 }
 
+std::size_t
+IoLoop::HandleArrived()
+{
+  mProgress->mHandled += mContext->poll();
+  return std::exchange(mProgress->mHandled, 0);
+}
+
 void
 IoLoop::CatchStopSignals()
 {
--- a/modules/wasabispread_runtime/IoLoop.h
+++ b/modules/wasabispread_runtime/IoLoop.h
@@ -11,9 +11,17 @@
 
 namespace wasabispread {
 
+/** What a loop has done so far. */
+struct IoProgress
+{
+  /** The operations that were handled since this number was last taken. */
+  std::size_t mHandled = 0;
+};
+
 /** Makes the calling thread run its fibers together with an Asio context: while
-    no fiber is ready, the thread waits for I/O or a timer. One instance per
-    thread, which must exist as long as the thread uses fibers. */
+    no fiber is ready, the thread waits for I/O or a timer; while fibers stay
+    ready, it handles I/O between their rounds. One instance per thread, which
+    must exist as long as the thread uses fibers. */
 class IoLoop
 {
 public:
@@ -26,6 +34,11 @@
   /** The context that runs the I/O of all sockets and timers. */
   boost::asio::io_context& Context();
 
+  /** Handles the I/O that is due now. Returns how many operations were handled
+      since the last call of this function, also those that the loop handled by
+      itself. */
+  std::size_t HandleArrived();
+
   /** From now on SIGTERM and SIGINT no longer end the process, but
       WaitForStopSignal() returns, also for one that comes before its call. */
   void CatchStopSignals();
@@ -44,6 +57,7 @@
 
 private:
   std::shared_ptr<boost::asio::io_context> mContext;
+  std::shared_ptr<IoProgress> mProgress;
   /** None before CatchStopSignals(). */
   std::shared_ptr<boost::asio::signal_set> mStopSignals;
 };
--- /dev/null
+++ b/modules/wasabispread_runtime/IoLoopTests.cpp
@@ -0,0 +1,93 @@
+/*
+ * Tests that I/O and timers are handled while fibers are always ready.
+ */
+#include "wasabispread_runtime.h"
+
+#include <array>
+
+#include <boost/asio.hpp>
+#include <boost/fiber/operations.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
+
+using namespace wasabispread;
+
+namespace {
+
+constexpr Duration kLimit = std::chrono::seconds(2);
+
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+/** The loop of this program, which may have only one. */
+IoLoop&
+Loop()
+{
+  static IoLoop loop;
+  return loop;
+}
+
+/** Runs fibers that are always ready until aIsDone holds, for at most kLimit,
+    and returns how long that took. */
+Duration
+KeepFibersReady(const std::function<bool()>& aIsDone)
+{
+  constexpr unsigned kFibers = 3;
+  const TimePoint start = Now();
+  unsigned running = kFibers;
+  for (unsigned fiber = 0; fiber < kFibers; ++fiber) {
+    StartFiber([&] {
+      while (!aIsDone() && Now() < start + kLimit) {
+        boost::this_fiber::yield();
+      }
+      --running;
+    });
+  }
+  while (running != 0) {
+    boost::this_fiber::yield();
+  }
+  return Now() - start;
+}
+
+} // namespace
+
+class IoLoopTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(IoLoopTests);
+  CPPUNIT_TEST(ReadsInputWhileFibersStayReady);
+  CPPUNIT_TEST(RunsTimersWhileFibersStayReady);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ReadsInputWhileFibersStayReady()
+  {
+    std::array<int, 2> ends{};
+    CPPUNIT_ASSERT_EQUAL(0, pipe(ends.data()));
+    boost::asio::posix::stream_descriptor reader(Loop().Context(), ends[0]);
+    std::array<char, 1> byte{};
+    bool isRead = false;
+    reader.async_read_some(
+      boost::asio::buffer(byte),
+      [&](boost::system::error_code, std::size_t) { isRead = true; });
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(ssize_t{ 1 }, write(ends[1], "x", 1));
+    CPPUNIT_ASSERT(KeepFibersReady([&] { return isRead; }) < kLimit / 10);
+    CPPUNIT_ASSERT(isRead);
+    close(ends[1]);
+  }
+
+  void RunsTimersWhileFibersStayReady()
+  {
+    bool isDue = false;
+    boost::asio::steady_timer timer(Loop().Context());
+    timer.expires_after(std::chrono::milliseconds(20));
+    timer.async_wait([&](boost::system::error_code) { isDue = true; });
+    CPPUNIT_ASSERT(KeepFibersReady([&] { return isDue; }) < kLimit / 10);
+    CPPUNIT_ASSERT(isDue);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(IoLoopTests);
