Count the grace of a stop from before its signal was sent

What callers saw: a process that gets no processor for up to 500 ms when SIGTERM comes handles it late, and ends later than the platform kills it. The kill cuts off all requests in progress; the last answers, due 500 ms before the planned end, fall on it.

Cause: only hold-ups over 500 ms, seen by a check each 250 ms, counted against the grace.

Change: the loop knows when it last looked and saw no signal. The signal cannot have been sent before, so the grace counts from there, whatever the hold-up. This replaces the detection of hold-ups and its threshold; a wait still ends after 250 ms, so that an idle process gives away at most that much of its grace.

The decision test of the hold-up is replaced by one of the time before the signal for 0, 1, 400 and 2000 ms, which holds for each length of a hold-up.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -169,7 +169,7 @@
   if (!started) {
     std::quick_exit(Report(started.error(), EXIT_FAILURE));
   }
-  loop.WaitForStopSignal();
+  const TimePoint notBefore = loop.WaitForStopSignal();
   LogIgnoredSignals(loop,
                     [&](int aSignal, std::chrono::milliseconds aSinceFirst) {
                       const forwarding::DecisionRecord record{
@@ -182,7 +182,7 @@
                       log.Write(forwarding::FormatDecisionRecord(
                         record, aSettings.mName, WallClockText()));
                     });
-  daemon.Stop();
+  daemon.Stop(notBefore);
   log.Flush(kFlushLimit);
   // Ends without destroying local objects, for the reason given in RunDaemon().
   std::quick_exit(EXIT_SUCCESS);
--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -19,8 +19,9 @@
 constexpr double kListeningShare = 0.6;
 /** The time between two checks of the settings file for changes. */
 constexpr Duration kSettingsPollInterval = std::chrono::seconds(2);
-/** The time between two checks of whether the process was held up. */
-constexpr Duration kHoldUpPollInterval = std::chrono::milliseconds(250);
+/** The longest that the process waits for events. The grace of a stop counts
+    from before the wait in which its signal came. */
+constexpr Duration kMaxWait = std::chrono::milliseconds(250);
 
 ForwarderPolicy
 PolicyFrom(const ForwarderSettings& aSettings)
@@ -134,7 +135,7 @@
     mFileText = *text;
   }
   StartFiber([this] { WatchSettings(); });
-  StartFiber([this] { WatchHoldUps(); });
+  StartFiber([] { LimitWaits(); });
   mLoop.OnReloadSignal([this] { ReloadSettings(); });
   return std::monostate{};
 }
@@ -176,22 +177,10 @@
 }
 
 void
-ForwarderDaemon::WatchHoldUps()
+ForwarderDaemon::LimitWaits()
 {
-  mLastHoldUpCheck = ForwarderRunner::Now();
   while (true) {
-    boost::this_fiber::sleep_for(kHoldUpPollInterval);
-    CheckHoldUp();
-    mLastHoldUpCheck = ForwarderRunner::Now();
-  }
-}
-
-void
-ForwarderDaemon::CheckHoldUp()
-{
-  const TimePoint now = ForwarderRunner::Now();
-  if (now > mLastHoldUpCheck + 2 * kHoldUpPollInterval) {
-    mLastHoldUp = HoldUp{ mLastHoldUpCheck, now };
+    boost::this_fiber::sleep_for(kMaxWait);
   }
 }
 
@@ -229,12 +218,10 @@
 }
 
 void
-ForwarderDaemon::Stop()
+ForwarderDaemon::Stop(TimePoint aNotBefore)
 {
   const TimePoint stopStart = ForwarderRunner::Now();
-  CheckHoldUp();
-  const Duration grace =
-    GraceLeft(mSettings.mStopGrace, mLastHoldUp, stopStart);
+  const Duration grace = GraceLeft(mSettings.mStopGrace, aNotBefore, stopStart);
   mRunner.Deliver(ForwarderStopRequested{ grace });
   const TimePoint exit = mRunner.State().mStop->mExit;
   mCallers->AnnounceStop();
--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -29,12 +29,13 @@
       port is not returned. */
   Result<std::monostate> Start();
 
-  /** Shuts down. The readiness check fails at once; connections are accepted
-      for a while longer, until the load balancer has noticed; then the requests
-      in flight are finished. Returns when none is left and callers have closed
-      their connections, at the latest when the grace is nearly over; a caller
-      that does not read its answer does not delay it longer. */
-  void Stop();
+  /** Shuts down, with a grace that counts from aNotBefore, a time before the
+      signal was sent. The readiness check fails at once; connections are
+     accepted for a while longer, until the load balancer has noticed; then the
+     requests in flight are finished. Returns when none is left and callers have
+     closed their connections, at the latest when the grace is nearly over; a
+     caller that does not read its answer does not delay it longer. */
+  void Stop(TimePoint aNotBefore);
 
 private:
   /** Starts an HTTP server with default limits. */
@@ -44,10 +45,8 @@
   /** Puts the configuration's limits in force on the caller port. */
   void ApplyCallerLimits(const CallerLimits& aLimits);
   void WatchSettings();
-  /** Checks at times whether the process was held up. */
-  void WatchHoldUps();
-  /** Records a hold-up when the last check is long ago. */
-  void CheckHoldUp();
+  /** Lets the process wait for kMaxWait at most. */
+  static void LimitWaits();
   /** Applies the settings file if its text has changed. */
   void ReloadSettings();
   void ApplySettings(const std::string& aText);
@@ -60,8 +59,6 @@
   const PlatformAdapter& mAdapter;
   DecisionLog mDecisionLog;
   ForwarderRunner mRunner;
-  TimePoint mLastHoldUpCheck = ForwarderRunner::Now();
-  HoldUp mLastHoldUp;
   std::unique_ptr<HttpServer> mCallers;
   std::unique_ptr<HttpServer> mReadiness;
   std::unique_ptr<HttpServer> mMetrics;
--- a/modules/wasabispread_forwarding_decisions/Shutdown.cpp
+++ b/modules/wasabispread_forwarding_decisions/Shutdown.cpp
@@ -4,6 +4,7 @@
 #include "RequestSteps.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace wasabispread::forwarding {
 
@@ -19,20 +20,16 @@
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(350);
 constexpr int kExitMarginDivisor = 12;
 constexpr int kAnswerMarginDivisor = 3;
-/** How long after a hold-up a signal that came during it may be handled. */
-constexpr Duration kSignalDelay = std::chrono::milliseconds(100);
 /** One over the share of the grace that is left after the longest hold-up. */
 constexpr int kMinGraceDivisor = 8;
 
 } // namespace
 
 Duration
-GraceLeft(Duration aGrace, const HoldUp& aLast, TimePoint aNow)
+GraceLeft(Duration aGrace, TimePoint aNotBefore, TimePoint aNow)
 {
-  if (aNow > aLast.mUntil + kSignalDelay) {
-    return aGrace;
-  }
-  return std::max(aGrace - (aNow - aLast.mFrom), aGrace / kMinGraceDivisor);
+  assert(aNotBefore <= aNow);
+  return std::max(aGrace - (aNow - aNotBefore), aGrace / kMinGraceDivisor);
 }
 
 StopPlan
--- a/modules/wasabispread_forwarding_decisions/Shutdown.h
+++ b/modules/wasabispread_forwarding_decisions/Shutdown.h
@@ -26,18 +26,11 @@
   TimePoint mExit{};
 };
 
-/** A time during which the process did not run, or hardly did. */
-struct HoldUp
-{
-  TimePoint mFrom{};
-  TimePoint mUntil{};
-};
-
-/** What is left of a stop's grace when the signal is handled at aNow. When
-    aLast has just ended, the signal may have come at any time of it, so that
-    the grace is counted from its start; a small part is left in any case. */
+/** What is left of a stop's grace when the signal is handled at aNow. It was
+   not sent before aNotBefore, but may have been at any time since; the grace
+   counts from there. A small part is left in any case. */
 Duration
-GraceLeft(Duration aGrace, const HoldUp& aLast, TimePoint aNow);
+GraceLeft(Duration aGrace, TimePoint aNotBefore, TimePoint aNow);
 
 /** Divides the time that the stop may take. */
 StopPlan
--- a/modules/wasabispread_forwarding_decisions/ShutdownTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ShutdownTests.cpp
@@ -34,7 +34,7 @@
   CPPUNIT_TEST(AnswersSearchesInPartBeforeTheProcessEnds);
   CPPUNIT_TEST(KeepsItsStepsInOrderForAnyGrace);
   CPPUNIT_TEST(LeavesTimeToWriteTheLastAnswers);
-  CPPUNIT_TEST(CountsTheGraceFromTheStartOfAHoldUp);
+  CPPUNIT_TEST(CountsTheGraceFromBeforeTheSignal);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -147,18 +147,17 @@
   }
 
   /** Guards against a process that is killed before its own plan ends. */
-  void CountsTheGraceFromTheStartOfAHoldUp()
+  void CountsTheGraceFromBeforeTheSignal()
   {
     const TimePoint now{ std::chrono::seconds(50) };
     const Duration second = std::chrono::seconds(1);
-    CPPUNIT_ASSERT(GraceLeft(kGrace, HoldUp{}, now) == kGrace);
-    CPPUNIT_ASSERT(GraceLeft(kGrace, HoldUp{ now - 2 * second, now }, now) ==
-                   kGrace - 2 * second);
-    CPPUNIT_ASSERT(GraceLeft(kGrace,
-                             HoldUp{ now - 2 * second, now - second },
-                             now) == kGrace);
-    const Duration least =
-      GraceLeft(kGrace, HoldUp{ now - 2 * kGrace, now }, now);
+    CPPUNIT_ASSERT(GraceLeft(kGrace, now, now) == kGrace);
+    for (const Duration ago : { Duration(std::chrono::milliseconds(1)),
+                                Duration(std::chrono::milliseconds(400)),
+                                2 * second }) {
+      CPPUNIT_ASSERT(GraceLeft(kGrace, now - ago, now) == kGrace - ago);
+    }
+    const Duration least = GraceLeft(kGrace, now - 2 * kGrace, now);
     CPPUNIT_ASSERT(least > Duration::zero());
     CPPUNIT_ASSERT(least <= kGrace / 4);
   }
--- a/modules/wasabispread_runtime/IoLoop.cpp
+++ b/modules/wasabispread_runtime/IoLoop.cpp
@@ -88,6 +88,7 @@
     const TimePoint start = std::chrono::steady_clock::now();
     const std::size_t handled = mContext->poll();
     mProgress->mHandled += handled;
+    mProgress->mLastPoll = start;
     mPollDue = start + kMaxTimeWithoutPoll;
     return handled;
   }
@@ -128,20 +129,24 @@
 void
 IoLoop::CatchStopSignals()
 {
-  if (mStopSignals == nullptr) {
-    mStopSignals =
-      std::make_shared<boost::asio::signal_set>(*mContext, SIGTERM, SIGINT);
+  if (mStopSignals != nullptr) {
+    return;
   }
+  mStopSignals =
+    std::make_shared<boost::asio::signal_set>(*mContext, SIGTERM, SIGINT);
+  mStopSignals->async_wait(
+    [stop = mStop, progress = mProgress](boost::system::error_code, int) {
+      stop->mNotBefore = progress->mLastPoll;
+      stop->mCame.Notify();
+    });
 }
 
-void
+TimePoint
 IoLoop::WaitForStopSignal()
 {
   CatchStopSignals();
-  Await([this](auto aHandler) {
-    mStopSignals->async_wait([aHandler](boost::system::error_code aError,
-                                        int) mutable { aHandler(aError); });
-  });
+  mStop->mCame.Wait();
+  return mStop->mNotBefore;
 }
 
 void
--- a/modules/wasabispread_runtime/IoLoop.h
+++ b/modules/wasabispread_runtime/IoLoop.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include "FiberEvent.h"
+
 #include <functional>
 #include <memory>
 
@@ -14,6 +16,8 @@
 /** What a loop has done so far. */
 struct IoProgress
 {
+  /** When the last poll began that has handled all that was due then. */
+  TimePoint mLastPoll = std::chrono::steady_clock::now();
   /** The operations that were handled since this number was last taken. */
   std::size_t mHandled = 0;
 };
@@ -43,9 +47,12 @@
       WaitForStopSignal() returns, also for one that comes before its call. */
   void CatchStopSignals();
 
-  /** Blocks the calling fiber until the process receives SIGTERM or SIGINT.
-      Further ones are ignored, so that they do not cut the stop short. */
-  void WaitForStopSignal();
+  /** Blocks the calling fiber until the process receives SIGTERM or SIGINT, and
+      returns a time at which none had been sent: the last at which the loop
+      looked and saw none. A process that gets no processor handles it later
+      than it was sent. Further ones are ignored, so that they do not cut the
+      stop short. */
+  TimePoint WaitForStopSignal();
 
   /** Calls aAction with the number of each further SIGTERM and SIGINT. To be
       called once, after WaitForStopSignal(). */
@@ -56,8 +63,16 @@
   void OnReloadSignal(std::function<void()> aAction);
 
 private:
+  /** The first stop signal. */
+  struct StopSignal
+  {
+    FiberEvent mCame;
+    TimePoint mNotBefore{};
+  };
+
   std::shared_ptr<boost::asio::io_context> mContext;
   std::shared_ptr<IoProgress> mProgress;
+  std::shared_ptr<StopSignal> mStop = std::make_shared<StopSignal>();
   /** None before CatchStopSignals(). */
   std::shared_ptr<boost::asio::signal_set> mStopSignals;
 };
--- a/modules/wasabispread_runtime/IoLoopTests.cpp
+++ b/modules/wasabispread_runtime/IoLoopTests.cpp
@@ -1,9 +1,10 @@
 /*
- * Tests that I/O and timers are handled while fibers are always ready.
+ * Tests that I/O, timers and signals are handled while fibers are always ready.
  */
 #include "wasabispread_runtime.h"
 
 #include <array>
+#include <csignal>
 
 #include <boost/asio.hpp>
 #include <boost/fiber/operations.hpp>
@@ -59,6 +60,7 @@
   CPPUNIT_TEST_SUITE(IoLoopTests);
   CPPUNIT_TEST(ReadsInputWhileFibersStayReady);
   CPPUNIT_TEST(RunsTimersWhileFibersStayReady);
+  CPPUNIT_TEST(HandlesStopSignalsWhileFibersStayReady);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +90,25 @@
     CPPUNIT_ASSERT(KeepFibersReady([&] { return isDue; }) < kLimit / 10);
     CPPUNIT_ASSERT(isDue);
   }
+
+  /** Also guards against a stop whose grace is counted from the handling of its
+      signal. */
+  void HandlesStopSignalsWhileFibersStayReady()
+  {
+    Loop().CatchStopSignals();
+    bool isStopped = false;
+    TimePoint notBefore = TimePoint::max();
+    StartFiber([&] {
+      notBefore = Loop().WaitForStopSignal();
+      isStopped = true;
+    });
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(10));
+    const TimePoint sent = Now();
+    CPPUNIT_ASSERT_EQUAL(0, raise(SIGTERM));
+    CPPUNIT_ASSERT(KeepFibersReady([&] { return isStopped; }) < kLimit / 10);
+    CPPUNIT_ASSERT(notBefore <= sent);
+    CPPUNIT_ASSERT(notBefore > sent - std::chrono::milliseconds(100));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(IoLoopTests);
--- a/modules/wasabispread_telemetry/LogWriter.cpp
+++ b/modules/wasabispread_telemetry/LogWriter.cpp
@@ -6,6 +6,7 @@
 #include "wasabispread_telemetry.h"
 
 #include <atomic>
+#include <csignal>
 #include <fstream>
 #include <future>
 #include <iostream>
@@ -69,6 +70,31 @@
   return boost::make_shared<std::ofstream>(aFile, std::ios::app);
 }
 
+/** Keeps SIGTERM, SIGINT and SIGHUP away from the threads that are started
+    during its life: the first thread then handles them before anything else
+    when the process resumes. */
+class SignalsForFirstThread
+{
+public:
+  SignalsForFirstThread()
+  {
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int signal : { SIGTERM, SIGINT, SIGHUP }) {
+      sigaddset(&signals, signal);
+    }
+    pthread_sigmask(SIG_BLOCK, &signals, &mBefore);
+  }
+
+  ~SignalsForFirstThread() { pthread_sigmask(SIG_SETMASK, &mBefore, nullptr); }
+
+  SignalsForFirstThread(const SignalsForFirstThread&) = delete;
+  SignalsForFirstThread& operator=(const SignalsForFirstThread&) = delete;
+
+private:
+  sigset_t mBefore{};
+};
+
 } // namespace
 
 struct LogWriter::Implementation
@@ -84,6 +110,7 @@
   const auto backend = boost::make_shared<Backend>();
   backend->add_stream(OpenStream(aFile));
   backend->auto_flush(true);
+  const SignalsForFirstThread signals;
   mImplementation->mSink = boost::make_shared<Sink>(backend);
   mImplementation->mSink->set_formatter(boost::log::expressions::stream
                                         << boost::log::expressions::smessage);
