--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -20,8 +20,12 @@
 constexpr double kListeningShare = 0.6;
 /** The time between two checks of the settings file for changes. */
 constexpr Duration kSettingsPollInterval = std::chrono::seconds(2);
-/** The time between two checks of whether the process was held up. */
-constexpr Duration kHoldUpPollInterval = std::chrono::milliseconds(250);
+/** The longest that the process waits for events. The grace of a stop counts
+    from before the wait in which its signal came. */
+constexpr Duration kMaxWait = std::chrono::milliseconds(250);
+/** How long a stop that was held up beyond its end waits for the answers that
+    are due. */
+constexpr Duration kMaxOverrun = std::chrono::seconds(1);
 /** The largest settings file that is read, in bytes. */
 constexpr std::uintmax_t kMaxSettingsBytes = 1U << 20U;
 
@@ -149,7 +153,7 @@
     mFileText = *text;
   }
   StartFiber([this] { WatchSettings(); });
-  StartFiber([this] { WatchHoldUps(); });
+  StartFiber([] { LimitWaits(); });
   mLoop.OnReloadSignal([this] { ReloadSettings(); });
   return std::monostate{};
 }
@@ -191,22 +195,10 @@
 }
 
 void
-ForwarderDaemon::WatchHoldUps()
+ForwarderDaemon::LimitWaits()
 {
-  mLastHoldUpCheck = ForwarderRunner::Now();
   while (true) {
-    boost::this_fiber::sleep_for(kHoldUpPollInterval);
-    CheckHoldUp();
-    mLastHoldUpCheck = ForwarderRunner::Now();
-  }
-}
-
-void
-ForwarderDaemon::CheckHoldUp()
-{
-  const TimePoint now = ForwarderRunner::Now();
-  if (now > mLastHoldUpCheck + 2 * kHoldUpPollInterval) {
-    mLastHoldUp = HoldUp{ mLastHoldUpCheck, now };
+    boost::this_fiber::sleep_for(kMaxWait);
   }
 }
 
@@ -244,19 +236,17 @@
 }
 
 void
-ForwarderDaemon::Stop()
+ForwarderDaemon::Stop(TimePoint aNotBefore)
 {
   const TimePoint stopStart = ForwarderRunner::Now();
-  CheckHoldUp();
-  const Duration grace =
-    GraceLeft(mSettings.mStopGrace, mLastHoldUp, stopStart);
+  const Duration grace = GraceLeft(mSettings.mStopGrace, aNotBefore, stopStart);
   mRunner.Deliver(ForwarderStopRequested{ grace });
   const TimePoint exit = mRunner.State().mStop->mExit;
   mCallers->AnnounceStop();
   const auto listeningTime = Duration(static_cast<std::int64_t>(
     kListeningShare * static_cast<double>(grace.count())));
   boost::this_fiber::sleep_until(stopStart + listeningTime);
-  mCallers->Stop(exit);
+  mCallers->Stop(exit, kMaxOverrun);
   while (!mRunner.State().mRequests.empty() && ForwarderRunner::Now() < exit) {
     boost::this_fiber::sleep_for(kStopPollInterval);
   }
