--- a/tests/platform/StandInTarget.cpp
+++ b/tests/platform/StandInTarget.cpp
@@ -313,7 +313,7 @@
 
   std::string Fields(bool aHasSignature)
   {
-    std::string fields = IdField();
+    std::string fields = IdField() + Target().mAddedFields;
     if (Target().mRequestLimit != 0) {
       fields +=
         "Server-Limit: " + std::to_string(Target().mRequestLimit) + "\r\n";
@@ -389,6 +389,10 @@
                FormatReply(200, Fields(true), body);
         Write(false);
         return;
+      case TargetFault::kSaysClose:
+        mOut = FormatReply(200, Fields(true) + "Connection: close\r\n", body);
+        Write(true);
+        return;
       case TargetFault::kSendsNoLength:
       case TargetFault::kResetsNoLength:
         mOut = FormatReply(200, Fields(true), body, false);
--- a/tests/platform/StandInTarget.h
+++ b/tests/platform/StandInTarget.h
@@ -98,6 +98,8 @@
   kSendsEndlessInterimReplies,
   /** Sends replies to other requests without end. */
   kSendsEndlessOtherReplies,
+  /** States "Connection: close" in the reply and closes the connection. */
+  kSaysClose,
 };
 
 /** One target: an HTTP server with a limited number of slots, queued requests
@@ -144,6 +146,8 @@
   /** The length of its replies to paths that end with kLargeReply. */
   std::size_t mLargeReply = 1U << 20U;
 
+  /** Header lines that its replies have in addition. */
+  std::string mAddedFields;
   /** Whether its replies state that it leaves. */
   bool mIsLeaving = false;
   /** Whether it names the request when it turns one away. */
