Take no reply without a length for whole when its connection was reset

A target may reply before it has read a long request, without a length, and the connection may be reset on the way. What had arrived was passed on as a whole success.

Cause: while a request is being written, the kernel reports the reset to the write and only an end of the stream to the read, which ends a body without a length. Also, a connection whose write had failed counted as reusable.

--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -245,12 +245,14 @@
     if (!result.mError && result.mBytes < aBytes.size()) {
       mIsWriting = true;
       mOutgoing = std::move(aBytes);
-      asio::async_write(mSocket,
-                        asio::buffer(mOutgoing) + result.mBytes,
-                        [self = shared_from_this()](error_code, std::size_t) {
-                          // A failed write also ends the pending read.
-                          self->mIsWriting = false;
-                        });
+      asio::async_write(
+        mSocket,
+        asio::buffer(mOutgoing) + result.mBytes,
+        [self = shared_from_this()](error_code aError, std::size_t) {
+          // A failed write also ends the pending read.
+          self->mIsWriting = false;
+          self->mWriteError = aError;
+        });
     }
     return result;
   }
@@ -294,6 +296,10 @@
       while (mIsReading) {
         mReadDone.Wait();
       }
+      if (mReadError == asio::error::eof && mWriteError) {
+        // The write was told of the reset, and the read of an end only.
+        return mWriteError;
+      }
       if (mReadError == asio::error::eof && aParser.got_some()) {
         aParser.put_eof(error);
         return aParser.is_done() ? error_code{} : mReadError;
@@ -335,6 +341,8 @@
   /** Whether a part of mOutgoing is not written yet. */
   bool mIsWriting = false;
   std::string mOutgoing;
+  /** Why a part of mOutgoing could not be written, if it could not. */
+  error_code mWriteError;
   /** The result of the last completed read; valid while no read is pending. */
   error_code mReadError;
   FiberEvent mReadDone;
@@ -443,8 +451,8 @@
     HttpResponse response = FromBeast(parser->release());
     // Bytes after the response would be read as the next response, and the rest
     // of an incompletely written request would run into the next request.
-    canKeepAlive =
-      canKeepAlive && connection.mBuffer.size() == 0 && !connection.mIsWriting;
+    canKeepAlive = canKeepAlive && connection.mBuffer.size() == 0 &&
+                   !connection.mIsWriting && !connection.mWriteError;
     if (aBelongs(response)) {
       connection.WatchForClose();
       response.mKeepAlive = response.mKeepAlive && canKeepAlive;
