Ask for the body of a caller that waits with Expect: 100-continue

A caller that sends its header and waits for "100 Continue" (RFC 9110 10.1.1) waited until it lost patience or, after 10 s, got 408, also during a stop.

Cause: nothing read the field. Also, a request that is rejected for its header (no Host field, an unknown transfer coding) was rejected only after its body.

Change: the server asks for the body once the header is accepted, unless part of the body has arrived or the request is of HTTP/1.0, and rejects at the header. It removes the expectation, which it has met, so that no target meets it again.

Ruled out: a body over the limit is rejected with 413 without asking for it, before and after; requests pipelined after a rejected one do not run.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -217,16 +217,15 @@
   return std::chrono::steady_clock::now();
 }
 
-/** Writes a response and returns the error of the connection, if any; timed_out
+/** Writes a message and returns the error of the connection, if any; timed_out
     when the client accepts nothing for aLimit. */
+template<class Body>
 error_code
-WriteResponse(ServerConnection& aConnection,
-              HttpResponse aResponse,
-              bool aKeepAlive,
-              Duration aLimit)
+WriteMessage(ServerConnection& aConnection,
+             const http::response<Body>& aMessage,
+             Duration aLimit)
 {
-  const auto response = ToBeast(std::move(aResponse), aKeepAlive);
-  http::response_serializer<http::string_body> serializer(response);
+  http::response_serializer<Body> serializer(aMessage);
   const TimePoint end = Now() + kMaxTransferLimits * aLimit;
   error_code error;
   bool isBlocked = false;
@@ -251,6 +250,25 @@
   return error;
 }
 
+error_code
+WriteResponse(ServerConnection& aConnection,
+              HttpResponse aResponse,
+              bool aKeepAlive,
+              Duration aLimit)
+{
+  return WriteMessage(
+    aConnection, ToBeast(std::move(aResponse), aKeepAlive), aLimit);
+}
+
+/** Asks the client for the body of its request (RFC 9110 10.1.1). */
+error_code
+WriteContinue(ServerConnection& aConnection, Duration aLimit)
+{
+  http::response<http::empty_body> response;
+  response.result(http::status::continue_);
+  return WriteMessage(aConnection, response, aLimit);
+}
+
 /** The error to send for a failed read; std::nullopt when the connection ended
     or timed out, so that no response can be sent. */
 std::optional<Error>
@@ -308,6 +326,15 @@
                 "send the body chunked or with its length" };
 }
 
+/** Whether a client may wait for an interim response before it sends the body
+    of its request. */
+bool
+ExpectsContinue(const http::request<http::string_body>& aRequest)
+{
+  return aRequest.version() >= 11 &&
+         beast::iequals(aRequest[http::field::expect], "100-continue");
+}
+
 /** Shuts down the sending side and discards input until the client closes its
     side, for a limited time. Closing a socket with unread input would reset the
     connection, and the client could lose the last response. */
@@ -359,7 +386,8 @@
   return !error;
 }
 
-/** Reads a request, of which some bytes are in the connection's buffer. */
+/** Reads a request, of which some bytes are in the connection's buffer. Reads
+    no body of a request that RequestProblem() rejects. */
 template<class Server>
 error_code
 ReadRequest(const Server& aServer,
@@ -372,6 +400,7 @@
   const Duration bodyLimit = aServer.mLimits.mTransferLimit;
   const TimePoint start = Now();
   aConnection.ExpireAt(start + aServer.mLimits.mHeaderLimit);
+  bool isHeaderRead = false;
   while (true) {
     error_code error;
     try {
@@ -387,18 +416,27 @@
     if (error && error != http::error::need_more) {
       return error;
     }
-    if (aParser.is_done()) {
+    const bool isHeaderNew = !isHeaderRead && aParser.is_header_done();
+    isHeaderRead = aParser.is_header_done();
+    if (aParser.is_done() || (isHeaderNew && RequestProblem(aParser.get()))) {
       return {};
     }
-    if (aParser.is_header_done()) {
+    if (isHeaderNew && ExpectsContinue(aParser.get()) &&
+        aParser.get().body().empty() && aConnection.mBuffer.size() == 0) {
+      error = WriteContinue(aConnection, bodyLimit);
+      if (error) {
+        return error;
+      }
+    }
+    if (isHeaderRead) {
       aConnection.ExpireAt(
         std::min(Now() + bodyLimit, start + kMaxTransferLimits * bodyLimit));
       if (aConnection.mBuffer.size() > kMaxUnparsedBytes) {
         return http::error::buffer_overflow;
       }
     }
-    error = aConnection.ReadSome(aParser.is_header_done() ? kBodyReadBytes
-                                                          : kHeaderReadBytes);
+    error =
+      aConnection.ReadSome(isHeaderRead ? kBodyReadBytes : kHeaderReadBytes);
     if (error) {
       return error;
     }
@@ -470,6 +508,10 @@
   }
   aConnection.ExpireAt(TimePoint::max());
   const bool wantsKeepAlive = parser.keep_alive();
+  if (ExpectsContinue(parser.get())) {
+    // Whoever handles the request has its body already.
+    parser.get().erase(http::field::expect);
+  }
   HttpRequest request = FromBeast(parser.release());
   request.mIsFirstOnConnection = aConnection.mRequestsRead == 0;
   ++aConnection.mRequestsRead;
