Discard a rejected body for as long as the caller sends it

A caller that was rejected while it sent a long body had its connection reset after 2 s. Callers that read only after they have sent everything may then never see the rejection, and cannot tell it from a request that was lost.

Cause: input was discarded for 2 s in all. Change: until the caller has sent nothing for 2 s, 30 s in all, and at most 64 MiB as before.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -42,8 +42,11 @@
 /** The maximum input that is read and discarded after a request was rejected,
     in bytes. Discarding it lets the client read the rejection. */
 constexpr std::size_t kMaxDiscardedBytes = 64U << 20U;
-/** How long input is discarded after a request was rejected. */
+/** How long a client may send nothing while its input is discarded, and how
+    long it is discarded at most. A client that still sends a long body reads
+   the rejection only after it. */
 constexpr Duration kDiscardTimeout = std::chrono::seconds(2);
+constexpr Duration kMaxDiscardTime = std::chrono::seconds(30);
 /** How long a stopping server waits before it closes idle connections, since a
     request may already be on its way on one of them. */
 constexpr Duration kIdleCloseDelay = std::chrono::milliseconds(200);
@@ -343,9 +346,10 @@
 {
   error_code error;
   aConnection.mSocket.shutdown(Tcp::socket::shutdown_send, error);
-  aConnection.ExpireAt(Now() + kDiscardTimeout);
+  const TimePoint end = Now() + kMaxDiscardTime;
   std::size_t discarded = 0;
-  while (!error && !aConnection.mIsExpired && discarded < kMaxDiscardedBytes) {
+  while (!error && discarded < kMaxDiscardedBytes && Now() < end) {
+    aConnection.ExpireAt(std::min(Now() + kDiscardTimeout, end));
     aConnection.mBuffer.clear();
     error = aConnection.ReadSome(kHeaderReadBytes);
     discarded += aConnection.mBuffer.size();
--- a/tests/processes/HttpRejectionTests.cpp
+++ b/tests/processes/HttpRejectionTests.cpp
@@ -82,6 +82,7 @@
   CPPUNIT_TEST(AsksForTheBodyOfACallerThatWaitsDuringAStop);
   CPPUNIT_TEST(AsksForNoBodyThatItRejects);
   CPPUNIT_TEST(AsksForNoBodyThatArrivedOrThatIsSentUnasked);
+  CPPUNIT_TEST(LetsCallersFinishABodyThatItRejects);
   CPPUNIT_TEST(RunsNoRequestAfterOneThatItRejects);
   CPPUNIT_TEST_SUITE_END();
 
