Reject the requests of callers beyond the limit of connections

With 4096 connections open, further ones were closed at once. Their callers saw a connection end without an answer to a request that they had sent.

Change: up to 64 connections beyond the limit are accepted in order to answer 503, not run, with Retry-After: 0, since a new connection may lead to another VM, and to close. The body of such a request is not kept. One that has sent nothing for 1 s is closed, and one for which there is room by the time of its request is served like any other. While these 64 are taken, connections wait in the kernel's queue, which is bounded, so neither memory nor descriptors grow. Servers that set the new limit to 0, as the stand-in of targets does, close further connections as before.

Not changed: descriptors may run out before 4096 connections are open, and a stop that accepts what waits in the queue closes what exceeds both limits.

--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -36,7 +36,7 @@
                   "not read all they sent.",
                   aCallers.mClosedWithInput);
   list.AddCounter("connections_refused_total",
-                  "Callers' connections closed because too many were open.",
+                  "Callers' connections rejected because too many were open.",
                   aCallers.mConnectionsRefused);
   list.AddCounter(
     "sendings_total", "Requests sent to targets.", counters.mAttempts);
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -47,11 +47,13 @@
    the rejection only after it. */
 constexpr Duration kDiscardTimeout = std::chrono::seconds(2);
 constexpr Duration kMaxDiscardTime = std::chrono::seconds(30);
+/** How long a surplus connection may stay open without a request. */
+constexpr Duration kSurplusIdleLimit = std::chrono::seconds(1);
 /** How long a stopping server waits before it closes idle connections, since a
     request may already be on its way on one of them. */
 constexpr Duration kIdleCloseDelay = std::chrono::milliseconds(200);
-/** How often a stopping server checks whether all connections are closed; also
-    the pause after a failed accept. */
+/** How often a server checks whether connections are closed, when it stops or
+    has too many; also the pause after a failed accept. */
 constexpr Duration kStopPollInterval = std::chrono::milliseconds(2);
 
 HttpRequest
@@ -196,6 +198,8 @@
       received or handled. */
   TimePoint mIdleSince = TimePoint::max();
   std::uint64_t mRequestsRead = 0;
+  /** Whether it exceeds the limit of connections and is to be rejected. */
+  bool mIsSurplus = false;
 };
 
 struct HttpServer::Implementation
@@ -209,6 +213,8 @@
   /** Whether connections without a request are closed. */
   bool mClosesIdle = false;
   std::size_t mPeakConnections = 0;
+  /** How many of mConnections are surplus. */
+  std::size_t mSurplusConnections = 0;
   HttpServerCounters mCounters;
 };
 
@@ -329,6 +335,36 @@
                 "send the body chunked or with its length" };
 }
 
+/** Whether a connection exceeds the limit. One that did may have room now. */
+template<class Server>
+bool
+IsSurplus(Server& aServer, ServerConnection& aConnection)
+{
+  const std::size_t served =
+    aServer.mConnections.size() - aServer.mSurplusConnections;
+  if (aConnection.mIsSurplus && served < aServer.mLimits.mMaxConnections) {
+    aConnection.mIsSurplus = false;
+    --aServer.mSurplusConnections;
+  }
+  return aConnection.mIsSurplus;
+}
+
+/** The error to send for a request whose header was read; std::nullopt for one
+    that is served. */
+template<class Server>
+std::optional<Error>
+HeaderProblem(Server& aServer,
+              ServerConnection& aConnection,
+              const http::request<http::string_body>& aRequest)
+{
+  if (IsSurplus(aServer, aConnection)) {
+    return Error{ ErrorKind::kOverloaded,
+                  "too many connections are open",
+                  "connect again, to another VM if there is one" };
+  }
+  return RequestProblem(aRequest);
+}
+
 /** Whether a client may wait for an interim response before it sends the body
     of its request. */
 bool
@@ -379,7 +415,11 @@
     aConnection.mBuffer.shrink_to_fit();
   }
   aConnection.mIdleSince = Now();
-  aConnection.ExpireAt(aConnection.mIdleSince + aServer.mLimits.mIdleLimit);
+  const Duration idleLimit =
+    aConnection.mIsSurplus
+      ? std::min(kSurplusIdleLimit, aServer.mLimits.mIdleLimit)
+      : aServer.mLimits.mIdleLimit;
+  aConnection.ExpireAt(aConnection.mIdleSince + idleLimit);
   aConnection.mIsExpired = aServer.mClosesIdle;
   error_code error;
   while (!error && aConnection.mBuffer.size() == 0) {
@@ -390,13 +430,14 @@
   return !error;
 }
 
-/** Reads a request, of which some bytes are in the connection's buffer. Reads
-    no body of a request that RequestProblem() rejects. */
+/** Reads a request, of which some bytes are in the connection's buffer, and no
+    body of one that is rejected for its header: aProblem then says why. */
 template<class Server>
 error_code
-ReadRequest(const Server& aServer,
+ReadRequest(Server& aServer,
             ServerConnection& aConnection,
-            RequestParser& aParser)
+            RequestParser& aParser,
+            std::optional<Error>& aProblem)
 {
   aParser.eager(true);
   aParser.body_limit(aServer.mLimits.mMaxBodyBytes);
@@ -422,7 +463,14 @@
     }
     const bool isHeaderNew = !isHeaderRead && aParser.is_header_done();
     isHeaderRead = aParser.is_header_done();
-    if (aParser.is_done() || (isHeaderNew && RequestProblem(aParser.get()))) {
+    if (isHeaderNew) {
+      aProblem = HeaderProblem(aServer, aConnection, aParser.get());
+    }
+    if (aParser.is_done() && !aProblem) {
+      // The trailer may have added fields.
+      aProblem = RequestProblem(aParser.get());
+    }
+    if (aParser.is_done() || aProblem) {
       return {};
     }
     if (isHeaderNew && ExpectsContinue(aParser.get()) &&
@@ -492,6 +540,18 @@
          aConnection.HasInput();
 }
 
+/** The response to a request that was not handled. */
+HttpResponse
+FormatRejection(const Error& aProblem)
+{
+  HttpResponse response = FormatProblem(aProblem, "");
+  if (aProblem.mKind == ErrorKind::kOverloaded) {
+    // At once: a new connection may lead to another VM.
+    response.mHeaders.push_back({ "Retry-After", "0" });
+  }
+  return response;
+}
+
 /** Serves the next request; false when the connection must be closed. */
 template<class Server>
 bool
@@ -499,15 +559,16 @@
 {
   const Duration writeLimit = aServer.mLimits.mTransferLimit;
   RequestParser parser;
-  const error_code error = ReadRequest(aServer, aConnection, parser);
-  const auto problem =
-    error ? ReadProblem(error) : RequestProblem(parser.get());
+  std::optional<Error> problem;
+  const error_code error = ReadRequest(aServer, aConnection, parser, problem);
+  if (error) {
+    problem = ReadProblem(error);
+  }
+  if (problem) {
+    WriteResponse(aConnection, FormatRejection(*problem), false, writeLimit);
+    AwaitCloseByClient(aConnection);
+  }
   if (error || problem) {
-    if (problem) {
-      WriteResponse(
-        aConnection, FormatProblem(*problem, ""), false, writeLimit);
-      AwaitCloseByClient(aConnection);
-    }
     return false;
   }
   aConnection.ExpireAt(TimePoint::max());
@@ -565,26 +626,42 @@
   aConnection.mSocket.close(ignored);
 }
 
+/** Whether no further connection can be accepted, not even to reject its
+    requests. */
+template<class Server>
+bool
+IsFull(const Server& aServer)
+{
+  return aServer.mConnections.size() >=
+         std::size_t{ aServer.mLimits.mMaxConnections } +
+           aServer.mLimits.mMaxSurplusConnections;
+}
+
 /** Starts a fiber that serves an accepted connection, or closes the connection
-    when too many are open. */
+    when the server is full. */
 template<class Server>
 void
 StartConnection(const std::shared_ptr<Server>& aServer, Tcp::socket aSocket)
 {
-  if (aServer->mConnections.size() >= aServer->mLimits.mMaxConnections) {
-    ++aServer->mCounters.mConnectionsRefused;
+  const bool isSurplus =
+    aServer->mConnections.size() >= aServer->mLimits.mMaxConnections;
+  aServer->mCounters.mConnectionsRefused += isSurplus ? 1 : 0;
+  if (IsFull(*aServer)) {
     return;
   }
   error_code ignored;
   aSocket.set_option(Tcp::no_delay(true), ignored);
   aSocket.non_blocking(true, ignored);
   auto connection = std::make_shared<ServerConnection>(std::move(aSocket));
+  connection->mIsSurplus = isSurplus;
+  aServer->mSurplusConnections += isSurplus ? 1 : 0;
   aServer->mConnections.insert(connection);
   aServer->mPeakConnections =
     std::max(aServer->mPeakConnections, aServer->mConnections.size());
   StartFiber([aServer, connection] {
     ServeConnection(*aServer, *connection);
     CloseConnection(*connection, aServer->mCounters);
+    aServer->mSurplusConnections -= connection->mIsSurplus ? 1 : 0;
     aServer->mConnections.erase(connection);
   });
 }
@@ -595,6 +672,10 @@
 AcceptConnections(std::shared_ptr<Server> aServer)
 {
   while (!aServer->mStopping) {
+    if (aServer->mLimits.mMaxSurplusConnections != 0 && IsFull(*aServer)) {
+      boost::this_fiber::sleep_for(kStopPollInterval);
+      continue;
+    }
     Tcp::socket socket(aServer->mAcceptor.get_executor());
     const IoResult accepted = Await([&](auto aHandler) {
       aServer->mAcceptor.async_accept(socket, aHandler);
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -37,9 +37,12 @@
   /** The largest header accepted, in bytes; a larger one is rejected with
       413. */
   std::uint32_t mMaxHeaderBytes = 16U << 10U;
-  /** The maximum number of open connections; further ones are closed at
-      once. */
+  /** The maximum number of open connections that are served. */
   std::uint32_t mMaxConnections = 4096;
+  /** How many further connections are accepted in order to reject their
+      requests; more than these wait to be accepted. With 0, further connections
+      are closed at once. */
+  std::uint32_t mMaxSurplusConnections = 64;
   /** The delay between accepting a connection and reading its first request. */
   Duration mConnectionDelay{};
   /** How long a connection may stay open without a request. */
@@ -60,7 +63,7 @@
   std::uint64_t mResponsesNotSent = 0;
   /** Connections that the server closed although input was unread. */
   std::uint64_t mClosedWithInput = 0;
-  /** Connections closed at once because too many were open. */
+  /** Connections that were rejected because too many were open. */
   std::uint64_t mConnectionsRefused = 0;
 };
 
--- a/tests/processes/HttpRejectionTests.cpp
+++ b/tests/processes/HttpRejectionTests.cpp
@@ -84,6 +84,9 @@
   CPPUNIT_TEST(AsksForNoBodyThatArrivedOrThatIsSentUnasked);
   CPPUNIT_TEST(LetsCallersFinishABodyThatItRejects);
   CPPUNIT_TEST(RunsNoRequestAfterOneThatItRejects);
+  CPPUNIT_TEST(RejectsWhatExceedsItsConnections);
+  CPPUNIT_TEST(ServesNewCallersOnceConnectionsEnd);
+  CPPUNIT_TEST(BoundsTheConnectionsThatItRejects);
   CPPUNIT_TEST_SUITE_END();
 
 public:
--- a/tests/standins/target/TargetFleet.cpp
+++ b/tests/standins/target/TargetFleet.cpp
@@ -70,6 +70,7 @@
     const Service& service = *mOptions.mDeployment.FindService(target.mService);
     HttpServerLimits limits;
     limits.mMaxConnections = service.mConnectionCap;
+    limits.mMaxSurplusConnections = 0;
     limits.mConnectionDelay = service.mConnectTime;
     limits.mIdleLimit = mOptions.mIdleLimit;
     FleetTarget& fleetTarget = mTargets[target.mName];
