--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -30,6 +30,10 @@
 using error_code = boost::system::error_code;
 using RequestParser = http::request_parser<http::string_body>;
 
+/** The most input that is kept while a request is handled. */
+constexpr std::size_t kMaxEarlyInputBytes = 16U << 10U;
+/** How long after the first probe of a client the second one follows. */
+constexpr Duration kProbeInterval = std::chrono::milliseconds(100);
 /** The size of the reads of a request's header and of each discarding read, and
     of the reads of its body, in bytes. */
 constexpr std::size_t kHeaderReadBytes = 4096;
@@ -43,13 +47,18 @@
 /** The maximum input that is read and discarded after a request was rejected,
     in bytes. Discarding it lets the client read the rejection. */
 constexpr std::size_t kMaxDiscardedBytes = 64U << 20U;
-/** How long input is discarded after a request was rejected. */
+/** How long a client may send nothing while its input is discarded, and how
+    long it is discarded at most. A client that still sends a long body reads
+   the rejection only after it. */
 constexpr Duration kDiscardTimeout = std::chrono::seconds(2);
+constexpr Duration kMaxDiscardTime = std::chrono::seconds(30);
+/** How long a surplus connection may stay open without a request. */
+constexpr Duration kSurplusIdleLimit = std::chrono::seconds(1);
 /** How long a stopping server waits before it closes idle connections, since a
     request may already be on its way on one of them. */
 constexpr Duration kIdleCloseDelay = std::chrono::milliseconds(200);
-/** How often a stopping server checks whether all connections are closed; also
-    the pause after a failed accept. */
+/** How often a server checks whether connections are closed, when it stops or
+    has too many; also the pause after a failed accept. */
 constexpr Duration kStopPollInterval = std::chrono::milliseconds(2);
 
 HttpRequest
@@ -66,8 +75,16 @@
   return request;
 }
 
+/** What of a request and its connection decides the form of a response. */
+struct ResponseForm
+{
+  bool mKeepAlive = false;
+  bool mIsHttp10 = false;
+  bool mIsToHead = false;
+};
+
 http::response<http::string_body>
-ToBeast(HttpResponse&& aResponse, bool aKeepAlive)
+ToBeast(HttpResponse&& aResponse, ResponseForm aForm)
 {
   constexpr unsigned kHttp11 = 11;
   http::response<http::string_body> response;
@@ -76,9 +93,17 @@
   for (const HttpHeader& header : aResponse.mHeaders) {
     response.insert(header.mName, header.mValue);
   }
-  response.body() = std::move(aResponse.mBody);
-  response.keep_alive(aKeepAlive);
-  response.prepare_payload();
+  response.keep_alive(aForm.mKeepAlive);
+  if (aForm.mKeepAlive && aForm.mIsHttp10) {
+    response.set(http::field::connection, "keep-alive");
+  }
+  const bool hasNoBody = aForm.mIsToHead ||
+                         response.result() == http::status::no_content ||
+                         response.result() == http::status::not_modified;
+  if (!hasNoBody) {
+    response.body() = std::move(aResponse.mBody);
+    response.prepare_payload();
+  }
   return response;
 }
 
@@ -210,6 +235,10 @@
   bool mIsServing = false;
   /** Whether an answer waits for the client to read. */
   bool mIsBlocked = false;
+  /** Whether the client has left, so that nobody reads an answer. */
+  bool mHasLeft = false;
+  /** Whether it exceeds the limit of connections and is to be rejected. */
+  bool mIsSurplus = false;
 };
 
 struct HttpServer::Implementation
@@ -223,6 +252,8 @@
   /** Whether connections without a request are closed. */
   bool mClosesIdle = false;
   std::size_t mPeakConnections = 0;
+  /** How many of mConnections are surplus. */
+  std::size_t mSurplusConnections = 0;
   HttpServerCounters mCounters;
 };
 
@@ -234,16 +265,15 @@
   return std::chrono::steady_clock::now();
 }
 
-/** Writes a response and returns the error of the connection, if any; timed_out
+/** Writes a message and returns the error of the connection, if any; timed_out
     when the client accepts nothing for aLimit. */
+template<class Body>
 error_code
-WriteResponse(ServerConnection& aConnection,
-              HttpResponse aResponse,
-              bool aKeepAlive,
-              Duration aLimit)
+WriteMessage(ServerConnection& aConnection,
+             const http::response<Body>& aMessage,
+             Duration aLimit)
 {
-  const auto response = ToBeast(std::move(aResponse), aKeepAlive);
-  http::response_serializer<http::string_body> serializer(response);
+  http::response_serializer<Body> serializer(aMessage);
   const TimePoint end = Now() + kMaxTransferLimits * aLimit;
   error_code error;
   bool isBlocked = false;
@@ -268,6 +298,25 @@
   return error;
 }
 
+error_code
+WriteResponse(ServerConnection& aConnection,
+              HttpResponse aResponse,
+              ResponseForm aForm,
+              Duration aLimit)
+{
+  return WriteMessage(
+    aConnection, ToBeast(std::move(aResponse), aForm), aLimit);
+}
+
+/** Asks the client for the body of its request (RFC 9110 10.1.1). */
+error_code
+WriteContinue(ServerConnection& aConnection, Duration aLimit)
+{
+  http::response<http::empty_body> response;
+  response.result(http::status::continue_);
+  return WriteMessage(aConnection, response, aLimit);
+}
+
 /** The error to send for a failed read; std::nullopt when the connection ended
     or timed out, so that no response can be sent. */
 std::optional<Error>
@@ -325,6 +374,45 @@
                 "send the body chunked or with its length" };
 }
 
+/** Whether a connection exceeds the limit. One that did may have room now. */
+template<class Server>
+bool
+IsSurplus(Server& aServer, ServerConnection& aConnection)
+{
+  const std::size_t served =
+    aServer.mConnections.size() - aServer.mSurplusConnections;
+  if (aConnection.mIsSurplus && served < aServer.mLimits.mMaxConnections) {
+    aConnection.mIsSurplus = false;
+    --aServer.mSurplusConnections;
+  }
+  return aConnection.mIsSurplus;
+}
+
+/** The error to send for a request whose header was read; std::nullopt for one
+    that is served. */
+template<class Server>
+std::optional<Error>
+HeaderProblem(Server& aServer,
+              ServerConnection& aConnection,
+              const http::request<http::string_body>& aRequest)
+{
+  if (IsSurplus(aServer, aConnection)) {
+    return Error{ ErrorKind::kOverloaded,
+                  "too many connections are open",
+                  "connect again, to another VM if there is one" };
+  }
+  return RequestProblem(aRequest);
+}
+
+/** Whether a client may wait for an interim response before it sends the body
+    of its request. */
+bool
+ExpectsContinue(const http::request<http::string_body>& aRequest)
+{
+  return aRequest.version() >= 11 &&
+         beast::iequals(aRequest[http::field::expect], "100-continue");
+}
+
 /** Shuts down the sending side and discards input until the client closes its
     side, for a limited time. Closing a socket with unread input would reset the
     connection, and the client could lose the last response. */
@@ -333,9 +421,10 @@
 {
   error_code error;
   aConnection.mSocket.shutdown(Tcp::socket::shutdown_send, error);
-  aConnection.ExpireAt(Now() + kDiscardTimeout);
+  const TimePoint end = Now() + kMaxDiscardTime;
   std::size_t discarded = 0;
-  while (!error && !aConnection.mIsExpired && discarded < kMaxDiscardedBytes) {
+  while (!error && discarded < kMaxDiscardedBytes && Now() < end) {
+    aConnection.ExpireAt(std::min(Now() + kDiscardTimeout, end));
     aConnection.mBuffer.clear();
     error = aConnection.ReadSome(kHeaderReadBytes);
     discarded += aConnection.mBuffer.size();
@@ -365,7 +454,11 @@
     aConnection.mBuffer.shrink_to_fit();
   }
   aConnection.mIdleSince = Now();
-  aConnection.ExpireAt(aConnection.mIdleSince + aServer.mLimits.mIdleLimit);
+  const Duration idleLimit =
+    aConnection.mIsSurplus
+      ? std::min(kSurplusIdleLimit, aServer.mLimits.mIdleLimit)
+      : aServer.mLimits.mIdleLimit;
+  aConnection.ExpireAt(aConnection.mIdleSince + idleLimit);
   aConnection.mIsExpired = aServer.mClosesIdle;
   error_code error;
   while (!error && aConnection.mBuffer.size() == 0) {
@@ -376,12 +469,14 @@
   return !error;
 }
 
-/** Reads a request, of which some bytes are in the connection's buffer. */
+/** Reads a request, of which some bytes are in the connection's buffer, and no
+    body of one that is rejected for its header: aProblem then says why. */
 template<class Server>
 error_code
-ReadRequest(const Server& aServer,
+ReadRequest(Server& aServer,
             ServerConnection& aConnection,
-            RequestParser& aParser)
+            RequestParser& aParser,
+            std::optional<Error>& aProblem)
 {
   aParser.eager(true);
   aParser.body_limit(aServer.mLimits.mMaxBodyBytes);
@@ -389,6 +484,7 @@
   const Duration bodyLimit = aServer.mLimits.mTransferLimit;
   const TimePoint start = Now();
   aConnection.ExpireAt(start + aServer.mLimits.mHeaderLimit);
+  bool isHeaderRead = false;
   while (true) {
     error_code error;
     try {
@@ -404,50 +500,164 @@
     if (error && error != http::error::need_more) {
       return error;
     }
-    if (aParser.is_done()) {
+    const bool isHeaderNew = !isHeaderRead && aParser.is_header_done();
+    isHeaderRead = aParser.is_header_done();
+    if (isHeaderNew) {
+      aProblem = HeaderProblem(aServer, aConnection, aParser.get());
+    }
+    if (aParser.is_done() && !aProblem) {
+      // The trailer may have added fields.
+      aProblem = RequestProblem(aParser.get());
+    }
+    if (aParser.is_done() || aProblem) {
       return {};
     }
-    if (aParser.is_header_done()) {
+    if (isHeaderNew && ExpectsContinue(aParser.get()) &&
+        aParser.get().body().empty() && aConnection.mBuffer.size() == 0) {
+      error = WriteContinue(aConnection, bodyLimit);
+      if (error) {
+        return error;
+      }
+    }
+    if (isHeaderRead) {
       aConnection.ExpireAt(
         std::min(Now() + bodyLimit, start + kMaxTransferLimits * bodyLimit));
       if (aConnection.mBuffer.size() > kMaxUnparsedBytes) {
         return http::error::buffer_overflow;
       }
     }
-    error = aConnection.ReadSome(aParser.is_header_done() ? kBodyReadBytes
-                                                          : kHeaderReadBytes);
+    error =
+      aConnection.ReadSome(isHeaderRead ? kBodyReadBytes : kHeaderReadBytes);
     if (error) {
       return error;
     }
   }
 }
 
+/** What a client does while its request is handled. */
+struct ClientWatch
+{
+  std::shared_ptr<ServerConnection> mConnection;
+  /** Called once in a new fiber when the client leaves. */
+  std::function<void()> mWhenLeft;
+  /** Whether the client understands interim responses. */
+  bool mCanProbe = false;
+  bool mIsHandled = false;
+};
+
+/** Reads what has arrived, for the next request, as far as it is kept; the
+    error of the connection, if any. */
+error_code
+KeepEarlyInput(ServerConnection& aConnection)
+{
+  error_code error;
+  while (!error && aConnection.mBuffer.size() < kMaxEarlyInputBytes) {
+    aConnection.mBuffer.commit(aConnection.mSocket.read_some(
+      aConnection.mBuffer.prepare(kHeaderReadBytes), error));
+  }
+  return error == asio::error::would_block ? error_code{} : error;
+}
+
+void
+HandleLeaving(ClientWatch& aWatch)
+{
+  aWatch.mConnection->mHasLeft = true;
+  StartFiber(aWatch.mWhenLeft);
+}
+
+/** Sends an interim response; false when the connection does not take it. */
+bool
+SendProbe(ServerConnection& aConnection)
+{
+  constexpr std::string_view kProbe = "HTTP/1.1 100 Continue\r\n\r\n";
+  error_code error;
+  const std::size_t sent =
+    aConnection.mSocket.write_some(asio::buffer(kProbe), error);
+  if (sent != 0 && sent < kProbe.size()) {
+    // No answer can follow a part of an interim response.
+    aConnection.mSocket.shutdown(Tcp::socket::shutdown_both, error);
+    return false;
+  }
+  return !error || error == asio::error::would_block;
+}
+
+/** Tells whether a client that has ended its input has left or waits for its
+    answer: its host resets a connection that nobody reads from any more when
+    something arrives on it. Ends when the client has left or the request was
+    handled. */
+void
+ProbeClient(const std::shared_ptr<ClientWatch>& aWatch)
+{
+  ServerConnection& connection = *aWatch->mConnection;
+  // The second probe notices a reset of which no event came.
+  for (const Duration pause : { kProbeInterval, Duration::max() }) {
+    if (!aWatch->mIsHandled && !SendProbe(connection)) {
+      HandleLeaving(*aWatch);
+    }
+    if (aWatch->mIsHandled || connection.mHasLeft) {
+      return;
+    }
+    connection.ExpireAt(pause == Duration::max() ? TimePoint::max()
+                                                 : Now() + pause);
+    const IoResult waited = Await([&](auto aHandler) {
+      connection.mSocket.async_wait(Tcp::socket::wait_error, aHandler);
+    });
+    if (!waited.mError && !aWatch->mIsHandled) {
+      HandleLeaving(*aWatch);
+      return;
+    }
+  }
+}
+
+/** Waits for the client to leave, until its request was handled. Input does not
+    hide the end of the connection, unless it is more than is kept. */
+void
+WatchClient(const std::shared_ptr<ClientWatch>& aWatch)
+{
+  ServerConnection& connection = *aWatch->mConnection;
+  // Beyond the kept input, only a reset of the connection can be noticed.
+  const auto event = connection.mBuffer.size() < kMaxEarlyInputBytes
+                       ? Tcp::socket::wait_read
+                       : Tcp::socket::wait_error;
+  connection.mSocket.async_wait(event, [aWatch](error_code aError) {
+    if (aError || aWatch->mIsHandled) {
+      return;
+    }
+    const error_code error = KeepEarlyInput(*aWatch->mConnection);
+    if (error == asio::error::eof && aWatch->mCanProbe) {
+      StartFiber([aWatch] { ProbeClient(aWatch); });
+    } else if (error == asio::error::eof) {
+      // It may still read the answer that ends the work.
+      StartFiber(aWatch->mWhenLeft);
+    } else if (error) {
+      HandleLeaving(*aWatch);
+    } else {
+      WatchClient(aWatch);
+    }
+  });
+}
+
 /** Runs the handler, which may register an action for a disconnect of the
     client. */
 template<class Server>
 HttpResponse
 RunHandler(Server& aServer,
            ServerConnection& aConnection,
-           const HttpRequest& aRequest)
-{
-  auto& socket = aConnection.mSocket;
-  const auto isHandled = std::make_shared<bool>(false);
-  bool isWatched = false;
-  const DisconnectWatch watch = [&](std::function<void()> aAction) {
-    isWatched = true;
-    socket.async_wait(
-      boost::asio::ip::tcp::socket::wait_read,
-      [&socket, isHandled, action = std::move(aAction)](auto aError) {
-        if (!aError && !*isHandled && IsClosedByPeer(socket)) {
-          StartFiber(action);
-        }
-      });
+           const HttpRequest& aRequest,
+           bool aCanProbe)
+{
+  const auto watch = std::make_shared<ClientWatch>();
+  watch->mCanProbe = aCanProbe;
+  const DisconnectWatch registerAction = [&](std::function<void()> aAction) {
+    watch->mConnection = aConnection.shared_from_this();
+    watch->mWhenLeft = std::move(aAction);
+    WatchClient(watch);
   };
-  HttpResponse response = aServer.mHandler(aRequest, watch);
-  *isHandled = true;
-  if (isWatched) {
+  HttpResponse response = aServer.mHandler(aRequest, registerAction);
+  watch->mIsHandled = true;
+  if (watch->mConnection != nullptr) {
     error_code ignored;
-    socket.cancel(ignored);
+    aConnection.mSocket.cancel(ignored);
   }
   return response;
 }
@@ -467,6 +677,18 @@
          aConnection.HasInput();
 }
 
+/** The response to a request that was not handled. */
+HttpResponse
+FormatRejection(const Error& aProblem)
+{
+  HttpResponse response = FormatProblem(aProblem, "");
+  if (aProblem.mKind == ErrorKind::kOverloaded) {
+    // At once: a new connection may lead to another VM.
+    response.mHeaders.push_back({ "Retry-After", "0" });
+  }
+  return response;
+}
+
 /** Serves the next request; false when the connection must be closed. */
 template<class Server>
 bool
@@ -474,45 +696,53 @@
 {
   const Duration writeLimit = aServer.mLimits.mTransferLimit;
   RequestParser parser;
-  const error_code error = ReadRequest(aServer, aConnection, parser);
-  const auto problem =
-    error ? ReadProblem(error) : RequestProblem(parser.get());
+  std::optional<Error> problem;
+  const error_code error = ReadRequest(aServer, aConnection, parser, problem);
+  if (error) {
+    problem = ReadProblem(error);
+  }
+  if (problem) {
+    WriteResponse(aConnection, FormatRejection(*problem), {}, writeLimit);
+    AwaitCloseByClient(aConnection);
+  }
   if (error || problem) {
-    if (problem) {
-      WriteResponse(
-        aConnection, FormatProblem(*problem, ""), false, writeLimit);
-      AwaitCloseByClient(aConnection);
-    }
     return false;
   }
   aConnection.ExpireAt(TimePoint::max());
   const bool wantsKeepAlive = parser.keep_alive();
+  if (ExpectsContinue(parser.get())) {
+    // Whoever handles the request has its body already.
+    parser.get().erase(http::field::expect);
+  }
+  const bool isHttp11 = parser.get().version() >= 11;
   HttpRequest request = FromBeast(parser.release());
   request.mIsFirstOnConnection = aConnection.mRequestsRead == 0;
   ++aConnection.mRequestsRead;
   ++aServer.mCounters.mRequestsRead;
   aConnection.mIsServing = true;
-  HttpResponse response = RunHandler(aServer, aConnection, request);
-  if (response.mStatus == kNoResponse) {
-    return false;
+  HttpResponse response = RunHandler(aServer, aConnection, request, isHttp11);
+  if (aConnection.mHasLeft && response.mWhenWritten) {
+    response.mWhenWritten("");
   }
-  if (request.mMethod == "HEAD") {
-    response.mBody.clear();
+  if (aConnection.mHasLeft || response.mStatus == kNoResponse) {
+    return false;
   }
-  const bool keepAlive =
-    wantsKeepAlive && StaysOpen(aServer, aConnection, response);
+  const ResponseForm form{ wantsKeepAlive &&
+                             StaysOpen(aServer, aConnection, response),
+                           !isHttp11,
+                           request.mMethod == "HEAD" };
   const auto whenWritten = std::move(response.mWhenWritten);
   const error_code writeError =
-    WriteResponse(aConnection, std::move(response), keepAlive, writeLimit);
+    WriteResponse(aConnection, std::move(response), form, writeLimit);
   aConnection.mIsServing = false;
   aServer.mCounters.mResponsesNotSent += writeError ? 1 : 0;
   if (whenWritten) {
     whenWritten(writeError ? writeError.message() : "");
   }
-  if (!writeError && !keepAlive) {
+  if (!writeError && !form.mKeepAlive) {
     AwaitCloseByClient(aConnection);
   }
-  return !writeError && keepAlive;
+  return !writeError && form.mKeepAlive;
 }
 
 /** Serves the requests of one connection until it ends. */
@@ -538,26 +768,42 @@
   aConnection.mSocket.close(ignored);
 }
 
+/** Whether no further connection can be accepted, not even to reject its
+    requests. */
+template<class Server>
+bool
+IsFull(const Server& aServer)
+{
+  return aServer.mConnections.size() >=
+         std::size_t{ aServer.mLimits.mMaxConnections } +
+           aServer.mLimits.mMaxSurplusConnections;
+}
+
 /** Starts a fiber that serves an accepted connection, or closes the connection
-    when too many are open. */
+    when the server is full. */
 template<class Server>
 void
 StartConnection(const std::shared_ptr<Server>& aServer, Tcp::socket aSocket)
 {
-  if (aServer->mConnections.size() >= aServer->mLimits.mMaxConnections) {
-    ++aServer->mCounters.mConnectionsRefused;
+  const bool isSurplus =
+    aServer->mConnections.size() >= aServer->mLimits.mMaxConnections;
+  aServer->mCounters.mConnectionsRefused += isSurplus ? 1 : 0;
+  if (IsFull(*aServer)) {
     return;
   }
   error_code ignored;
   aSocket.set_option(Tcp::no_delay(true), ignored);
   aSocket.non_blocking(true, ignored);
   auto connection = std::make_shared<ServerConnection>(std::move(aSocket));
+  connection->mIsSurplus = isSurplus;
+  aServer->mSurplusConnections += isSurplus ? 1 : 0;
   aServer->mConnections.insert(connection);
   aServer->mPeakConnections =
     std::max(aServer->mPeakConnections, aServer->mConnections.size());
   StartFiber([aServer, connection] {
     ServeConnection(*aServer, *connection);
     CloseConnection(*connection, aServer->mCounters);
+    aServer->mSurplusConnections -= connection->mIsSurplus ? 1 : 0;
     aServer->mConnections.erase(connection);
   });
 }
@@ -568,6 +814,10 @@
 AcceptConnections(std::shared_ptr<Server> aServer)
 {
   while (!aServer->mStopping) {
+    if (aServer->mLimits.mMaxSurplusConnections != 0 && IsFull(*aServer)) {
+      boost::this_fiber::sleep_for(kStopPollInterval);
+      continue;
+    }
     Tcp::socket socket(aServer->mAcceptor.get_executor());
     const IoResult accepted = Await([&](auto aHandler) {
       aServer->mAcceptor.async_accept(socket, aHandler);
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -21,7 +21,8 @@
 using HttpHandler = std::function<HttpResponse(const HttpRequest&)>;
 
 /** Registers an action that is called once in a new fiber if the client closes
-    the connection while its request is handled. */
+    the connection while its request is handled. A client of HTTP/1.1 that only
+    shuts down its sending side has not closed it. */
 using DisconnectWatch = std::function<void(std::function<void()>)>;
 
 /** Handles one request; may block its fiber, and may register an action for the
@@ -37,9 +38,12 @@
   /** The largest header accepted, in bytes; a larger one is rejected with
       413. */
   std::uint32_t mMaxHeaderBytes = 16U << 10U;
-  /** The maximum number of open connections; further ones are closed at
-      once. */
+  /** The maximum number of open connections that are served. */
   std::uint32_t mMaxConnections = 4096;
+  /** How many further connections are accepted in order to reject their
+      requests; more than these wait to be accepted. With 0, further connections
+      are closed at once. */
+  std::uint32_t mMaxSurplusConnections = 64;
   /** The delay between accepting a connection and reading its first request. */
   Duration mConnectionDelay{};
   /** How long a connection may stay open without a request. */
@@ -60,7 +64,7 @@
   std::uint64_t mResponsesNotSent = 0;
   /** Connections that the server closed although input was unread. */
   std::uint64_t mClosedWithInput = 0;
-  /** Connections closed at once because too many were open. */
+  /** Connections that were rejected because too many were open. */
   std::uint64_t mConnectionsRefused = 0;
 };
 
