Add links to the tests' fleet that disturb connections as a network does

No test had faults of the network between callers, VMs, targets and the store. A fleet with FleetLinks::kRelayed has one for the callers of each VM, for its peers, for its way to the store and for each target; the store replaces the peers' addresses that VMs write there.

--- a/tests/platform/ForwarderFleet.cpp
+++ b/tests/platform/ForwarderFleet.cpp
@@ -51,8 +51,11 @@
   return aVersion - kVersionStep;
 }
 
-ForwarderFleet::ForwarderFleet(std::size_t aDaemons, std::size_t aShards)
+ForwarderFleet::ForwarderFleet(std::size_t aDaemons,
+                               std::size_t aShards,
+                               FleetLinks aLinks)
   : mFolder(MakeFolder())
+  , mLinks(aLinks)
   , mStore(std::make_unique<StandInStore>(TestLoop()))
   , mDaemons(aDaemons)
   , mShards(aShards)
@@ -70,6 +73,14 @@
     DaemonSetup& setup = mDaemons[daemon];
     setup.mStoreAddress = mStore->OpenVmPort();
     std::generate(setup.mPorts.begin(), setup.mPorts.end(), NextFreePort);
+    if (mLinks == FleetLinks::kRelayed) {
+      OpenLinks(setup);
+    }
+  }
+  mStore->mOnPut = [this](std::string aValue) {
+    return WithPeerLinks(std::move(aValue));
+  };
+  for (std::size_t daemon = 0; daemon < aDaemons; ++daemon) {
     StartDaemon(daemon);
   }
   for (std::size_t daemon = 0; daemon < aDaemons; ++daemon) {
@@ -88,6 +99,55 @@
   std::filesystem::remove_all(mFolder, ignored);
 }
 
+void
+ForwarderFleet::OpenLinks(DaemonSetup& aSetup)
+{
+  const auto open = [](const Endpoint& aServer) {
+    return std::make_unique<LinkRelay>(TestLoop(), aServer);
+  };
+  aSetup.mCallerLink = open(Endpoint{ "127.0.0.1", aSetup.mPorts[0] });
+  aSetup.mPeerLink = open(Endpoint{ "127.0.0.1", aSetup.mPorts[2] });
+  aSetup.mStoreLink = open(aSetup.mStoreAddress);
+  aSetup.mStoreAddress = aSetup.mStoreLink->Address();
+}
+
+std::string
+ForwarderFleet::WithPeerLinks(std::string aText) const
+{
+  for (const DaemonSetup& setup : mDaemons) {
+    const std::string own = ToText(Endpoint{ "127.0.0.1", setup.mPorts[2] });
+    const std::size_t start = aText.find("\"" + own + "\"");
+    if (setup.mPeerLink && start != std::string::npos) {
+      aText.replace(start + 1, own.size(), ToText(setup.mPeerLink->Address()));
+    }
+  }
+  return aText;
+}
+
+LinkRelay&
+ForwarderFleet::CallerLink(std::size_t aDaemon) const
+{
+  return *mDaemons.at(aDaemon).mCallerLink;
+}
+
+LinkRelay&
+ForwarderFleet::PeerLink(std::size_t aDaemon) const
+{
+  return *mDaemons.at(aDaemon).mPeerLink;
+}
+
+LinkRelay&
+ForwarderFleet::StoreLink(std::size_t aDaemon) const
+{
+  return *mDaemons.at(aDaemon).mStoreLink;
+}
+
+LinkRelay&
+ForwarderFleet::TargetLink(const StandInTarget& aTarget) const
+{
+  return *mTargetLinks.at(aTarget.Port());
+}
+
 std::string
 ForwarderFleet::SettingsFile(std::size_t aDaemon) const
 {
@@ -130,6 +190,11 @@
                                     aService,
                                     aInstance,
                                     aPort == 0 ? NextFreePort() : aPort));
+  if (mLinks == FleetLinks::kRelayed) {
+    const std::uint16_t port = mTargets.back()->Port();
+    mTargetLinks[port] =
+      std::make_unique<LinkRelay>(TestLoop(), Endpoint{ "127.0.0.1", port });
+  }
   Register(*mTargets.back());
   return *mTargets.back();
 }
@@ -152,9 +217,12 @@
                          const std::string& aState,
                          const std::string& aInstance)
 {
+  const auto link = mTargetLinks.find(aTarget.Port());
+  const Endpoint address = link == mTargetLinks.end()
+                             ? Endpoint{ "127.0.0.1", aTarget.Port() }
+                             : link->second->Address();
   const Json entry{ { "service", aTarget.Service() },
-                    { "address",
-                      "127.0.0.1:" + std::to_string(aTarget.Port()) },
+                    { "address", ToText(address) },
                     { "zone", "zone-a" },
                     { "version", "1" },
                     { "slots", aTarget.mSlots },
--- a/tests/platform/ForwarderFleet.h
+++ b/tests/platform/ForwarderFleet.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "LinkRelay.h"
 #include "StandInStore.h"
 #include "StandInTarget.h"
 
@@ -45,6 +46,14 @@
 std::string
 VersionPrefix(std::uint64_t aVersion);
 
+/** Whether the parts of a fleet reach each other directly or over links that a
+    test can disturb. */
+enum class FleetLinks : std::uint8_t
+{
+  kDirect,
+  kRelayed,
+};
+
 /** A store, targets and daemons. Routes: "/one/" to service "one", whose
     requests are idempotent; "/once/" to service "once", whose requests are
     not; "/search/" to the services "shard-0", "shard-1" and so on. The
@@ -54,7 +63,9 @@
 public:
   /** Starts the store with a configuration, two targets of each service and
       aDaemons daemons, and waits until the daemons are ready. */
-  explicit ForwarderFleet(std::size_t aDaemons = 1, std::size_t aShards = 4);
+  explicit ForwarderFleet(std::size_t aDaemons = 1,
+                          std::size_t aShards = 4,
+                          FleetLinks aLinks = FleetLinks::kDirect);
   ~ForwarderFleet();
 
   ForwarderFleet(const ForwarderFleet&) = delete;
@@ -100,6 +111,15 @@
                                const ForwarderRequest& aRequest);
 
   Endpoint CallerEndpoint(std::size_t aDaemon) const;
+
+  /** The links of a fleet with kRelayed: the one of the callers that use it,
+      the one on which other daemons connect to this one, and the one to the
+      store. */
+  LinkRelay& CallerLink(std::size_t aDaemon) const;
+  LinkRelay& PeerLink(std::size_t aDaemon) const;
+  LinkRelay& StoreLink(std::size_t aDaemon) const;
+  /** The link of all daemons to a target. */
+  LinkRelay& TargetLink(const StandInTarget& aTarget) const;
   bool IsReady(std::size_t aDaemon);
 
   /** How many times a request ran or started to run, on all targets. */
@@ -119,12 +139,22 @@
     std::array<std::uint16_t, 4> mPorts{};
     Endpoint mStoreAddress;
     ChildProcess mProcess;
+    std::unique_ptr<LinkRelay> mCallerLink;
+    std::unique_ptr<LinkRelay> mPeerLink;
+    std::unique_ptr<LinkRelay> mStoreLink;
   };
 
+  void OpenLinks(DaemonSetup& aSetup);
+  /** The text with the peers' addresses replaced by those of their links. */
+  std::string WithPeerLinks(std::string aText) const;
+
   std::string mFolder;
+  FleetLinks mLinks;
   RunLog mRuns;
   std::unique_ptr<StandInStore> mStore;
   std::vector<std::unique_ptr<StandInTarget>> mTargets;
+  /** By the target's port. */
+  std::map<std::uint16_t, std::unique_ptr<LinkRelay>> mTargetLinks;
   std::vector<DaemonSetup> mDaemons;
   std::size_t mShards;
   std::uint64_t mVersion = 0;
--- a/tests/platform/StandInStore.cpp
+++ b/tests/platform/StandInStore.cpp
@@ -402,7 +402,7 @@
     if (!value) {
       return JsonResponse(kBadRequest, "{}");
     }
-    Put(key, *value);
+    Put(key, mOnPut ? mOnPut(*value) : *value);
     mItems[key].mLease = put.value("lease", std::uint64_t{ 0 });
   }
   for (const Json& key : deletes) {
--- a/tests/platform/StandInStore.h
+++ b/tests/platform/StandInStore.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -84,6 +85,8 @@
   bool Has(const std::string& aKey) const { return mItems.contains(aKey); }
   std::size_t CountWithPrefix(const std::string& aPrefix) const;
 
+  /** Changes the values that VMs write; may be empty. */
+  std::function<std::string(std::string aValue)> mOnPut;
   /** The delay of every answer. */
   Duration mDelay = std::chrono::milliseconds(1);
   WriteFault mWriteFault = WriteFault::kNone;
