Send nothing whose deadline has come

Cause: DispatchSubRequest() sent on an idle connection without a look at the deadline; only the branch that waits for a connection had one. The review of a sub-search also went on past its deadline.

Change: DispatchSubRequest() sends nothing at or after the deadline, so that the request is answered 503 and has not run. SendSubRequest() asserts it.

The regression test printed before: "ForwardingTests::SendsNothingWhoseTimeIsOverWhenItArrives: assertion failed, mForwarder->Received().empty()"; now it passes, with all 145 tests of the module.

--- a/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(AnswersAtTheRoutesTimeout);
   CPPUNIT_TEST(SendsNothingAfterTheDeadline);
   CPPUNIT_TEST(SendsNothingOnAConnectionThatTheTargetMayBeClosing);
+  CPPUNIT_TEST(SendsNothingWhoseTimeIsOverWhenItArrives);
   CPPUNIT_TEST(ClosesConnectionsWhenTheCallerDisconnects);
   CPPUNIT_TEST(RetiresATargetWhoseAddressIsReused);
   CPPUNIT_TEST(RunsAtMostOnceUnderRandomFailures);
@@ -217,6 +218,17 @@
     CPPUNIT_ASSERT(mForwarder->mClosed == std::vector<ConnectionId>{ used });
   }
 
+  void SendsNothingWhoseTimeIsOverWhenItArrives()
+  {
+    constexpr std::chrono::milliseconds kTimeout{ 2 };
+    StartWithTwoTargets(Repeatability::kAtMostOnce);
+    const auto* problem =
+      ProblemOf(mForwarder->AnswerTo(mForwarder->Ask("/s/1", kTimeout)));
+    CPPUNIT_ASSERT(problem != nullptr);
+    CPPUNIT_ASSERT(mForwarder->Received().empty());
+    CPPUNIT_ASSERT(problem->mKind == ProblemKind::kNotRun);
+  }
+
   void ClosesConnectionsWhenTheCallerDisconnects()
   {
     StartWithTwoTargets(Repeatability::kIdempotent);
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -268,6 +268,7 @@
                ForwarderEffects& aEffects)
 {
   assert(!aTarget.mIdle.empty());
+  assert(aNow < aRequest.mDeadline);
   SubRequest& subRequest = aRequest.mSubRequests[aSubRequest];
   const ConnectionId id = aTarget.mIdle.back();
   aTarget.mIdle.pop_back();
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -409,6 +409,10 @@
                    TimePoint aNow,
                    ForwarderEffects& aEffects)
 {
+  // Its caller is answered now and cannot use what it would run for.
+  if (aNow >= aRequest.mDeadline) {
+    return false;
+  }
   SubRequest& subRequest = aRequest.mSubRequests[aSubRequest];
   const RouteId route = aRequest.mRoute->mId;
   TargetState* target = ChooseTarget(
@@ -452,7 +456,9 @@
   RequestState& request = found->second;
   request.mReviewAt = TimePoint::max();
   // A sub-search continues after its first report.
-  if (request.mOrigin || !IsAnswerDue(request, aNow)) {
+  const bool isOver =
+    request.mOrigin ? aNow >= request.mDeadline : IsAnswerDue(request, aNow);
+  if (!isOver) {
     ReviewSentSubSearches(aState, request, aNow, aEffects);
     for (std::uint32_t subRequest = 0; subRequest < request.mSubRequests.size();
          ++subRequest) {
