Test searches after connections between VMs went silent

Suspected: a connection to another VM that goes silent for good loses each sub-search on it, since PeerTransport has no time-out while the kernel accepts its bytes. Not a fault: an owner that does not acknowledge in time is avoided.

--- a/tests/platform/ShardOwnershipProcessTests.cpp
+++ b/tests/platform/ShardOwnershipProcessTests.cpp
@@ -1,6 +1,7 @@
 /*
  * Tests that real daemons of one zone, which query shards for each other, keep
- * answering searches while one of them is killed, frozen or stopped.
+ * answering searches while one of them is killed, frozen or stopped, or
+ * connections between them went silent.
  */
 #include "ForwarderFleet.h"
 
@@ -21,15 +22,19 @@
   CPPUNIT_TEST(AnswersWhileAnOwnerIsKilled);
   CPPUNIT_TEST(AnswersWhileAnOwnerIsFrozen);
   CPPUNIT_TEST(AnswersWhileAnOwnerStops);
+  CPPUNIT_TEST(AnswersAfterConnectionsOfPeersWentSilent);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   static constexpr std::size_t kDaemons = 5;
   static constexpr std::size_t kShards = 44;
 
-  void setUp() override
+  void setUp() override { StartFleet(FleetLinks::kDirect); }
+
+  void StartFleet(FleetLinks aLinks)
   {
-    mFleet = std::make_unique<ForwarderFleet>(kDaemons, kShards);
+    mFleet.reset();
+    mFleet = std::make_unique<ForwarderFleet>(kDaemons, kShards, aLinks);
     AwaitCondition(
       [&] {
         return mFleet->Store().CountWithPrefix("vms/") == kDaemons &&
@@ -146,6 +151,16 @@
     QueryOtherDaemons(3);
   }
 
+  void AnswersAfterConnectionsOfPeersWentSilent()
+  {
+    StartFleet(FleetLinks::kRelayed);
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      mFleet->PeerLink(daemon).SilenceOpen();
+    }
+    QueryOtherDaemons(kDaemons);
+    CPPUNIT_ASSERT(mFleet->HasLogged(0, "sub-search-reclaimed"));
+  }
+
 private:
   std::unique_ptr<ForwarderFleet> mFleet;
 };
