Make a call to the store on a new connection when its own is in use

Callers saw: all requests in progress end without an answer when SIGTERM comes while the daemon renews its lease.

Cause: a stop ends the lease on the connection of the lease at once, also while a renewal waits for its response there. Two fibers then wait for one event, and the assertion on it (FiberEvent::Wait, mWaiter == nullptr) aborts the process. A renewal is made each 8 s and takes a few milliseconds, but up to 1.5 s with a store that is slow, silent or cut off.

Change: StoreClient::Call() knows whether a call uses the connection of its channel, and makes another call on a connection of its own.

--- a/modules/wasabispread_forwarding/StoreClient.cpp
+++ b/modules/wasabispread_forwarding/StoreClient.cpp
@@ -28,6 +28,20 @@
 StoreClient::Call(Channel& aChannel,
                   const HttpRequest& aRequest,
                   Duration aTimeout)
+{
+  if (aChannel.mIsBusy) {
+    return ExchangeOnce(mLoop, mAddress, aRequest, aTimeout);
+  }
+  aChannel.mIsBusy = true;
+  auto response = CallOnChannel(aChannel, aRequest, aTimeout);
+  aChannel.mIsBusy = false;
+  return response;
+}
+
+Result<HttpResponse>
+StoreClient::CallOnChannel(Channel& aChannel,
+                           const HttpRequest& aRequest,
+                           Duration aTimeout)
 {
   if (aChannel.mConnection == nullptr) {
     auto connection = std::make_unique<HttpConnection>(mLoop);
--- a/modules/wasabispread_forwarding/StoreClient.h
+++ b/modules/wasabispread_forwarding/StoreClient.h
@@ -12,7 +12,8 @@
 namespace wasabispread::forwarding {
 
 /** Calls the store on two connections: one for listing and watching entries,
-    one for the lease. Only one call at a time may be made on each. Every call
+    one for the lease. A call that finds its connection in use by another, as
+    the end of a lease may find its renewal, is made on a new one. Every call
     blocks its fiber, except AbandonWatch(). */
 class StoreClient
 {
@@ -45,6 +46,8 @@
   struct Channel
   {
     std::unique_ptr<HttpConnection> mConnection;
+    /** Whether a call connects or waits for its response. */
+    bool mIsBusy = false;
   };
 
   /** Makes one call, connecting first if necessary. aTimeout limits the
@@ -52,6 +55,9 @@
   Result<HttpResponse> Call(Channel& aChannel,
                             const HttpRequest& aRequest,
                             Duration aTimeout);
+  Result<HttpResponse> CallOnChannel(Channel& aChannel,
+                                     const HttpRequest& aRequest,
+                                     Duration aTimeout);
 
   IoLoop& mLoop;
   Endpoint mAddress;
--- a/tests/platform/StandInStore.cpp
+++ b/tests/platform/StandInStore.cpp
@@ -193,6 +193,7 @@
 {
   ++mCalls;
   const HttpPath path = ParsePath(aRequest.mTarget);
+  mRenewals += aRequest.mTarget.starts_with("/-/kv-keep/") ? 1 : 0;
   boost::this_fiber::sleep_for(mDelay);
   switch (aVmPort.mState) {
     case VmPortState::kNeverReplies:
--- a/tests/platform/StandInStore.h
+++ b/tests/platform/StandInStore.h
@@ -97,6 +97,8 @@
   std::size_t mPageSize = 500;
   /** The number of calls received so far, in every state of the ports. */
   std::uint64_t mCalls = 0;
+  /** Those of them that renew a lease. */
+  std::uint64_t mRenewals = 0;
 
 private:
   using Json = nlohmann::json;
