Fail the loss soak when a daemon ends by itself

It fails the run now, with the end of its log; SIGHUP before main() is left out, since such a process has taken no request.

--- a/tests/platform/ConnectionTrace.cpp
+++ b/tests/platform/ConnectionTrace.cpp
@@ -3,6 +3,9 @@
  */
 #include "ConnectionTrace.h"
 
+#include <tests/processes/ChildProcess.h>
+
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -50,6 +53,13 @@
   return text.str();
 }
 
+std::string
+LastBytes(const std::string& aFile, std::size_t aBytes)
+{
+  std::string text = ReadWholeFile(aFile);
+  return text.substr(text.size() - std::min(text.size(), aBytes));
+}
+
 std::string
 DescribeProcess(pid_t aPid)
 {
--- a/tests/platform/ConnectionTrace.h
+++ b/tests/platform/ConnectionTrace.h
@@ -1,8 +1,10 @@
 /*
- * What the system tells of connections and processes, to trace a failure.
+ * What the system and log files tell of connections and processes, to trace a
+ * failure.
  */
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -15,6 +17,10 @@
 std::string
 DescribeConnection(std::uint16_t aClientPort, std::uint16_t aServerPort);
 
+/** The end of a text file, at most aBytes of it. */
+std::string
+LastBytes(const std::string& aFile, std::size_t aBytes);
+
 /** The state of a process, as "S (sleeping)". */
 std::string
 DescribeProcess(pid_t aPid);
--- a/tests/platform/LossLoad.cpp
+++ b/tests/platform/LossLoad.cpp
@@ -567,6 +567,11 @@
     runs.emplace(run.mRequestId, &run);
   }
   LossCounts counts;
+  for (const DisruptionLog::Daemon& daemon : aLog.mDaemons) {
+    counts.mFailedEnds.insert(counts.mFailedEnds.end(),
+                              daemon.mFailedEnds.begin(),
+                              daemon.mFailedEnds.end());
+  }
   for (const LossRequest& sent : aRequests) {
     if (sent.mLastByte == TimePoint::max()) {
       continue;
--- a/tests/platform/LossLoad.h
+++ b/tests/platform/LossLoad.h
@@ -20,6 +20,8 @@
     std::vector<TimePoint> mStops;
     std::vector<TimePoint> mSignals;
     std::vector<TimePoint> mStarts;
+    /** The ends other than with exit code 0, each with what is known of it. */
+    std::vector<std::string> mFailedEnds;
     /** The spans in which the daemon stood still. */
     std::vector<std::pair<TimePoint, TimePoint>> mHolds;
 
@@ -162,6 +164,14 @@
   std::vector<std::string> mLost;
   std::vector<std::string> mTwice;
   std::vector<std::string> mBrokenPromises;
+  /** Daemons that ended by themselves. */
+  std::vector<std::string> mFailedEnds;
+
+  bool IsSound() const
+  {
+    return mSilent.empty() && mLost.empty() && mTwice.empty() &&
+           mBrokenPromises.empty() && mFailedEnds.empty();
+  }
 };
 
 /** Evaluates the requests of a run whose daemons have aGrace to stop. */
--- a/tests/platform/LossSoakTests.cpp
+++ b/tests/platform/LossSoakTests.cpp
@@ -8,10 +8,12 @@
  * WASABISPREAD_SOAK_CLIENTS and WASABISPREAD_SOAK_SECONDS choose other runs
  * than the short one of the test suite.
  */
+#include "ConnectionTrace.h"
 #include "LossLoad.h"
 
 #include <algorithm>
 #include <array>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
@@ -32,6 +34,7 @@
 /** The grace that the fleet sets. */
 constexpr Duration kGrace = std::chrono::seconds(4);
 constexpr std::size_t kShards = 6;
+constexpr int kEndedBySighup = 128 + SIGHUP;
 
 TimePoint
 Now()
@@ -151,8 +154,16 @@
           isAllOver = isAllOver && !mLog.mDaemons[vm].IsStopping();
           continue;
         }
-        if (const int code = daemon.WaitForExit(); code != 0) {
-          std::cout << "vm-" << vm << " ended with " << code << std::endl;
+        const bool isStarting =
+          !mLog.mDaemons[vm].mStarts.empty() &&
+          Now() < mLog.mDaemons[vm].mStarts.back() + std::chrono::seconds(1);
+        const int code = daemon.WaitForExit();
+        // SIGHUP before main() ends a process that has taken no request yet.
+        if (code != 0 && !(isStarting && code == kEndedBySighup)) {
+          constexpr std::size_t kTail = 3000;
+          mLog.mDaemons[vm].mFailedEnds.push_back(
+            "vm-" + std::to_string(vm) + " with " + std::to_string(code) +
+            "\n" + LastBytes(mFleet.LogFile(vm), kTail));
         }
         if (Now() < mEnd) {
           mFleet.StartDaemon(vm);
@@ -489,9 +500,8 @@
       Print("lost", counts.mLost);
       Print("twice", counts.mTwice);
       Print("broken promise", counts.mBrokenPromises);
-      const bool isFailed = !counts.mLost.empty() || !counts.mSilent.empty() ||
-                            !counts.mTwice.empty() ||
-                            !counts.mBrokenPromises.empty();
+      Print("ended by itself", counts.mFailedEnds);
+      const bool isFailed = !counts.IsSound();
       failed += isFailed ? 1 : 0;
       if (isFailed && !folder.empty()) {
         run.KeepLogs(folder);
