Let daemons live longer in a third of the loss soak's runs

With a stop of one of 3 daemons about each 0.9 s, few live until they first renew their lease after 8 s, so that the soak seldom has a stop in a renewal.

--- a/tests/platform/LossSoakTests.cpp
+++ b/tests/platform/LossSoakTests.cpp
@@ -60,6 +60,7 @@
     , mVms(aVms)
     , mLog(aVms)
     , mSettingsWritten(aVms)
+    , mStopInterval(Pick(3) == 0 ? 3000 : 900)
   {
     mLog.mVersions.push_back(
       { Now(), std::chrono::seconds(2), std::chrono::seconds(15) });
@@ -77,7 +78,7 @@
     const std::vector<std::function<void()>> disruptions{
       [this] { Supervise(); },
       [this] { MeasureLag(); },
-      [this] { Repeat(900, [this] { StopSome(); }); },
+      [this] { Repeat(mStopInterval, [this] { StopSome(); }); },
       [this] { RepeatOrNot(700, [this] { RewriteSettings(Pick(mVms)); }); },
       [this] { RepeatOrNot(1200, [this] { Reconfigure(); }); },
       [this] { RepeatOrNot(600, [this] { DisturbTarget(); }); },
@@ -444,6 +445,8 @@
   std::size_t mVms;
   DisruptionLog mLog;
   std::vector<std::string> mSettingsWritten;
+  /** Some runs let daemons live long enough for a renewal of their lease. */
+  std::size_t mStopInterval;
   TimePoint mEnd{};
   std::map<std::size_t, bool> mMustSignal;
   std::map<std::size_t, bool> mMustStop;
