Send nothing on a connection past its keep-alive time, from any sender

What callers saw: 502, with an unknown outcome, for a request that a target did not run. After a hold-up, before the late timers of idle connections, a waiting sub-request that moves to another target, a hedge, and a sub-request that is next after a reply with a keep-alive of zero were sent on connections that the target may be closing. Only the first dispatch of a request had a check, and it kept overdue connections without end while the target could not be connected to.

Change: HasUsableIdle() in TargetPool is the one question that all four senders ask.

--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -147,7 +147,7 @@
   }
   TargetState* other = ChooseTarget(
     aState, subRequest.mService, route.mId, subRequest.mTriedTargets, aNow);
-  if (other == nullptr || other->mIdle.empty() ||
+  if (other == nullptr || !HasUsableIdle(aState, *other, aNow, aEffects) ||
       !IsHedgeUseful(aState, aRequest, *other, aNow)) {
     // Tried again later: a connection may be idle by then.
     late.mHedgeAt = aNow + kMoveAfter;
@@ -183,26 +183,6 @@
   SendSubRequest(aState, aRequest, aSubRequest, *other, aNow, aEffects);
 }
 
-/** Closes the idle connections of a target whose keep-alive time is nearly over
-    and whose timer has not acted yet: the target may be closing them. Keeps
-    them while no other connection may be opened. */
-void
-CloseOverdueConnections(ForwarderState& aState,
-                        TargetState& aTarget,
-                        TimePoint aNow,
-                        ForwarderEffects& aEffects)
-{
-  if (aNow < aTarget.mConnectAfter) {
-    return;
-  }
-  const std::vector<ConnectionId> idle = aTarget.mIdle;
-  for (const ConnectionId id : idle) {
-    if (aNow >= aState.mConnections.at(id).mIdleUntil) {
-      CloseTargetConnection(aState, id, aEffects);
-    }
-  }
-}
-
 /** Sends a waiting sub-request to another target that has an idle connection,
     if there is one. */
 void
@@ -217,7 +197,7 @@
   excluded.push_back(subRequest.mAwaitedTarget);
   TargetState* other = ChooseTarget(
     aState, subRequest.mService, aRequest.mRoute->mId, excluded, aNow);
-  if (other != nullptr && !other->mIdle.empty()) {
+  if (other != nullptr && HasUsableIdle(aState, *other, aNow, aEffects)) {
     subRequest.mAwaitedTarget = TargetKey{};
     CountSend(*other, aNow);
     SendSubRequest(aState, aRequest, aSubRequest, *other, aNow, aEffects);
@@ -420,12 +400,15 @@
   if (target == nullptr) {
     return false;
   }
-  CloseOverdueConnections(aState, *target, aNow, aEffects);
-  if (!target->mIdle.empty()) {
+  if (HasUsableIdle(aState, *target, aNow, aEffects)) {
     CountSend(*target, aNow);
     SendSubRequest(aState, aRequest, aSubRequest, *target, aNow, aEffects);
     return true;
   }
+  if (!IsConnectable(aState, *target, aNow)) {
+    // Its last connection was closed just now: another target may take it.
+    return DispatchSubRequest(aState, aRequest, aSubRequest, aNow, aEffects);
+  }
   const bool isInTime =
     aNow + ExpectedTime(aState, *target, route, aNow) < aRequest.mDeadline;
   if (!isInTime) {
@@ -480,7 +463,7 @@
     return;
   }
   TargetState& target = found->second;
-  while (!target.mIdle.empty()) {
+  while (HasUsableIdle(aState, target, aNow, aEffects)) {
     const auto next = TakeNextWaitingSubRequest(aState, target);
     if (!next) {
       return;
--- a/modules/wasabispread_forwarding_decisions/TargetPool.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.cpp
@@ -105,6 +105,30 @@
   DropConnection(aState, aConnection);
 }
 
+bool
+HasUsableIdle(ForwarderState& aState,
+              TargetState& aTarget,
+              TimePoint aNow,
+              ForwarderEffects& aEffects)
+{
+  const bool mayReconnect = aNow >= aTarget.mConnectAfter;
+  std::vector<ConnectionId> overdue;
+  for (const ConnectionId id : aTarget.mIdle) {
+    const TargetConnection& connection = aState.mConnections.at(id);
+    if (aNow >=
+        (mayReconnect ? connection.mIdleUntil : connection.mKeptUntil)) {
+      overdue.push_back(id);
+    }
+  }
+  for (const ConnectionId id : overdue) {
+    CloseTargetConnection(aState, id, aEffects);
+  }
+  if (!overdue.empty()) {
+    EnsureConnection(aState, aTarget, aNow, aEffects);
+  }
+  return !aTarget.mIdle.empty();
+}
+
 void
 CountSend(TargetState& aTarget, TimePoint aNow)
 {
@@ -184,10 +208,12 @@
   connection.mSubRequest = SubRequestRef{};
   connection.mAbandonAt = TimePoint::max();
   connection.mIdleUntil = TimePoint::max();
+  connection.mKeptUntil = TimePoint::max();
   if (aKeepAlive) {
     const auto use = Duration(static_cast<std::int64_t>(
       kUsableKeepAliveShare * static_cast<double>(aKeepAlive->count())));
     connection.mIdleUntil = aNow + use;
+    connection.mKeptUntil = aNow + *aKeepAlive;
     aState.mTimers.Arm(
       connection.mIdleUntil, ForwarderTimer::kIdle, aConnection.Value());
   }
--- a/modules/wasabispread_forwarding_decisions/TargetPool.h
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.h
@@ -56,6 +56,8 @@
   TimePoint mAbandonAt = TimePoint::max();
   /** When the idle connection is closed, before the target closes it. */
   TimePoint mIdleUntil = TimePoint::max();
+  /** When the target closes it. */
+  TimePoint mKeptUntil = TimePoint::max();
 };
 
 /** The latency of one route's requests at a target. */
@@ -128,6 +130,15 @@
                       ConnectionId aConnection,
                       ForwarderEffects& aEffects);
 
+/** Whether a request can be sent to the target on an idle connection. Closes
+    those whose keep-alive time is over, or nearly over while another one may be
+    opened: the target may be closing them, and their timers may be late. */
+bool
+HasUsableIdle(ForwarderState& aState,
+              TargetState& aTarget,
+              TimePoint aNow,
+              ForwarderEffects& aEffects);
+
 /** Counts a request that is going to be sent to the target, against its limit
     and its pace. */
 void
