Survive header fields that the HTTP library cannot store

What callers saw: all connections of a daemon end, with all requests in progress. Beast throws for a field of 64 KiB or more, and an exception in a fiber ends the process. Two ways to such a field, from outside the daemon: the signatures of all shards of a search are joined to one field of its answer (24 shards with 4 KB each suffice); and the name of a target, from its entry in the store, is stated in each request to it.

Change: the server answers 504 in place of a response that cannot be stored; the client connection reports a request that cannot be written as not run, so that another target gets it.

Read and ruled out: JSON of callers, targets and the store (parsed without exceptions, or inside a try; dumped with replacement of invalid UTF-8), numbers in fields (from_chars, bounded), addresses (make_address with an error code), frames of other VMs (verified; the number of signatures is compared with that of shards), a reply's status and empty bodies.

--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -405,9 +405,16 @@
     return ConnectionFailure(
       asio::error::eof, connection.mPeer, Execution::kNotRun);
   }
+  std::string bytes;
+  try {
+    bytes = Serialize(ToBeast(aRequest, connection.mPeer));
+  } catch (const std::exception& error) {
+    return Fail(ErrorKind::kMalformedRequest,
+                std::string("the request cannot be written: ") + error.what(),
+                "shorten its header fields, and name a method");
+  }
   connection.ExpireAt(std::chrono::steady_clock::now() + aTimeout);
-  const IoResult written =
-    connection.StartWrite(Serialize(ToBeast(aRequest, connection.mPeer)));
+  const IoResult written = connection.StartWrite(std::move(bytes));
   if (written.mError) {
     return ConnectionFailure(written.mError,
                              connection.mPeer,
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -81,6 +81,24 @@
   return response;
 }
 
+/** As ToBeast(); an error response in place of one with a field that Beast
+    cannot store. */
+http::response<http::string_body>
+ToStorable(HttpResponse&& aResponse, bool aKeepAlive)
+{
+  try {
+    return ToBeast(std::move(aResponse), aKeepAlive);
+  } catch (const std::length_error&) {
+    return ToBeast(
+      FormatProblem(Error{ ErrorKind::kOutcomeUnknown,
+                           "a header field of the response is too long",
+                           "retry the request if it is idempotent",
+                           Execution::kUnknown },
+                    ""),
+      aKeepAlive);
+  }
+}
+
 } // namespace
 
 /** An open connection. */
@@ -225,7 +243,7 @@
               bool aKeepAlive,
               Duration aLimit)
 {
-  const auto response = ToBeast(std::move(aResponse), aKeepAlive);
+  const auto response = ToStorable(std::move(aResponse), aKeepAlive);
   http::response_serializer<http::string_body> serializer(response);
   const TimePoint end = Now() + kMaxTransferLimits * aLimit;
   error_code error;
--- a/tests/platform/StandInTarget.cpp
+++ b/tests/platform/StandInTarget.cpp
@@ -321,7 +321,8 @@
     if (aHasSignature) {
       fields += "Wasabispread-Server-Stamp: " + Target().mInstance + "/" +
                 Field(Request(), "Wasabispread-Request-Id") + "/" +
-                std::to_string(++mServer->mSignatures) + "\r\n";
+                std::to_string(++mServer->mSignatures) +
+                std::string(Target().mExtraSignatureBytes, 's') + "\r\n";
     }
     return fields;
   }
--- a/tests/platform/StandInTarget.h
+++ b/tests/platform/StandInTarget.h
@@ -141,6 +141,8 @@
 
   /** The bytes by which its replies' bodies are longer than usual. */
   std::size_t mExtraBodyBytes = 0;
+  /** The bytes by which its signatures are longer than usual. */
+  std::size_t mExtraSignatureBytes = 0;
   /** The length of its replies to paths that end with kLargeReply. */
   std::size_t mLargeReply = 1U << 20U;
 
--- a/tests/platform/UnusualRequestTests.cpp
+++ b/tests/platform/UnusualRequestTests.cpp
@@ -6,6 +6,8 @@
 
 #include <tests/processes/RawConnection.h>
 
+#include <iostream>
+
 #include <boost/fiber/operations.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -19,6 +21,8 @@
   CPPUNIT_TEST_SUITE(UnusualRequestTests);
   CPPUNIT_TEST(ServesAfterATraceWithABody);
   CPPUNIT_TEST(ServesAfterATrailerThatIsTooLarge);
+  CPPUNIT_TEST(AnswersASearchWhoseSignaturesAreLong);
+  CPPUNIT_TEST(ServesBesideATargetWhoseNameIsTooLong);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -35,6 +39,43 @@
     CPPUNIT_ASSERT_EQUAL(200U, fleet.SendRequest({}).Status());
   }
 
+  void AnswersASearchWhoseSignaturesAreLong()
+  {
+    constexpr std::size_t kShards = 24;
+    constexpr std::size_t kSignatureBytes = 4000;
+    ForwarderFleet fleet(1, kShards);
+    ForwarderRequest search;
+    search.mPath = "/search/q";
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      for (const char* suffix : { "-a", "-b" }) {
+        const std::string target = "shard-" + std::to_string(shard) + suffix;
+        fleet.Target(target).mExtraSignatureBytes = kSignatureBytes;
+      }
+    }
+    const unsigned status = fleet.SendRequest(search).Status();
+    std::cout << "search " << status << std::endl;
+    CPPUNIT_ASSERT_EQUAL(200U, fleet.SendRequest({}).Status());
+    CPPUNIT_ASSERT_EQUAL(504U, status);
+  }
+
+  void ServesBesideATargetWhoseNameIsTooLong()
+  {
+    constexpr std::size_t kNameBytes = 70'000;
+    constexpr std::size_t kRequests = 30;
+    ForwarderFleet fleet;
+    StandInTarget& target = fleet.AddTarget("once", "once-c");
+    fleet.Store().Remove("servers/once-c");
+    fleet.Register(target, "ready", std::string(kNameBytes, 'n'));
+    boost::this_fiber::sleep_for(std::chrono::seconds(3));
+    std::size_t served = 0;
+    RunConcurrently(kRequests, [&](std::size_t) {
+      ForwarderRequest request;
+      request.mPath = "/once/x";
+      served += fleet.SendRequest(request).Status() == 200 ? 1 : 0;
+    });
+    CPPUNIT_ASSERT_EQUAL(kRequests, served);
+  }
+
   void ServesAfterATrailerThatIsTooLarge()
   {
     ForwarderFleet fleet;
