Read waiting replies before an exchange with a target expires

What callers saw: 504 for orders that had run and whose replies lay in the sockets of the daemon when it went on after a hold-up of some seconds; their callers may not repeat them.

Cause: an exchange expires 2 s after its deadline, by an Asio timer that closes the connection. The kernel reports 128 descriptors at a time, and Asio runs the due timers after the first 128, before it reads the rest. The late timers of the reducer do not come into it: they read what has arrived first (8 turns, each of all sockets, sufficed for 300 replies).

Change: an exchange whose time is over does not expire while input, or its end, waits that its fiber has not handled; it is looked at again after 5 ms, at most 200 times. A reply without end is still bounded by its size, and by the reducer, which closes the connection at its own time.

--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -40,6 +40,10 @@
 constexpr unsigned kMaxOtherResponses = 4;
 /** The most interim responses that are discarded before one response. */
 constexpr unsigned kMaxInterimResponses = 16;
+/** How much later an exchange expires while input waits that is not read, as
+    after a hold-up of the process, and how often. */
+constexpr Duration kLateReadTime = std::chrono::milliseconds(5);
+constexpr unsigned kMaxLateReads = 200;
 /** The buffer space that each read offers, in bytes. */
 constexpr std::size_t kReadBytes = 4096;
 
@@ -166,12 +170,14 @@
   {
   }
 
-  /** Closes the socket at aTime unless a later call changes that time. To save
-      timer operations, a running timer is kept when the time moves later, and
-      is set again only when it fires before that time. */
+  /** Closes the socket at aTime, or soon after it when input waits unread,
+      unless a later call changes that time. To save timer operations, a running
+      timer is kept when the time moves later, and is set again only when it
+      fires before that time. */
   void ExpireAt(TimePoint aTime)
   {
     mExpiry = aTime;
+    mLateReads = 0;
     if (aTime < mTimerDue) {
       ArmTimer(aTime);
     }
@@ -194,13 +200,27 @@
     if (mExpiry == TimePoint::max()) {
       return;
     }
-    if (std::chrono::steady_clock::now() < mExpiry) {
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (now >= mExpiry && mLateReads < kMaxLateReads && HasUnreadInput()) {
+      ++mLateReads;
+      mExpiry = now + kLateReadTime;
+    }
+    if (now < mExpiry) {
       ArmTimer(mExpiry);
     } else {
       CloseSocket();
     }
   }
 
+  /** Whether input, or its end, has arrived that the fiber of the exchange has
+      not handled yet. */
+  bool HasUnreadInput()
+  {
+    error_code error;
+    return mIsConnected && (!mIsReading || mSocket.available(error) != 0 ||
+                            IsClosedByPeer(mSocket));
+  }
+
   void CloseSocket()
   {
     error_code ignored;
@@ -330,6 +350,9 @@
   TimePoint mTimerDue = TimePoint::max();
   /** When to close the socket; TimePoint::max() between exchanges. */
   TimePoint mExpiry = TimePoint::max();
+  /** How often the expiry was moved because input waited. */
+  unsigned mLateReads = 0;
+  bool mIsConnected = false;
   beast::flat_buffer mBuffer;
   bool mIsReading = false;
   /** Whether a part of mOutgoing is not written yet. */
@@ -382,6 +405,7 @@
   connection.mSocket.set_option(Tcp::no_delay(true), ignored);
   EnableKeepAlive(connection.mSocket);
   connection.mSocket.non_blocking(true, ignored);
+  connection.mIsConnected = true;
   connection.StartRead();
   return std::monostate{};
 }
--- a/tests/platform/TargetSideLossTests.cpp
+++ b/tests/platform/TargetSideLossTests.cpp
@@ -25,6 +25,17 @@
   return std::chrono::steady_clock::now();
 }
 
+/** From when until when, after the requests were sent, a daemon is held up. */
+struct HoldUp
+{
+  Duration mFrom{};
+  Duration mUntil{};
+};
+
+constexpr Duration kHoldUp = std::chrono::milliseconds(60);
+constexpr Duration kLateHoldUp = std::chrono::milliseconds(300);
+constexpr Duration kLongHoldUp = std::chrono::milliseconds(3600);
+
 /** How many requests got each status; 0 stands for no answer. */
 using Statuses = std::map<unsigned, std::size_t>;
 
@@ -45,6 +56,7 @@
   CPPUNIT_TEST_SUITE(TargetSideLossTests);
   CPPUNIT_TEST(PassesOnTheReplyThatFollowsInterimReplies);
   CPPUNIT_TEST(PassesOnRepliesThatArriveWhileHeldUpBeyondTheDeadline);
+  CPPUNIT_TEST(PassesOnRepliesToManyCallersThatArriveWhileHeldUp);
   CPPUNIT_TEST(SendsNothingTwiceWhenRepliesArriveWhileHeldUp);
   CPPUNIT_TEST(AnswersWhileTheConfigurationAndTargetsChange);
   CPPUNIT_TEST(AnswersWhileTwoOwnersStop);
@@ -88,17 +100,19 @@
 
   /** Sends requests from all callers at once and holds the daemon up meanwhile,
       while their replies arrive. */
-  Statuses SendWhileHeldUp(const ForwarderRequest& aRequest, Duration aUntil)
+  Statuses SendWhileHeldUp(const ForwarderRequest& aRequest,
+                           const HoldUp& aHoldUp,
+                           std::size_t aCallers = kCallers)
   {
-    constexpr Duration kHeldUpFrom = std::chrono::milliseconds(60);
     Statuses statuses;
     mRuns.clear();
+    mRanWithoutReply = 0;
     const TimePoint start = Now();
-    RunConcurrently(kCallers + 1, [&](std::size_t aFiber) {
-      if (aFiber == kCallers) {
-        boost::this_fiber::sleep_until(start + kHeldUpFrom);
+    RunConcurrently(aCallers + 1, [&](std::size_t aFiber) {
+      if (aFiber == aCallers) {
+        boost::this_fiber::sleep_until(start + aHoldUp.mFrom);
         mFleet->Daemon(0).Freeze();
-        boost::this_fiber::sleep_until(start + aUntil);
+        boost::this_fiber::sleep_until(start + aHoldUp.mUntil);
         mFleet->Daemon(0).Thaw();
         return;
       }
@@ -109,7 +123,7 @@
       mRuns[std::min<std::size_t>(mFleet->CountRuns(reply.mRequestId), 9)]++;
     });
     std::cout << aRequest.mPath << ToText(statuses) << ", runs" << ToText(mRuns)
-              << std::endl;
+              << ", ran without a reply " << mRanWithoutReply << std::endl;
     return statuses;
   }
 
@@ -138,8 +152,9 @@
     StartWithSlowTargets();
     for (const unsigned until : { 600U, 3000U }) {
       for (const char* path : { "/once/x", "/one/x" }) {
-        Statuses statuses = SendWhileHeldUp(RequestOf(path, "400"),
-                                            std::chrono::milliseconds(until));
+        Statuses statuses =
+          SendWhileHeldUp(RequestOf(path, "400"),
+                          HoldUp{ kHoldUp, std::chrono::milliseconds(until) });
         CPPUNIT_ASSERT_EQUAL_MESSAGE(
           path + ToText(statuses), std::size_t{ 0 }, mRanWithoutReply);
         CPPUNIT_ASSERT_MESSAGE(path + ToText(statuses), statuses[200] > 0);
@@ -147,13 +162,54 @@
     }
   }
 
+  /** As above, with more connections than one poll of the kernel reports, and
+      timers of all of them that are due when the daemon goes on. */
+  void PassesOnRepliesToManyCallersThatArriveWhileHeldUp()
+  {
+    constexpr std::size_t kTargets = 20;
+    constexpr std::size_t kManyCallers = 300;
+    // The daemon sets the timer of a connection for the first exchange, and
+    // moves it when it is due: that is early in the hold-up.
+    constexpr Duration kTimersDue = std::chrono::milliseconds(3980);
+    constexpr Duration kBeforeTimers = std::chrono::milliseconds(380);
+    mFleet = std::make_unique<ForwarderFleet>();
+    for (std::size_t target = 0; target < kTargets; ++target) {
+      auto& added = mFleet->AddTarget("once", "once-" + std::to_string(target));
+      added.mSlots = 2 * kCallers;
+      added.mServiceTime = std::chrono::milliseconds(600);
+      mFleet->Register(added);
+    }
+    // The daemon has its full share of connections once it knows that it is
+    // alone.
+    boost::this_fiber::sleep_for(std::chrono::seconds(6));
+    const auto ask = [&] {
+      RunConcurrently(kManyCallers, [&](std::size_t) {
+        mFleet->SendRequest(RequestOf("/once/x"));
+      });
+    };
+    // Opens the connections, and lets their timers pass.
+    ask();
+    ask();
+    boost::this_fiber::sleep_for(std::chrono::seconds(5));
+    const TimePoint armed = Now();
+    ask();
+    boost::this_fiber::sleep_until(armed + kTimersDue - kBeforeTimers);
+    Statuses statuses = SendWhileHeldUp(RequestOf("/once/x", "900"),
+                                        HoldUp{ kLateHoldUp, kLongHoldUp },
+                                        kManyCallers);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      ToText(statuses), std::size_t{ 0 }, mRanWithoutReply);
+    CPPUNIT_ASSERT_MESSAGE(ToText(statuses), statuses[200] > kManyCallers / 3);
+  }
+
   /** Guards against hedges of requests whose replies wait unread. */
   void SendsNothingTwiceWhenRepliesArriveWhileHeldUp()
   {
     constexpr Duration kUntil = std::chrono::milliseconds(500);
     StartWithSlowTargets();
     for (const char* path : { "/once/x", "/one/x" }) {
-      Statuses statuses = SendWhileHeldUp(RequestOf(path), kUntil);
+      Statuses statuses =
+        SendWhileHeldUp(RequestOf(path), HoldUp{ kHoldUp, kUntil });
       CPPUNIT_ASSERT_EQUAL_MESSAGE(
         path + ToText(statuses), kCallers, statuses[200]);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(path + ToText(mRuns), kCallers, mRuns[1]);
