Notice a reset behind kept input, and serve on

What callers saw: one caller that sends more than 16 KiB beside its request and then resets its connection, as a client that is killed does, or sends a byte of urgent data, ends the service of the whole daemon: it answers nobody until that request would have been answered, which it can't be any more, and misses its deadlines and its stop.

Cause, found by reading: beyond 16 KiB the watch for the end of the connection waits for an error on the socket, but reads nothing, so that it never learns of the reset and waits again. The wait completes at once each time, and one poll of the loop handles what completes meanwhile, so that it does not return.

Change: after such a wait, the watch asks the socket whether the connection was reset. A reset ends the work; anything else (urgent data, which stays until it is read) ends the watch. The probe of a half-closed caller asks in the same way.

Ruled out: the wait for input within the 16 KiB takes what ended it, so that it doesn't repeat; the probe waits at most twice.

--- a/modules/wasabispread_runtime/AsioSupport.h
+++ b/modules/wasabispread_runtime/AsioSupport.h
@@ -81,6 +81,15 @@
   return poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
 }
 
+/** Whether the connection was reset or has ended in both directions. */
+template<class Socket>
+bool
+IsReset(Socket& aSocket)
+{
+  pollfd state{ aSocket.native_handle(), 0, 0 };
+  return poll(&state, 1, 0) == 1 && (state.revents & (POLLERR | POLLHUP)) != 0;
+}
+
 /** Opens a listening socket; kConnectionFailed when the address cannot be
     used. */
 inline Result<boost::asio::ip::tcp::acceptor>
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -602,39 +602,54 @@
     const IoResult waited = Await([&](auto aHandler) {
       connection.mSocket.async_wait(Tcp::socket::wait_error, aHandler);
     });
-    if (!waited.mError && !aWatch->mIsHandled) {
+    if (!waited.mError && !aWatch->mIsHandled && IsReset(connection.mSocket)) {
       HandleLeaving(*aWatch);
       return;
     }
   }
 }
 
+/** Waits for a reset of the connection, until the request was handled. */
+void
+WatchForReset(const std::shared_ptr<ClientWatch>& aWatch)
+{
+  aWatch->mConnection->mSocket.async_wait(
+    Tcp::socket::wait_error, [aWatch](error_code aError) {
+      // Urgent data also ends the wait, and would end each further one.
+      if (!aError && !aWatch->mIsHandled &&
+          IsReset(aWatch->mConnection->mSocket)) {
+        HandleLeaving(*aWatch);
+      }
+    });
+}
+
 /** Waits for the client to leave, until its request was handled. Input does not
     hide the end of the connection, unless it is more than is kept. */
 void
 WatchClient(const std::shared_ptr<ClientWatch>& aWatch)
 {
   ServerConnection& connection = *aWatch->mConnection;
-  // Beyond the kept input, only a reset of the connection can be noticed.
-  const auto event = connection.mBuffer.size() < kMaxEarlyInputBytes
-                       ? Tcp::socket::wait_read
-                       : Tcp::socket::wait_error;
-  connection.mSocket.async_wait(event, [aWatch](error_code aError) {
-    if (aError || aWatch->mIsHandled) {
-      return;
-    }
-    const error_code error = KeepEarlyInput(*aWatch->mConnection);
-    if (error == asio::error::eof && aWatch->mCanProbe) {
-      StartFiber([aWatch] { ProbeClient(aWatch); });
-    } else if (error == asio::error::eof) {
-      // It may still read the answer that ends the work.
-      StartFiber(aWatch->mWhenLeft);
-    } else if (error) {
-      HandleLeaving(*aWatch);
-    } else {
-      WatchClient(aWatch);
-    }
-  });
+  if (connection.mBuffer.size() >= kMaxEarlyInputBytes) {
+    WatchForReset(aWatch);
+    return;
+  }
+  connection.mSocket.async_wait(
+    Tcp::socket::wait_read, [aWatch](error_code aError) {
+      if (aError || aWatch->mIsHandled) {
+        return;
+      }
+      const error_code error = KeepEarlyInput(*aWatch->mConnection);
+      if (error == asio::error::eof && aWatch->mCanProbe) {
+        StartFiber([aWatch] { ProbeClient(aWatch); });
+      } else if (error == asio::error::eof) {
+        // It may still read the answer that ends the work.
+        StartFiber(aWatch->mWhenLeft);
+      } else if (error) {
+        HandleLeaving(*aWatch);
+      } else {
+        WatchClient(aWatch);
+      }
+    });
 }
 
 /** Runs the handler, which may register an action for a disconnect of the
--- a/tests/platform/CallerConnectionTests.cpp
+++ b/tests/platform/CallerConnectionTests.cpp
@@ -36,6 +36,8 @@
   CPPUNIT_TEST(PassesOnNoFieldsOfAnotherConnection);
   CPPUNIT_TEST(AnswersCallersThatHaveFinishedSending);
   CPPUNIT_TEST(EndsTheWorkForCallersThatLeft);
+  CPPUNIT_TEST(ServesOnAfterACallerResetsBehindMuchInput);
+  CPPUNIT_TEST(ServesOnAfterUrgentDataBehindMuchInput);
   CPPUNIT_TEST(PassesOnABodyThatACallerHoldsBack);
   CPPUNIT_TEST_SUITE_END();
 
@@ -184,6 +186,49 @@
     }
   }
 
+  /** Sends a long request and more input than a daemon keeps. */
+  std::unique_ptr<RawConnection> SendMuchInput()
+  {
+    for (const char* instance : { "one-a", "one-b" }) {
+      mFleet->Target(instance).mServiceTime = std::chrono::milliseconds(1500);
+    }
+    auto caller = std::make_unique<RawConnection>(mFleet->CallerEndpoint(0));
+    caller->Send(TextOf("/one/x", "much-input"));
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(200));
+    caller->Send(std::string(50'000, 'x'));
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
+    return caller;
+  }
+
+  /** Whether the daemon answers another caller, twice, while the long request
+      still runs. */
+  void ExpectServing()
+  {
+    for (unsigned count = 0; count < 2; ++count) {
+      const auto status = mFleet->SendRequest(RequestOf("/once/x")).Status();
+      std::cout << "another caller's status: " << status << std::endl;
+      CPPUNIT_ASSERT_EQUAL(200U, status);
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(200));
+    }
+  }
+
+  /** Guards against a watch for the end of a connection that never pauses. */
+  void ServesOnAfterACallerResetsBehindMuchInput()
+  {
+    SendMuchInput()->ResetAtEnd();
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
+    ExpectServing();
+    CPPUNIT_ASSERT(mFleet->Runs().front().mIsCancelled);
+  }
+
+  void ServesOnAfterUrgentDataBehindMuchInput()
+  {
+    const auto caller = SendMuchInput();
+    caller->SendUrgent('x');
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
+    ExpectServing();
+  }
+
   void PassesOnABodyThatACallerHoldsBack()
   {
     RawConnection caller(mFleet->CallerEndpoint(0));
--- a/tests/processes/RawConnection.cpp
+++ b/tests/processes/RawConnection.cpp
@@ -55,6 +55,19 @@
   shutdown(mSocket, SHUT_WR);
 }
 
+void
+RawConnection::ResetAtEnd() const
+{
+  const linger noWait{ 1, 0 };
+  setsockopt(mSocket, SOL_SOCKET, SO_LINGER, &noWait, sizeof noWait);
+}
+
+void
+RawConnection::SendUrgent(char aByte) const
+{
+  send(mSocket, &aByte, 1, MSG_NOSIGNAL | MSG_OOB);
+}
+
 std::string
 RawConnection::Receive(std::size_t aBytes) const
 {
--- a/tests/processes/RawConnection.h
+++ b/tests/processes/RawConnection.h
@@ -28,6 +28,12 @@
   /** Shuts down the sending direction; reading remains possible. */
   void FinishSending() const;
 
+  /** Lets the destructor reset the connection instead of closing it. */
+  void ResetAtEnd() const;
+
+  /** Sends a byte of urgent data. */
+  void SendUrgent(char aByte) const;
+
   /** Reads aBytes bytes, or fewer if the connection ends, fails or times out.
    */
   std::string Receive(std::size_t aBytes) const;
