--- a/tests/platform/StopEndTests.cpp
+++ b/tests/platform/StopEndTests.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(AnswersWhatIsInProgressAfterAHoldUpBeforeTheEnd);
   CPPUNIT_TEST(AnswersWhatIsInProgressWhileItsSettingsChange);
   CPPUNIT_TEST(AnswersWhatIsInProgressWhenTheSignalIsHandledLate);
+  CPPUNIT_TEST(AnswersWhatIsInProgressWhileTheStoreHoldsBackARenewal);
   CPPUNIT_TEST(WritesLargeAnswersToCallersThatReadLate);
   CPPUNIT_TEST(EndsInTimeForCallersThatReadNothing);
   CPPUNIT_TEST(AnswersWhatCallersKeepSendingToOverloadedTargets);
@@ -132,6 +133,19 @@
       std::chrono::milliseconds(2300)));
   }
 
+  /** Guards against two calls at a time on the connection for the lease. */
+  void AnswersWhatIsInProgressWhileTheStoreHoldsBackARenewal()
+  {
+    constexpr Duration kRenewInterval = std::chrono::seconds(8);
+    ForwarderFleet fleet;
+    AwaitCondition([&] { return fleet.HasLogged(0, "vm-registered"); },
+                   "the daemon holds its lease");
+    boost::this_fiber::sleep_for(kRenewInterval - std::chrono::seconds(1));
+    fleet.Store().SetVmPortState(0, VmPortState::kNeverReplies);
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(1500));
+    ExpectAnswers(StopWithRequests(fleet, [](TimePoint) {}));
+  }
+
   /** Guards against answers that are cut off although there was time to write
       them. */
   void WritesLargeAnswersToCallersThatReadLate()
