Answer when a header field of the answer is too long, and serve on

What callers saw: the daemon ends, with all its requests, when a search's answer has a header field above 64 KiB. The field names a stamp for each part, so that targets with long stamps are enough; one reply's header may have 8 KiB.

Change: such an answer is replaced by 504 with "ran: unknown".

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -298,14 +298,25 @@
   return error;
 }
 
+/** Writes a response, or a problem in its place when one of its header fields
+    is longer than Beast's fields hold. */
 error_code
 WriteResponse(ServerConnection& aConnection,
               HttpResponse aResponse,
               ResponseForm aForm,
               Duration aLimit)
 {
-  return WriteMessage(
-    aConnection, ToBeast(std::move(aResponse), aForm), aLimit);
+  http::response<http::string_body> message;
+  try {
+    message = ToBeast(std::move(aResponse), aForm);
+  } catch (const std::length_error&) {
+    const Error problem{ ErrorKind::kOutcomeUnknown,
+                         "a header field of the answer is too long",
+                         "ask for an answer with shorter fields",
+                         Execution::kUnknown };
+    message = ToBeast(FormatProblem(problem, ""), aForm);
+  }
+  return WriteMessage(aConnection, message, aLimit);
 }
 
 /** Asks the client for the body of its request (RFC 9110 10.1.1). */
--- a/tests/platform/TargetSideLossTests.cpp
+++ b/tests/platform/TargetSideLossTests.cpp
@@ -44,6 +44,7 @@
 {
   CPPUNIT_TEST_SUITE(TargetSideLossTests);
   CPPUNIT_TEST(PassesOnTheReplyThatFollowsInterimReplies);
+  CPPUNIT_TEST(AnswersSearchesWhoseStampsAreLongTogether);
   CPPUNIT_TEST(PassesOnRepliesThatArriveWhileHeldUpBeyondTheDeadline);
   CPPUNIT_TEST(SendsNothingTwiceWhenRepliesArriveWhileHeldUp);
   CPPUNIT_TEST(AnswersWhileTheConfigurationAndTargetsChange);
@@ -86,6 +87,28 @@
     }
   }
 
+  /** Guards against a daemon that ends because a header field is too long. */
+  void AnswersSearchesWhoseStampsAreLongTogether()
+  {
+    constexpr std::size_t kShards = 12;
+    constexpr std::size_t kStampBytes = 7000;
+    mFleet = std::make_unique<ForwarderFleet>(1, kShards);
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      for (const char* end : { "-a", "-b" }) {
+        mFleet->Target("shard-" + std::to_string(shard) + end).mAddedFields =
+          "Wasabispread-Server-Stamp: " + std::string(kStampBytes, 's') +
+          "\r\n";
+      }
+    }
+    Statuses statuses;
+    for (const char* path : { "/search/q", "/one/x" }) {
+      ++statuses[mFleet->SendRequest(RequestOf(path)).Status()];
+    }
+    std::cout << "long stamps" << ToText(statuses) << std::endl;
+    CPPUNIT_ASSERT(!mFleet->Daemon(0).HasEnded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, statuses[0]);
+  }
+
   /** Sends requests from all callers at once and holds the daemon up meanwhile,
       while their replies arrive. */
   Statuses SendWhileHeldUp(const ForwarderRequest& aRequest, Duration aUntil)
