Fail a request whose header fields are too long, and serve on

What callers saw: the daemon ends, with all its requests, when it sends a target a header field above 64 KiB: the id of an instance in the store may be as long, and a frame of another VM may hold such a field.

Cause: the HTTP library throws for a field of that length; nothing catches it in the fiber of the target's connection.

Change: the exchange fails, and states that nothing was run.

Tests: a real daemon gets arbitrary requests, replies, entries of the store and frames, made of pieces of valid ones (ArbitraryInputTests, 13 s).

--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -89,6 +89,18 @@
   return bytes;
 }
 
+/** The bytes of a request; none when a header field is longer than Beast's
+    fields hold. */
+std::optional<std::string>
+RequestBytes(const HttpRequest& aRequest, const std::string& aHost)
+{
+  try {
+    return Serialize(ToBeast(aRequest, aHost));
+  } catch (const std::length_error&) {
+    return std::nullopt;
+  }
+}
+
 /** Whether the final response follows this one (RFC 9110 15.2). */
 bool
 IsInterim(const ResponseParser& aParser)
@@ -413,9 +425,13 @@
     return ConnectionFailure(
       asio::error::eof, connection.mPeer, Execution::kNotRun);
   }
+  auto bytes = RequestBytes(aRequest, connection.mPeer);
+  if (!bytes) {
+    return ConnectionFailure(
+      http::error::header_limit, connection.mPeer, Execution::kNotRun);
+  }
   connection.ExpireAt(std::chrono::steady_clock::now() + aTimeout);
-  const IoResult written =
-    connection.StartWrite(Serialize(ToBeast(aRequest, connection.mPeer)));
+  const IoResult written = connection.StartWrite(std::move(*bytes));
   if (written.mError) {
     return ConnectionFailure(written.mError,
                              connection.mPeer,
