--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -93,6 +93,18 @@
   return bytes;
 }
 
+/** The bytes of a request; none when it has no method or a header field is
+    longer than Beast's fields hold. */
+std::optional<std::string>
+RequestBytes(const HttpRequest& aRequest, const std::string& aHost)
+{
+  try {
+    return Serialize(ToBeast(aRequest, aHost));
+  } catch (const std::logic_error&) {
+    return std::nullopt;
+  }
+}
+
 /** Whether the final response follows this one (RFC 9110 15.2). */
 bool
 IsInterim(const ResponseParser& aParser)
@@ -437,16 +449,13 @@
     return ConnectionFailure(
       asio::error::eof, connection.mPeer, Execution::kNotRun);
   }
-  std::string bytes;
-  try {
-    bytes = Serialize(ToBeast(aRequest, connection.mPeer));
-  } catch (const std::exception& error) {
-    return Fail(ErrorKind::kMalformedRequest,
-                std::string("the request cannot be written: ") + error.what(),
-                "shorten its header fields, and name a method");
+  auto bytes = RequestBytes(aRequest, connection.mPeer);
+  if (!bytes) {
+    return ConnectionFailure(
+      http::error::header_limit, connection.mPeer, Execution::kNotRun);
   }
   connection.ExpireAt(std::chrono::steady_clock::now() + aTimeout);
-  const IoResult written = connection.StartWrite(std::move(bytes));
+  const IoResult written = connection.StartWrite(std::move(*bytes));
   if (written.mError) {
     return ConnectionFailure(written.mError,
                              connection.mPeer,
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -298,14 +298,25 @@
   return error;
 }
 
+/** Writes a response, or a problem in its place when one of its header fields
+    is longer than Beast's fields hold. */
 error_code
 WriteResponse(ServerConnection& aConnection,
               HttpResponse aResponse,
               ResponseForm aForm,
               Duration aLimit)
 {
-  return WriteMessage(
-    aConnection, ToBeast(std::move(aResponse), aForm), aLimit);
+  http::response<http::string_body> message;
+  try {
+    message = ToBeast(std::move(aResponse), aForm);
+  } catch (const std::length_error&) {
+    const Error problem{ ErrorKind::kOutcomeUnknown,
+                         "a header field of the answer is too long",
+                         "ask for an answer with shorter fields",
+                         Execution::kUnknown };
+    message = ToBeast(FormatProblem(problem, ""), aForm);
+  }
+  return WriteMessage(aConnection, message, aLimit);
 }
 
 /** Asks the client for the body of its request (RFC 9110 10.1.1). */
@@ -602,39 +613,54 @@
     const IoResult waited = Await([&](auto aHandler) {
       connection.mSocket.async_wait(Tcp::socket::wait_error, aHandler);
     });
-    if (!waited.mError && !aWatch->mIsHandled) {
+    if (!waited.mError && !aWatch->mIsHandled && IsReset(connection.mSocket)) {
       HandleLeaving(*aWatch);
       return;
     }
   }
 }
 
+/** Waits for a reset of the connection, until the request was handled. */
+void
+WatchForReset(const std::shared_ptr<ClientWatch>& aWatch)
+{
+  aWatch->mConnection->mSocket.async_wait(
+    Tcp::socket::wait_error, [aWatch](error_code aError) {
+      // Urgent data also ends the wait, and would end each further one.
+      if (!aError && !aWatch->mIsHandled &&
+          IsReset(aWatch->mConnection->mSocket)) {
+        HandleLeaving(*aWatch);
+      }
+    });
+}
+
 /** Waits for the client to leave, until its request was handled. Input does not
     hide the end of the connection, unless it is more than is kept. */
 void
 WatchClient(const std::shared_ptr<ClientWatch>& aWatch)
 {
   ServerConnection& connection = *aWatch->mConnection;
-  // Beyond the kept input, only a reset of the connection can be noticed.
-  const auto event = connection.mBuffer.size() < kMaxEarlyInputBytes
-                       ? Tcp::socket::wait_read
-                       : Tcp::socket::wait_error;
-  connection.mSocket.async_wait(event, [aWatch](error_code aError) {
-    if (aError || aWatch->mIsHandled) {
-      return;
-    }
-    const error_code error = KeepEarlyInput(*aWatch->mConnection);
-    if (error == asio::error::eof && aWatch->mCanProbe) {
-      StartFiber([aWatch] { ProbeClient(aWatch); });
-    } else if (error == asio::error::eof) {
-      // It may still read the answer that ends the work.
-      StartFiber(aWatch->mWhenLeft);
-    } else if (error) {
-      HandleLeaving(*aWatch);
-    } else {
-      WatchClient(aWatch);
-    }
-  });
+  if (connection.mBuffer.size() >= kMaxEarlyInputBytes) {
+    WatchForReset(aWatch);
+    return;
+  }
+  connection.mSocket.async_wait(
+    Tcp::socket::wait_read, [aWatch](error_code aError) {
+      if (aError || aWatch->mIsHandled) {
+        return;
+      }
+      const error_code error = KeepEarlyInput(*aWatch->mConnection);
+      if (error == asio::error::eof && aWatch->mCanProbe) {
+        StartFiber([aWatch] { ProbeClient(aWatch); });
+      } else if (error == asio::error::eof) {
+        // It may still read the answer that ends the work.
+        StartFiber(aWatch->mWhenLeft);
+      } else if (error) {
+        HandleLeaving(*aWatch);
+      } else {
+        WatchClient(aWatch);
+      }
+    });
 }
 
 /** Runs the handler, which may register an action for a disconnect of the
