--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 #include <boost/fiber/operations.hpp>
 
@@ -26,8 +25,9 @@
 /** How long a stop that was held up beyond its end waits for the answers that
     are due. */
 constexpr Duration kMaxOverrun = std::chrono::seconds(1);
-/** The largest settings file that is read, in bytes. */
-constexpr std::uintmax_t kMaxSettingsBytes = 1U << 20U;
+/** The largest settings file that is read, and the size of each read. */
+constexpr std::size_t kMaxSettingsBytes = 256U << 10U;
+constexpr std::size_t kReadBytes = 16U << 10U;
 
 ForwarderPolicy
 PolicyFrom(const ForwarderSettings& aSettings)
@@ -56,27 +56,30 @@
 Result<std::string>
 ReadFile(const std::string& aFile)
 {
-  // Opening a pipe would block all fibers.
-  std::error_code error;
-  const bool isFile = std::filesystem::is_regular_file(aFile, error);
+  std::error_code ignored;
   std::ifstream stream;
-  if (isFile) {
+  // Opening a pipe would block the process.
+  if (std::filesystem::is_regular_file(aFile, ignored)) {
     stream.open(aFile);
   }
-  if (!isFile || !stream) {
+  if (!stream.is_open()) {
     return Fail(ErrorKind::kInvalidSettings,
                 "the file " + aFile + " cannot be read",
-                "check its name and its read permission");
+                "check its name, its type and its read permission");
   }
-  if (std::filesystem::file_size(aFile, error) > kMaxSettingsBytes) {
+  std::string text;
+  std::string part(kReadBytes, '\0');
+  while (stream && text.size() <= kMaxSettingsBytes) {
+    stream.read(part.data(), static_cast<std::streamsize>(part.size()));
+    text.append(part, 0, static_cast<std::size_t>(stream.gcount()));
+  }
+  if (text.size() > kMaxSettingsBytes) {
     return Fail(ErrorKind::kInvalidSettings,
                 "the file " + aFile + " is larger than " +
                   std::to_string(kMaxSettingsBytes) + " bytes",
-                "remove what is no setting");
+                "give it only the settings");
   }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
+  return text;
 }
 
 ForwarderDaemon::ForwarderDaemon(IoLoop& aLoop,
