--- a/modules/wasabispread_config/TableReader.cpp
+++ b/modules/wasabispread_config/TableReader.cpp
@@ -87,13 +87,13 @@
     const std::string_view before = aText.substr(0, *deep);
     const auto line = std::count(before.begin(), before.end(), '\n') + 1;
     const auto lineStart = before.rfind('\n') + 1;
-    return tl::unexpected<Faults>(Faults{
-      Fault{ aFile,
-             static_cast<std::uint32_t>(line),
-             static_cast<std::uint32_t>(*deep - lineStart + 1),
-             "brackets or a key nest deeper than " +
-               std::to_string(kMaxTomlNesting) + " levels",
-             "use fewer levels" } });
+    return tl::unexpected<Faults>(
+      Faults{ Fault{ aFile,
+                     static_cast<std::uint32_t>(line),
+                     static_cast<std::uint32_t>(*deep - lineStart + 1),
+                     "brackets or a key nest deeper than " +
+                       std::to_string(kMaxTomlNesting) + " levels",
+                     "use fewer levels" } });
   }
   try {
     return toml::parse(aText, aFile);
