Test a reload with the most levels of tables and keys together

The limit on nesting says that a fiber's stack holds 16 brackets and 16 dots of a key in each of them. The tests had each alone.

--- a/tests/platform/SettingsReloadTests.cpp
+++ b/tests/platform/SettingsReloadTests.cpp
@@ -4,6 +4,8 @@
  */
 #include "ForwarderFleet.h"
 
+#include <wasabispread_config/TomlNesting.h>
+
 #include <filesystem>
 #include <fstream>
 
@@ -49,6 +51,7 @@
   CPPUNIT_TEST(ServesAfterNestedArrays);
   CPPUNIT_TEST(ServesAfterNestedTables);
   CPPUNIT_TEST(ServesAfterAKeyOfManyParts);
+  CPPUNIT_TEST(ServesAfterTheMostLevelsOfTablesAndKeys);
   CPPUNIT_TEST(ServesAfterABracketThatIsNotClosed);
   CPPUNIT_TEST(ServesAfterAHeaderWithoutAKey);
   CPPUNIT_TEST(ServesAfterAFileThatIsTooLarge);
@@ -72,6 +75,16 @@
     RequireServesAfter(Repeat(20'000, "a.") + "a = 1");
   }
 
+  void ServesAfterTheMostLevelsOfTablesAndKeys()
+  {
+    const std::string key = Repeat(kMaxTomlNesting, "a.") + "a";
+    RequireServesAfter(key + "=" + Repeat(kMaxTomlNesting, "{" + key + "=") +
+                       "1" + Repeat(kMaxTomlNesting, "}"));
+    RequireServesAfter(key + "=" +
+                       Repeat(kMaxTomlNesting / 2, "[{" + key + "=") + "1" +
+                       Repeat(kMaxTomlNesting / 2, "}]"));
+  }
+
   void ServesAfterABracketThatIsNotClosed() { RequireServesAfter("x = [}"); }
 
   void ServesAfterAHeaderWithoutAKey() { RequireServesAfter("[=x]"); }
