--- a/tests/processes/HttpDisconnectTests.cpp
+++ b/tests/processes/HttpDisconnectTests.cpp
@@ -7,8 +7,10 @@
 
 #include <tests/processes/FreePorts.h>
 
+#include <ctime>
 #include <iostream>
 
+#include <boost/asio.hpp>
 #include <boost/fiber/operations.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -41,6 +43,7 @@
   CPPUNIT_TEST(EndsTheWorkForACallerThatFinishedSendingAndLeft);
   CPPUNIT_TEST(AnswersACallerThatHasFinishedSending);
   CPPUNIT_TEST(AnswersPipelinedRequestsAfterACallerHasFinishedSending);
+  CPPUNIT_TEST(EndsTheWorkForACallerThatSentMuchAndReset);
   CPPUNIT_TEST(KeepsInputThatArrivesBesideARequest);
   CPPUNIT_TEST_SUITE_END();
 
@@ -172,6 +175,33 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, mFinished);
   }
 
+  /** Guards against a watch that spins when it reads no more. */
+  void EndsTheWorkForACallerThatSentMuchAndReset()
+  {
+    constexpr std::size_t kBytes = 40'000;
+    using boost::asio::ip::tcp;
+    tcp::socket caller(TestLoop().Context());
+    caller.connect(
+      { boost::asio::ip::make_address(mAddress.mHost), mAddress.mPort });
+    const std::string text = kRequest + std::string(kBytes, 'x');
+    boost::asio::write(caller, boost::asio::buffer(text));
+    AwaitCondition([&] { return mStarted == 1; }, "a request runs");
+    boost::this_fiber::sleep_for(kPause);
+    caller.set_option(boost::asio::socket_base::linger(true, 0));
+    caller.close();
+    const TimePoint left = Now();
+    const std::clock_t used = std::clock();
+    AwaitCondition([&] { return mServer->ConnectionCount() == 0; },
+                   "the work ends");
+    std::cout << "work went on for "
+              << std::chrono::duration<double>(Now() - left).count()
+              << " s and used the processor for "
+              << static_cast<double>(std::clock() - used) / CLOCKS_PER_SEC
+              << " s" << std::endl;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mLeft.size());
+    CPPUNIT_ASSERT(mLeft.front() < left + kMaxWorkForNobody);
+  }
+
   /** Guards against a watch that drops the requests that it reads. */
   void KeepsInputThatArrivesBesideARequest()
   {
