Replace connections that end while requests wait for them

What callers saw: requests that wait for a connection of a target that ends its connections with its replies were sent one after another, and those whose deadline came first got 503 without having been offered to the target.

Cause: a connection that ended was replaced only when it was the target's last one. Each request opens at most one connection, and those that waited when the share of connections was used up opened none.

Change: when a connection is removed, another one is opened if more sub-requests wait than connections are opening, with the same limits as at dispatch. Targets that reset new connections are still backed off from.

--- a/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(SendsNothingAfterTheDeadline);
   CPPUNIT_TEST(SendsNothingOnAConnectionThatTheTargetMayBeClosing);
   CPPUNIT_TEST(SendsNothingWhoseTimeIsOverWhenItArrives);
+  CPPUNIT_TEST(ReplacesConnectionsThatEndWhileRequestsWait);
   CPPUNIT_TEST(ClosesConnectionsWhenTheCallerDisconnects);
   CPPUNIT_TEST(RetiresATargetWhoseAddressIsReused);
   CPPUNIT_TEST(RunsAtMostOnceUnderRandomFailures);
@@ -229,6 +230,33 @@
     CPPUNIT_ASSERT(problem->mKind == ProblemKind::kNotRun);
   }
 
+  /** Guards against requests that wait in turn for one connection, after a
+      target has ended all others with its replies. */
+  void ReplacesConnectionsThatEndWhileRequestsWait()
+  {
+    constexpr std::size_t kAsked = 40;
+    constexpr std::chrono::milliseconds kServiceTime{ 10 };
+    mForwarder = std::make_unique<ForwarderHarness>();
+    mForwarder->mEndsConnections = true;
+    mForwarder->Configure({ SingleRoute("s", Repeatability::kAtMostOnce) });
+    mForwarder->AddTarget("t-1", "s");
+    mForwarder->RunFor(std::chrono::seconds(1));
+    for (std::size_t asked = 0; asked < kAsked; ++asked) {
+      mForwarder->Ask("/s/1");
+    }
+    std::vector<std::size_t> rounds;
+    while (mForwarder->Has("t-1")) {
+      mForwarder->RunFor(kServiceTime);
+      const std::size_t inFlight = mForwarder->Received().size();
+      rounds.push_back(inFlight);
+      for (std::size_t reply = 0; reply < inFlight; ++reply) {
+        mForwarder->Reply("t-1", ReplyKind::kSuccess);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, rounds.size());
+    CPPUNIT_ASSERT_EQUAL(kAsked, rounds[0] + rounds[1]);
+  }
+
   void ClosesConnectionsWhenTheCallerDisconnects()
   {
     StartWithTwoTargets(Repeatability::kIdempotent);
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -256,6 +256,8 @@
   EnsureConnection(aState, found->second, aNow, aEffects);
   if (found->second.mConnections.empty()) {
     MoveWaitingSubRequests(aState, aTarget, aNow, aEffects);
+  } else {
+    OpenForWaiting(aState, found->second, aNow, aEffects);
   }
 }
 
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -418,11 +418,7 @@
   subRequest.mAwaitedTarget = target->mKey;
   subRequest.mWaitingSince = aNow;
   target->mWaiting.push_back(SubRequestRef{ aRequest.mKey, aSubRequest });
-  const auto opening = target->mConnections.size() - target->BusyCount(aState) -
-                       target->mIdle.size();
-  if (opening < target->mWaiting.size() && MayConnect(aState, *target, aNow)) {
-    OpenTargetConnection(aState, *target, aNow, aEffects);
-  }
+  OpenForWaiting(aState, *target, aNow, aEffects);
   return true;
 }
 
--- a/modules/wasabispread_forwarding_decisions/TargetPool.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.cpp
@@ -152,6 +152,19 @@
   }
 }
 
+void
+OpenForWaiting(ForwarderState& aState,
+               TargetState& aTarget,
+               TimePoint aNow,
+               ForwarderEffects& aEffects)
+{
+  const auto opening = aTarget.mConnections.size() - aTarget.BusyCount(aState) -
+                       aTarget.mIdle.size();
+  if (opening < aTarget.mWaiting.size() && MayConnect(aState, aTarget, aNow)) {
+    OpenTargetConnection(aState, aTarget, aNow, aEffects);
+  }
+}
+
 void
 RetireTarget(ForwarderState& aState,
              TargetState& aTarget,
--- a/modules/wasabispread_forwarding_decisions/TargetPool.h
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.h
@@ -153,6 +153,14 @@
                  TimePoint aNow,
                  ForwarderEffects& aEffects);
 
+/** Opens one more connection if more sub-requests wait for the target than
+    connections are opening. */
+void
+OpenForWaiting(ForwarderState& aState,
+               TargetState& aTarget,
+               TimePoint aNow,
+               ForwarderEffects& aEffects);
+
 /** Ends the use of a target. Requests in flight finish; waiting ones move to
     other targets. */
 void
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -134,7 +134,7 @@
   forwarding::Reply reply;
   reply.mKind = aKind;
   reply.mSignature = "proof of " + aInstance;
-  reply.mIsReusable = true;
+  reply.mIsReusable = !mEndsConnections;
   const auto limit = mRequestLimits.find(aInstance);
   if (limit != mRequestLimits.end()) {
     reply.mRequestLimit = limit->second;
--- a/tests/support/ForwarderHarness.h
+++ b/tests/support/ForwarderHarness.h
@@ -95,6 +95,8 @@
   std::set<std::string> mLeaving;
   /** The pauses that targets ask for in their replies, by instance. */
   std::map<std::string, Duration> mWantedPauses;
+  /** Whether each reply ends its connection. */
+  bool mEndsConnections = false;
   /** Whether every attempt to connect is refused. */
   bool mRefusesAllConnections = false;
   std::size_t mOpenedConnections = 0;
