Keep of a large part of a search only the records that the answer may take

Suspected: replies of targets have a common bound while they are received, but the parts of a search that have arrived were held whole until the search ended, and nothing counted them. With 90 shards and parts of up to 1 MiB, one search holds 90 MiB.

A part of more than 8 KiB is now reduced to its greatest records when it arrives, from which the answer is merged as before; smaller ones are kept as they are, so that ordinary searches cost nothing more.

RoutingTests::MergesLikeSortingAllRecords now also merges reduced parts.

--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -191,6 +191,19 @@
   return found == aState.mRequests.end() ? nullptr : &found->second;
 }
 
+/** Reduces a large part of a search to the records that the answer may take
+    from it, so that the parts of searches in progress take little memory. */
+void
+KeepGreatestRecords(Reply& aReply, const Route& aRoute)
+{
+  constexpr std::size_t kLargePart = 8192;
+  std::string& body = aReply.mMessage.mBody;
+  const std::size_t needed = aRoute.mTopRecords * kRecordBytes;
+  if (aRoute.IsSearch() && body.size() > std::max(kLargePart, 2 * needed)) {
+    body = GreatestRecords({ body }, aRoute.mTopRecords);
+  }
+}
+
 void
 AcceptReply(ForwarderState& aState,
             RequestState& aRequest,
@@ -348,6 +361,10 @@
   TargetState& target = aState.mTargets.at(targetKey);
   target.mConnectBackoff = Duration::zero();
   RecordReceived(aState, target.mRecord.mZone);
+  RequestState* request = FindRequest(aState, connection.mSubRequest.mRequest);
+  if (request != nullptr && aEvent.mReply.mKind == ReplyKind::kSuccess) {
+    KeepGreatestRecords(aEvent.mReply, *request->mRoute);
+  }
   const auto reply = std::make_shared<const Reply>(std::move(aEvent.mReply));
   RecordReply(aState, target, connection, reply->mKind, aNow);
   RecordLimit(aState, target, *reply, aNow, aEffects);
@@ -366,7 +383,7 @@
                   aEffects);
     RetireTarget(aState, target, aNow, aEffects);
   }
-  RequestState* request = FindRequest(aState, connection.mSubRequest.mRequest);
+  request = FindRequest(aState, connection.mSubRequest.mRequest);
   if (request != nullptr &&
       RemoveAttempt(request->mSubRequests[connection.mSubRequest.mIndex],
                     aEvent.mConnection)) {
--- a/modules/wasabispread_forwarding_decisions/RoutingTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RoutingTests.cpp
@@ -101,6 +101,13 @@
       const std::vector<std::string_view> views(parts.begin(), parts.end());
       RC_ASSERT(GreatestRecords(views, maxCount) ==
                 NaiveGreatest(parts, maxCount));
+      std::vector<std::string> reduced;
+      reduced.reserve(parts.size());
+      for (const std::string& part : parts) {
+        reduced.push_back(GreatestRecords({ part }, maxCount));
+      }
+      RC_ASSERT(NaiveGreatest(reduced, maxCount) ==
+                NaiveGreatest(parts, maxCount));
     }));
   }
 
