Bound the memory of requests, replies and answers together

One caller's body and one answer have limits, the replies being received had a common one (32 MiB), but bodies being received, requests in progress and answers that wait for slow callers had none together.

Cause: no account of them. Besides, a body was held in up to five copies, and the allocator gave later bodies memory that earlier ones had used.

Change: MemoryAccount (ResponseMemory, extended and moved to the decisions, without a network) counts all of it against half of `memory_megabytes`, a new setting, which the deployment fills in. Where three quarters of that half are held, callers that stalled for 1 s, or move less than 64 KiB/s after 2 s, are given up; if there are none, a new request is refused at once with 503, Retry-After and `Connection: close`, not run. Replies are then read one at a time, and none before answers have made room, instead of being closed. Requests in progress are never given up. New: log line `memory-short`, three counters, two gauges. A body is moved instead of copied, and blocks over 512 KiB are returned to the system when they are freed.

Ruled out as the way out: a larger bound for replies alone, which does not bound what callers hold. Not counted: what the kernel holds for sockets, messages of other VMs, and transfers of less than 4 KiB.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -13,6 +13,7 @@
 #include <iostream>
 
 #include <boost/program_options.hpp>
+#include <malloc.h>
 #include <sys/resource.h>
 
 namespace wasabispread {
@@ -218,6 +219,19 @@
   }
 }
 
+/** Makes the allocator return large blocks to the system at once. It would
+    otherwise keep freed bodies, and give later ones memory that was used
+    before. */
+void
+ReturnLargeBlocks()
+{
+  // Larger than the stack of a fiber, which is better kept.
+  constexpr int kLargeBlock = 512 << 10;
+  constexpr int kKeptAtTheEnd = 4 << 20;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlock);
+  mallopt(M_TRIM_THRESHOLD, kKeptAtTheEnd);
+}
+
 int
 Main(int aCount, char** aArguments)
 {
@@ -255,5 +269,6 @@
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGXFSZ, SIG_IGN);
   wasabispread::RaiseDescriptorLimit();
+  wasabispread::ReturnLargeBlocks();
   return wasabispread::Main(aCount, aArguments);
 }
--- a/modules/wasabispread_config/ForwarderSettings.cpp
+++ b/modules/wasabispread_config/ForwarderSettings.cpp
@@ -88,6 +88,13 @@
     reader
       .OptionalNumber("processor_share", kMinProcessorShare, kMaxProcessorShare)
       .value_or(settings.mProcessorShare);
+  constexpr double kMinMemoryMegabytes = 128;
+  constexpr double kMaxMemoryMegabytes = 1 << 20;
+  const auto memory = reader.OptionalNumber(
+    "memory_megabytes", kMinMemoryMegabytes, kMaxMemoryMegabytes);
+  if (memory) {
+    settings.mMemoryBytes = static_cast<std::size_t>(*memory) << 20U;
+  }
   const auto grace = reader.OptionalNumber(
     "stop_grace_seconds", kMinGraceSeconds, kMaxGraceSeconds);
   if (grace) {
--- a/modules/wasabispread_config/ForwarderSettings.h
+++ b/modules/wasabispread_config/ForwarderSettings.h
@@ -29,6 +29,8 @@
       VMs of a zone with the largest share become its shard owners, which query
       targets for the zone's other VMs. */
   double mProcessorShare = 1;
+  /** The memory that the process may use. */
+  std::size_t mMemoryBytes = std::size_t{ 256 } << 20U;
   LogLevel mLogLevel = LogLevel::kInfo;
   /** The budget of extra attempts (hedges and retries) of all VMs together: in
       each window, at most this share of a service's requests, plus the fixed
--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -70,11 +70,14 @@
   , mFile(std::move(aFile))
   , mAdapter(aAdapter)
   , mDecisionLog(aLog, aSettings.mName)
+  , mMemory(
+      std::make_shared<MemoryAccount>(LimitsOfProcess(aSettings.mMemoryBytes)))
   , mRunner(aLoop,
             MakeForwarderState(PolicyFrom(aSettings), SeedFrom(aSettings)),
             aSettings.mStoreAddress,
             aAdapter,
-            mDecisionLog)
+            mDecisionLog,
+            mMemory)
 {
 }
 
@@ -93,13 +96,14 @@
     mSettings.mCallerAddress,
     HttpServerLimits{},
     WatchingHttpHandler(
-      [this](const HttpRequest& aMessage, const DisconnectWatch& aWatch) {
-        return mRunner.Serve(aMessage, aWatch);
+      [this](HttpRequest&& aMessage, const DisconnectWatch& aWatch) {
+        return mRunner.Serve(std::move(aMessage), aWatch);
       }));
   if (!callers) {
     return tl::unexpected<Error>(callers.error());
   }
   mCallers = std::move(*callers);
+  mCallers->CountMemory(mMemory);
   auto readiness =
     Listen(mSettings.mReadinessAddress, [this](const HttpRequest& aMessage) {
       return AnswerReadiness(aMessage);
@@ -116,6 +120,7 @@
           { "Content-Type", "text/plain; version=0.0.4" });
         response.mBody = FormatForwarderMetrics(mRunner.State(),
                                                 mCallers->Counters(),
+                                                *mMemory,
                                                 mDecisionLog,
                                                 ForwarderRunner::Now());
         return response;
@@ -183,6 +188,7 @@
     boost::this_fiber::sleep_for(kHoldUpPollInterval);
     CheckHoldUp();
     mLastHoldUpCheck = ForwarderRunner::Now();
+    LogShortMemory();
   }
 }
 
@@ -224,10 +230,36 @@
   } else {
     mRunner.ChangeExtraAttemptRule(PolicyFrom(*settings).mExtraAttemptRule);
     mSettings.mStopGrace = settings->mStopGrace;
+    mMemory->ChangeLimits(LimitsOfProcess(settings->mMemoryBytes),
+                          ForwarderRunner::Now());
   }
   mDecisionLog.Write(record, ForwarderRunner::Now());
 }
 
+void
+ForwarderDaemon::LogShortMemory()
+{
+  const MemoryLosses losses = mMemory->Losses();
+  if (losses == mLoggedLosses) {
+    return;
+  }
+  const auto since = [&](std::uint64_t MemoryLosses::*aCount) {
+    return static_cast<std::int64_t>(losses.*aCount - mLoggedLosses.*aCount);
+  };
+  mDecisionLog.Write(
+    DecisionRecord{
+      RecordClass::kState,
+      "memory-short",
+      {},
+      { { "requests_refused", since(&MemoryLosses::mRequestsRefused) },
+        { "answers_given_up", since(&MemoryLosses::mAnswersGivenUp) },
+        { "replies_given_up", since(&MemoryLosses::mRepliesGivenUp) },
+        { "held_bytes", static_cast<std::int64_t>(mMemory->UsedBytes()) },
+        { "peak_bytes", static_cast<std::int64_t>(mMemory->PeakBytes()) } } },
+    ForwarderRunner::Now());
+  mLoggedLosses = losses;
+}
+
 void
 ForwarderDaemon::Stop()
 {
--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -51,6 +51,9 @@
   /** Applies the settings file if its text has changed. */
   void ReloadSettings();
   void ApplySettings(const std::string& aText);
+  /** Records what was refused or given up for lack of memory since the last
+      call. */
+  void LogShortMemory();
 
   IoLoop& mLoop;
   ForwarderSettings mSettings;
@@ -59,6 +62,8 @@
   std::string mFileText;
   const PlatformAdapter& mAdapter;
   DecisionLog mDecisionLog;
+  std::shared_ptr<MemoryAccount> mMemory;
+  MemoryLosses mLoggedLosses;
   ForwarderRunner mRunner;
   TimePoint mLastHoldUpCheck = ForwarderRunner::Now();
   HoldUp mLastHoldUp;
--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -9,6 +9,7 @@
 std::string
 FormatForwarderMetrics(const ForwarderState& aState,
                        const HttpServerCounters& aCallers,
+                       const MemoryAccount& aMemory,
                        const DecisionLog& aLog,
                        TimePoint aNow)
 {
@@ -38,6 +39,22 @@
   list.AddCounter("connections_refused_total",
                   "Callers' connections closed because too many were open.",
                   aCallers.mConnectionsRefused);
+  const MemoryLosses& losses = aMemory.Losses();
+  list.AddCounter("requests_refused_for_memory_total",
+                  "Requests refused because too much memory was held.",
+                  losses.mRequestsRefused);
+  list.AddCounter("answers_given_up_total",
+                  "Answers given up because slow callers held too much memory.",
+                  losses.mAnswersGivenUp);
+  list.AddCounter("replies_given_up_total",
+                  "Replies given up because they held too much memory.",
+                  losses.mRepliesGivenUp);
+  list.AddGauge("held_bytes",
+                "Bytes held for requests, replies and answers.",
+                static_cast<double>(aMemory.UsedBytes()));
+  list.AddGauge("held_peak_bytes",
+                "The most bytes held for these so far.",
+                static_cast<double>(aMemory.PeakBytes()));
   list.AddCounter(
     "sendings_total", "Requests sent to targets.", counters.mAttempts);
   list.AddCounter("hedges_total",
--- a/modules/wasabispread_forwarding/ForwarderMetrics.h
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.h
@@ -12,10 +12,11 @@
 namespace wasabispread::forwarding {
 
 /** Formats every metric of a forwarder as of aNow. aCallers are the counters of
-    the server that callers connect to. */
+    the server that callers connect to, aMemory counts what it holds. */
 std::string
 FormatForwarderMetrics(const ForwarderState& aState,
                        const HttpServerCounters& aCallers,
+                       const MemoryAccount& aMemory,
                        const DecisionLog& aLog,
                        TimePoint aNow);
 
--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -28,10 +28,6 @@
     kilobytes of each reply. Input that never ends must not hold timers up. */
 constexpr unsigned kMaxInputTurns = 8;
 
-/** The memory for all replies that are being received: a fifth of that of the
-    smallest VMs. */
-constexpr std::size_t kMaxReplyMemory = 32U << 20U;
-
 /** Builds the request that is sent to targets for a sub-search. */
 ForwardedRequestPointer
 RequestFrom(const SubSearch& aSearch)
@@ -53,7 +49,7 @@
 /** A connection to a target, and the request to send on it next. */
 struct ForwarderRunner::TargetLink
 {
-  TargetLink(IoLoop& aLoop, std::shared_ptr<ResponseMemory> aMemory)
+  TargetLink(IoLoop& aLoop, std::shared_ptr<MemoryAccount> aMemory)
     : mConnection(aLoop, std::move(aMemory))
   {
   }
@@ -70,13 +66,14 @@
                                  ForwarderState aState,
                                  const Endpoint& aStore,
                                  const PlatformAdapter& aAdapter,
-                                 DecisionLog& aLog)
+                                 DecisionLog& aLog,
+                                 std::shared_ptr<MemoryAccount> aMemory)
   : mLoop(aLoop)
   , mState(std::move(aState))
   , mAdapter(aAdapter)
   , mLog(aLog)
   , mStore(aLoop, aStore, aAdapter)
-  , mReplyMemory(std::make_shared<ResponseMemory>(kMaxReplyMemory))
+  , mMemory(std::move(aMemory))
 {
 }
 
@@ -213,10 +210,9 @@
 }
 
 HttpResponse
-ForwarderRunner::Serve(const HttpRequest& aMessage,
-                       const DisconnectWatch& aWatch)
+ForwarderRunner::Serve(HttpRequest&& aMessage, const DisconnectWatch& aWatch)
 {
-  auto request = mAdapter.ReadRequest(HttpRequest(aMessage));
+  auto request = mAdapter.ReadRequest(std::move(aMessage));
   if (!request) {
     mLog.Write(DecisionRecord{ RecordClass::kFailure,
                                "request-rejected",
@@ -278,7 +274,7 @@
 void
 ForwarderRunner::Perform(OpenConnection& aEffect)
 {
-  auto link = std::make_shared<TargetLink>(mLoop, mReplyMemory);
+  auto link = std::make_shared<TargetLink>(mLoop, mMemory);
   mLinks[aEffect.mConnection] = link;
   StartFiber(
     [this, link, opening = aEffect] { RunTargetLink(opening, *link); });
--- a/modules/wasabispread_forwarding/ForwarderRunner.h
+++ b/modules/wasabispread_forwarding/ForwarderRunner.h
@@ -22,12 +22,13 @@
 {
 public:
   /** aLoop, aAdapter and aLog must outlive the runner. aStore is the address of
-      the platform's store. */
+      the platform's store. aMemory counts the replies of targets. */
   ForwarderRunner(IoLoop& aLoop,
                   ForwarderState aState,
                   const Endpoint& aStore,
                   const PlatformAdapter& aAdapter,
-                  DecisionLog& aLog);
+                  DecisionLog& aLog,
+                  std::shared_ptr<MemoryAccount> aMemory);
   ~ForwarderRunner();
 
   ForwarderRunner(const ForwarderRunner&) = delete;
@@ -45,8 +46,7 @@
 
   /** Answers a caller's request; blocks the calling fiber until the answer is
       known. aWatch reports that the caller closed its connection. */
-  HttpResponse Serve(const HttpRequest& aMessage,
-                     const DisconnectWatch& aWatch);
+  HttpResponse Serve(HttpRequest&& aMessage, const DisconnectWatch& aWatch);
 
   const ForwarderState& State() const { return mState; }
 
@@ -111,7 +111,7 @@
   const PlatformAdapter& mAdapter;
   DecisionLog& mLog;
   StoreClient mStore;
-  std::shared_ptr<ResponseMemory> mReplyMemory;
+  std::shared_ptr<MemoryAccount> mMemory;
   std::unique_ptr<PeerTransport> mTransport;
   std::function<void(const CallerLimits&)> mApplyCallerLimits;
   /** Events that were delivered but not applied yet. */
--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -13,6 +13,7 @@
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/fiber/operations.hpp>
 
 namespace wasabispread {
 
@@ -40,11 +41,13 @@
 constexpr unsigned kMaxOtherResponses = 4;
 /** The most interim responses that are discarded before one response. */
 constexpr unsigned kMaxInterimResponses = 16;
+/** How often a response that waits for memory looks for it. */
+constexpr Duration kMemoryPollInterval = std::chrono::milliseconds(5);
 /** The buffer space that each read offers, in bytes. */
 constexpr std::size_t kReadBytes = 4096;
 
 http::request<http::string_body>
-ToBeast(const HttpRequest& aRequest, const std::string& aHost)
+ToBeast(HttpRequest&& aRequest, const std::string& aHost)
 {
   constexpr unsigned kHttp11 = 11;
   http::request<http::string_body> request;
@@ -57,10 +60,10 @@
   for (const HttpHeader& header : aRequest.mHeaders) {
     request.insert(header.mName, header.mValue);
   }
-  request.body() = aRequest.mBody;
-  if (request.method() == http::verb::trace && !aRequest.mBody.empty()) {
+  request.body() = std::move(aRequest.mBody);
+  if (request.method() == http::verb::trace && !request.body().empty()) {
     // prepare_payload() would throw: a client should not send such a body.
-    request.content_length(aRequest.mBody.size());
+    request.content_length(request.body().size());
   } else {
     request.prepare_payload();
   }
@@ -74,6 +77,8 @@
 {
   http::request_serializer<http::string_body> serializer(aRequest);
   std::string bytes;
+  constexpr std::size_t kUsualHeaderBytes = 1024;
+  bytes.reserve(aRequest.body().size() + kUsualHeaderBytes);
   error_code error;
   while (!error && !serializer.is_done()) {
     serializer.next(error, [&](error_code&, const auto& aBuffers) {
@@ -250,6 +255,7 @@
                         [self = shared_from_this()](error_code, std::size_t) {
                           // A failed write also ends the pending read.
                           self->mIsWriting = false;
+                          self->mOutgoing = {};
                         });
     }
     return result;
@@ -260,7 +266,9 @@
   {
     if (mMemory != nullptr) {
       mMemory->Set(this,
+                   MemoryUse::kReply,
                    aParser.get().body().size() + mBuffer.size(),
+                   std::chrono::steady_clock::now(),
                    [self = weak_from_this()] {
                      if (const auto connection = self.lock()) {
                        connection->CloseSocket();
@@ -269,6 +277,15 @@
     }
   }
 
+  /** Waits while the account leaves no room for more of a response. */
+  void AwaitMemory() const
+  {
+    while (mMemory != nullptr && mSocket.is_open() &&
+           !mMemory->MayRead(this, std::chrono::steady_clock::now())) {
+      boost::this_fiber::sleep_for(kMemoryPollInterval);
+    }
+  }
+
   /** Parses the buffer and returns how many bytes were used. */
   std::size_t Parse(ResponseParser& aParser, error_code& aError) const
   {
@@ -289,6 +306,7 @@
     bool needsMore = mBuffer.size() == 0;
     while (!aParser.is_done()) {
       if (!mIsReading && needsMore) {
+        AwaitMemory();
         StartRead();
       }
       while (mIsReading) {
@@ -341,11 +359,11 @@
   std::string mPeer;
   std::function<void()> mIdleAction;
   /** May be null. */
-  std::shared_ptr<ResponseMemory> mMemory;
+  std::shared_ptr<MemoryAccount> mMemory;
 };
 
 HttpConnection::HttpConnection(IoLoop& aLoop,
-                               std::shared_ptr<ResponseMemory> aMemory)
+                               std::shared_ptr<MemoryAccount> aMemory)
   : mImplementation(std::make_shared<Implementation>(aLoop.Context()))
 {
   mImplementation->mMemory = std::move(aMemory);
@@ -387,14 +405,16 @@
 }
 
 Result<HttpResponse>
-HttpConnection::Exchange(const HttpRequest& aRequest, Duration aTimeout)
+HttpConnection::Exchange(HttpRequest aRequest, Duration aTimeout)
 {
-  return Exchange(
-    aRequest, aTimeout, kMaxResponseBytes, [](const auto&) { return true; });
+  return Exchange(std::move(aRequest),
+                  aTimeout,
+                  kMaxResponseBytes,
+                  [](const auto&) { return true; });
 }
 
 Result<HttpResponse>
-HttpConnection::Exchange(const HttpRequest& aRequest,
+HttpConnection::Exchange(HttpRequest aRequest,
                          Duration aTimeout,
                          std::uint64_t aMaxBodyBytes,
                          const ResponseFilter& aBelongs)
@@ -406,8 +426,9 @@
       asio::error::eof, connection.mPeer, Execution::kNotRun);
   }
   connection.ExpireAt(std::chrono::steady_clock::now() + aTimeout);
-  const IoResult written =
-    connection.StartWrite(Serialize(ToBeast(aRequest, connection.mPeer)));
+  const bool isHead = aRequest.mMethod == "HEAD";
+  const IoResult written = connection.StartWrite(
+    Serialize(ToBeast(std::move(aRequest), connection.mPeer)));
   if (written.mError) {
     return ConnectionFailure(written.mError,
                              connection.mPeer,
@@ -423,7 +444,7 @@
       parser.emplace();
       parser->eager(true);
       parser->body_limit(aMaxBodyBytes);
-      parser->skip(aRequest.mMethod == "HEAD");
+      parser->skip(isHead);
       failure = connection.Read(*parser);
     } while (!failure && IsInterim(*parser) &&
              interim++ < kMaxInterimResponses);
--- a/modules/wasabispread_runtime/HttpClient.h
+++ b/modules/wasabispread_runtime/HttpClient.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include "IoLoop.h"
-#include "ResponseMemory.h"
 
+#include <wasabispread_decisions/wasabispread_decisions.h>
 #include <wasabispread_wire/wasabispread_wire.h>
 
 #include <cstdint>
@@ -29,7 +29,7 @@
 public:
   /** aMemory, which may be null, counts the bytes of unfinished responses. */
   explicit HttpConnection(IoLoop& aLoop,
-                          std::shared_ptr<ResponseMemory> aMemory = nullptr);
+                          std::shared_ptr<MemoryAccount> aMemory = nullptr);
   ~HttpConnection();
 
   HttpConnection(const HttpConnection&) = delete;
@@ -40,12 +40,12 @@
   Result<std::monostate> Connect(const Endpoint& aAddress, Duration aTimeout);
 
   /** Sends a request and reads its response; aTimeout limits both together. */
-  Result<HttpResponse> Exchange(const HttpRequest& aRequest, Duration aTimeout);
+  Result<HttpResponse> Exchange(HttpRequest aRequest, Duration aTimeout);
 
   /** As above, but reads and discards a few responses that aBelongs rejects.
       After any such response the connection is not kept alive. The exchange
       fails when a body is larger than aMaxBodyBytes. */
-  Result<HttpResponse> Exchange(const HttpRequest& aRequest,
+  Result<HttpResponse> Exchange(HttpRequest aRequest,
                                 Duration aTimeout,
                                 std::uint64_t aMaxBodyBytes,
                                 const ResponseFilter& aBelongs);
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -47,6 +47,11 @@
 /** How long a stopping server waits before it closes idle connections, since a
     request may already be on its way on one of them. */
 constexpr Duration kIdleCloseDelay = std::chrono::milliseconds(200);
+/** How many times the bytes of a request are counted while it is handled: it is
+    held, and a copy of it is sent. */
+constexpr std::size_t kCopiesOfRequest = 2;
+/** When to retry a request that was refused for lack of memory, in seconds. */
+constexpr const char* kMemoryRetry = "0.100";
 /** How often a stopping server checks whether all connections are closed; also
     the pause after a failed accept. */
 constexpr Duration kStopPollInterval = std::chrono::milliseconds(2);
@@ -145,6 +150,21 @@
     mSocket.cancel(ignored);
   }
 
+  /** Ends the request that is received or the answer that is written. */
+  void GiveUp()
+  {
+    mIsGivenUp = true;
+    Expire();
+  }
+
+  /** Counts the bytes that this connection holds for aUse. */
+  void CountMemory(MemoryUse aUse, std::size_t aBytes)
+  {
+    mMemory->Set(this, aUse, aBytes, std::chrono::steady_clock::now(), [this] {
+      GiveUp();
+    });
+  }
+
   /** Whether input has arrived that was not read. */
   bool HasInput()
   {
@@ -193,6 +213,9 @@
       received or handled. */
   TimePoint mIdleSince = TimePoint::max();
   std::uint64_t mRequestsRead = 0;
+  std::shared_ptr<MemoryAccount> mMemory;
+  /** Whether mMemory gave up what the connection holds. */
+  bool mIsGivenUp = false;
 };
 
 struct HttpServer::Implementation
@@ -207,6 +230,8 @@
   bool mClosesIdle = false;
   std::size_t mPeakConnections = 0;
   HttpServerCounters mCounters;
+  std::shared_ptr<MemoryAccount> mMemory =
+    std::make_shared<MemoryAccount>(kNoMemoryLimits);
 };
 
 namespace {
@@ -218,7 +243,8 @@
 }
 
 /** Writes a response and returns the error of the connection, if any; timed_out
-    when the client accepts nothing for aLimit. */
+    when the client accepts nothing for aLimit, no_memory when it was given
+    up. */
 error_code
 WriteResponse(ServerConnection& aConnection,
               HttpResponse aResponse,
@@ -226,13 +252,17 @@
               Duration aLimit)
 {
   const auto response = ToBeast(std::move(aResponse), aKeepAlive);
+  aConnection.mIsGivenUp = false;
+  aConnection.CountMemory(MemoryUse::kAnswer, response.body().size());
   http::response_serializer<http::string_body> serializer(response);
   const TimePoint end = Now() + kMaxTransferLimits * aLimit;
   error_code error;
   bool isBlocked = false;
   while (!error && !serializer.is_done()) {
     serializer.next(error, [&](error_code& aError, const auto& aBuffers) {
-      serializer.consume(aConnection.mSocket.write_some(aBuffers, aError));
+      const auto written = aConnection.mSocket.write_some(aBuffers, aError);
+      serializer.consume(written);
+      aConnection.mMemory->Move(&aConnection, written, Now());
     });
     if (error != asio::error::would_block) {
       isBlocked = false;
@@ -246,7 +276,11 @@
       break;
     }
     error = aConnection.AwaitWritable();
+    if (aConnection.mIsGivenUp) {
+      error = asio::error::no_memory;
+    }
   }
+  aConnection.mMemory->Release(&aConnection);
   aConnection.ExpireAt(TimePoint::max());
   return error;
 }
@@ -256,6 +290,11 @@
 std::optional<Error>
 ReadProblem(error_code aError)
 {
+  if (aError == asio::error::no_memory) {
+    return Error{ ErrorKind::kOverloaded,
+                  "this VM has no memory left for the request",
+                  "retry the request after the time given" };
+  }
   if (aError == http::error::body_limit) {
     return Error{ ErrorKind::kRequestTooLarge,
                   "the request's body is too large",
@@ -359,6 +398,21 @@
   return !error;
 }
 
+/** Counts the memory of a request that is being received; false when it must be
+    refused. */
+bool
+AdmitRequest(ServerConnection& aConnection, const RequestParser& aParser)
+{
+  const std::size_t stated = aParser.content_length().value_or(0);
+  const std::size_t bytes =
+    std::max<std::size_t>(stated, aParser.get().body().size()) +
+    aConnection.mBuffer.size();
+  return !aConnection.mIsGivenUp &&
+         aConnection.mMemory->Admit(&aConnection, bytes, Now(), [&aConnection] {
+           aConnection.GiveUp();
+         });
+}
+
 /** Reads a request, of which some bytes are in the connection's buffer. */
 template<class Server>
 error_code
@@ -371,6 +425,7 @@
   aParser.header_limit(aServer.mLimits.mMaxHeaderBytes);
   const Duration bodyLimit = aServer.mLimits.mTransferLimit;
   const TimePoint start = Now();
+  aConnection.mIsGivenUp = false;
   aConnection.ExpireAt(start + aServer.mLimits.mHeaderLimit);
   while (true) {
     error_code error;
@@ -387,6 +442,11 @@
     if (error && error != http::error::need_more) {
       return error;
     }
+    if (!aParser.is_header_done()) {
+      aConnection.CountMemory(MemoryUse::kIncoming, aConnection.mBuffer.size());
+    } else if (!AdmitRequest(aConnection, aParser)) {
+      return asio::error::no_memory;
+    }
     if (aParser.is_done()) {
       return {};
     }
@@ -399,8 +459,9 @@
     }
     error = aConnection.ReadSome(aParser.is_header_done() ? kBodyReadBytes
                                                           : kHeaderReadBytes);
+    aConnection.mMemory->Move(&aConnection, aConnection.mBuffer.size(), Now());
     if (error) {
-      return error;
+      return aConnection.mIsGivenUp ? asio::error::no_memory : error;
     }
   }
 }
@@ -411,7 +472,7 @@
 HttpResponse
 RunHandler(Server& aServer,
            ServerConnection& aConnection,
-           const HttpRequest& aRequest)
+           HttpRequest&& aRequest)
 {
   auto& socket = aConnection.mSocket;
   const auto isHandled = std::make_shared<bool>(false);
@@ -426,7 +487,7 @@
         }
       });
   };
-  HttpResponse response = aServer.mHandler(aRequest, watch);
+  HttpResponse response = aServer.mHandler(std::move(aRequest), watch);
   *isHandled = true;
   if (isWatched) {
     error_code ignored;
@@ -450,6 +511,27 @@
          aConnection.HasInput();
 }
 
+/** The response to a request that was not passed on. */
+HttpResponse
+FormatRejection(const Error& aProblem)
+{
+  HttpResponse response = FormatProblem(aProblem, "");
+  if (aProblem.mKind == ErrorKind::kOverloaded) {
+    response.mHeaders.push_back({ "Retry-After", kMemoryRetry });
+  }
+  return response;
+}
+
+/** Why a response was not written; empty when it was. */
+std::string
+WriteProblem(error_code aError)
+{
+  if (aError == asio::error::no_memory) {
+    return "given up, because answers that are not read take too much memory";
+  }
+  return aError ? aError.message() : "";
+}
+
 /** Serves the next request; false when the connection must be closed. */
 template<class Server>
 bool
@@ -461,9 +543,9 @@
   const auto problem =
     error ? ReadProblem(error) : RequestProblem(parser.get());
   if (error || problem) {
+    aConnection.mMemory->Release(&aConnection);
     if (problem) {
-      WriteResponse(
-        aConnection, FormatProblem(*problem, ""), false, writeLimit);
+      WriteResponse(aConnection, FormatRejection(*problem), false, writeLimit);
       AwaitCloseByClient(aConnection);
     }
     return false;
@@ -471,14 +553,17 @@
   aConnection.ExpireAt(TimePoint::max());
   const bool wantsKeepAlive = parser.keep_alive();
   HttpRequest request = FromBeast(parser.release());
+  const bool isHead = request.mMethod == "HEAD";
+  aConnection.CountMemory(MemoryUse::kRequest,
+                          kCopiesOfRequest * request.mBody.size());
   request.mIsFirstOnConnection = aConnection.mRequestsRead == 0;
   ++aConnection.mRequestsRead;
   ++aServer.mCounters.mRequestsRead;
-  HttpResponse response = RunHandler(aServer, aConnection, request);
+  HttpResponse response = RunHandler(aServer, aConnection, std::move(request));
   if (response.mStatus == kNoResponse) {
     return false;
   }
-  if (request.mMethod == "HEAD") {
+  if (isHead) {
     response.mBody.clear();
   }
   const bool keepAlive =
@@ -488,7 +573,7 @@
     WriteResponse(aConnection, std::move(response), keepAlive, writeLimit);
   aServer.mCounters.mResponsesNotSent += writeError ? 1 : 0;
   if (whenWritten) {
-    whenWritten(writeError ? writeError.message() : "");
+    whenWritten(WriteProblem(writeError));
   }
   if (!writeError && !keepAlive) {
     AwaitCloseByClient(aConnection);
@@ -513,6 +598,7 @@
 CloseConnection(ServerConnection& aConnection, HttpServerCounters& aCounters)
 {
   error_code ignored;
+  aConnection.mMemory->Release(&aConnection);
   aCounters.mClosedWithInput += aConnection.HasInput() ? 1 : 0;
   aConnection.mTimer.cancel();
   aConnection.mSocket.shutdown(Tcp::socket::shutdown_both, ignored);
@@ -533,6 +619,7 @@
   aSocket.set_option(Tcp::no_delay(true), ignored);
   aSocket.non_blocking(true, ignored);
   auto connection = std::make_shared<ServerConnection>(std::move(aSocket));
+  connection->mMemory = aServer->mMemory;
   aServer->mConnections.insert(connection);
   aServer->mPeakConnections =
     std::max(aServer->mPeakConnections, aServer->mConnections.size());
@@ -641,6 +728,12 @@
   mImplementation->mAcceptor.close(ignored);
 }
 
+void
+HttpServer::CountMemory(std::shared_ptr<MemoryAccount> aMemory)
+{
+  mImplementation->mMemory = std::move(aMemory);
+}
+
 void
 HttpServer::ChangeLimits(HttpServerLimits aLimits)
 {
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -5,6 +5,7 @@
 
 #include "IoLoop.h"
 
+#include <wasabispread_decisions/wasabispread_decisions.h>
 #include <wasabispread_wire/wasabispread_wire.h>
 
 #include <cstdint>
@@ -27,7 +28,7 @@
 /** Handles one request; may block its fiber, and may register an action for the
     case that the client disconnects. */
 using WatchingHttpHandler =
-  std::function<HttpResponse(const HttpRequest&, const DisconnectWatch&)>;
+  std::function<HttpResponse(HttpRequest&&, const DisconnectWatch&)>;
 
 /** Limits of a server. */
 struct HttpServerLimits
@@ -87,6 +88,10 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /** From now on the account counts the server's requests and answers, and
+      refuses requests with 503. */
+  void CountMemory(std::shared_ptr<MemoryAccount> aMemory);
+
   /** Changes the limits; each connection applies them from its next request
       on. Idle connections stay open for the longer of both idle limits. */
   void ChangeLimits(HttpServerLimits aLimits);
--- a/modules/wasabispread_runtime/wasabispread_runtime.h
+++ b/modules/wasabispread_runtime/wasabispread_runtime.h
@@ -15,8 +15,6 @@
 #include "FiberEvent.h"
 #include "IoLoop.h"
 
-#include "ResponseMemory.h"
-
 #include "HttpClient.h"
 #include "HttpServer.h"
 
--- a/tests/platform/ForwarderFleet.h
+++ b/tests/platform/ForwarderFleet.h
@@ -30,6 +30,7 @@
   Duration mTimeout = std::chrono::seconds(2);
   Duration mIdleTime = std::chrono::seconds(15);
   unsigned mHeaderBytes = 8192;
+  unsigned mBodyBytes = 100000;
 };
 
 /** The id of a request and its response or error. */
--- a/tests/platform/StandInTarget.cpp
+++ b/tests/platform/StandInTarget.cpp
@@ -330,7 +330,12 @@
   {
     const std::string id = Field(Request(), "Wasabispread-Request-Id");
     if (Target().mService.starts_with("shard")) {
-      return RecordsOf(Target().mService, id);
+      std::string records = RecordsOf(Target().mService, id);
+      if (Request().target().ends_with(kLargeReply)) {
+        // The records that this adds are the smallest ones.
+        records.resize(std::max(records.size(), Target().mLargeReply), '\0');
+      }
+      return records;
     }
     std::string body = ReplyBodyOf(Target().mInstance, id) +
                        std::string(Target().mExtraBodyBytes, 'x');
