Survive a stated length that cannot be allocated

Suspected: std::bad_alloc is not caught in a fiber, so it ends the process and all its requests. The HTTP library reserves the length that a response states; the server caught that for requests, the client did not for replies of targets and the store. A frame of another VM, or of whatever connects to the peer port, was allocated and cleared at its stated length, up to 16 MiB, before any of it had arrived.

A reply whose length cannot be allocated now counts as too large (its caller gets 502), and a frame grows by 64 KiB as it arrives.

The change to frames has no test of its own. Looked through and already limited: the stated sizes of compressed texts (16 MiB, within a frame). Other allocations that fail, as of a fiber's stack, still end the process; MemoryAccount is there to keep it from that.

--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -6,6 +6,7 @@
 
 #include "wasabispread_runtime.h"
 
+#include <new>
 #include <optional>
 #include <stdexcept>
 
@@ -295,6 +296,10 @@
       // Beast stores fields of less than 64 KiB only; a trailer may have more.
       aError = http::error::header_limit;
       return 0;
+    } catch (const std::bad_alloc&) {
+      // Beast reserves the length that the response states.
+      aError = http::error::body_limit;
+      return 0;
     }
   }
 
--- a/modules/wasabispread_runtime/PeerTransport.cpp
+++ b/modules/wasabispread_runtime/PeerTransport.cpp
@@ -5,6 +5,7 @@
 
 #include "wasabispread_runtime.h"
 
+#include <algorithm>
 #include <deque>
 #include <unordered_map>
 
@@ -22,6 +23,9 @@
 /** The pause after a failed accept. */
 constexpr Duration kAcceptPause = std::chrono::milliseconds(2);
 
+/** The most of a frame that is allocated before it arrives. */
+constexpr std::size_t kFrameReadBytes = 64U << 10U;
+
 using Stream = boost::beast::tcp_stream;
 
 /** An encoded message that is not written yet. */
@@ -63,14 +67,20 @@
   if (!length) {
     return tl::unexpected<Error>(length.error());
   }
-  std::vector<std::uint8_t> bytes(*length);
-  const IoResult bodyRead = Await([&](auto aHandler) {
-    boost::asio::async_read(aStream, boost::asio::buffer(bytes), aHandler);
-  });
-  if (bodyRead.mError) {
-    return Fail(ErrorKind::kConnectionFailed,
-                "the connection ended within a frame",
-                "check the other VM");
+  // The stated length is not allocated before the bytes arrive.
+  std::vector<std::uint8_t> bytes;
+  while (bytes.size() < *length) {
+    const std::size_t held = bytes.size();
+    bytes.resize(std::min<std::size_t>(*length, held + kFrameReadBytes));
+    const IoResult read = Await([&](auto aHandler) {
+      boost::asio::async_read(
+        aStream, boost::asio::buffer(bytes) + held, aHandler);
+    });
+    if (read.mError) {
+      return Fail(ErrorKind::kConnectionFailed,
+                  "the connection ended within a frame",
+                  "check the other VM");
+    }
   }
   return DecodeFrame(bytes);
 }
--- a/tests/platform/ProcessMemoryTests.cpp
+++ b/tests/platform/ProcessMemoryTests.cpp
@@ -7,8 +7,11 @@
 #include <tests/processes/RawConnection.h>
 #include <wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h>
 
+#include <sstream>
+
 #include <boost/fiber/operations.hpp>
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
 
 using namespace wasabispread;
 using namespace wasabispread::testing;
@@ -23,6 +26,7 @@
   CPPUNIT_TEST(AnswersManyLargeBodiesAtOnce);
   CPPUNIT_TEST(AnswersManyCallersOfLargeReplies);
   CPPUNIT_TEST(AnswersSearchesWithLargeParts);
+  CPPUNIT_TEST(SurvivesAReplyThatItCannotAllocate);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,7 +115,34 @@
     AssertServedWithin(kMaxMemoryBytes);
   }
 
+  void SurvivesAReplyThatItCannotAllocate()
+  {
+    Start(4);
+    const pid_t pid = mFleet->Daemon(0).Pid();
+    const rlim_t room = DataBytes(pid) + kReplyBytes / 2;
+    const rlimit limit{ room, room };
+    CPPUNIT_ASSERT_EQUAL(0, prlimit(pid, RLIMIT_DATA, &limit, nullptr));
+    const ForwarderReply reply =
+      mFleet->SendRequest({ .mPath = std::string("/one/x") + kLargeReply });
+    CPPUNIT_ASSERT(!mFleet->Daemon(0).HasEnded());
+    CPPUNIT_ASSERT(reply.mResponse);
+    CPPUNIT_ASSERT_EQUAL(200U, mFleet->SendRequest({}).Status());
+  }
+
 private:
+  /** The size of the memory to which RLIMIT_DATA applies. */
+  static std::size_t DataBytes(pid_t aPid)
+  {
+    std::istringstream status(
+      ReadWholeFile("/proc/" + std::to_string(aPid) + "/status"));
+    std::string word;
+    std::size_t kilobytes = 0;
+    while (status >> word && word != "VmData:") {
+    }
+    status >> kilobytes;
+    return kilobytes << 10U;
+  }
+
   using Connections = std::vector<std::unique_ptr<RawConnection>>;
 
   /** Starts a fleet that takes large bodies and has room at its targets. */
