--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -92,11 +92,14 @@
   , mFile(std::move(aFile))
   , mAdapter(aAdapter)
   , mDecisionLog(aLog, aSettings.mName)
+  , mMemory(
+      std::make_shared<MemoryAccount>(LimitsOfProcess(aSettings.mMemoryBytes)))
   , mRunner(aLoop,
             MakeForwarderState(PolicyFrom(aSettings), SeedFrom(aSettings)),
             aSettings.mStoreAddress,
             aAdapter,
-            mDecisionLog)
+            mDecisionLog,
+            mMemory)
 {
 }
 
@@ -115,13 +118,14 @@
     mSettings.mCallerAddress,
     HttpServerLimits{},
     WatchingHttpHandler(
-      [this](const HttpRequest& aMessage, const DisconnectWatch& aWatch) {
-        return mRunner.Serve(aMessage, aWatch);
+      [this](HttpRequest&& aMessage, const DisconnectWatch& aWatch) {
+        return mRunner.Serve(std::move(aMessage), aWatch);
       }));
   if (!callers) {
     return tl::unexpected<Error>(callers.error());
   }
   mCallers = std::move(*callers);
+  mCallers->CountMemory(mMemory);
   auto readiness =
     Listen(mSettings.mReadinessAddress, [this](const HttpRequest& aMessage) {
       return AnswerReadiness(aMessage);
@@ -138,6 +142,7 @@
           { "Content-Type", "text/plain; version=0.0.4" });
         response.mBody = FormatForwarderMetrics(mRunner.State(),
                                                 mCallers->Counters(),
+                                                *mMemory,
                                                 mDecisionLog,
                                                 ForwarderRunner::Now());
         return response;
@@ -156,7 +161,7 @@
     mFileText = *text;
   }
   StartFiber([this] { WatchSettings(); });
-  StartFiber([] { LimitWaits(); });
+  StartFiber([this] { LimitWaits(); });
   mLoop.OnReloadSignal([this] { ReloadSettings(); });
   return std::monostate{};
 }
@@ -202,6 +207,7 @@
 {
   while (true) {
     boost::this_fiber::sleep_for(kMaxWait);
+    LogShortMemory();
   }
 }
 
@@ -234,10 +240,36 @@
   } else {
     mRunner.ChangeExtraAttemptRule(PolicyFrom(*settings).mExtraAttemptRule);
     mSettings.mStopGrace = settings->mStopGrace;
+    mMemory->ChangeLimits(LimitsOfProcess(settings->mMemoryBytes),
+                          ForwarderRunner::Now());
   }
   mDecisionLog.Write(record, ForwarderRunner::Now());
 }
 
+void
+ForwarderDaemon::LogShortMemory()
+{
+  const MemoryLosses losses = mMemory->Losses();
+  if (losses == mLoggedLosses) {
+    return;
+  }
+  const auto since = [&](std::uint64_t MemoryLosses::*aCount) {
+    return static_cast<std::int64_t>(losses.*aCount - mLoggedLosses.*aCount);
+  };
+  mDecisionLog.Write(
+    DecisionRecord{
+      RecordClass::kState,
+      "memory-short",
+      {},
+      { { "requests_refused", since(&MemoryLosses::mRequestsRefused) },
+        { "answers_given_up", since(&MemoryLosses::mAnswersGivenUp) },
+        { "replies_given_up", since(&MemoryLosses::mRepliesGivenUp) },
+        { "held_bytes", static_cast<std::int64_t>(mMemory->UsedBytes()) },
+        { "peak_bytes", static_cast<std::int64_t>(mMemory->PeakBytes()) } } },
+    ForwarderRunner::Now());
+  mLoggedLosses = losses;
+}
+
 void
 ForwarderDaemon::Stop(TimePoint aNotBefore)
 {
--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -45,11 +45,14 @@
   /** Puts the configuration's limits in force on the caller port. */
   void ApplyCallerLimits(const CallerLimits& aLimits);
   void WatchSettings();
-  /** Lets the process wait for kMaxWait at most. */
-  static void LimitWaits();
+  /** Lets the process wait for kMaxWait at most; logs a shortage of memory. */
+  void LimitWaits();
   /** Applies the settings file if its text has changed. */
   void ReloadSettings();
   void ApplySettings(const std::string& aText);
+  /** Records what was refused or given up for lack of memory since the last
+      call. */
+  void LogShortMemory();
 
   IoLoop& mLoop;
   ForwarderSettings mSettings;
@@ -58,6 +61,8 @@
   std::string mFileText;
   const PlatformAdapter& mAdapter;
   DecisionLog mDecisionLog;
+  std::shared_ptr<MemoryAccount> mMemory;
+  MemoryLosses mLoggedLosses;
   ForwarderRunner mRunner;
   std::unique_ptr<HttpServer> mCallers;
   std::unique_ptr<HttpServer> mReadiness;
--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -6,6 +6,7 @@
 
 #include "wasabispread_runtime.h"
 
+#include <new>
 #include <optional>
 #include <stdexcept>
 
@@ -13,6 +14,7 @@
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/fiber/operations.hpp>
 
 namespace wasabispread {
 
@@ -44,11 +46,13 @@
     after a hold-up of the process, and how often. */
 constexpr Duration kLateReadTime = std::chrono::milliseconds(5);
 constexpr unsigned kMaxLateReads = 200;
+/** How often a response that waits for memory looks for it. */
+constexpr Duration kMemoryPollInterval = std::chrono::milliseconds(5);
 /** The buffer space that each read offers, in bytes. */
 constexpr std::size_t kReadBytes = 4096;
 
 http::request<http::string_body>
-ToBeast(const HttpRequest& aRequest, const std::string& aHost)
+ToBeast(HttpRequest&& aRequest, const std::string& aHost)
 {
   constexpr unsigned kHttp11 = 11;
   http::request<http::string_body> request;
@@ -61,10 +65,10 @@
   for (const HttpHeader& header : aRequest.mHeaders) {
     request.insert(header.mName, header.mValue);
   }
-  request.body() = aRequest.mBody;
-  if (request.method() == http::verb::trace && !aRequest.mBody.empty()) {
+  request.body() = std::move(aRequest.mBody);
+  if (request.method() == http::verb::trace && !request.body().empty()) {
     // prepare_payload() would throw: a client should not send such a body.
-    request.content_length(aRequest.mBody.size());
+    request.content_length(request.body().size());
   } else {
     request.prepare_payload();
   }
@@ -78,6 +82,8 @@
 {
   http::request_serializer<http::string_body> serializer(aRequest);
   std::string bytes;
+  constexpr std::size_t kUsualHeaderBytes = 1024;
+  bytes.reserve(aRequest.body().size() + kUsualHeaderBytes);
   error_code error;
   while (!error && !serializer.is_done()) {
     serializer.next(error, [&](error_code&, const auto& aBuffers) {
@@ -96,10 +102,10 @@
 /** The bytes of a request; none when it has no method or a header field is
     longer than Beast's fields hold. */
 std::optional<std::string>
-RequestBytes(const HttpRequest& aRequest, const std::string& aHost)
+RequestBytes(HttpRequest&& aRequest, const std::string& aHost)
 {
   try {
-    return Serialize(ToBeast(aRequest, aHost));
+    return Serialize(ToBeast(std::move(aRequest), aHost));
   } catch (const std::logic_error&) {
     return std::nullopt;
   }
@@ -283,6 +289,7 @@
         [self = shared_from_this()](error_code aError, std::size_t) {
           // A failed write also ends the pending read.
           self->mIsWriting = false;
+          self->mOutgoing = {};
           self->mWriteError = aError;
         });
     }
@@ -294,7 +301,9 @@
   {
     if (mMemory != nullptr) {
       mMemory->Set(this,
+                   MemoryUse::kReply,
                    aParser.get().body().size() + mBuffer.size(),
+                   std::chrono::steady_clock::now(),
                    [self = weak_from_this()] {
                      if (const auto connection = self.lock()) {
                        connection->CloseSocket();
@@ -303,6 +312,15 @@
     }
   }
 
+  /** Waits while the account leaves no room for more of a response. */
+  void AwaitMemory() const
+  {
+    while (mMemory != nullptr && mSocket.is_open() &&
+           !mMemory->MayRead(this, std::chrono::steady_clock::now())) {
+      boost::this_fiber::sleep_for(kMemoryPollInterval);
+    }
+  }
+
   /** Parses the buffer and returns how many bytes were used. */
   std::size_t Parse(ResponseParser& aParser, error_code& aError) const
   {
@@ -312,6 +330,10 @@
       // Beast stores fields of less than 64 KiB only; a trailer may have more.
       aError = http::error::header_limit;
       return 0;
+    } catch (const std::bad_alloc&) {
+      // Beast reserves the length that the response states.
+      aError = http::error::body_limit;
+      return 0;
     }
   }
 
@@ -323,6 +345,7 @@
     bool needsMore = mBuffer.size() == 0;
     while (!aParser.is_done()) {
       if (!mIsReading && needsMore) {
+        AwaitMemory();
         StartRead();
       }
       while (mIsReading) {
@@ -384,11 +407,11 @@
   std::string mPeer;
   std::function<void()> mIdleAction;
   /** May be null. */
-  std::shared_ptr<ResponseMemory> mMemory;
+  std::shared_ptr<MemoryAccount> mMemory;
 };
 
 HttpConnection::HttpConnection(IoLoop& aLoop,
-                               std::shared_ptr<ResponseMemory> aMemory)
+                               std::shared_ptr<MemoryAccount> aMemory)
   : mImplementation(std::make_shared<Implementation>(aLoop.Context()))
 {
   mImplementation->mMemory = std::move(aMemory);
@@ -431,14 +454,16 @@
 }
 
 Result<HttpResponse>
-HttpConnection::Exchange(const HttpRequest& aRequest, Duration aTimeout)
+HttpConnection::Exchange(HttpRequest aRequest, Duration aTimeout)
 {
-  return Exchange(
-    aRequest, aTimeout, kMaxResponseBytes, [](const auto&) { return true; });
+  return Exchange(std::move(aRequest),
+                  aTimeout,
+                  kMaxResponseBytes,
+                  [](const auto&) { return true; });
 }
 
 Result<HttpResponse>
-HttpConnection::Exchange(const HttpRequest& aRequest,
+HttpConnection::Exchange(HttpRequest aRequest,
                          Duration aTimeout,
                          std::uint64_t aMaxBodyBytes,
                          const ResponseFilter& aBelongs)
@@ -449,7 +474,8 @@
     return ConnectionFailure(
       asio::error::eof, connection.mPeer, Execution::kNotRun);
   }
-  auto bytes = RequestBytes(aRequest, connection.mPeer);
+  const bool isHead = aRequest.mMethod == "HEAD";
+  auto bytes = RequestBytes(std::move(aRequest), connection.mPeer);
   if (!bytes) {
     return ConnectionFailure(
       http::error::header_limit, connection.mPeer, Execution::kNotRun);
@@ -471,7 +497,7 @@
       parser.emplace();
       parser->eager(true);
       parser->body_limit(aMaxBodyBytes);
-      parser->skip(aRequest.mMethod == "HEAD");
+      parser->skip(isHead);
       failure = connection.Read(*parser);
     } while (!failure && IsInterim(*parser) &&
              interim++ < kMaxInterimResponses);
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -57,6 +57,11 @@
 /** How long a stopping server waits before it closes idle connections, since a
     request may already be on its way on one of them. */
 constexpr Duration kIdleCloseDelay = std::chrono::milliseconds(200);
+/** How many times the bytes of a request are counted while it is handled: it is
+    held, and a copy of it is sent. */
+constexpr std::size_t kCopiesOfRequest = 2;
+/** When to retry a request that was refused for lack of memory, in seconds. */
+constexpr const char* kMemoryRetry = "0.100";
 /** How often a server checks whether connections are closed, when it stops or
     has too many; also the pause after a failed accept. */
 constexpr Duration kStopPollInterval = std::chrono::milliseconds(2);
@@ -171,6 +176,21 @@
     mSocket.cancel(ignored);
   }
 
+  /** Ends the request that is received or the answer that is written. */
+  void GiveUp()
+  {
+    mIsGivenUp = true;
+    Expire();
+  }
+
+  /** Counts the bytes that this connection holds for aUse. */
+  void CountMemory(MemoryUse aUse, std::size_t aBytes)
+  {
+    mMemory->Set(this, aUse, aBytes, std::chrono::steady_clock::now(), [this] {
+      GiveUp();
+    });
+  }
+
   /** Whether input has arrived that was not read. */
   bool HasInput()
   {
@@ -239,6 +259,9 @@
   bool mHasLeft = false;
   /** Whether it exceeds the limit of connections and is to be rejected. */
   bool mIsSurplus = false;
+  std::shared_ptr<MemoryAccount> mMemory;
+  /** Whether mMemory gave up what the connection holds. */
+  bool mIsGivenUp = false;
 };
 
 struct HttpServer::Implementation
@@ -255,6 +278,8 @@
   /** How many of mConnections are surplus. */
   std::size_t mSurplusConnections = 0;
   HttpServerCounters mCounters;
+  std::shared_ptr<MemoryAccount> mMemory =
+    std::make_shared<MemoryAccount>(kNoMemoryLimits);
 };
 
 namespace {
@@ -266,7 +291,8 @@
 }
 
 /** Writes a message and returns the error of the connection, if any; timed_out
-    when the client accepts nothing for aLimit. */
+    when the client accepts nothing for aLimit, no_memory when the message was
+    given up. */
 template<class Body>
 error_code
 WriteMessage(ServerConnection& aConnection,
@@ -279,7 +305,9 @@
   bool isBlocked = false;
   while (!error && !serializer.is_done()) {
     serializer.next(error, [&](error_code& aError, const auto& aBuffers) {
-      serializer.consume(aConnection.mSocket.write_some(aBuffers, aError));
+      const auto written = aConnection.mSocket.write_some(aBuffers, aError);
+      serializer.consume(written);
+      aConnection.mMemory->Move(&aConnection, written, Now());
     });
     if (error != asio::error::would_block) {
       isBlocked = false;
@@ -293,6 +321,9 @@
       break;
     }
     error = aConnection.AwaitWritable();
+    if (aConnection.mIsGivenUp) {
+      error = asio::error::no_memory;
+    }
   }
   aConnection.ExpireAt(TimePoint::max());
   return error;
@@ -316,7 +347,11 @@
                          Execution::kUnknown };
     message = ToBeast(FormatProblem(problem, ""), aForm);
   }
-  return WriteMessage(aConnection, message, aLimit);
+  aConnection.mIsGivenUp = false;
+  aConnection.CountMemory(MemoryUse::kAnswer, message.body().size());
+  const error_code error = WriteMessage(aConnection, message, aLimit);
+  aConnection.mMemory->Release(&aConnection);
+  return error;
 }
 
 /** Asks the client for the body of its request (RFC 9110 10.1.1). */
@@ -333,6 +368,11 @@
 std::optional<Error>
 ReadProblem(error_code aError)
 {
+  if (aError == asio::error::no_memory) {
+    return Error{ ErrorKind::kOverloaded,
+                  "this VM has no memory left for the request",
+                  "retry the request after the time given" };
+  }
   if (aError == http::error::body_limit) {
     return Error{ ErrorKind::kRequestTooLarge,
                   "the request's body is too large",
@@ -480,6 +520,21 @@
   return !error;
 }
 
+/** Counts the memory of a request that is being received; false when it must be
+    refused. */
+bool
+AdmitRequest(ServerConnection& aConnection, const RequestParser& aParser)
+{
+  const std::size_t stated = aParser.content_length().value_or(0);
+  const std::size_t bytes =
+    std::max<std::size_t>(stated, aParser.get().body().size()) +
+    aConnection.mBuffer.size();
+  return !aConnection.mIsGivenUp &&
+         aConnection.mMemory->Admit(&aConnection, bytes, Now(), [&aConnection] {
+           aConnection.GiveUp();
+         });
+}
+
 /** Reads a request, of which some bytes are in the connection's buffer, and no
     body of one that is rejected for its header: aProblem then says why. */
 template<class Server>
@@ -494,6 +549,7 @@
   aParser.header_limit(aServer.mLimits.mMaxHeaderBytes);
   const Duration bodyLimit = aServer.mLimits.mTransferLimit;
   const TimePoint start = Now();
+  aConnection.mIsGivenUp = false;
   aConnection.ExpireAt(start + aServer.mLimits.mHeaderLimit);
   bool isHeaderRead = false;
   while (true) {
@@ -520,6 +576,11 @@
       // The trailer may have added fields.
       aProblem = RequestProblem(aParser.get());
     }
+    if (!isHeaderRead) {
+      aConnection.CountMemory(MemoryUse::kIncoming, aConnection.mBuffer.size());
+    } else if (!aProblem && !AdmitRequest(aConnection, aParser)) {
+      return asio::error::no_memory;
+    }
     if (aParser.is_done() || aProblem) {
       return {};
     }
@@ -539,8 +600,9 @@
     }
     error =
       aConnection.ReadSome(isHeaderRead ? kBodyReadBytes : kHeaderReadBytes);
+    aConnection.mMemory->Move(&aConnection, aConnection.mBuffer.size(), Now());
     if (error) {
-      return error;
+      return aConnection.mIsGivenUp ? asio::error::no_memory : error;
     }
   }
 }
@@ -669,7 +731,7 @@
 HttpResponse
 RunHandler(Server& aServer,
            ServerConnection& aConnection,
-           const HttpRequest& aRequest,
+           HttpRequest&& aRequest,
            bool aCanProbe)
 {
   const auto watch = std::make_shared<ClientWatch>();
@@ -679,7 +741,7 @@
     watch->mWhenLeft = std::move(aAction);
     WatchClient(watch);
   };
-  HttpResponse response = aServer.mHandler(aRequest, registerAction);
+  HttpResponse response = aServer.mHandler(std::move(aRequest), registerAction);
   watch->mIsHandled = true;
   if (watch->mConnection != nullptr) {
     error_code ignored;
@@ -704,18 +766,29 @@
          aConnection.HasInput();
 }
 
-/** The response to a request that was not handled. */
+/** The response to a request that was not passed on. */
 HttpResponse
-FormatRejection(const Error& aProblem)
+FormatRejection(const Error& aProblem, bool aIsSurplus)
 {
   HttpResponse response = FormatProblem(aProblem, "");
   if (aProblem.mKind == ErrorKind::kOverloaded) {
-    // At once: a new connection may lead to another VM.
-    response.mHeaders.push_back({ "Retry-After", "0" });
+    // At once for a surplus connection: a new one may lead to another VM.
+    response.mHeaders.push_back(
+      { "Retry-After", aIsSurplus ? "0" : kMemoryRetry });
   }
   return response;
 }
 
+/** Why a response was not written; empty when it was. */
+std::string
+WriteProblem(error_code aError)
+{
+  if (aError == asio::error::no_memory) {
+    return "given up, because answers that are not read take too much memory";
+  }
+  return aError ? aError.message() : "";
+}
+
 /** Serves the next request; false when the connection must be closed. */
 template<class Server>
 bool
@@ -728,8 +801,14 @@
   if (error) {
     problem = ReadProblem(error);
   }
+  if (error || problem) {
+    aConnection.mMemory->Release(&aConnection);
+  }
   if (problem) {
-    WriteResponse(aConnection, FormatRejection(*problem), {}, writeLimit);
+    WriteResponse(aConnection,
+                  FormatRejection(*problem, aConnection.mIsSurplus),
+                  {},
+                  writeLimit);
     AwaitCloseByClient(aConnection);
   }
   if (error || problem) {
@@ -744,11 +823,15 @@
   const bool isHttp11 = parser.get().version() >= 11;
   HttpRequest request = FromBeast(parser.release());
   UseOriginForm(request);
+  const bool isHead = request.mMethod == "HEAD";
+  aConnection.CountMemory(MemoryUse::kRequest,
+                          kCopiesOfRequest * request.mBody.size());
   request.mIsFirstOnConnection = aConnection.mRequestsRead == 0;
   ++aConnection.mRequestsRead;
   ++aServer.mCounters.mRequestsRead;
   aConnection.mIsServing = true;
-  HttpResponse response = RunHandler(aServer, aConnection, request, isHttp11);
+  HttpResponse response =
+    RunHandler(aServer, aConnection, std::move(request), isHttp11);
   if (aConnection.mHasLeft && response.mWhenWritten) {
     response.mWhenWritten("");
   }
@@ -758,14 +841,14 @@
   const ResponseForm form{ wantsKeepAlive &&
                              StaysOpen(aServer, aConnection, response),
                            !isHttp11,
-                           request.mMethod == "HEAD" };
+                           isHead };
   const auto whenWritten = std::move(response.mWhenWritten);
   const error_code writeError =
     WriteResponse(aConnection, std::move(response), form, writeLimit);
   aConnection.mIsServing = false;
   aServer.mCounters.mResponsesNotSent += writeError ? 1 : 0;
   if (whenWritten) {
-    whenWritten(writeError ? writeError.message() : "");
+    whenWritten(WriteProblem(writeError));
   }
   if (!writeError && !form.mKeepAlive) {
     AwaitCloseByClient(aConnection);
@@ -790,6 +873,7 @@
 CloseConnection(ServerConnection& aConnection, HttpServerCounters& aCounters)
 {
   error_code ignored;
+  aConnection.mMemory->Release(&aConnection);
   aCounters.mClosedWithInput += aConnection.HasInput() ? 1 : 0;
   aConnection.mTimer.cancel();
   aConnection.mSocket.shutdown(Tcp::socket::shutdown_both, ignored);
@@ -825,6 +909,7 @@
   auto connection = std::make_shared<ServerConnection>(std::move(aSocket));
   connection->mIsSurplus = isSurplus;
   aServer->mSurplusConnections += isSurplus ? 1 : 0;
+  connection->mMemory = aServer->mMemory;
   aServer->mConnections.insert(connection);
   aServer->mPeakConnections =
     std::max(aServer->mPeakConnections, aServer->mConnections.size());
@@ -952,6 +1037,12 @@
   mImplementation->mAcceptor.close(ignored);
 }
 
+void
+HttpServer::CountMemory(std::shared_ptr<MemoryAccount> aMemory)
+{
+  mImplementation->mMemory = std::move(aMemory);
+}
+
 void
 HttpServer::ChangeLimits(HttpServerLimits aLimits)
 {
