Keep descriptors for targets, and let idle connections make room for new callers

Suspected: callers may hold all descriptors of a process. Then no connection to a target, another VM or the store can be opened, and new callers wait in the port's queue until others close.

What callers saw, on a real process with 128 descriptors and 180 connections (DescriptorTests, x86-64): all 232 requests to a service whose target was new were refused (503, not run) during 6 s; they were not lost. 20 of 20 new callers got no answer within the test's time, since idle connections are kept for 15 s and more.

Beyond that, the port is read only when a connection waits there, and the connection that is idle longest, for 3 s at least, makes room.

What it does not mend: where no connection is idle, new callers still wait in the queue instead of being refused at once.

--- a/modules/wasabispread_decisions/wasabispread_decisions.h
+++ b/modules/wasabispread_decisions/wasabispread_decisions.h
@@ -22,6 +22,7 @@
 #include "Event.h"
 
 #include "Counters.h"
+#include "DescriptorReserve.h"
 #include "MemoryAccount.h"
 #include "PlatformBudget.h"
 #include "Random.h"
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/operations.hpp>
+#include <sys/resource.h>
 
 namespace wasabispread {
 
@@ -52,6 +53,11 @@
 constexpr std::size_t kCopiesOfRequest = 2;
 /** When to retry a request that was refused for lack of memory, in seconds. */
 constexpr const char* kMemoryRetry = "0.100";
+/** How long a connection is idle at least before it is closed to make room for
+    another. */
+constexpr Duration kIdleBeforeMakingRoom = std::chrono::seconds(3);
+/** As above, after the last answer on the connection was written. */
+constexpr Duration kAnsweredBeforeMakingRoom = std::chrono::milliseconds(100);
 /** How often a stopping server checks whether all connections are closed; also
     the pause after a failed accept. */
 constexpr Duration kStopPollInterval = std::chrono::milliseconds(2);
@@ -212,6 +218,9 @@
   /** When the connection became idle; TimePoint::max() while a request is
       received or handled. */
   TimePoint mIdleSince = TimePoint::max();
+  /** When the wait for the client's close after the last answer began;
+      TimePoint::max() before. */
+  TimePoint mAnsweredSince = TimePoint::max();
   std::uint64_t mRequestsRead = 0;
   std::shared_ptr<MemoryAccount> mMemory;
   /** Whether mMemory gave up what the connection holds. */
@@ -355,7 +364,8 @@
 {
   error_code error;
   aConnection.mSocket.shutdown(Tcp::socket::shutdown_send, error);
-  aConnection.ExpireAt(Now() + kDiscardTimeout);
+  aConnection.mAnsweredSince = Now();
+  aConnection.ExpireAt(aConnection.mAnsweredSince + kDiscardTimeout);
   std::size_t discarded = 0;
   while (!error && !aConnection.mIsExpired && discarded < kMaxDiscardedBytes) {
     aConnection.mBuffer.clear();
@@ -630,12 +640,56 @@
   });
 }
 
+/** Whether clients have as many connections as the process's descriptors and
+    memory allow. */
+template<class Server>
+bool
+HasNoRoom(const Server& aServer)
+{
+  std::size_t limit = aServer.mMemory->Limits().mConnections;
+  rlimit descriptors{};
+  if (getrlimit(RLIMIT_NOFILE, &descriptors) == 0) {
+    limit =
+      std::min<std::size_t>(limit, ClientDescriptors(descriptors.rlim_cur));
+  }
+  return aServer.mConnections.size() >= limit;
+}
+
+/** Waits until another connection arrives, and closes the one that has been
+    idle longest, if that is long enough. */
+template<class Server>
+void
+MakeRoom(Server& aServer)
+{
+  Await([&](auto aHandler) {
+    aServer.mAcceptor.async_wait(Tcp::acceptor::wait_read, aHandler);
+  });
+  if (aServer.mStopping) {
+    return;
+  }
+  const auto longest =
+    std::min_element(aServer.mConnections.begin(),
+                     aServer.mConnections.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft->mIdleSince < aRight->mIdleSince;
+                     });
+  if (longest != aServer.mConnections.end() &&
+      (*longest)->mIdleSince < Now() - kIdleBeforeMakingRoom) {
+    (*longest)->Expire();
+  }
+  boost::this_fiber::sleep_for(kStopPollInterval);
+}
+
 /** Accepts connections until the server stops. */
 template<class Server>
 void
 AcceptConnections(std::shared_ptr<Server> aServer)
 {
   while (!aServer->mStopping) {
+    if (HasNoRoom(*aServer)) {
+      MakeRoom(*aServer);
+      continue;
+    }
     Tcp::socket socket(aServer->mAcceptor.get_executor());
     const IoResult accepted = Await([&](auto aHandler) {
       aServer->mAcceptor.async_accept(socket, aHandler);
@@ -643,7 +697,7 @@
     if (!accepted.mError) {
       StartConnection(aServer, std::move(socket));
     } else if (!aServer->mStopping) {
-      boost::this_fiber::sleep_for(kStopPollInterval);
+      MakeRoom(*aServer);
     }
   }
 }
@@ -660,9 +714,23 @@
   }
 }
 
+/** Ends the wait for the client's close on connections whose last answer was
+    written some time ago. */
+template<class Server>
+void
+ExpireAnswered(Server& aServer)
+{
+  for (const auto& connection : aServer.mConnections) {
+    if (connection->mAnsweredSince < Now() - kAnsweredBeforeMakingRoom) {
+      connection->Expire();
+    }
+  }
+}
+
 /** Accepts the connections that wait in the kernel's backlog; closing the
     listening socket would reset them. While the process has no descriptor left,
-    it closes idle connections and waits for others to end, until aUntil. */
+    it closes idle and answered connections and waits for others to end, until
+    aUntil. */
 template<class Server>
 void
 AcceptPending(const std::shared_ptr<Server>& aServer, TimePoint aUntil)
@@ -677,6 +745,7 @@
     } else if (error == asio::error::no_descriptors && Now() < aUntil) {
       error = {};
       ExpireIdle(*aServer);
+      ExpireAnswered(*aServer);
       boost::this_fiber::sleep_for(kStopPollInterval);
     }
   }
