--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -18,6 +18,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/operations.hpp>
+#include <sys/resource.h>
 
 namespace wasabispread {
 
@@ -62,6 +63,11 @@
 constexpr std::size_t kCopiesOfRequest = 2;
 /** When to retry a request that was refused for lack of memory, in seconds. */
 constexpr const char* kMemoryRetry = "0.100";
+/** How long a connection is idle at least before it is closed to make room for
+    another. */
+constexpr Duration kIdleBeforeMakingRoom = std::chrono::seconds(3);
+/** As above, after the last answer on the connection was written. */
+constexpr Duration kAnsweredBeforeMakingRoom = std::chrono::milliseconds(100);
 /** How often a server checks whether connections are closed, when it stops or
     has too many; also the pause after a failed accept. */
 constexpr Duration kStopPollInterval = std::chrono::milliseconds(2);
@@ -250,6 +256,9 @@
   /** When the connection became idle; TimePoint::max() while a request is
       received or handled. */
   TimePoint mIdleSince = TimePoint::max();
+  /** When the wait for the client's close after the last answer began;
+      TimePoint::max() before. */
+  TimePoint mAnsweredSince = TimePoint::max();
   std::uint64_t mRequestsRead = 0;
   /** Whether a request was read whose answer is not written completely. */
   bool mIsServing = false;
@@ -472,7 +481,8 @@
 {
   error_code error;
   aConnection.mSocket.shutdown(Tcp::socket::shutdown_send, error);
-  const TimePoint end = Now() + kMaxDiscardTime;
+  aConnection.mAnsweredSince = Now();
+  const TimePoint end = aConnection.mAnsweredSince + kMaxDiscardTime;
   std::size_t discarded = 0;
   while (!error && discarded < kMaxDiscardedBytes && Now() < end) {
     aConnection.ExpireAt(std::min(Now() + kDiscardTimeout, end));
@@ -921,6 +931,46 @@
   });
 }
 
+/** Whether clients have as many connections as the process's descriptors and
+    memory allow. */
+template<class Server>
+bool
+HasNoRoom(const Server& aServer)
+{
+  std::size_t limit = aServer.mMemory->Limits().mConnections;
+  rlimit descriptors{};
+  if (getrlimit(RLIMIT_NOFILE, &descriptors) == 0) {
+    limit =
+      std::min<std::size_t>(limit, ClientDescriptors(descriptors.rlim_cur));
+  }
+  return aServer.mConnections.size() >= limit;
+}
+
+/** Waits until another connection arrives, and closes the one that has been
+    idle longest, if that is long enough. */
+template<class Server>
+void
+MakeRoom(Server& aServer)
+{
+  Await([&](auto aHandler) {
+    aServer.mAcceptor.async_wait(Tcp::acceptor::wait_read, aHandler);
+  });
+  if (aServer.mStopping) {
+    return;
+  }
+  const auto longest =
+    std::min_element(aServer.mConnections.begin(),
+                     aServer.mConnections.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft->mIdleSince < aRight->mIdleSince;
+                     });
+  if (longest != aServer.mConnections.end() &&
+      (*longest)->mIdleSince < Now() - kIdleBeforeMakingRoom) {
+    (*longest)->Expire();
+  }
+  boost::this_fiber::sleep_for(kStopPollInterval);
+}
+
 /** Accepts connections until the server stops. */
 template<class Server>
 void
@@ -931,6 +981,10 @@
       boost::this_fiber::sleep_for(kStopPollInterval);
       continue;
     }
+    if (HasNoRoom(*aServer)) {
+      MakeRoom(*aServer);
+      continue;
+    }
     Tcp::socket socket(aServer->mAcceptor.get_executor());
     const IoResult accepted = Await([&](auto aHandler) {
       aServer->mAcceptor.async_accept(socket, aHandler);
@@ -938,7 +992,7 @@
     if (!accepted.mError) {
       StartConnection(aServer, std::move(socket));
     } else if (!aServer->mStopping) {
-      boost::this_fiber::sleep_for(kStopPollInterval);
+      MakeRoom(*aServer);
     }
   }
 }
@@ -966,10 +1020,23 @@
     [](const auto& aConnection) { return aConnection->OwesAnswer(); });
 }
 
+/** Ends the wait for the client's close on connections whose last answer was
+    written some time ago. */
+template<class Server>
+void
+ExpireAnswered(Server& aServer)
+{
+  for (const auto& connection : aServer.mConnections) {
+    if (connection->mAnsweredSince < Now() - kAnsweredBeforeMakingRoom) {
+      connection->Expire();
+    }
+  }
+}
+
 /** Accepts the connections that wait in the kernel's backlog; closing the
     listening socket would reset them. While accepting fails, as it does without
-    a free descriptor, it closes idle connections and waits for others to end,
-    until aUntil. */
+    a free descriptor, it closes idle and answered connections and waits for
+    others to end, until aUntil. */
 template<class Server>
 void
 AcceptPending(const std::shared_ptr<Server>& aServer, TimePoint aUntil)
@@ -986,6 +1053,7 @@
         return;
       }
       ExpireIdle(*aServer);
+      ExpireAnswered(*aServer);
       boost::this_fiber::sleep_for(kStopPollInterval);
     }
   }
