--- a/tests/platform/ProcessMemoryTests.cpp
+++ b/tests/platform/ProcessMemoryTests.cpp
@@ -50,6 +50,9 @@
       CountReply({ .mPath = "/once/x" });
     }
     AssertServedWithin(kMaxMemoryBytes);
+    AwaitCondition([&] { return mFleet->HasLogged(0, "memory-short"); },
+                   "what was given up is logged",
+                   std::chrono::seconds(2));
   }
 
   void ServesWhileCallersDoNotFinishTheirBodies()
