End a stop that was held up only when no answer is due

Cause, suspected in the postmortem: after its time, the stop ends as soon as no connection closes for 2 ms. A round of the ready fibers that read hundreds of replies takes longer than that.

Change: after its time, the stop goes on while an answer is due that the client reads (a request that was read, or that waits to be read), for at most 1 s.

--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -22,6 +22,9 @@
 /** The longest that the process waits for events. The grace of a stop counts
     from before the wait in which its signal came. */
 constexpr Duration kMaxWait = std::chrono::milliseconds(250);
+/** How long a stop that was held up beyond its end waits for the answers that
+    are due. */
+constexpr Duration kMaxOverrun = std::chrono::seconds(1);
 
 ForwarderPolicy
 PolicyFrom(const ForwarderSettings& aSettings)
@@ -228,7 +231,7 @@
   const auto listeningTime = Duration(static_cast<std::int64_t>(
     kListeningShare * static_cast<double>(grace.count())));
   boost::this_fiber::sleep_until(stopStart + listeningTime);
-  mCallers->Stop(exit);
+  mCallers->Stop(exit, kMaxOverrun);
   while (!mRunner.State().mRequests.empty() && ForwarderRunner::Now() < exit) {
     boost::this_fiber::sleep_for(kStopPollInterval);
   }
--- a/modules/wasabispread_runtime/AsioSupport.h
+++ b/modules/wasabispread_runtime/AsioSupport.h
@@ -8,6 +8,7 @@
 #include "FiberEvent.h"
 
 #include <boost/asio.hpp>
+#include <poll.h>
 
 #include <wasabispread_units/wasabispread_units.h>
 
@@ -71,6 +72,15 @@
   return error && error != boost::asio::error::would_block;
 }
 
+/** Whether the socket accepts output now. */
+template<class Socket>
+bool
+IsWritable(Socket& aSocket)
+{
+  pollfd state{ aSocket.native_handle(), POLLOUT, 0 };
+  return poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+}
+
 /** Opens a listening socket; kConnectionFailed when the address cannot be
     used. */
 inline Result<boost::asio::ip::tcp::acceptor>
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -10,6 +10,7 @@
 
 #include "wasabispread_runtime.h"
 
+#include <algorithm>
 #include <new>
 #include <set>
 #include <stdexcept>
@@ -174,12 +175,24 @@
     if (mIsExpired) {
       return {};
     }
+    mIsBlocked = true;
     const IoResult waited = Await([&](auto aHandler) {
       mSocket.async_wait(Tcp::socket::wait_write, aHandler);
     });
+    mIsBlocked = false;
     return mIsExpired ? error_code{} : waited.mError;
   }
 
+  /** Whether an answer is due that can be given now: to a request that was read
+      or that waits to be read, unless the client does not read its answer. */
+  bool OwesAnswer()
+  {
+    if (mIsBlocked) {
+      return IsWritable(mSocket);
+    }
+    return mIsServing || (mIdleSince != TimePoint::max() && HasInput());
+  }
+
   Tcp::socket mSocket;
   asio::steady_timer mTimer;
   /** When the timer fires; TimePoint::max() while it is not set. */
@@ -193,6 +206,10 @@
       received or handled. */
   TimePoint mIdleSince = TimePoint::max();
   std::uint64_t mRequestsRead = 0;
+  /** Whether a request was read whose answer is not written completely. */
+  bool mIsServing = false;
+  /** Whether an answer waits for the client to read. */
+  bool mIsBlocked = false;
 };
 
 struct HttpServer::Implementation
@@ -474,6 +491,7 @@
   request.mIsFirstOnConnection = aConnection.mRequestsRead == 0;
   ++aConnection.mRequestsRead;
   ++aServer.mCounters.mRequestsRead;
+  aConnection.mIsServing = true;
   HttpResponse response = RunHandler(aServer, aConnection, request);
   if (response.mStatus == kNoResponse) {
     return false;
@@ -486,6 +504,7 @@
   const auto whenWritten = std::move(response.mWhenWritten);
   const error_code writeError =
     WriteResponse(aConnection, std::move(response), keepAlive, writeLimit);
+  aConnection.mIsServing = false;
   aServer.mCounters.mResponsesNotSent += writeError ? 1 : 0;
   if (whenWritten) {
     whenWritten(writeError ? writeError.message() : "");
@@ -573,6 +592,17 @@
   }
 }
 
+/** Whether an answer is due on some connection. */
+template<class Server>
+bool
+OwesAnswer(const Server& aServer)
+{
+  return std::any_of(
+    aServer.mConnections.begin(),
+    aServer.mConnections.end(),
+    [](const auto& aConnection) { return aConnection->OwesAnswer(); });
+}
+
 /** Accepts the connections that wait in the kernel's backlog; closing the
     listening socket would reset them. While the process has no descriptor left,
     it closes idle connections and waits for others to end, until aUntil. */
@@ -659,7 +689,7 @@
 }
 
 void
-HttpServer::Stop(TimePoint aUntil)
+HttpServer::Stop(TimePoint aUntil, Duration aOverrun)
 {
   mImplementation->mStopping = true;
   error_code ignored;
@@ -671,12 +701,17 @@
   ExpireIdle(*mImplementation);
   // After a hold-up that went past aUntil, answers may be due that are not
   // written yet.
+  TimePoint latest = TimePoint::max();
   bool isEnding = false;
   while (!isEnding && !mImplementation->mConnections.empty()) {
     const std::size_t open = mImplementation->mConnections.size();
     const bool isLate = Now() >= aUntil;
+    if (isLate) {
+      latest = std::min(latest, Now() + aOverrun);
+    }
     boost::this_fiber::sleep_for(kStopPollInterval);
-    isEnding = isLate && mImplementation->mConnections.size() >= open;
+    isEnding = isLate && mImplementation->mConnections.size() >= open &&
+               (Now() >= latest || !OwesAnswer(*mImplementation));
   }
 }
 
