Accept what waits at a stop although accepting fails for any reason

By reading: a stop accepts the connections that wait in the kernel before it closes its port, since the close resets them. It waited for descriptors when the process had none left (EMFILE), but gave up at any other error. accept() also fails for want of kernel memory (ENOBUFS, ENOMEM, ENFILE), and Linux hands out errors of the network that wait on a new connection (accept(2)).

Change: only an empty queue ends it, or the end of its time.

Not reproduced: nothing within the limits of these tests makes accept() fail in another way than EMFILE.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -604,21 +604,24 @@
 }
 
 /** Accepts the connections that wait in the kernel's backlog; closing the
-    listening socket would reset them. While the process has no descriptor left,
-    it closes idle connections and waits for others to end, until aUntil. */
+    listening socket would reset them. While accepting fails, as it does without
+    a free descriptor, it closes idle connections and waits for others to end,
+    until aUntil. */
 template<class Server>
 void
 AcceptPending(const std::shared_ptr<Server>& aServer, TimePoint aUntil)
 {
   error_code error;
   aServer->mAcceptor.non_blocking(true, error);
-  while (!error) {
+  while (error != asio::error::would_block) {
     Tcp::socket socket(aServer->mAcceptor.get_executor());
     aServer->mAcceptor.accept(socket, error);
     if (!error) {
       StartConnection(aServer, std::move(socket));
-    } else if (error == asio::error::no_descriptors && Now() < aUntil) {
-      error = {};
+    } else if (error != asio::error::would_block) {
+      if (Now() >= aUntil) {
+        return;
+      }
       ExpireIdle(*aServer);
       boost::this_fiber::sleep_for(kStopPollInterval);
     }
