Serve on whatever becomes of the settings file

What callers saw: the daemon ends, or does nothing any more, and all requests in progress end without an answer, when its settings file (read at SIGHUP and each 2 s, also during a stop) is replaced by a pipe, has grown to 1 GiB with a memory limit of as much, or has 200 levels of "[", as a file of garbage may.

Causes: opening a pipe blocks the only thread; the whole file was read into memory, and std::bad_alloc in a fiber ends the process; the TOML library parses nested values recursively, up to 256 levels, and a fiber's stack has 128 KiB. The tables of a dotted key are destroyed recursively, too: 2000 parts end the process with a stack of that size (--check-settings, exit 139), 500 do not.

The same parser reads what operators send.

--- a/modules/wasabispread_config/TableReader.cpp
+++ b/modules/wasabispread_config/TableReader.cpp
@@ -77,9 +77,46 @@
   return std::nullopt;
 }
 
+namespace {
+
+/** The most parts of a dotted key. Each part is a table inside another, and the
+    parser's library destroys these recursively. */
+constexpr std::size_t kMaxKeyParts = 32;
+
+/** The first line with more dots in succession than a key may have, apart from
+    characters of keys and spaces; 0 when there is none. */
+std::size_t
+FindLongKey(std::string_view aText)
+{
+  constexpr std::string_view kEndsOfKeys = "=,[]{}#\n";
+  std::size_t line = 1;
+  std::size_t dots = 0;
+  for (const char character : aText) {
+    if (kEndsOfKeys.find(character) != std::string_view::npos) {
+      dots = 0;
+    }
+    dots += character == '.' ? 1 : 0;
+    if (dots >= kMaxKeyParts) {
+      return line;
+    }
+    line += character == '\n' ? 1 : 0;
+  }
+  return 0;
+}
+
+} // namespace
+
 tl::expected<toml::table, Faults>
 ParseToml(std::string_view aText, const std::string& aFile)
 {
+  if (const std::size_t line = FindLongKey(aText); line != 0) {
+    return tl::unexpected<Faults>(Faults{
+      Fault{ aFile,
+             line,
+             1,
+             "a key has more than " + std::to_string(kMaxKeyParts) + " parts",
+             "use fewer tables inside tables" } });
+  }
   try {
     return toml::parse(aText, aFile);
   } catch (const toml::parse_error& error) {
--- a/modules/wasabispread_config/TableReader.h
+++ b/modules/wasabispread_config/TableReader.h
@@ -12,6 +12,8 @@
 #include <string>
 #include <string_view>
 
+// Parsing is recursive, and the stacks of fibers are small.
+#define TOML_MAX_NESTED_VALUES 16
 #include <toml++/toml.h>
 
 namespace wasabispread {
--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -4,8 +4,8 @@
 #include "wasabispread_forwarding.h"
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
-#include <sstream>
 
 #include <boost/fiber/operations.hpp>
 
@@ -25,6 +25,9 @@
 /** How long a stop that was held up beyond its end waits for the answers that
     are due. */
 constexpr Duration kMaxOverrun = std::chrono::seconds(1);
+/** The largest settings file that is read, and the size of each read. */
+constexpr std::size_t kMaxSettingsBytes = 256U << 10U;
+constexpr std::size_t kReadBytes = 16U << 10U;
 
 ForwarderPolicy
 PolicyFrom(const ForwarderSettings& aSettings)
@@ -53,15 +56,30 @@
 Result<std::string>
 ReadFile(const std::string& aFile)
 {
-  std::ifstream stream(aFile);
-  if (!stream) {
+  std::error_code ignored;
+  std::ifstream stream;
+  // Opening a pipe would block the process.
+  if (std::filesystem::is_regular_file(aFile, ignored)) {
+    stream.open(aFile);
+  }
+  if (!stream.is_open()) {
     return Fail(ErrorKind::kInvalidSettings,
                 "the file " + aFile + " cannot be read",
-                "check its name and its read permission");
+                "check its name, its type and its read permission");
+  }
+  std::string text;
+  std::string part(kReadBytes, '\0');
+  while (stream && text.size() <= kMaxSettingsBytes) {
+    stream.read(part.data(), static_cast<std::streamsize>(part.size()));
+    text.append(part, 0, static_cast<std::size_t>(stream.gcount()));
+  }
+  if (text.size() > kMaxSettingsBytes) {
+    return Fail(ErrorKind::kInvalidSettings,
+                "the file " + aFile + " is larger than " +
+                  std::to_string(kMaxSettingsBytes) + " bytes",
+                "give it only the settings");
   }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
+  return text;
 }
 
 ForwarderDaemon::ForwarderDaemon(IoLoop& aLoop,
--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -64,7 +64,8 @@
   std::unique_ptr<HttpServer> mMetrics;
 };
 
-/** Returns a file's text; kInvalidSettings when the file cannot be read. */
+/** Returns a file's text; kInvalidSettings when it cannot be read, is no
+   regular file or is larger than settings are. Does not block on pipes. */
 Result<std::string>
 ReadFile(const std::string& aFile);
 
