--- a/modules/wasabispread_config/TableReader.cpp
+++ b/modules/wasabispread_config/TableReader.cpp
@@ -85,11 +85,11 @@
 
 /** The first line with more dots in succession than a key may have, apart from
     characters of keys and spaces; 0 when there is none. */
-std::size_t
+std::uint32_t
 FindLongKey(std::string_view aText)
 {
   constexpr std::string_view kEndsOfKeys = "=,[]{}#\n";
-  std::size_t line = 1;
+  std::uint32_t line = 1;
   std::size_t dots = 0;
   for (const char character : aText) {
     if (kEndsOfKeys.find(character) != std::string_view::npos) {
@@ -109,7 +109,7 @@
 tl::expected<toml::table, Faults>
 ParseToml(std::string_view aText, const std::string& aFile)
 {
-  if (const std::size_t line = FindLongKey(aText); line != 0) {
+  if (const std::uint32_t line = FindLongKey(aText); line != 0) {
     return tl::unexpected<Faults>(Faults{
       Fault{ aFile,
              line,
