Test a stop with a series of hold-ups from its signal to the kill

A daemon that gets no processor for 240 or 490 ms when SIGTERM comes and 25 of each 100 ms from then on is killed at the end of its grace, as by the platform.

--- a/tests/platform/StopEndTests.cpp
+++ b/tests/platform/StopEndTests.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(AnswersWhatIsInProgressAfterAHoldUpBeforeTheEnd);
   CPPUNIT_TEST(AnswersWhatIsInProgressWhileItsSettingsChange);
   CPPUNIT_TEST(AnswersWhatIsInProgressWhenTheSignalIsHandledLate);
+  CPPUNIT_TEST(AnswersWhatIsInProgressDuringSeriesOfHoldUps);
   CPPUNIT_TEST(WritesLargeAnswersToCallersThatReadLate);
   CPPUNIT_TEST(EndsInTimeForCallersThatReadNothing);
   CPPUNIT_TEST(AnswersWhatCallersKeepSendingToOverloadedTargets);
@@ -132,6 +133,29 @@
       std::chrono::milliseconds(2300)));
   }
 
+  /** The daemon gets no processor when SIGTERM comes, then 25 of each 100 ms,
+      and is killed at the end of its grace, as by the platform. */
+  void AnswersWhatIsInProgressDuringSeriesOfHoldUps()
+  {
+    for (const unsigned heldUp : { 240U, 490U }) {
+      ForwarderFleet fleet;
+      fleet.Daemon(0).Freeze();
+      ExpectAnswers(StopWithRequests(fleet, [&](TimePoint aStop) {
+        boost::this_fiber::sleep_until(aStop +
+                                       std::chrono::milliseconds(heldUp));
+        while (Now() < aStop + kGrace && !fleet.Daemon(0).HasEnded()) {
+          fleet.Daemon(0).Thaw();
+          boost::this_fiber::sleep_for(std::chrono::milliseconds(25));
+          fleet.Daemon(0).Freeze();
+          boost::this_fiber::sleep_for(std::chrono::milliseconds(75));
+        }
+        if (!fleet.Daemon(0).HasEnded()) {
+          fleet.Daemon(0).Kill();
+        }
+      }));
+    }
+  }
+
   /** Guards against answers that are cut off although there was time to write
       them. */
   void WritesLargeAnswersToCallersThatReadLate()
