Test that answers written before the end of a stop outlive the process

Suspected: the end of the process resets connections and so destroys answers that the kernel still sends.

--- a/tests/platform/StopEndTests.cpp
+++ b/tests/platform/StopEndTests.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(AnswersWhatIsInProgressWhenTheSignalIsHandledLate);
   CPPUNIT_TEST(AnswersWhatIsInProgressDuringSeriesOfHoldUps);
   CPPUNIT_TEST(WritesLargeAnswersToCallersThatReadLate);
+  CPPUNIT_TEST(LeavesAnswersToCallersThatReadAfterItsEnd);
   CPPUNIT_TEST(EndsInTimeForCallersThatReadNothing);
   CPPUNIT_TEST(AnswersWhatCallersKeepSendingToOverloadedTargets);
   CPPUNIT_TEST_SUITE_END();
@@ -174,6 +175,28 @@
     CPPUNIT_ASSERT_EQUAL(0, fleet.Daemon(0).WaitForExit());
   }
 
+  /** Guards against a reset at the end of the process, which destroys answers
+      that the kernel still sends. */
+  void LeavesAnswersToCallersThatReadAfterItsEnd()
+  {
+    constexpr std::size_t kBytes = 200'000;
+    ForwarderFleet fleet;
+    const auto callers = AskForAnswers(fleet, kBytes);
+    for (std::size_t caller = 0; caller < callers.size(); ++caller) {
+      callers[caller]->Send("GET /one/x HTTP/1.1\r\nHost: host.example\r\n"
+                            "Wasabispread-Request-Id: second-" +
+                            std::to_string(caller) + "\r\n\r\n");
+    }
+    fleet.Daemon(0).Terminate();
+    AwaitCondition([&] { return fleet.Daemon(0).HasEnded(); }, "it ends");
+    CPPUNIT_ASSERT_EQUAL(0, fleet.Daemon(0).WaitForExit());
+    std::size_t complete = 0;
+    for (const auto& caller : callers) {
+      complete += caller->Receive(2 * kBytes).size() == 2 * kBytes ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(callers.size(), complete);
+  }
+
   void EndsInTimeForCallersThatReadNothing()
   {
     ForwarderFleet fleet;
@@ -248,14 +271,20 @@
   }
 
 private:
-  /** Sends requests whose answers have more than kLargeBytes, and reads
-      nothing. */
   static std::vector<std::unique_ptr<RawConnection>> AskForLargeAnswers(
     ForwarderFleet& aFleet)
+  {
+    return AskForAnswers(aFleet, kLargeBytes);
+  }
+
+  /** Sends requests whose answers have more than aBytes, and reads nothing. */
+  static std::vector<std::unique_ptr<RawConnection>> AskForAnswers(
+    ForwarderFleet& aFleet,
+    std::size_t aBytes)
   {
     constexpr std::size_t kLargeCallers = 4;
     for (const char* name : { "one-a", "one-b" }) {
-      aFleet.Target(name).mExtraBodyBytes = kLargeBytes;
+      aFleet.Target(name).mExtraBodyBytes = aBytes;
     }
     std::vector<std::unique_ptr<RawConnection>> callers;
     for (std::size_t caller = 0; caller < kLargeCallers; ++caller) {
