--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -187,8 +187,8 @@
       { RecordClass::kState,
         "stopping",
         {},
-        { { "in_flight",
-            static_cast<std::int64_t>(mState.mRequests.size()) } } } });
+        { { "in_flight", static_cast<std::int64_t>(mState.mRequests.size()) },
+          { "grace_ms", ToMilliseconds(aEvent.mGrace) } } } });
   }
 
   void operator()(ForwarderTick)
--- a/tests/platform/StopMomentTests.cpp
+++ b/tests/platform/StopMomentTests.cpp
@@ -96,6 +96,10 @@
       const Duration last = AwaitEnds(fleet, sent);
       Print("held up for " + std::to_string(heldUp) + " ms", last);
       worst = std::max(worst, last);
+      for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+        CPPUNIT_ASSERT(LoggedGrace(fleet, daemon) <=
+                       kGrace - std::chrono::milliseconds(heldUp));
+      }
     }
     CPPUNIT_ASSERT(worst < kGrace);
   }
@@ -292,6 +296,20 @@
     return Now() - aSince;
   }
 
+  /** The grace that was left when the daemon handled the signal. */
+  static std::chrono::duration<double, std::milli> LoggedGrace(
+    const ForwarderFleet& aFleet,
+    std::size_t aDaemon)
+  {
+    for (const auto& record : aFleet.LogRecords(aDaemon)) {
+      if (record.value("event", "") == "stopping") {
+        return std::chrono::duration<double, std::milli>(
+          record.at("grace_ms").get<double>());
+      }
+    }
+    throw std::runtime_error("the daemon logged no stop");
+  }
+
   static void Print(const std::string& aWhat, Duration aTime)
   {
     std::cout
