End the work for a caller that sent more and then left

When anything followed a request (a pipelined request, or the empty line that some clients send), the close of the connection was not noticed any more, and targets worked on for nobody.

Cause: the watch for the close ended with the first input. Change: it reads up to 16 KiB, which the next request uses, and goes on watching. Beyond that, only a reset is noticed.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -29,6 +29,8 @@
 using error_code = boost::system::error_code;
 using RequestParser = http::request_parser<http::string_body>;
 
+/** The most input that is kept while a request is handled. */
+constexpr std::size_t kMaxEarlyInputBytes = 16U << 10U;
 /** The size of the reads of a request's header and of each discarding read, and
     of the reads of its body, in bytes. */
 constexpr std::size_t kHeaderReadBytes = 4096;
@@ -495,6 +497,49 @@
   }
 }
 
+/** What a client does while its request is handled. */
+struct ClientWatch
+{
+  std::shared_ptr<ServerConnection> mConnection;
+  /** Called once in a new fiber when the client leaves. */
+  std::function<void()> mWhenLeft;
+  bool mIsHandled = false;
+};
+
+/** Reads what has arrived, for the next request, as far as it is kept; the
+    error of the connection, if any. */
+error_code
+KeepEarlyInput(ServerConnection& aConnection)
+{
+  error_code error;
+  while (!error && aConnection.mBuffer.size() < kMaxEarlyInputBytes) {
+    aConnection.mBuffer.commit(aConnection.mSocket.read_some(
+      aConnection.mBuffer.prepare(kHeaderReadBytes), error));
+  }
+  return error == asio::error::would_block ? error_code{} : error;
+}
+
+/** Waits for the client to leave, until its request was handled. Input does not
+    hide the end of the connection, unless it is more than is kept. */
+void
+WatchClient(const std::shared_ptr<ClientWatch>& aWatch)
+{
+  ServerConnection& connection = *aWatch->mConnection;
+  // Beyond the kept input, only a reset of the connection can be noticed.
+  const bool isFull = connection.mBuffer.size() >= kMaxEarlyInputBytes;
+  const auto event = isFull ? Tcp::socket::wait_error : Tcp::socket::wait_read;
+  connection.mSocket.async_wait(event, [aWatch, isFull](error_code aError) {
+    if (aError || aWatch->mIsHandled) {
+      return;
+    }
+    if (isFull || KeepEarlyInput(*aWatch->mConnection)) {
+      StartFiber(aWatch->mWhenLeft);
+    } else {
+      WatchClient(aWatch);
+    }
+  });
+}
+
 /** Runs the handler, which may register an action for a disconnect of the
     client. */
 template<class Server>
@@ -503,24 +548,17 @@
            ServerConnection& aConnection,
            const HttpRequest& aRequest)
 {
-  auto& socket = aConnection.mSocket;
-  const auto isHandled = std::make_shared<bool>(false);
-  bool isWatched = false;
-  const DisconnectWatch watch = [&](std::function<void()> aAction) {
-    isWatched = true;
-    socket.async_wait(
-      boost::asio::ip::tcp::socket::wait_read,
-      [&socket, isHandled, action = std::move(aAction)](auto aError) {
-        if (!aError && !*isHandled && IsClosedByPeer(socket)) {
-          StartFiber(action);
-        }
-      });
+  const auto watch = std::make_shared<ClientWatch>();
+  const DisconnectWatch registerAction = [&](std::function<void()> aAction) {
+    watch->mConnection = aConnection.shared_from_this();
+    watch->mWhenLeft = std::move(aAction);
+    WatchClient(watch);
   };
-  HttpResponse response = aServer.mHandler(aRequest, watch);
-  *isHandled = true;
-  if (isWatched) {
+  HttpResponse response = aServer.mHandler(aRequest, registerAction);
+  watch->mIsHandled = true;
+  if (watch->mConnection != nullptr) {
     error_code ignored;
-    socket.cancel(ignored);
+    aConnection.mSocket.cancel(ignored);
   }
   return response;
 }
