Answer callers that shut down their sending side

A caller that ends its sending side after its request and waits (half-close) got 502 each time, and the work for it was ended, though orders had run.

Cause: the end of the input was taken for the end of the caller. A FIN alone does not tell them apart, and neither does a keep-alive probe: the host of a closed socket acknowledges it. New data does: it is answered with a reset.

Change: when the input ends while a request is handled, the server sends an interim response (100, which clients of HTTP/1.1 skip, RFC 9110 15.2) and a second one 100 ms later, in case the first reset was not reported. A reset means that the caller has left: the work ends, nothing more is run on the connection, and no answer is written. Else the caller gets its answer. HTTP/1.0 has no interim responses; such callers get 502 as before.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -31,6 +31,8 @@
 
 /** The most input that is kept while a request is handled. */
 constexpr std::size_t kMaxEarlyInputBytes = 16U << 10U;
+/** How long after the first probe of a client the second one follows. */
+constexpr Duration kProbeInterval = std::chrono::milliseconds(100);
 /** The size of the reads of a request's header and of each discarding read, and
     of the reads of its body, in bytes. */
 constexpr std::size_t kHeaderReadBytes = 4096;
@@ -200,6 +202,8 @@
       received or handled. */
   TimePoint mIdleSince = TimePoint::max();
   std::uint64_t mRequestsRead = 0;
+  /** Whether the client has left, so that nobody reads an answer. */
+  bool mHasLeft = false;
   /** Whether it exceeds the limit of connections and is to be rejected. */
   bool mIsSurplus = false;
 };
@@ -503,6 +507,8 @@
   std::shared_ptr<ServerConnection> mConnection;
   /** Called once in a new fiber when the client leaves. */
   std::function<void()> mWhenLeft;
+  /** Whether the client understands interim responses. */
+  bool mCanProbe = false;
   bool mIsHandled = false;
 };
 
@@ -519,6 +525,57 @@
   return error == asio::error::would_block ? error_code{} : error;
 }
 
+void
+HandleLeaving(ClientWatch& aWatch)
+{
+  aWatch.mConnection->mHasLeft = true;
+  StartFiber(aWatch.mWhenLeft);
+}
+
+/** Sends an interim response; false when the connection does not take it. */
+bool
+SendProbe(ServerConnection& aConnection)
+{
+  constexpr std::string_view kProbe = "HTTP/1.1 100 Continue\r\n\r\n";
+  error_code error;
+  const std::size_t sent =
+    aConnection.mSocket.write_some(asio::buffer(kProbe), error);
+  if (sent != 0 && sent < kProbe.size()) {
+    // No answer can follow a part of an interim response.
+    aConnection.mSocket.shutdown(Tcp::socket::shutdown_both, error);
+    return false;
+  }
+  return !error || error == asio::error::would_block;
+}
+
+/** Tells whether a client that has ended its input has left or waits for its
+    answer: its host resets a connection that nobody reads from any more when
+    something arrives on it. Ends when the client has left or the request was
+    handled. */
+void
+ProbeClient(const std::shared_ptr<ClientWatch>& aWatch)
+{
+  ServerConnection& connection = *aWatch->mConnection;
+  // The second probe notices a reset of which no event came.
+  for (const Duration pause : { kProbeInterval, Duration::max() }) {
+    if (!aWatch->mIsHandled && !SendProbe(connection)) {
+      HandleLeaving(*aWatch);
+    }
+    if (aWatch->mIsHandled || connection.mHasLeft) {
+      return;
+    }
+    connection.ExpireAt(pause == Duration::max() ? TimePoint::max()
+                                                 : Now() + pause);
+    const IoResult waited = Await([&](auto aHandler) {
+      connection.mSocket.async_wait(Tcp::socket::wait_error, aHandler);
+    });
+    if (!waited.mError && !aWatch->mIsHandled) {
+      HandleLeaving(*aWatch);
+      return;
+    }
+  }
+}
+
 /** Waits for the client to leave, until its request was handled. Input does not
     hide the end of the connection, unless it is more than is kept. */
 void
@@ -532,8 +589,15 @@
     if (aError || aWatch->mIsHandled) {
       return;
     }
-    if (isFull || KeepEarlyInput(*aWatch->mConnection)) {
+    const error_code error = isFull ? asio::error::connection_reset
+                                    : KeepEarlyInput(*aWatch->mConnection);
+    if (error == asio::error::eof && aWatch->mCanProbe) {
+      StartFiber([aWatch] { ProbeClient(aWatch); });
+    } else if (error == asio::error::eof) {
+      // It may still read the answer that ends the work.
       StartFiber(aWatch->mWhenLeft);
+    } else if (error) {
+      HandleLeaving(*aWatch);
     } else {
       WatchClient(aWatch);
     }
@@ -546,9 +610,11 @@
 HttpResponse
 RunHandler(Server& aServer,
            ServerConnection& aConnection,
-           const HttpRequest& aRequest)
+           const HttpRequest& aRequest,
+           bool aCanProbe)
 {
   const auto watch = std::make_shared<ClientWatch>();
+  watch->mCanProbe = aCanProbe;
   const DisconnectWatch registerAction = [&](std::function<void()> aAction) {
     watch->mConnection = aConnection.shared_from_this();
     watch->mWhenLeft = std::move(aAction);
@@ -615,12 +681,16 @@
     // Whoever handles the request has its body already.
     parser.get().erase(http::field::expect);
   }
+  const bool isHttp11 = parser.get().version() >= 11;
   HttpRequest request = FromBeast(parser.release());
   request.mIsFirstOnConnection = aConnection.mRequestsRead == 0;
   ++aConnection.mRequestsRead;
   ++aServer.mCounters.mRequestsRead;
-  HttpResponse response = RunHandler(aServer, aConnection, request);
-  if (response.mStatus == kNoResponse) {
+  HttpResponse response = RunHandler(aServer, aConnection, request, isHttp11);
+  if (aConnection.mHasLeft && response.mWhenWritten) {
+    response.mWhenWritten("");
+  }
+  if (aConnection.mHasLeft || response.mStatus == kNoResponse) {
     return false;
   }
   if (request.mMethod == "HEAD") {
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -21,7 +21,8 @@
 using HttpHandler = std::function<HttpResponse(const HttpRequest&)>;
 
 /** Registers an action that is called once in a new fiber if the client closes
-    the connection while its request is handled. */
+    the connection while its request is handled. A client of HTTP/1.1 that only
+    shuts down its sending side has not closed it. */
 using DisconnectWatch = std::function<void(std::function<void()>)>;
 
 /** Handles one request; may block its fiber, and may register an action for the
--- a/tests/platform/CallerConnectionTests.cpp
+++ b/tests/platform/CallerConnectionTests.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST_SUITE(CallerConnectionTests);
   CPPUNIT_TEST(KeepsCallersConnectionsWhenTargetsCloseTheirs);
   CPPUNIT_TEST(PassesOnNoFieldsOfAnotherConnection);
+  CPPUNIT_TEST(AnswersCallersThatHaveFinishedSending);
   CPPUNIT_TEST(EndsTheWorkForCallersThatLeft);
   CPPUNIT_TEST(PassesOnABodyThatACallerHoldsBack);
   CPPUNIT_TEST_SUITE_END();
--- a/tests/processes/HttpDisconnectTests.cpp
+++ b/tests/processes/HttpDisconnectTests.cpp
@@ -39,6 +39,10 @@
 {
   CPPUNIT_TEST_SUITE(HttpDisconnectTests);
   CPPUNIT_TEST(EndsTheWorkForACallerThatLeft);
+  CPPUNIT_TEST(EndsTheWorkForACallerThatSentMoreAndLeft);
+  CPPUNIT_TEST(EndsTheWorkForACallerThatFinishedSendingAndLeft);
+  CPPUNIT_TEST(AnswersACallerThatHasFinishedSending);
+  CPPUNIT_TEST(AnswersPipelinedRequestsAfterACallerHasFinishedSending);
   CPPUNIT_TEST(EndsTheWorkForACallerThatSentMuchAndReset);
   CPPUNIT_TEST(KeepsInputThatArrivesBesideARequest);
   CPPUNIT_TEST_SUITE_END();
