State keep-alive to HTTP/1.0 clients, and no length without a body

An HTTP/1.0 client that asked for a kept connection was not told that it has one, so it waited for a close or opened a connection for each request. Responses to HEAD, and 204 and 304, stated a length of 0 (RFC 9110 8.6).

Ruled out: 37 other forms of requests (absolute and asterisk targets, folded and empty fields, lists in Connection, empty lines, chunk extensions, trailers, malformed ones) each get one answer, and the connection then serves a further request or says close; and nothing runs after a request that says close. Both passed before.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -74,8 +74,16 @@
   return request;
 }
 
+/** What of a request and its connection decides the form of a response. */
+struct ResponseForm
+{
+  bool mKeepAlive = false;
+  bool mIsHttp10 = false;
+  bool mIsToHead = false;
+};
+
 http::response<http::string_body>
-ToBeast(HttpResponse&& aResponse, bool aKeepAlive)
+ToBeast(HttpResponse&& aResponse, ResponseForm aForm)
 {
   constexpr unsigned kHttp11 = 11;
   http::response<http::string_body> response;
@@ -84,9 +92,17 @@
   for (const HttpHeader& header : aResponse.mHeaders) {
     response.insert(header.mName, header.mValue);
   }
-  response.body() = std::move(aResponse.mBody);
-  response.keep_alive(aKeepAlive);
-  response.prepare_payload();
+  response.keep_alive(aForm.mKeepAlive);
+  if (aForm.mKeepAlive && aForm.mIsHttp10) {
+    response.set(http::field::connection, "keep-alive");
+  }
+  const bool hasNoBody = aForm.mIsToHead ||
+                         response.result() == http::status::no_content ||
+                         response.result() == http::status::not_modified;
+  if (!hasNoBody) {
+    response.body() = std::move(aResponse.mBody);
+    response.prepare_payload();
+  }
   return response;
 }
 
@@ -268,11 +284,11 @@
 error_code
 WriteResponse(ServerConnection& aConnection,
               HttpResponse aResponse,
-              bool aKeepAlive,
+              ResponseForm aForm,
               Duration aLimit)
 {
   return WriteMessage(
-    aConnection, ToBeast(std::move(aResponse), aKeepAlive), aLimit);
+    aConnection, ToBeast(std::move(aResponse), aForm), aLimit);
 }
 
 /** Asks the client for the body of its request (RFC 9110 10.1.1). */
@@ -669,7 +685,7 @@
     problem = ReadProblem(error);
   }
   if (problem) {
-    WriteResponse(aConnection, FormatRejection(*problem), false, writeLimit);
+    WriteResponse(aConnection, FormatRejection(*problem), {}, writeLimit);
     AwaitCloseByClient(aConnection);
   }
   if (error || problem) {
@@ -693,22 +709,21 @@
   if (aConnection.mHasLeft || response.mStatus == kNoResponse) {
     return false;
   }
-  if (request.mMethod == "HEAD") {
-    response.mBody.clear();
-  }
-  const bool keepAlive =
-    wantsKeepAlive && StaysOpen(aServer, aConnection, response);
+  const ResponseForm form{ wantsKeepAlive &&
+                             StaysOpen(aServer, aConnection, response),
+                           !isHttp11,
+                           request.mMethod == "HEAD" };
   const auto whenWritten = std::move(response.mWhenWritten);
   const error_code writeError =
-    WriteResponse(aConnection, std::move(response), keepAlive, writeLimit);
+    WriteResponse(aConnection, std::move(response), form, writeLimit);
   aServer.mCounters.mResponsesNotSent += writeError ? 1 : 0;
   if (whenWritten) {
     whenWritten(writeError ? writeError.message() : "");
   }
-  if (!writeError && !keepAlive) {
+  if (!writeError && !form.mKeepAlive) {
     AwaitCloseByClient(aConnection);
   }
-  return !writeError && keepAlive;
+  return !writeError && form.mKeepAlive;
 }
 
 /** Serves the requests of one connection until it ends. */
