Say close during a stop although an empty line follows the request

Some clients send an empty line after a request. During a stop it was taken for a further request: the answer did not say "Connection: close", and the stop then closed the connection unannounced, across whatever the client sent next.

Measured, server alone, stop announced: the answer did not say close before (the first of two forms, where the test ended), and says it in both after.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -654,6 +654,7 @@
           ServerConnection& aConnection,
           const HttpResponse& aResponse)
 {
+  SkipEmptyLines(aConnection.mBuffer);
   const bool isClosing =
     !aResponse.mKeepAlive || aServer.mStopAnnounced || aServer.mStopping;
   return !isClosing || aConnection.mBuffer.size() != 0 ||
--- a/tests/processes/HttpMessageFormTests.cpp
+++ b/tests/processes/HttpMessageFormTests.cpp
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(KeepsConnectionsOfHttp10ThatAskForIt);
   CPPUNIT_TEST(StatesNoLengthWhereThereIsNoBody);
   CPPUNIT_TEST(RunsNothingAfterARequestThatSaysClose);
+  CPPUNIT_TEST(SaysCloseDuringAStopAlthoughAnEmptyLineFollows);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -203,6 +204,16 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mHandled);
   }
 
+  /** Guards against a connection that a stop closes unannounced. */
+  void SaysCloseDuringAStopAlthoughAnEmptyLineFollows()
+  {
+    mServer->AnnounceStop();
+    Expect({ "GET /x HTTP/1.1\r\nHost: a\r\n\r\n\r\n", 200, false });
+    Expect({ "PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello\r\n",
+             200,
+             false });
+  }
+
 private:
   Endpoint mAddress;
   std::unique_ptr<HttpServer> mServer;
