Accept request targets in absolute form

A caller that sends the absolute form got 404, and callers do not repeat after 404. Every server must accept it (RFC 9112 3.2.2).

Change: the HTTP server turns it into the path and query, which are passed on as before, and takes the host from it.

--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -700,6 +700,7 @@
   }
   const bool isHttp11 = parser.get().version() >= 11;
   HttpRequest request = FromBeast(parser.release());
+  UseOriginForm(request);
   request.mIsFirstOnConnection = aConnection.mRequestsRead == 0;
   ++aConnection.mRequestsRead;
   ++aServer.mCounters.mRequestsRead;
--- a/modules/wasabispread_wire/HttpMessage.cpp
+++ b/modules/wasabispread_wire/HttpMessage.cpp
@@ -134,6 +134,25 @@
   });
 }
 
+void
+UseOriginForm(HttpRequest& aRequest)
+{
+  constexpr std::string_view kScheme = "http://";
+  const std::string_view target = aRequest.mTarget;
+  if (!EqualsWithoutCase(target.substr(0, kScheme.size()), kScheme)) {
+    return;
+  }
+  const std::string_view rest = target.substr(kScheme.size());
+  const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
+  const std::string host(rest.substr(0, end));
+  const std::string path(rest.substr(end));
+  std::erase_if(aRequest.mHeaders, [](const HttpHeader& aHeader) {
+    return EqualsWithoutCase(aHeader.mName, "Host");
+  });
+  aRequest.mHeaders.push_back({ "Host", host });
+  aRequest.mTarget = path.starts_with('/') ? path : "/" + path;
+}
+
 HttpPath
 ParsePath(std::string_view aTarget)
 {
--- a/modules/wasabispread_wire/HttpMessage.h
+++ b/modules/wasabispread_wire/HttpMessage.h
@@ -58,6 +58,11 @@
 void
 RemoveConnectionFields(std::vector<HttpHeader>& aHeaders);
 
+/** Replaces a target in absolute form by its path and query, and the Host field
+    by its host (RFC 9112 3.2.2). */
+void
+UseOriginForm(HttpRequest& aRequest);
+
 /** The segments of a path and its query parameters, percent-decoded. Empty
     segments are left out. */
 struct HttpPath
--- a/tests/platform/CallerConnectionTests.cpp
+++ b/tests/platform/CallerConnectionTests.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(AnswersCallersThatHaveFinishedSending);
   CPPUNIT_TEST(EndsTheWorkForCallersThatLeft);
   CPPUNIT_TEST(PassesOnABodyThatACallerHoldsBack);
+  CPPUNIT_TEST(RoutesATargetInAbsoluteForm);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,6 +200,26 @@
     CPPUNIT_ASSERT_EQUAL(std::string("hello"), mFleet->Runs().back().mBody);
   }
 
+  /** Guards against 404 for a target that every server must accept (RFC 9112
+      3.2.2). */
+  void RoutesATargetInAbsoluteForm()
+  {
+    for (const auto& [target, path] :
+         { std::pair{ "http://host.example/one/x?y=z", "/one/x?y=z" },
+           std::pair{ "HTTP://host.example/one/", "/one/" } }) {
+      RawConnection caller(mFleet->CallerEndpoint(0));
+      caller.Send("GET " + std::string(target) +
+                  " HTTP/1.1\r\nHost: other.example\r\n"
+                  "Wasabispread-Request-Id: absolute\r\n"
+                  "Wasabispread-Request-Deadline-Ms: 1000\r\n\r\n");
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(200));
+      const std::string answer = caller.ReceiveArrived().substr(0, 12);
+      std::cout << target << ": " << answer << std::endl;
+      CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), answer);
+      CPPUNIT_ASSERT_EQUAL(std::string(path), mFleet->Runs().back().mTarget);
+    }
+  }
+
 private:
   std::unique_ptr<ForwarderFleet> mFleet;
 };
