Give the truncated request of BadInputTests the Host field that it lacked

The test expects no answer to a body that its caller ends early. Its request had no Host field either; since a request is rejected at its header, it is answered 400 before its body ends. The test stays as strict: it now ends early for the one reason that it names.

--- a/tests/processes/BadInputTests.cpp
+++ b/tests/processes/BadInputTests.cpp
@@ -55,7 +55,7 @@
     // A caller that ends its side of the connection within the body gets no
     // answer.
     RawConnection truncated(mFleet->CallerAddress(0));
-    truncated.Send(validPrefix + "Content-Length: 10\r\n\r\nabc");
+    truncated.Send(validPrefix + "Host: a\r\nContent-Length: 10\r\n\r\nabc");
     truncated.FinishSending();
     CPPUNIT_ASSERT_EQUAL(std::string(), truncated.ReceiveAll());
     ExpectNothingExecutedAndStillServing();
