--- a/modules/wasabispread_config/ForwarderSettings.cpp
+++ b/modules/wasabispread_config/ForwarderSettings.cpp
@@ -88,7 +88,7 @@
     reader
       .OptionalNumber("processor_share", kMinProcessorShare, kMaxProcessorShare)
       .value_or(settings.mProcessorShare);
-  constexpr double kMinMemoryMegabytes = 128;
+  constexpr double kMinMemoryMegabytes = 16;
   constexpr double kMaxMemoryMegabytes = 1 << 20;
   const auto memory = reader.OptionalNumber(
     "memory_megabytes", kMinMemoryMegabytes, kMaxMemoryMegabytes);
--- a/modules/wasabispread_forwarding/StoreClient.cpp
+++ b/modules/wasabispread_forwarding/StoreClient.cpp
@@ -149,8 +149,8 @@
 StoreClient::End(LeaseId aLease)
 {
   // A failure is ignored: a lease that is not ended expires.
-  static_cast<void>(ExchangeOnce(
-    mLoop, mAddress, mAdapter.WriteLeaseEnd(aLease), kCallTimeout));
+  static_cast<void>(
+    Call(mLeaseChannel, mAdapter.WriteLeaseEnd(aLease), kCallTimeout));
 }
 
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding/StoreClient.h
+++ b/modules/wasabispread_forwarding/StoreClient.h
@@ -37,8 +37,7 @@
   Result<std::monostate> PutMember(LeaseId aLease, const MemberRecord& aRecord);
   /** Returns false when the lease has ended. */
   Result<bool> Renew(LeaseId aLease);
-  /** Ends a lease, on a new connection: a renewal may be under way. Failures
-     are ignored. */
+  /** Ends a lease; failures are ignored. */
   void End(LeaseId aLease);
 
 private:
