--- a/tests/processes/DeliveryTests.cpp
+++ b/tests/processes/DeliveryTests.cpp
@@ -163,7 +163,8 @@
 
   void UsesOneSnapshotPerAnswerDuringRollOver()
   {
-    RunConcurrently(7, [this](std::size_t aCaller) {
+    bool isRolledOver = false;
+    RunConcurrently(7, [&](std::size_t aCaller) {
       if (aCaller == 6) {
         boost::this_fiber::sleep_for(std::chrono::milliseconds(30));
         mFleet->ControlAllTargets(
@@ -171,9 +172,11 @@
         boost::this_fiber::sleep_for(std::chrono::milliseconds(150));
         mFleet->ControlAllTargets(
           { { "roll_to", { 2 } }, { "roll_spread_ms", 100 } });
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(150));
+        isRolledOver = true;
         return;
       }
-      for (unsigned round = 0; round < 60; ++round) {
+      for (unsigned round = 0; round < 60 || !isRolledOver; ++round) {
         mFleet->Ask(aCaller % 3, TestRequest{});
       }
     });
