--- a/modules/wasabispread_decisions/MemoryAccount.h
+++ b/modules/wasabispread_decisions/MemoryAccount.h
@@ -146,7 +146,7 @@
            std::function<void()> aGiveUp = {});
 
   /** Whether more of a reply may be read. When it may not, slow callers are
-     given up; it is to be asked again soon. */
+      given up; it is to be asked again soon. */
   bool MayRead(const void* aReply, TimePoint aNow);
 
   /** Records that the other side of a holder sent or accepted bytes. */
--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -31,10 +31,10 @@
 
   /** Shuts down, with a grace that counts from aNotBefore, a time before the
       signal was sent. The readiness check fails at once; connections are
-     accepted for a while longer, until the load balancer has noticed; then the
-     requests in flight are finished. Returns when none is left and callers have
-     closed their connections, at the latest when the grace is nearly over; a
-     caller that does not read its answer does not delay it longer. */
+      accepted for a while longer, until the load balancer has noticed; then the
+      requests in flight are finished. Returns when none is left and callers
+      have closed their connections, at the latest when the grace is nearly
+      over; a caller that does not read its answer does not delay it longer. */
   void Stop(TimePoint aNotBefore);
 
 private:
@@ -70,7 +70,7 @@
 };
 
 /** Returns a file's text; kInvalidSettings when it cannot be read, is no
-   regular file or is larger than settings are. Does not block on pipes. */
+    regular file or is larger than settings are. Does not block on pipes. */
 Result<std::string>
 ReadFile(const std::string& aFile);
 
--- a/modules/wasabispread_forwarding_decisions/Shutdown.h
+++ b/modules/wasabispread_forwarding_decisions/Shutdown.h
@@ -27,8 +27,8 @@
 };
 
 /** What is left of a stop's grace when the signal is handled at aNow. It was
-   not sent before aNotBefore, but may have been at any time since; the grace
-   counts from there. A small part is left in any case. */
+    not sent before aNotBefore, but may have been at any time since; the grace
+    counts from there. A small part is left in any case. */
 Duration
 GraceLeft(Duration aGrace, TimePoint aNotBefore, TimePoint aNow);
 
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -50,7 +50,7 @@
 constexpr std::size_t kMaxDiscardedBytes = 64U << 20U;
 /** How long a client may send nothing while its input is discarded, and how
     long it is discarded at most. A client that still sends a long body reads
-   the rejection only after it. */
+    the rejection only after it. */
 constexpr Duration kDiscardTimeout = std::chrono::seconds(2);
 constexpr Duration kMaxDiscardTime = std::chrono::seconds(30);
 /** How long a surplus connection may stay open without a request. */
--- a/modules/wasabispread_runtime/HttpServer.h
+++ b/modules/wasabispread_runtime/HttpServer.h
@@ -107,8 +107,8 @@
   /** Stops accepting connections, closes those on which no request has arrived
       and waits for requests in flight. Returns when all connections are closed;
       after aUntil, as soon as none closes for 2 ms and, for at most aOverrun,
-     no answer is due that the client reads: after a hold-up, requests and
-     replies may have arrived that are not handled yet. */
+      no answer is due that the client reads: after a hold-up, requests and
+      replies may have arrived that are not handled yet. */
   void Stop(TimePoint aUntil, Duration aOverrun = Duration::zero());
 
   /** The number of open connections. */
--- a/tests/platform/SettingsFileTests.cpp
+++ b/tests/platform/SettingsFileTests.cpp
@@ -124,7 +124,7 @@
   }
 
   /** Also leaves the daemon time to look at the file by itself, and expects
-     that it has logged aEvent. */
+      that it has logged aEvent. */
   void ExpectServiceAndStop(const std::string& aEvent)
   {
     ExpectService();
