--- a/modules/wasabispread_config/ForwarderSettings.h
+++ b/modules/wasabispread_config/ForwarderSettings.h
@@ -30,7 +30,7 @@
       targets for the zone's other VMs. */
   double mProcessorShare = 1;
   /** The memory that the process may use. */
-  std::size_t mMemoryBytes = std::size_t{ 256 } << 20U;
+  std::size_t mMemoryBytes = std::size_t{ 128 } << 20U;
   LogLevel mLogLevel = LogLevel::kInfo;
   /** The budget of extra attempts (hedges and retries) of all VMs together: in
       each window, at most this share of a service's requests, plus the fixed
