--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -92,6 +92,12 @@
   return aParse(*text, aFile);
 }
 
+tl::expected<ForwarderSettings, Faults>
+ParseWithExtraSettings(std::string_view aText, const std::string& aFile)
+{
+  return ParseForwarderSettings(aText, aFile, forwarding::ExtraSettings());
+}
+
 int
 ReportFaults(const Faults& aFaults)
 {
@@ -245,7 +251,8 @@
   if (line->mForwards) {
     return CheckAndRun(
       *line,
-      ReadSettings(line->mSettingsFile, ParseForwarderSettings),
+      ReadSettings<ForwarderSettings>(line->mSettingsFile,
+                                      ParseWithExtraSettings),
       [&](const ForwarderSettings& aSettings) {
         return RunForwarder(aSettings, line->mSettingsFile);
       });
--- a/modules/wasabispread_config/ForwarderSettings.cpp
+++ b/modules/wasabispread_config/ForwarderSettings.cpp
@@ -64,18 +64,136 @@
   repeats.RejectUnknownKeys();
 }
 
+Duration
+Milliseconds(double aMilliseconds)
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, std::milli>(aMilliseconds));
+}
+
+void
+ReadKeys(TableReader& aReader,
+         const std::string& aFile,
+         Faults& aFaults,
+         ForwarderSettings& aSettings)
+{
+  constexpr double kMinWithdrawal = 500;
+  constexpr double kMaxWithdrawal = 3'600'000;
+  const toml::table* table = aReader.OptionalTable("keys");
+  if (table == nullptr) {
+    return;
+  }
+  TableReader keys(*table, aFile, "[keys]", aFaults);
+  aSettings.mIsStrictOnKeys = keys.OptionalBoolean("strict").value_or(false);
+  const auto withdrawal = keys.OptionalNumber(
+    "withdrawal_milliseconds", kMinWithdrawal, kMaxWithdrawal);
+  if (withdrawal) {
+    aSettings.mKeyWithdrawalTime = Milliseconds(*withdrawal);
+  }
+  keys.RejectUnknownKeys();
+}
+
+void
+ReadQuota(TableReader& aReader,
+          const std::string& aFile,
+          Faults& aFaults,
+          ForwarderSettings& aSettings)
+{
+  constexpr double kMinWindowSeconds = 1;
+  constexpr double kMaxWindowSeconds = 3600;
+  constexpr double kMaxOverage = 10;
+  constexpr double kMaxSlack = 1e6;
+  const toml::table* table = aReader.OptionalTable("quota");
+  if (table == nullptr) {
+    return;
+  }
+  TableReader quota(*table, aFile, "[quota]", aFaults);
+  const auto window = quota.OptionalNumber(
+    "window_seconds", kMinWindowSeconds, kMaxWindowSeconds);
+  if (window) {
+    aSettings.mQuotaWindow = Seconds(*window);
+  }
+  aSettings.mQuotaOverage =
+    quota.OptionalNumber("overage", 0, kMaxOverage).value_or(0);
+  aSettings.mQuotaSlack =
+    quota.OptionalNumber("slack", 0, kMaxSlack).value_or(0);
+  quota.RejectUnknownKeys();
+}
+
+void
+ReadColdTargets(TableReader& aReader,
+                const std::string& aFile,
+                Faults& aFaults,
+                ForwarderSettings& aSettings)
+{
+  constexpr double kMaxOverage = 100;
+  constexpr double kMaxSlack = 1e6;
+  const toml::table* table = aReader.OptionalTable("cold_targets");
+  if (table == nullptr) {
+    return;
+  }
+  TableReader cold(*table, aFile, "[cold_targets]", aFaults);
+  aSettings.mColdOverage =
+    cold.OptionalNumber("overage", 1, kMaxOverage).value_or(1);
+  aSettings.mColdSlack = cold.OptionalNumber("slack", 0, kMaxSlack).value_or(0);
+  cold.RejectUnknownKeys();
+}
+
+void
+ReadRegions(TableReader& aReader,
+            const std::string& aFile,
+            Faults& aFaults,
+            ForwarderSettings& aSettings)
+{
+  const toml::table* table = aReader.OptionalTable("regions");
+  if (table == nullptr) {
+    return;
+  }
+  TableReader regions(*table, aFile, "[regions]", aFaults);
+  for (const auto& [zone, region] : *table) {
+    const std::string name(zone.str());
+    aSettings.mRegionOfZone[ZoneName(name)] =
+      regions.RequiredString(name).value_or("");
+  }
+}
+
+/** Adds the settings of aExtra to those of the file. */
+void
+AddExtraSettings(toml::table& aRoot,
+                 std::string_view aExtra,
+                 Faults& aFaults)
+{
+  const auto extra = ParseToml(aExtra, kExtraSettingsVariable);
+  if (!extra) {
+    aFaults.insert(aFaults.end(), extra.error().begin(), extra.error().end());
+    return;
+  }
+  TableReader reader(*extra, kExtraSettingsVariable, "the variable", aFaults);
+  for (const auto& [key, value] : *extra) {
+    if (!aRoot.insert(key, value).second) {
+      reader.AddFault(value,
+                      "the key \"" + std::string(key.str()) +
+                        "\" is in the settings file too",
+                      "remove it from one of them");
+    }
+  }
+}
+
 } // namespace
 
 tl::expected<ForwarderSettings, Faults>
-ParseForwarderSettings(std::string_view aText, const std::string& aFile)
+ParseForwarderSettings(std::string_view aText,
+                       const std::string& aFile,
+                       std::string_view aExtra)
 {
   constexpr double kMinGraceSeconds = 0.5;
   constexpr double kMaxGraceSeconds = 3600;
-  const auto root = ParseToml(aText, aFile);
+  auto root = ParseToml(aText, aFile);
   if (!root) {
     return tl::unexpected<Faults>(root.error());
   }
   Faults faults;
+  AddExtraSettings(*root, aExtra, faults);
   ForwarderSettings settings;
   TableReader reader(*root, aFile, "the file", faults);
   settings.mName = reader.RequiredString("name").value_or("");
@@ -102,6 +220,10 @@
   }
   ReadListen(reader, aFile, faults, settings);
   ReadExtraAttempts(reader, aFile, faults, settings);
+  ReadKeys(reader, aFile, faults, settings);
+  ReadQuota(reader, aFile, faults, settings);
+  ReadColdTargets(reader, aFile, faults, settings);
+  ReadRegions(reader, aFile, faults, settings);
   ReadLog(reader, aFile, faults, settings.mLogLevel);
   reader.RejectUnknownKeys();
   if (!faults.empty()) {
--- a/modules/wasabispread_config/ForwarderSettings.h
+++ b/modules/wasabispread_config/ForwarderSettings.h
@@ -6,6 +6,8 @@
 
 #include "DaemonSettings.h"
 
+#include <map>
+
 namespace wasabispread {
 
 /** The settings of a forwarding daemon. */
@@ -40,11 +42,33 @@
   Duration mExtraAttemptWindow = std::chrono::seconds(10);
   /** How long the process may continue after a stop signal. */
   Duration mStopGrace = std::chrono::seconds(6);
+  /** Whether requests with a key are refused while this VM may not know of its
+      withdrawal, and how long after the withdrawal it may still be served. */
+  bool mIsStrictOnKeys = false;
+  Duration mKeyWithdrawalTime = std::chrono::seconds(5);
+  /** The window over which the requests of an organisation are limited, and by
+      how much they may exceed the limit: by a share and by a number. */
+  Duration mQuotaWindow = std::chrono::seconds(5);
+  double mQuotaOverage = 0;
+  double mQuotaSlack = 0;
+  /** By how much the requests of a second may exceed the rate that a cold
+      target takes: a factor and a number. */
+  double mColdOverage = 1;
+  double mColdSlack = 0;
+  /** The region of each availability zone. */
+  std::map<ZoneName, std::string> mRegionOfZone;
 };
 
-/** Parses and checks a whole settings file. Reports faults as
+/** The environment variable with further settings, in the form of the file. */
+inline constexpr const char* kExtraSettingsVariable =
+  "WASABISPREAD_EXTRA_SETTINGS";
+
+/** Parses and checks a whole settings file and aExtra, further settings of the
+    same form. A key that stands in both is a fault. Reports faults as
     ParseDeployment() does. */
 tl::expected<ForwarderSettings, Faults>
-ParseForwarderSettings(std::string_view aText, const std::string& aFile);
+ParseForwarderSettings(std::string_view aText,
+                       const std::string& aFile,
+                       std::string_view aExtra = {});
 
 } // namespace wasabispread
--- a/modules/wasabispread_decisions/PeerMessage.h
+++ b/modules/wasabispread_decisions/PeerMessage.h
@@ -6,6 +6,9 @@
 #include "Answer.h"
 #include "ControlMessage.h"
 
+#include <wasabispread_organisations/wasabispread_organisations.h>
+
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -81,6 +84,7 @@
 struct RoutingRequest
 {
   std::uint64_t mKnownVersion = 0;
+  std::uint64_t mSequence = 0;
 };
 
 /** A target as it registered with the store. Only targets in use are sent. */
@@ -103,6 +107,13 @@
   SharedBytes mText;
   /** All targets; empty when the store does not answer the sender. */
   std::vector<RegisteredTarget> mTargets;
+  /** RoutingRequest::mSequence of the request. */
+  std::uint64_t mSequence = 0;
+  /** How old the sender's knowledge is at most; none when the store does not
+      answer it. */
+  std::optional<Duration> mAge;
+  /** The zones whose targets get no requests. */
+  std::vector<ZoneName> mEvacuatedZones;
 };
 
 /** A header field of a request. */
@@ -136,6 +147,14 @@
   /** With fewer of these shards the search cannot reach its minimum
       coverage. */
   std::uint32_t mMinShards = 0;
+  /** The name of the organisation whose search it is; empty when it has
+      none. */
+  std::string mOrganisation;
+  /** The rank of the organisation or else of the route, and of the route. */
+  std::uint32_t mRank = 0;
+  std::uint32_t mRouteRank = 0;
+  /** The regions whose targets may serve it; empty for all. */
+  std::vector<std::string> mRegions;
 };
 
 /** The results of a sub-search's shards since its previous reply. The first
@@ -182,6 +201,8 @@
   std::uint64_t mSequence = 0;
   /** The sender knows all changes up to this revision of the store. */
   std::uint64_t mAfter = 0;
+  /** The era of the store to which that revision belongs. */
+  std::uint64_t mEra = 0;
 };
 
 /** The store's answer to one watch, compressed. */
@@ -206,6 +227,11 @@
   /** How old the VM's knowledge of the store is. */
   Duration mAge{};
   std::vector<std::shared_ptr<const CompressedText>> mTexts;
+  /** How old the VM's knowledge is beyond doubt, at most; none when it cannot
+      tell. */
+  std::optional<Duration> mSoundAge;
+  /** The era of the store to which the texts belong. */
+  std::uint64_t mEra = 0;
 };
 
 /** States the revision that the store had a while ago. */
@@ -214,6 +240,26 @@
   std::uint64_t mRevision = 0;
   /** How long ago the sender asked the store for it. */
   Duration mAge{};
+  /** The era of the store to which the revision belongs. */
+  std::uint64_t mEra = 0;
+};
+
+/** Asks the VM that grants the quota of these organisations for more, and
+    states what was used. */
+struct QuotaRequest
+{
+  std::uint64_t mSequence = 0;
+  /** Differs between the processes that a VM runs one after the other. */
+  std::uint64_t mSession = 0;
+  std::vector<QuotaNeed> mNeeds;
+};
+
+struct QuotaReply
+{
+  std::uint64_t mSequence = 0;
+  /** How long the grants are valid, counted from when the request was sent. */
+  Duration mValid{};
+  std::vector<QuotaGrant> mGrants;
 };
 
 using PeerMessage = std::variant<BatchRequest,
@@ -235,6 +281,8 @@
                                  SubSearchConfirm,
                                  ChangesRequest,
                                  ChangesReply,
-                                 RevisionReport>;
+                                 RevisionReport,
+                                 QuotaRequest,
+                                 QuotaReply>;
 
 } // namespace wasabispread
--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -4,6 +4,7 @@
 #include "wasabispread_forwarding.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
@@ -40,6 +41,15 @@
   policy.mExtraAttemptRule = ExtraAttemptRule{ aSettings.mExtraAttemptShare,
                                                aSettings.mFixedExtraAttempts,
                                                aSettings.mExtraAttemptWindow };
+  policy.mKnowledgeRule = KnowledgeRule{ aSettings.mIsStrictOnKeys,
+                                         aSettings.mKeyWithdrawalTime };
+  policy.mQuotaRule = QuotaRule{ aSettings.mQuotaWindow,
+                                 aSettings.mQuotaOverage,
+                                 aSettings.mQuotaSlack };
+  policy.mColdRule = ColdRule{ aSettings.mColdOverage, aSettings.mColdSlack };
+  for (const auto& [zone, region] : aSettings.mRegionOfZone) {
+    policy.mRegionOfZone[zone] = RegionName(region);
+  }
   return policy;
 }
 
@@ -53,6 +63,13 @@
 
 } // namespace
 
+std::string
+ExtraSettings()
+{
+  const char* const text = std::getenv(kExtraSettingsVariable);
+  return text == nullptr ? std::string() : std::string(text);
+}
+
 Result<std::string>
 ReadFile(const std::string& aFile)
 {
@@ -231,7 +248,7 @@
 ForwarderDaemon::ApplySettings(const std::string& aText)
 {
   DecisionRecord record{ RecordClass::kState, "settings-reloaded", {}, {} };
-  const auto settings = ParseForwarderSettings(aText, mFile);
+  const auto settings = ParseForwarderSettings(aText, mFile, ExtraSettings());
   if (!settings) {
     record.mEvent = "settings-rejected";
     for (const Fault& fault : settings.error()) {
--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -69,6 +69,11 @@
   std::unique_ptr<HttpServer> mMetrics;
 };
 
+/** The further settings that the environment holds; empty when there are
+    none. */
+std::string
+ExtraSettings();
+
 /** Returns a file's text; kInvalidSettings when it cannot be read, is no
     regular file or is larger than settings are. Does not block on pipes. */
 Result<std::string>
--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -83,6 +83,32 @@
   list.AddCounter("entries_unreadable_total",
                   "Entries of the store that could not be read.",
                   counters.mUnreadableEntries);
+  list.AddCounter("requests_unauthorised_total",
+                  "Requests rejected because their key is missing, malformed "
+                  "or held by no organisation.",
+                  counters.mUnauthorised);
+  list.AddCounter("requests_refused_for_old_knowledge_total",
+                  "Requests refused because this VM's knowledge of keys was too "
+                  "old.",
+                  counters.mKnowledgeTooOld);
+  list.AddCounter("requests_over_quota_total",
+                  "Requests refused because their organisation's quota was used "
+                  "up.",
+                  counters.mOverQuota);
+  list.AddCounter("requests_without_quota_total",
+                  "Requests refused because no VM granted their organisation's "
+                  "quota.",
+                  counters.mQuotaUnavailable);
+  list.AddCounter("requests_waited_for_quota_total",
+                  "Requests that waited for an answer about quota.",
+                  counters.mWaitedForQuota);
+  list.AddCounter("quota_denied_total",
+                  "Answers of this VM to others that denied quota.",
+                  counters.mQuotaDenied);
+  list.AddCounter("target_loads_unreadable_total",
+                  "Statements of targets about their load that could not be "
+                  "read.",
+                  counters.mUnreadableLoads);
   list.AddCounter("log_lines_omitted_total",
                   "Log lines left out by their allowance.",
                   aLog.OmittedLines());
@@ -121,6 +147,15 @@
   list.AddGauge("targets_paused",
                 "Targets put aside because they asked for a pause.",
                 static_cast<double>(CountPaused(aState, aNow)));
+  list.AddGauge("zones_evacuated",
+                "Zones whose targets get no requests.",
+                static_cast<double>(aState.mEvacuations.size()));
+  list.AddGauge("quota_partitions_granted",
+                "Partitions of organisations whose quota this VM grants.",
+                static_cast<double>(CountGranted(aState, aNow)));
+  list.AddGauge("key_knowledge_age_seconds",
+                "How old the knowledge of keys is at most.",
+                std::chrono::duration<double>(SoundAge(aState, aNow)).count());
   list.AddGauge("target_connections",
                 "Connections to targets.",
                 static_cast<double>(aState.mConnections.size()));
--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -4,6 +4,7 @@
  */
 #include "wasabispread_forwarding.h"
 
+#include <ctime>
 #include <optional>
 
 #include <boost/fiber/operations.hpp>
@@ -134,11 +135,14 @@
 {
   if (const auto* request = std::get_if<RoutingRequest>(&aMessage)) {
     mTransport->Send(
-      aPeer, aAddress, MakeRoutingReply(mState, request->mKnownVersion));
+      aPeer, aAddress, MakeRoutingReply(mState, *request, Now()));
   } else if (const auto* reply = std::get_if<RoutingReply>(&aMessage)) {
     PeerRouting routing;
     routing.mPeer = ToText(aAddress);
     routing.mTargets = reply->mTargets;
+    routing.mSequence = reply->mSequence;
+    routing.mAge = reply->mAge;
+    routing.mEvacuatedZones = reply->mEvacuatedZones;
     if (!reply->mText->empty()) {
       routing.mConfiguration = mAdapter.ReadConfiguration(reply->mText);
     }
@@ -149,6 +153,10 @@
     Deliver(ReadChanges(*answer));
   } else if (const auto* report = std::get_if<RevisionReport>(&aMessage)) {
     Deliver(RevisionReported{ StoreRevision(report->mRevision), report->mAge });
+  } else if (const auto* quota = std::get_if<QuotaRequest>(&aMessage)) {
+    Deliver(QuotaRequested{ aPeer, aAddress, *quota });
+  } else if (const auto* grants = std::get_if<QuotaReply>(&aMessage)) {
+    Deliver(QuotaReplied{ aPeer, *grants });
   } else if (const auto* search = std::get_if<SubSearch>(&aMessage)) {
     Deliver(SubSearchArrived{ aPeer, aAddress, *search, RequestFrom(*search) });
   } else if (const auto* found = std::get_if<SubSearchReply>(&aMessage)) {
@@ -168,6 +176,7 @@
   changes.mIsRefused = aReply.mIsRefused;
   changes.mIsUnavailable = aReply.mIsUnavailable;
   changes.mAge = aReply.mAge;
+  changes.mSoundAge = aReply.mSoundAge;
   for (const auto& text : aReply.mTexts) {
     auto read =
       Decompress(text->mCompressed, text->mSize)
@@ -194,6 +203,7 @@
   if (mIsReducing) {
     return;
   }
+  NoticeSuspension();
   mIsReducing = true;
   while (!mEvents.empty()) {
     ForwarderEvent event = std::move(mEvents.front());
@@ -209,6 +219,29 @@
   }
 }
 
+void
+ForwarderRunner::NoticeSuspension()
+{
+  // Shorter differences come from the time between the two readings.
+  constexpr Duration kLeastNoticed = std::chrono::milliseconds(20);
+  timespec time{};
+  if (clock_gettime(CLOCK_BOOTTIME, &time) != 0) {
+    return;
+  }
+  const Duration sinceBoot =
+    std::chrono::seconds(time.tv_sec) + Duration(time.tv_nsec);
+  const Duration ahead = sinceBoot - Now().time_since_epoch();
+  if (!mBootTimeAhead) {
+    mBootTimeAhead = ahead;
+  }
+  const Duration suspended = ahead - *mBootTimeAhead;
+  if (suspended >= kLeastNoticed) {
+    mBootTimeAhead = ahead;
+    // Handled before the event that found it.
+    mEvents.push_front(MachineSuspended{ suspended });
+  }
+}
+
 HttpResponse
 ForwarderRunner::Serve(HttpRequest&& aMessage, const DisconnectWatch& aWatch)
 {
@@ -336,8 +369,8 @@
 void
 ForwarderRunner::Perform(GrantLease& aEffect)
 {
-  StartFiber([this, lifetime = aEffect.mLifetime] {
-    Deliver(LeaseGranted{ mStore.Grant(lifetime) });
+  StartFiber([this, grant = aEffect] {
+    Deliver(LeaseGranted{ mStore.Grant(grant), grant.mPurpose });
   });
 }
 
@@ -345,21 +378,32 @@
 ForwarderRunner::Perform(WriteMember& aEffect)
 {
   StartFiber([this, lease = aEffect.mLease] {
-    const ForwarderPolicy& policy = mState.mPolicy;
-    Deliver(MemberWritten{
-      mStore.PutMember(lease,
-                       MemberRecord{ policy.mName,
-                                     policy.mZone,
-                                     policy.mPeerAddress,
-                                     policy.mProcessorShare }) });
+    Deliver(MemberWritten{ mStore.PutMember(lease, Self()) });
+  });
+}
+
+MemberRecord
+ForwarderRunner::Self() const
+{
+  const ForwarderPolicy& policy = mState.mPolicy;
+  return MemberRecord{
+    policy.mName, policy.mZone, policy.mPeerAddress, policy.mProcessorShare
+  };
+}
+
+void
+ForwarderRunner::Perform(ClaimQuota& aEffect)
+{
+  StartFiber([this, claims = aEffect] {
+    Deliver(QuotaClaimed{ mStore.Claim(claims, Self()) });
   });
 }
 
 void
 ForwarderRunner::Perform(RenewLease& aEffect)
 {
-  StartFiber([this, lease = aEffect.mLease] {
-    Deliver(LeaseRenewed{ mStore.Renew(lease) });
+  StartFiber([this, renewal = aEffect] {
+    Deliver(LeaseRenewed{ mStore.Renew(renewal), renewal.mPurpose });
   });
 }
 
@@ -374,7 +418,8 @@
 {
   mTransport->Send(IdFromName<VmId>(aEffect.mPeer),
                    aEffect.mAddress,
-                   RoutingRequest{ aEffect.mKnownVersion.Value() });
+                   RoutingRequest{ aEffect.mKnownVersion.Value(),
+                                   aEffect.mSequence });
 }
 
 void
--- a/modules/wasabispread_forwarding/ForwarderRunner.h
+++ b/modules/wasabispread_forwarding/ForwarderRunner.h
@@ -62,6 +62,12 @@
 private:
   struct TargetLink;
 
+  /** Tells the reducer when the machine was suspended: the steady clock does not
+      count that time. */
+  void NoticeSuspension();
+  /** This VM's entry in the store. */
+  MemberRecord Self() const;
+
   void Perform(AnswerRequest& aEffect);
   void Perform(OpenConnection& aEffect);
   void Perform(CloseConnection& aEffect);
@@ -72,6 +78,7 @@
   void Perform(CheckStore& aEffect);
   void Perform(GrantLease& aEffect);
   void Perform(WriteMember& aEffect);
+  void Perform(ClaimQuota& aEffect);
   void Perform(RenewLease& aEffect);
   void Perform(EndLease& aEffect);
   void Perform(RequestPeerRouting& aEffect);
@@ -124,6 +131,9 @@
   /** The number of watches abandoned so far. */
   std::uint64_t mAbandonedWatches = 0;
   std::uint64_t mNextToken = 1;
+  /** By how much the time since the machine's start, with suspensions, was
+      ahead of the steady clock; none before the first event. */
+  std::optional<Duration> mBootTimeAhead;
   /** The promises on whose answers the fibers in Serve() wait. */
   std::unordered_map<CallerToken, boost::fibers::promise<CallerAnswer>>
     mCallers;
--- a/modules/wasabispread_forwarding/PlatformAdapter.h
+++ b/modules/wasabispread_forwarding/PlatformAdapter.h
@@ -77,6 +77,15 @@
   virtual Result<std::monostate> ReadWriteReply(
     const HttpResponse& aMessage) const = 0;
 
+  /** Builds the request that writes claims of this VM under a lease. */
+  virtual HttpRequest WriteQuotaClaims(const ClaimQuota& aEffect,
+                                       const MemberRecord& aSelf) const = 0;
+
+  /** Reads the store's response to WriteQuotaClaims(): the revision of the
+      claims; none when one of them had changed, so that none was written. */
+  virtual Result<std::optional<StoreRevision>> ReadQuotaClaims(
+    const HttpResponse& aMessage) const = 0;
+
   virtual HttpRequest WriteLeaseRenewal(LeaseId aLease) const = 0;
 
   /** Returns false when the lease has ended. */
--- a/modules/wasabispread_forwarding/StoreClient.cpp
+++ b/modules/wasabispread_forwarding/StoreClient.cpp
@@ -117,9 +117,11 @@
 }
 
 Result<LeaseId>
-StoreClient::Grant(Duration aLifetime)
+StoreClient::Grant(const GrantLease& aGrant)
 {
-  return Call(mLeaseChannel, mAdapter.WriteLeaseGrant(aLifetime), kCallTimeout)
+  return Call(LeaseChannelFor(aGrant.mPurpose),
+              mAdapter.WriteLeaseGrant(aGrant.mLifetime),
+              kCallTimeout)
     .and_then([&](const HttpResponse& aResponse) {
       return mAdapter.ReadLeaseGrant(aResponse);
     });
@@ -136,10 +138,29 @@
     });
 }
 
+Result<std::optional<StoreRevision>>
+StoreClient::Claim(const ClaimQuota& aClaims, const MemberRecord& aSelf)
+{
+  return Call(LeaseChannelFor(LeasePurpose::kQuota),
+              mAdapter.WriteQuotaClaims(aClaims, aSelf),
+              kCallTimeout)
+    .and_then([&](const HttpResponse& aResponse) {
+      return mAdapter.ReadQuotaClaims(aResponse);
+    });
+}
+
+StoreClient::Channel&
+StoreClient::LeaseChannelFor(LeasePurpose aPurpose)
+{
+  return aPurpose == LeasePurpose::kQuota ? mQuotaChannel : mLeaseChannel;
+}
+
 Result<bool>
-StoreClient::Renew(LeaseId aLease)
+StoreClient::Renew(const RenewLease& aRenewal)
 {
-  return Call(mLeaseChannel, mAdapter.WriteLeaseRenewal(aLease), kCallTimeout)
+  return Call(LeaseChannelFor(aRenewal.mPurpose),
+              mAdapter.WriteLeaseRenewal(aRenewal.mLease),
+              kCallTimeout)
     .and_then([&](const HttpResponse& aResponse) {
       return mAdapter.ReadLeaseRenewal(aResponse);
     });
--- a/modules/wasabispread_forwarding/StoreClient.h
+++ b/modules/wasabispread_forwarding/StoreClient.h
@@ -11,8 +11,8 @@
 
 namespace wasabispread::forwarding {
 
-/** Calls the store on two connections: one for listing and watching entries,
-    one for the lease. A call that finds its connection in use by another, as
+/** Calls the store on three connections: one for listing and watching entries,
+    one for the lease of this VM's entry, one for the lease of its claims. A call that finds its connection in use by another, as
     the end of a lease may find its renewal, is made on a new one. Every call
     blocks its fiber, except AbandonWatch(). */
 class StoreClient
@@ -32,11 +32,14 @@
   /** Reads the store's present revision, on a new connection: one in use may be
       silent without being closed. */
   Result<StoreRevision> ReadRevision();
-  Result<LeaseId> Grant(Duration aLifetime);
+  Result<LeaseId> Grant(const GrantLease& aGrant);
   /** Writes this VM's entry, which the store removes when the lease ends. */
   Result<std::monostate> PutMember(LeaseId aLease, const MemberRecord& aRecord);
+  /** Writes claims to grant quota; none when another VM was faster. */
+  Result<std::optional<StoreRevision>> Claim(const ClaimQuota& aClaims,
+                                             const MemberRecord& aSelf);
   /** Returns false when the lease has ended. */
-  Result<bool> Renew(LeaseId aLease);
+  Result<bool> Renew(const RenewLease& aRenewal);
   /** Ends a lease; failures are ignored. */
   void End(LeaseId aLease);
 
@@ -50,6 +53,7 @@
     bool mIsBusy = false;
   };
 
+  Channel& LeaseChannelFor(LeasePurpose aPurpose);
   /** Makes one call, connecting first if necessary. aTimeout limits the
       exchange without the connecting. */
   Result<HttpResponse> Call(Channel& aChannel,
@@ -65,6 +69,7 @@
   /** Replaced when a watch is abandoned; a call keeps the one that it uses. */
   std::shared_ptr<Channel> mWatchChannel = std::make_shared<Channel>();
   Channel mLeaseChannel;
+  Channel mQuotaChannel;
 };
 
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding_decisions/Answers.cpp
+++ b/modules/wasabispread_forwarding_decisions/Answers.cpp
@@ -218,6 +218,7 @@
   std::vector<RecordField> fields{
     { "outcome", std::string(aSummary.mOutcome) },
     { "route", aRequest.mRoute->mName },
+    { "organisation", aRequest.mOwner.mName },
     { "version",
       static_cast<std::int64_t>(aRequest.mConfiguration->mVersion.Value()) },
     { "took_ms", ToMilliseconds(aNow - aRequest.mArrived) },
@@ -311,6 +312,10 @@
                           : SingleAnswer(aState, aRequest, aNow);
   const AnswerSummary summary = Summarize(aState, aRequest, answer);
   LogAnswer(aState, aRequest, summary, aNow, aEffects);
+  if (const auto* problem = std::get_if<Problem>(&answer);
+      problem != nullptr && problem->mKind == ProblemKind::kNotRun) {
+    TakeBackQuota(aState, aRequest.mOwner);
+  }
   const CallerToken token = aRequest.mRequest->mToken;
   MeasurePartialAnswer(aState, aRequest);
   aEffects.push_back(
--- a/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelay.cpp
@@ -77,6 +77,9 @@
   reply.mIsRefused = aIsRefused;
   reply.mIsUnavailable = !IsAvailable(aState);
   reply.mAge = KnowledgeAge(aState, aNow);
+  if (!aIsRefused) {
+    reply.mSoundAge = SoundAge(aState, aNow);
+  }
   if (!aIsRefused) {
     for (const KnownChanges& known : aState.mRelay.mKnown) {
       if (known.mRevision > aWaiting.mAfter) {
@@ -311,9 +314,13 @@
     return;
   }
   relay.mAwaited.reset();
-  aState.mStore.mPendingCall.reset();
+  const auto asked = std::exchange(aState.mStore.mPendingCall, std::nullopt);
   ApplyRelayedChanges(aState, aEvent.mChanges, aNow, aEffects);
   RecordComplete(aState, aNow - aEvent.mAge);
+  if (asked && aEvent.mSoundAge) {
+    // The age was stated after the question was sent.
+    RecordSound(aState, asked->mSince - *aEvent.mSoundAge);
+  }
   FollowStore(aState, aNow, aEffects);
 }
 
--- a/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEffect.h
@@ -44,6 +44,10 @@
   Duration mCallerTimeout{};
   /** The largest reply body that is accepted, in bytes. */
   std::uint64_t mMaxReplyBytes = 0;
+  /** The organisation that is stated to the target; empty for none. */
+  std::string mOrganisation;
+  /** Whether the fields that carry the caller's key are sent. */
+  bool mForwardsCredentials = false;
 };
 
 /** Read all entries of the store. The result is EntriesListed. */
@@ -75,6 +79,7 @@
 struct GrantLease
 {
   Duration mLifetime{};
+  LeasePurpose mPurpose = LeasePurpose::kMembership;
 };
 
 /** Write this VM's entry under a lease. The result is MemberWritten. */
@@ -83,10 +88,18 @@
   LeaseId mLease;
 };
 
+/** Write claims under a lease, all or none. The result is QuotaClaimed. */
+struct ClaimQuota
+{
+  LeaseId mLease;
+  std::vector<QuotaClaim> mClaims;
+};
+
 /** Renew a lease. The result is LeaseRenewed. */
 struct RenewLease
 {
   LeaseId mLease;
+  LeasePurpose mPurpose = LeasePurpose::kMembership;
 };
 
 /** Revoke a lease. There is no result. */
@@ -103,6 +116,7 @@
   Endpoint mAddress;
   /** The version of the configuration that this VM has already. */
   ConfigurationVersion mKnownVersion;
+  std::uint64_t mSequence = 0;
 };
 
 /** Send a message to another VM. */
@@ -116,7 +130,9 @@
                SubSearchConfirm,
                ChangesRequest,
                ChangesReply,
-               RevisionReport>
+               RevisionReport,
+               QuotaRequest,
+               QuotaReply>
     mMessage;
 };
 
@@ -142,6 +158,7 @@
                                      CheckStore,
                                      GrantLease,
                                      WriteMember,
+                                     ClaimQuota,
                                      RenewLease,
                                      EndLease,
                                      RequestPeerRouting,
--- a/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderEvent.h
@@ -78,6 +78,7 @@
 struct LeaseGranted
 {
   Result<LeaseId> mResult;
+  LeasePurpose mPurpose = LeasePurpose::kMembership;
 };
 
 /** WriteMember completed or failed. */
@@ -86,11 +87,40 @@
   Result<std::monostate> mResult;
 };
 
+/** ClaimQuota completed or failed. The revision is that of the claims; none
+    when another VM was faster. */
+struct QuotaClaimed
+{
+  Result<std::optional<StoreRevision>> mResult;
+};
+
+/** Another VM asks this one for quota. */
+struct QuotaRequested
+{
+  VmId mVm;
+  Endpoint mAddress;
+  QuotaRequest mRequest;
+};
+
+/** Another VM answered a QuotaRequest. */
+struct QuotaReplied
+{
+  VmId mVm;
+  QuotaReply mReply;
+};
+
+/** The machine did not run for a time that the steady clock does not count. */
+struct MachineSuspended
+{
+  Duration mTime{};
+};
+
 /** RenewLease completed or failed. The value is false when the lease has
     ended. */
 struct LeaseRenewed
 {
   Result<bool> mResult;
+  LeasePurpose mPurpose = LeasePurpose::kMembership;
 };
 
 /** Another VM answered RequestPeerRouting. */
@@ -101,6 +131,11 @@
   std::optional<Result<ConfigurationChange>> mConfiguration;
   /** All targets in use; empty when the store is unavailable to that VM too. */
   std::vector<RegisteredTarget> mTargets;
+  /** The sequence of the request. */
+  std::uint64_t mSequence = 0;
+  /** How old that VM's knowledge was at most; none when it did not say. */
+  std::optional<Duration> mAge;
+  std::vector<ZoneName> mEvacuatedZones;
 };
 
 /** Another VM asks for changes in the store. */
@@ -118,6 +153,8 @@
   bool mIsRefused = false;
   bool mIsUnavailable = false;
   Duration mAge{};
+  /** As mAge, but beyond doubt; none when that VM cannot tell. */
+  std::optional<Duration> mSoundAge;
   /** One for each answer of the store, in their order. */
   std::vector<StoreChanges> mChanges;
 };
@@ -193,6 +230,10 @@
                                     StoreChecked,
                                     LeaseGranted,
                                     MemberWritten,
+                                    QuotaClaimed,
+                                    QuotaRequested,
+                                    QuotaReplied,
+                                    MachineSuspended,
                                     LeaseRenewed,
                                     PeerRouting,
                                     ChangesRequested,
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -121,6 +121,39 @@
     HandleMemberWritten(mState, aEvent, mNow, mEffects);
   }
 
+  void operator()(const QuotaClaimed& aEvent)
+  {
+    HandleQuotaClaimed(mState, aEvent.mResult, mNow, mEffects);
+  }
+
+  void operator()(const QuotaRequested& aEvent)
+  {
+    HandleQuotaRequested(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const QuotaReplied& aEvent)
+  {
+    HandleQuotaReplied(mState, aEvent, mNow, mEffects);
+  }
+
+  void operator()(const MachineSuspended& aEvent)
+  {
+    mState.mFreshness.mSoundUntil -= aEvent.mTime;
+    for (auto& [sequence, sent] : mState.mMembership.mRoutingRequests) {
+      sent -= aEvent.mTime;
+    }
+    mState.mFreshness.mCheckedAt -= aEvent.mTime;
+    if (auto& call = mState.mStore.mPendingCall) {
+      call->mSince -= aEvent.mTime;
+    }
+    ShortenQuota(mState.mQuota, aEvent.mTime);
+    mEffects.push_back(WriteDecisionRecord{
+      { RecordClass::kState,
+        "machine-suspended",
+        {},
+        { { "time_ms", ToMilliseconds(aEvent.mTime) } } } });
+  }
+
   void operator()(const LeaseRenewed& aEvent)
   {
     HandleLeaseRenewed(mState, aEvent, mNow, mEffects);
@@ -170,6 +203,7 @@
   {
     HandleVmLost(mState, aEvent, mNow, mEffects);
     HandleRelayLost(mState, aEvent.mVm, mNow, mEffects);
+    HandleGranterLost(mState, aEvent.mVm, mNow, mEffects);
   }
 
   void operator()(const ForwarderStopRequested& aEvent)
@@ -180,6 +214,8 @@
     mState.mStop = PlanStop(aEvent.mGrace, mNow);
     ShortenDeadlines(mState, mNow);
     RefuseWaitingVms(mState, mNow, mEffects);
+    RefuseWaitingRequests(mState, mEffects);
+    ReleaseQuotaClaims(mState, mEffects);
     if (mState.mMembership.mLeaseStatus == LeaseStatus::kHeld) {
       mEffects.push_back(EndLease{ mState.mMembership.mLease });
     }
@@ -245,6 +281,15 @@
       case ForwarderTimer::kRelayTimeout:
         HandleRelayTimeout(mState, aKey, mNow, mEffects);
         break;
+      case ForwarderTimer::kQuotaClaims:
+        ReviewQuotaClaims(mState, mNow, mEffects);
+        break;
+      case ForwarderTimer::kQuota:
+        ReviewQuota(mState, mNow, mEffects);
+        break;
+      case ForwarderTimer::kQuotaAnswer:
+        HandleQuotaAnswerDue(mState, aKey, mNow, mEffects);
+        break;
       case ForwarderTimer::kChangesReply:
         HandleChangesReplyDue(mState, mNow, mEffects);
         break;
@@ -258,7 +303,7 @@
 ForwarderState::IsReady(TimePoint aNow) const
 {
   return !IsStopping() && mConfiguration != nullptr && mStore.mIsLoaded &&
-         !IsIsolated(*this, aNow);
+         !IsIsolated(*this, aNow) && !RefusesKeys(*this, aNow);
 }
 
 std::string
@@ -281,6 +326,7 @@
   state.mPolicy = std::move(aPolicy);
   state.mRandom = Random(aSeed);
   state.mNextSubSearch = aSeed;
+  state.mQuota.mSession = aSeed;
   return state;
 }
 
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -12,6 +12,8 @@
 #include "Shutdown.h"
 #include "StoreFollower.h"
 #include "StoreFreshness.h"
+#include "organisations/QuotaState.h"
+#include "placement/Evacuation.h"
 
 #include <unordered_map>
 #include <unordered_set>
@@ -52,6 +54,12 @@
   kRelayTimeout,
   /** No key: a VM that waits for changes gets an answer without any. */
   kChangesReply,
+  /** No key: claims to grant quota are written or renewed. */
+  kQuotaClaims,
+  /** No key: used quota is reported and held quota extended. */
+  kQuota,
+  /** Key: the sequence of the question for quota that was not answered. */
+  kQuotaAnswer,
 };
 
 /** The settings that a forwarder gets at its start. */
@@ -68,6 +76,11 @@
   /** How long a target may take to register again whose entry vanished while
       the store was unavailable. */
   Duration mReregistrationGrace = std::chrono::seconds(2);
+  KnowledgeRule mKnowledgeRule;
+  QuotaRule mQuotaRule;
+  ColdRule mColdRule;
+  /** The region of each zone. */
+  std::map<ZoneName, RegionName> mRegionOfZone;
 };
 
 /** Counters that are exported as metrics. */
@@ -89,6 +102,20 @@
   std::uint64_t mStoreCalls = 0;
   std::uint64_t mStoreFailures = 0;
   std::uint64_t mUnreadableEntries = 0;
+  /** Requests rejected for their key, and refused because the knowledge of keys
+      was too old. */
+  std::uint64_t mUnauthorised = 0;
+  std::uint64_t mKnowledgeTooOld = 0;
+  /** Requests refused because their organisation's quota was used up, or
+      because nobody granted any. */
+  std::uint64_t mOverQuota = 0;
+  std::uint64_t mQuotaUnavailable = 0;
+  /** Requests that waited for quota. */
+  std::uint64_t mWaitedForQuota = 0;
+  /** Answers of this VM that denied quota. */
+  std::uint64_t mQuotaDenied = 0;
+  /** Statements of targets about their load that could not be read. */
+  std::uint64_t mUnreadableLoads = 0;
 };
 
 /** The version of a target's entry: a later start is newer, then a higher
@@ -125,6 +152,8 @@
   ChangeRelay mRelay;
   MembershipState mMembership;
   ShardOwnership mShardOwnership;
+  QuotaState mQuota;
+  Evacuations mEvacuations;
   RoutingPointer mConfiguration;
   /** The text of mConfiguration as it is in the store. */
   SharedBytes mConfigurationText;
--- a/modules/wasabispread_forwarding_decisions/LimitAdmission.cpp
+++ b/modules/wasabispread_forwarding_decisions/LimitAdmission.cpp
@@ -15,6 +15,7 @@
 HasRestriction(const TargetState& aTarget, TimePoint aNow)
 {
   return aTarget.mLimit.mPerSecond.has_value() ||
+         aTarget.mColdLimit.mPerSecond.has_value() ||
          WaitForPause(aTarget, aNow) > Duration::zero() ||
          WaitForPace(aTarget.mPace, aNow) > Duration::zero();
 }
@@ -30,6 +31,7 @@
 {
   const RoomWait waits[] = {
     { WaitForAllowance(aTarget.mLimit, aNow), RoomCause::kLimit },
+    { WaitForColdLimit(aTarget, aNow), RoomCause::kLimit },
     { WaitForPace(aTarget.mPace, aNow), RoomCause::kPace },
     { WaitForPause(aTarget, aNow), RoomCause::kPause }
   };
--- a/modules/wasabispread_forwarding_decisions/Membership.cpp
+++ b/modules/wasabispread_forwarding_decisions/Membership.cpp
@@ -45,6 +45,20 @@
   return record;
 }
 
+/** Remembers when a routing request was sent; returns its sequence. */
+std::uint64_t
+RememberRoutingRequest(MembershipState& aMembership, TimePoint aNow)
+{
+  constexpr std::size_t kMaxRemembered = 16;
+  auto& requests = aMembership.mRoutingRequests;
+  if (requests.size() == kMaxRemembered) {
+    requests.erase(requests.begin());
+  }
+  const std::uint64_t sequence = aMembership.mNextRoutingRequest++;
+  requests[sequence] = aNow;
+  return sequence;
+}
+
 void
 ScheduleRenewal(ForwarderState& aState, TimePoint aNow)
 {
@@ -138,6 +152,10 @@
                    TimePoint aNow,
                    ForwarderEffects& aEffects)
 {
+  if (aEvent.mPurpose == LeasePurpose::kQuota) {
+    HandleQuotaLeaseGranted(aState, aEvent.mResult, aNow, aEffects);
+    return;
+  }
   if (!aEvent.mResult) {
     ++aState.mCounters.mStoreFailures;
     RetryLease(aState, aNow);
@@ -175,6 +193,10 @@
                    TimePoint aNow,
                    ForwarderEffects& aEffects)
 {
+  if (aEvent.mPurpose == LeasePurpose::kQuota) {
+    HandleQuotaLeaseRenewed(aState, aEvent.mResult, aNow, aEffects);
+    return;
+  }
   if (!aEvent.mResult) {
     ++aState.mCounters.mStoreFailures;
     RetryLease(aState, aNow);
@@ -218,8 +240,10 @@
     }
     if (next->first != aState.mPolicy.mName) {
       aState.mMembership.mLastAskedPeer = next->first;
+      const std::uint64_t sequence = RememberRoutingRequest(
+        aState.mMembership, aNow);
       aEffects.push_back(RequestPeerRouting{
-        next->first, next->second.mRecord.mAddress, known });
+        next->first, next->second.mRecord.mAddress, known, sequence });
       return;
     }
   }
@@ -246,12 +270,22 @@
     RefreshAssignments(aState, aNow, aEffects);
     RetryStoreSooner(aState, aNow, aEffects);
   }
-  if (!aEvent.mConfiguration) {
-    return;
+  if (aEvent.mAge) {
+    SetEvacuations(aState, aEvent.mEvacuatedZones, aNow, aEffects);
   }
-  if (*aEvent.mConfiguration) {
+  const bool isReadable = !aEvent.mConfiguration || *aEvent.mConfiguration;
+  if (aEvent.mConfiguration && isReadable) {
     AdoptConfiguration(
       aState, **aEvent.mConfiguration, "vm " + aEvent.mPeer, aNow, aEffects);
+  }
+  if (isReadable) {
+    const auto asked =
+      aState.mMembership.mRoutingRequests.find(aEvent.mSequence);
+    if (aEvent.mAge &&
+        asked != aState.mMembership.mRoutingRequests.end()) {
+      // The age was stated after the request was sent.
+      RecordSound(aState, asked->second - *aEvent.mAge);
+    }
     return;
   }
   aEffects.push_back(WriteDecisionRecord{
@@ -263,16 +297,26 @@
 }
 
 RoutingReply
-MakeRoutingReply(const ForwarderState& aState, std::uint64_t aKnownVersion)
+MakeRoutingReply(const ForwarderState& aState,
+                 const RoutingRequest& aRequest,
+                 TimePoint aNow)
 {
   RoutingReply reply;
-  const bool isNewer = aState.mConfiguration != nullptr &&
-                       aState.mConfiguration->mVersion.Value() > aKnownVersion;
+  reply.mSequence = aRequest.mSequence;
+  const bool isNewer =
+    aState.mConfiguration != nullptr &&
+    aState.mConfiguration->mVersion.Value() > aRequest.mKnownVersion;
   reply.mText =
     isNewer ? aState.mConfigurationText : std::make_shared<const std::string>();
   if (aState.mStore.IsUnavailable()) {
     return reply;
   }
+  if (aState.mStore.mIsLoaded) {
+    reply.mAge = SoundAge(aState, aNow);
+  }
+  for (const auto& [zone, since] : aState.mEvacuations) {
+    reply.mEvacuatedZones.push_back(zone);
+  }
   for (const auto& [key, target] : aState.mTargets) {
     if (!target.mIsRetired && target.mEntryMissingSince == TimePoint::max()) {
       const TargetRecord& record = target.mRecord;
--- a/modules/wasabispread_forwarding_decisions/Membership.h
+++ b/modules/wasabispread_forwarding_decisions/Membership.h
@@ -57,6 +57,9 @@
   /** The member that was last asked for its routing. */
   std::string mLastAskedPeer;
   bool mIsAskingPeers = false;
+  /** When the last routing requests were sent, by sequence. */
+  std::map<std::uint64_t, TimePoint> mRoutingRequests;
+  std::uint64_t mNextRoutingRequest = 1;
 };
 
 /** The number of VMs among which limits that all of them share are divided. */
@@ -119,10 +122,12 @@
                   TimePoint aNow,
                   ForwarderEffects& aEffects);
 
-/** The answer to another VM that knows the configuration up to aKnownVersion:
-    the configuration if it is newer, and all targets in use unless the store is
-    unavailable to this VM too. */
+/** The answer to another VM: the configuration if it is newer than the version
+    that the VM has, and all targets in use unless the store is unavailable to
+    this VM too. */
 RoutingReply
-MakeRoutingReply(const ForwarderState& aState, std::uint64_t aKnownVersion);
+MakeRoutingReply(const ForwarderState& aState,
+                 const RoutingRequest& aRequest,
+                 TimePoint aNow);
 
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding_decisions/Message.cpp
+++ b/modules/wasabispread_forwarding_decisions/Message.cpp
@@ -29,10 +29,14 @@
   switch (aKind) {
     case ProblemKind::kBadRequest:
       return "bad-request";
+    case ProblemKind::kUnauthorised:
+      return "unauthorised";
     case ProblemKind::kNoRoute:
       return "no-route";
     case ProblemKind::kNotRun:
       return "not-run";
+    case ProblemKind::kOverQuota:
+      return "over-quota";
     case ProblemKind::kFailed:
       return "failed";
     case ProblemKind::kTimedOut:
--- a/modules/wasabispread_forwarding_decisions/Message.h
+++ b/modules/wasabispread_forwarding_decisions/Message.h
@@ -40,7 +40,12 @@
   /** Whether it is the first request on its connection, whose setup then took a
       further round trip. */
   bool mIsFirstOnConnection = false;
-  /** The message as read, without connection-level fields. */
+  CallerKey mKey;
+  /** The fields that carry the key. They are forwarded only where the
+      configuration has no organisations. */
+  std::vector<HttpHeader> mCredentials;
+  /** The message as read, without connection-level fields and without
+      mCredentials. */
   HttpRequest mMessage;
 };
 
@@ -66,6 +71,18 @@
 std::string_view
 ToText(ReplyKind aKind);
 
+/** What a target states about its load. */
+struct TargetLoad
+{
+  /** The requests that it works on, and those that wait. */
+  unsigned mRunning = 0;
+  unsigned mWaiting = 0;
+  /** The requests that it works on concurrently. */
+  unsigned mSlots = 1;
+  /** How long work takes there now, relative to the usual time. */
+  double mSlowness = 1;
+};
+
 /** A target's complete reply. */
 struct Reply
 {
@@ -87,6 +104,13 @@
   /** For how long the target wants no request from this VM; none when it did
       not say. */
   std::optional<Duration> mWantedPause;
+  /** The load that the target states; none when it states none, or one that
+      cannot be read. */
+  std::optional<TargetLoad> mLoad;
+  bool mIsLoadUnreadable = false;
+  /** How much longer the target is slow after its start; none when it did not
+      say. */
+  std::optional<Duration> mWarmUp;
 };
 
 /** Forwards a target's reply unchanged to the caller. */
@@ -109,10 +133,14 @@
 {
   /** The request itself is invalid. */
   kBadRequest,
+  /** The request carries no key, or one that nobody holds. */
+  kUnauthorised,
   /** No route matches the request's host and path. */
   kNoRoute,
   /** The request did not run and will not run; the caller may retry it. */
   kNotRun,
+  /** As kNotRun, because the organisation's quota is used up. */
+  kOverQuota,
   /** The request ran, or may have run, without a usable result. */
   kFailed,
   /** As kFailed, because its timeout expired. */
--- a/modules/wasabispread_forwarding_decisions/Refusal.cpp
+++ b/modules/wasabispread_forwarding_decisions/Refusal.cpp
@@ -14,8 +14,63 @@
     registration. */
 constexpr Duration kNoTargetRetry = std::chrono::milliseconds(400);
 
+/** Retry delay after a refusal that only another configuration can change. */
+constexpr Duration kNoRegionRetry = std::chrono::seconds(5);
+
+std::optional<Problem>
+CheckOwner(ForwarderState const& aState,
+           const ForwardedRequest& aRequest,
+           const Route& aRoute,
+           TimePoint aNow)
+{
+  const KeyDecision decision = DecideKey(aState, aRequest, aRoute, aNow);
+  if (decision.mVerdict == KeyVerdict::kUnauthorised) {
+    return Problem{ ProblemKind::kUnauthorised,
+                    decision.mReason,
+                    "send the key of an organisation, once, as the access "
+                    "rules of this service say",
+                    std::nullopt };
+  }
+  if (decision.mVerdict == KeyVerdict::kKnowledgeTooOld) {
+    Problem problem = NotRunProblem(decision.mReason, kOtherVmRetry);
+    problem.mClosesConnection = true;
+    return problem;
+  }
+  if (OwnerOf(*aState.mConfiguration, aRoute, decision.mOrganisation)
+        .mHasNoRegion) {
+    return NotRunProblem("the route and the organisation have no allowed "
+                         "region in common",
+                         kNoRegionRetry);
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
+KeyDecision
+DecideKey(const ForwarderState& aState,
+          const ForwardedRequest& aRequest,
+          const Route& aRoute,
+          TimePoint aNow)
+{
+  const auto& organisations = aState.mConfiguration->mOrganisations;
+  return organisations ? CheckKey(*organisations,
+                                  aRequest.mKey,
+                                  aRoute.mIsPublic,
+                                  SoundAge(aState, aNow),
+                                  aState.mPolicy.mKnowledgeRule)
+                       : KeyDecision{};
+}
+
+bool
+RefusesKeys(const ForwarderState& aState, TimePoint aNow)
+{
+  const KnowledgeRule& rule = aState.mPolicy.mKnowledgeRule;
+  return rule.mIsStrict && aState.mConfiguration != nullptr &&
+         aState.mConfiguration->mOrganisations &&
+         SoundAge(aState, aNow) >= UsableAge(rule);
+}
+
 Problem
 NotRunProblem(std::string aMessage, Duration aRetryAfter)
 {
@@ -43,6 +98,9 @@
                     "check the host and the path, or add a route",
                     std::nullopt };
   }
+  if (auto problem = CheckOwner(aState, aRequest, *route, aNow)) {
+    return problem;
+  }
   if (aRequest.mCallerTimeout && *aRequest.mCallerTimeout <= Duration::zero()) {
     return Problem{ ProblemKind::kBadRequest,
                     "the stated timeout leaves no time for an answer",
--- a/modules/wasabispread_forwarding_decisions/Refusal.h
+++ b/modules/wasabispread_forwarding_decisions/Refusal.h
@@ -15,6 +15,18 @@
              const ForwardedRequest& aRequest,
              TimePoint aNow);
 
+/** Whether the request's key lets it run, and whose it is. */
+KeyDecision
+DecideKey(const ForwarderState& aState,
+          const ForwardedRequest& aRequest,
+          const Route& aRoute,
+          TimePoint aNow);
+
+/** Whether this VM refuses requests with a key because it may not know of keys
+    that were withdrawn. */
+bool
+RefusesKeys(const ForwarderState& aState, TimePoint aNow);
+
 /** Retry delay for a caller that should connect to another VM, which can serve
     it at once; the load balancer assigns the new connection. */
 inline constexpr Duration kOtherVmRetry = std::chrono::milliseconds(20);
--- a/modules/wasabispread_forwarding_decisions/Registry.cpp
+++ b/modules/wasabispread_forwarding_decisions/Registry.cpp
@@ -68,7 +68,9 @@
   // Connections are opened after all changes were applied and targets were
   // assigned.
   target.mIsAssigned = false;
-  aState.mTargets.emplace(key, std::move(target));
+  TargetState& added =
+    aState.mTargets.emplace(key, std::move(target)).first->second;
+  RefreshColdLimit(aState, added, aNow);
   LogTarget(aState, "target-added", aRecord, aEffects);
 }
 
@@ -109,6 +111,7 @@
     known->mWarmUntil = aNow + aRecord.mWarmUp;
   }
   known->mRecord = aRecord;
+  RefreshColdLimit(aState, *known, aNow);
 }
 
 void
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -184,6 +184,28 @@
   }
 }
 
+/** Keeps what the target states about its load and its warm-up. */
+void
+RecordStatedLoad(ForwarderState& aState,
+                 TargetState& aTarget,
+                 const Reply& aReply,
+                 TimePoint aNow)
+{
+  aState.mCounters.mUnreadableLoads += aReply.mIsLoadUnreadable ? 1U : 0U;
+  // A misdirected reply is another instance's.
+  if (aReply.mKind == ReplyKind::kMisdirected) {
+    return;
+  }
+  if (aReply.mLoad) {
+    aTarget.mLoad = aReply.mLoad;
+    aTarget.mLoadTime = aNow;
+  }
+  if (aReply.mWarmUp) {
+    aTarget.mWarmUntil = aNow + *aReply.mWarmUp;
+    RefreshColdLimit(aState, aTarget, aNow);
+  }
+}
+
 RequestState*
 FindRequest(ForwarderState& aState, RequestKey aKey)
 {
@@ -311,7 +333,9 @@
     aRequest.mRequest,
     aTarget.mRecord.mInstance,
     aRequest.mDeadline - aNow,
-    aRequest.mRoute->IsSearch() ? kMaxPartBytes : kMaxReplyBytes });
+    aRequest.mRoute->IsSearch() ? kMaxPartBytes : kMaxReplyBytes,
+    aRequest.mOwner.mName,
+    aRequest.mOwner.mForwardsCredentials });
 }
 
 void
@@ -337,8 +361,8 @@
     aTarget.mWaiting.begin(),
     aTarget.mWaiting.end(),
     [&](const SubRequestRef& aLeft, const SubRequestRef& aRight) {
-      return aState.mRequests.at(aLeft.mRequest).mRoute->mPriority <
-             aState.mRequests.at(aRight.mRequest).mRoute->mPriority;
+      return aState.mRequests.at(aLeft.mRequest).mOwner.mRank <
+             aState.mRequests.at(aRight.mRequest).mOwner.mRank;
     });
   if (first == aTarget.mWaiting.end()) {
     return std::nullopt;
@@ -370,6 +394,7 @@
   }
   const auto reply = std::make_shared<const Reply>(std::move(aEvent.mReply));
   RecordReply(aState, target, connection, reply->mKind, aNow);
+  RecordStatedLoad(aState, target, *reply, aNow);
   RecordLimit(aState, target, *reply, aNow, aEffects);
   RecordStatedAvailability(aState, targetKey, *reply, aNow, aEffects);
   ReleaseConnection(aState,
--- a/modules/wasabispread_forwarding_decisions/RequestHandling.h
+++ b/modules/wasabispread_forwarding_decisions/RequestHandling.h
@@ -14,6 +14,26 @@
                      TimePoint aNow,
                      ForwarderEffects& aEffects);
 
+/** Continues a request that waited for quota and got it. */
+void
+AdmitWithQuota(ForwarderState& aState,
+               const ForwardedRequestPointer& aRequest,
+               TimePoint aArrived,
+               TimePoint aNow,
+               ForwarderEffects& aEffects);
+
+/** Refuses a request that gets no quota. */
+void
+RefuseForQuota(ForwarderState& aState,
+               const ForwardedRequest& aRequest,
+               const QuotaDecision& aDecision,
+               ForwarderEffects& aEffects);
+
+/** The limit of an organisation in the present configuration; none when it has
+    none. */
+OrganisationLimit
+LimitOf(const ForwarderState& aState, OrganisationId aOrganisation);
+
 void
 HandleCallerDisconnected(ForwarderState& aState,
                          const ForwarderCallerDisconnected& aEvent,
--- a/modules/wasabispread_forwarding_decisions/RequestLimit.cpp
+++ b/modules/wasabispread_forwarding_decisions/RequestLimit.cpp
@@ -107,6 +107,18 @@
   return ofShard.empty() ? all : ofShard;
 }
 
+/** The rate that a cold target of the service takes; 0 when none is named. */
+double
+ColdRateOf(const ForwarderState& aState, ServiceId aService)
+{
+  if (aState.mConfiguration == nullptr) {
+    return 0;
+  }
+  const auto& services = aState.mConfiguration->mServices;
+  const auto service = services.find(aService);
+  return service == services.end() ? 0 : service->second.mColdRate;
+}
+
 double
 AllowanceAt(const RequestLimit& aLimit, TimePoint aNow)
 {
@@ -118,41 +130,93 @@
 
 } // namespace
 
-void
-RefreshLimit(ForwarderState& aState, TargetState& aTarget, TimePoint aNow)
+namespace {
+
+/** The VMs that share a target's limit. */
+struct LimitShare
+{
+  bool mIsSender = false;
+  /** Into how many parts the limit is divided. */
+  double mParts = 1;
+};
+
+/** Chooses as many of the VMs that query the target as the limit has room
+    for. */
+LimitShare
+ShareLimit(const ForwarderState& aState,
+           const TargetRecord& aTarget,
+           double aRoom,
+           TimePoint aNow)
 {
-  RequestLimit& limit = aTarget.mLimit;
-  if (!limit.mPerSecond) {
-    return;
-  }
-  limit.mAllowance = AllowanceAt(limit, aNow);
-  limit.mAllowanceTime = aNow;
-  const double perSecond = *limit.mPerSecond;
   std::vector<std::string> senders =
-    QueryingVms(aState, aTarget.mRecord.mService, aNow);
-  const double room = std::floor(kSendersPerRate * perSecond) + kMinSenders;
+    QueryingVms(aState, aTarget.mService, aNow);
   const auto most = static_cast<std::size_t>(
-    std::min(room, static_cast<double>(senders.size())));
+    std::min(aRoom, static_cast<double>(senders.size())));
   const std::uint64_t salt =
-    StableHash(aTarget.mRecord.mInstance.Value(), kSenderSalt);
+    StableHash(aTarget.mInstance.Value(), kSenderSalt);
   std::sort(senders.begin(),
             senders.end(),
             [&](const std::string& aLeft, const std::string& aRight) {
               return StableHash(aLeft, salt) < StableHash(aRight, salt);
             });
   senders.resize(most);
-  const bool isSender =
+  LimitShare share;
+  share.mIsSender =
     std::find(senders.begin(), senders.end(), aState.mPolicy.mName) !=
     senders.end();
-  const double parts =
+  share.mParts =
     static_cast<double>(std::max(senders.size(), MinFleetSize(aState, aNow)));
+  return share;
+}
+
+} // namespace
+
+void
+RefreshLimit(ForwarderState& aState, TargetState& aTarget, TimePoint aNow)
+{
+  RequestLimit& limit = aTarget.mLimit;
+  if (!limit.mPerSecond) {
+    return;
+  }
+  limit.mAllowance = AllowanceAt(limit, aNow);
+  limit.mAllowanceTime = aNow;
+  const double perSecond = *limit.mPerSecond;
+  const double room = std::floor(kSendersPerRate * perSecond) + kMinSenders;
+  const LimitShare share = ShareLimit(aState, aTarget.mRecord, room, aNow);
   const double probeRate = kProbeShare * std::max(perSecond, kMinProbedRate) /
                            static_cast<double>(FleetSize(aState, aNow));
-  limit.mRate = isSender ? std::max(perSecond / parts, probeRate) : probeRate;
-  limit.mCapacity = isSender ? std::max(1.0, room / parts) : 1;
+  limit.mRate = share.mIsSender ? std::max(perSecond / share.mParts, probeRate)
+                                : probeRate;
+  limit.mCapacity = share.mIsSender ? std::max(1.0, room / share.mParts) : 1;
   limit.mAllowance = std::min(limit.mAllowance, limit.mCapacity);
 }
 
+void
+RefreshColdLimit(ForwarderState& aState, TargetState& aTarget, TimePoint aNow)
+{
+  RequestLimit& limit = aTarget.mColdLimit;
+  const double rate = ColdRateOf(aState, aTarget.mRecord.mService);
+  if (rate == 0 || aNow >= aTarget.mWarmUntil) {
+    limit = RequestLimit{};
+    return;
+  }
+  const ColdRule& rule = aState.mPolicy.mColdRule;
+  const double most = rate * rule.mOverage + rule.mSlack;
+  // Each sender may send one request at once, and all together the rate.
+  const double room = std::max(1.0, std::floor(most - rate));
+  const LimitShare share = ShareLimit(aState, aTarget.mRecord, room, aNow);
+  limit.mAllowance = limit.mPerSecond ? AllowanceAt(limit, aNow) : 1;
+  limit.mAllowanceTime = aNow;
+  limit.mPerSecond = rate;
+  limit.mCapacity = std::max(1.0, room / share.mParts);
+  // The first requests count too where the rule leaves no room for them.
+  limit.mRate = share.mIsSender
+                  ? std::max(0.0, std::min(rate, most - room)) / share.mParts
+                  : 0;
+  limit.mAllowance =
+    share.mIsSender ? std::min(limit.mAllowance, limit.mCapacity) : 0;
+}
+
 void
 RecordLimit(ForwarderState& aState,
             TargetState& aTarget,
@@ -209,6 +273,13 @@
                     std::chrono::duration<double>(seconds)));
 }
 
+Duration
+WaitForColdLimit(const TargetState& aTarget, TimePoint aNow)
+{
+  return aNow < aTarget.mWarmUntil ? WaitForAllowance(aTarget.mColdLimit, aNow)
+                                   : Duration::zero();
+}
+
 void
 TakeAllowance(RequestLimit& aLimit, TimePoint aNow)
 {
--- a/modules/wasabispread_forwarding_decisions/RequestLimit.h
+++ b/modules/wasabispread_forwarding_decisions/RequestLimit.h
@@ -20,6 +20,14 @@
 struct ForwarderState;
 struct TargetState;
 
+/** By how much the requests of a second may exceed the rate that a cold target
+    takes from all VMs: by a factor and by a number. */
+struct ColdRule
+{
+  double mOverage = 1;
+  double mSlack = 0;
+};
+
 /** A target's limit as its last reply named it, and this VM's part of it. */
 struct RequestLimit
 {
@@ -48,11 +56,23 @@
 void
 RefreshLimit(ForwarderState& aState, TargetState& aTarget, TimePoint aNow);
 
+/** Recomputes this VM's part of the rate that the configuration names for the
+    target while it is cold. */
+void
+RefreshColdLimit(ForwarderState& aState,
+                 TargetState& aTarget,
+                 TimePoint aNow);
+
 /** How long until the target's limit lets this VM send a request; zero when it
     may send one now. */
 Duration
 WaitForAllowance(const RequestLimit& aLimit, TimePoint aNow);
 
+/** As WaitForAllowance(), for the limit of a cold target; zero once it is
+    warm. */
+Duration
+WaitForColdLimit(const TargetState& aTarget, TimePoint aNow);
+
 /** Counts a request that is going to be sent. */
 void
 TakeAllowance(RequestLimit& aLimit, TimePoint aNow);
--- a/modules/wasabispread_forwarding_decisions/RequestState.h
+++ b/modules/wasabispread_forwarding_decisions/RequestState.h
@@ -5,6 +5,7 @@
 
 #include "Routing.h"
 #include "TargetPool.h"
+#include "organisations/RequestOwner.h"
 
 #include <memory>
 #include <optional>
@@ -110,6 +111,8 @@
   /** The route that mRoute points to when it is not part of a configuration, as
       for a sub-search. */
   std::shared_ptr<const Route> mOwnRoute;
+  /** Whose request it is. */
+  RequestOwner mOwner;
   /** The origin of a sub-search; none for a caller's request. */
   std::optional<SubSearchOrigin> mOrigin;
   std::vector<SentSubSearch> mSentSubSearches;
--- a/modules/wasabispread_forwarding_decisions/RequestSteps.h
+++ b/modules/wasabispread_forwarding_decisions/RequestSteps.h
@@ -52,8 +52,7 @@
                         TimePoint aNow,
                         ForwarderEffects& aEffects);
 
-/** Removes and returns the next waiting sub-request: by the route's priority,
-    then by arrival. None when none waits any more. */
+/** Removes and returns the next waiting sub-request: by rank, then by arrival. None when none waits any more. */
 std::optional<SubRequestRef>
 TakeNextWaitingSubRequest(ForwarderState& aState, TargetState& aTarget);
 
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -26,7 +26,7 @@
 constexpr double kReservedForRetries = 0.25;
 
 void
-LogRefusal(const RequestArrived& aEvent,
+LogRefusal(const ForwardedRequest& aRequest,
            const ForwarderState& aState,
            const Problem& aProblem,
            ForwarderEffects& aEffects)
@@ -38,8 +38,8 @@
   std::vector<RecordField> fields{ { "outcome",
                                      std::string(ToText(aProblem.mKind)) },
                                    { "reason", aProblem.mMessage },
-                                   { "host", aEvent.mRequest->mHost },
-                                   { "path", aEvent.mRequest->mTarget },
+                                   { "host", aRequest.mHost },
+                                   { "path", aRequest.mTarget },
                                    { "version", version } };
   if (aProblem.mRetryAfter) {
     fields.push_back(
@@ -47,10 +47,25 @@
   }
   aEffects.push_back(WriteDecisionRecord{ { RecordClass::kFailure,
                                             "request-refused",
-                                            aEvent.mRequest->mId,
+                                            aRequest.mId,
                                             std::move(fields) } });
 }
 
+/** Answers a request of which nothing was sent. */
+void
+Refuse(ForwarderState& aState,
+       const ForwardedRequest& aRequest,
+       Problem aProblem,
+       ForwarderEffects& aEffects)
+{
+  ++aState.mCounters.mRefused;
+  aState.mCounters.mUnauthorised +=
+    aProblem.mKind == ProblemKind::kUnauthorised ? 1U : 0U;
+  LogRefusal(aRequest, aState, aProblem, aEffects);
+  aEffects.push_back(
+    AnswerRequest{ aRequest.mToken, aRequest.mId, std::move(aProblem) });
+}
+
 /** The number of shards that an answer needs. */
 std::size_t
 MinShards(const Route& aRoute)
@@ -74,14 +89,21 @@
   aRequest.mPending = aRequest.mSubRequests.size();
 }
 
+/** A request that arrived, with what was found for it. */
+struct Admission
+{
+  ForwardedRequestPointer mMessage;
+  const Route* mRoute = nullptr;
+  RequestOwner mOwner;
+  TimePoint mArrived{};
+};
+
 RequestState&
-AddRequest(ForwarderState& aState,
-           const ForwardedRequestPointer& aMessage,
-           TimePoint aNow)
+AddRequest(ForwarderState& aState, Admission aAdmission)
 {
-  const Route* route =
-    FindRoute(*aState.mConfiguration, aMessage->mHost, aMessage->mTarget);
-  assert(route != nullptr);
+  const ForwardedRequestPointer& aMessage = aAdmission.mMessage;
+  const Route* route = aAdmission.mRoute;
+  const TimePoint aNow = aAdmission.mArrived;
   RouteState& routeState = aState.mRoutes[route->mId];
   routeState.mSoftTimeout = route->mSoftTimeout;
   if (aMessage->mCallerTimeout) {
@@ -93,6 +115,7 @@
   request.mRequest = aMessage;
   request.mConfiguration = aState.mConfiguration;
   request.mRoute = route;
+  request.mOwner = std::move(aAdmission.mOwner);
   request.mArrived = aNow;
   const Duration roundTrip = aState.mPolicy.mCallerRoundTrip;
   const Duration reserve =
@@ -108,6 +131,48 @@
   return aState.mRequests.emplace(key, std::move(request)).first->second;
 }
 
+bool
+IsKnowledgeTooOld(const ForwarderState& aState,
+                  const ForwardedRequest& aRequest,
+                  TimePoint aNow)
+{
+  const Route* route =
+    aState.mConfiguration == nullptr
+      ? nullptr
+      : FindRoute(
+          *aState.mConfiguration, aRequest.mHost, aRequest.mTarget);
+  return route != nullptr &&
+         DecideKey(aState, aRequest, *route, aNow).mVerdict ==
+           KeyVerdict::kKnowledgeTooOld;
+}
+
+/** What was found for a request that CheckRequest() allows. */
+Admission
+Admit(const ForwarderState& aState,
+      const ForwardedRequestPointer& aMessage,
+      TimePoint aArrived,
+      TimePoint aNow)
+{
+  Admission admission;
+  admission.mMessage = aMessage;
+  admission.mArrived = aArrived;
+  admission.mRoute =
+    FindRoute(*aState.mConfiguration, aMessage->mHost, aMessage->mTarget);
+  assert(admission.mRoute != nullptr);
+  admission.mOwner =
+    OwnerOf(*aState.mConfiguration,
+            *admission.mRoute,
+            DecideKey(aState, *aMessage, *admission.mRoute, aNow)
+              .mOrganisation);
+  return admission;
+}
+
+void
+Begin(ForwarderState& aState,
+      const Admission& aAdmission,
+      TimePoint aNow,
+      ForwarderEffects& aEffects);
+
 /** Whether a hedge at another target could still answer in time. */
 bool
 IsHedgeUseful(const ForwarderState& aState,
@@ -146,7 +211,7 @@
     return;
   }
   TargetState* other = ChooseTarget(
-    aState, subRequest.mService, route.mId, subRequest.mTriedTargets, aNow);
+    aState, aRequest, subRequest.mService, subRequest.mTriedTargets, aNow);
   if (other == nullptr || !HasUsableIdle(aState, *other, aNow, aEffects) ||
       !IsHedgeUseful(aState, aRequest, *other, aNow)) {
     // Tried again later: a connection may be idle by then.
@@ -195,8 +260,8 @@
   SubRequest& subRequest = aRequest.mSubRequests[aSubRequest];
   std::vector<TargetKey> excluded = subRequest.mTriedTargets;
   excluded.push_back(subRequest.mAwaitedTarget);
-  TargetState* other = ChooseTarget(
-    aState, subRequest.mService, aRequest.mRoute->mId, excluded, aNow);
+  TargetState* other =
+    ChooseTarget(aState, aRequest, subRequest.mService, excluded, aNow);
   if (other != nullptr && HasUsableIdle(aState, *other, aNow, aEffects)) {
     subRequest.mAwaitedTarget = TargetKey{};
     CountSend(*other, aNow);
@@ -275,14 +340,91 @@
                      ForwarderEffects& aEffects)
 {
   ++aState.mCounters.mRequests;
-  if (auto problem = CheckRequest(aState, *aEvent.mRequest, aNow)) {
-    ++aState.mCounters.mRefused;
-    LogRefusal(aEvent, aState, *problem, aEffects);
-    aEffects.push_back(AnswerRequest{
-      aEvent.mRequest->mToken, aEvent.mRequest->mId, std::move(*problem) });
+  const ForwardedRequest& message = *aEvent.mRequest;
+  if (auto problem = CheckRequest(aState, message, aNow)) {
+    aState.mCounters.mKnowledgeTooOld +=
+      IsKnowledgeTooOld(aState, message, aNow) ? 1U : 0U;
+    Refuse(aState, message, std::move(*problem), aEffects);
     return;
   }
-  RequestState& request = AddRequest(aState, aEvent.mRequest, aNow);
+  const Admission admission = Admit(aState, aEvent.mRequest, aNow, aNow);
+  const QuotaDecision quota = TakeQuota(
+    aState,
+    admission.mOwner,
+    WaitingRequest{ aEvent.mRequest, aNow, admission.mOwner.mRank },
+    aNow,
+    aEffects);
+  if (quota.mOutcome == QuotaOutcome::kGranted) {
+    Begin(aState, admission, aNow, aEffects);
+  } else if (quota.mOutcome == QuotaOutcome::kWaits) {
+    ++aState.mCounters.mWaitedForQuota;
+  } else {
+    RefuseForQuota(aState, message, quota, aEffects);
+  }
+}
+
+OrganisationLimit
+LimitOf(const ForwarderState& aState, OrganisationId aOrganisation)
+{
+  if (aState.mConfiguration == nullptr ||
+      !aState.mConfiguration->mOrganisations) {
+    return {};
+  }
+  const Organisation* organisation =
+    aState.mConfiguration->mOrganisations->Find(aOrganisation);
+  return organisation == nullptr ? OrganisationLimit{} : organisation->mLimit;
+}
+
+void
+RefuseForQuota(ForwarderState& aState,
+               const ForwardedRequest& aRequest,
+               const QuotaDecision& aDecision,
+               ForwarderEffects& aEffects)
+{
+  if (aDecision.mOutcome == QuotaOutcome::kUsedUp) {
+    ++aState.mCounters.mOverQuota;
+    Refuse(aState,
+           aRequest,
+           Problem{ ProblemKind::kOverQuota,
+                    "the quota of the caller's organisation is used up",
+                    "retry the request after the time given",
+                    aDecision.mRetryAfter },
+           aEffects);
+    return;
+  }
+  ++aState.mCounters.mQuotaUnavailable;
+  Problem problem = NotRunProblem("no VM grants the quota of the caller's "
+                                  "organisation now",
+                                  aDecision.mRetryAfter);
+  // Another VM may hold quota, or reach the VM that grants it.
+  problem.mClosesConnection = true;
+  Refuse(aState, aRequest, std::move(problem), aEffects);
+}
+
+void
+AdmitWithQuota(ForwarderState& aState,
+               const ForwardedRequestPointer& aRequest,
+               TimePoint aArrived,
+               TimePoint aNow,
+               ForwarderEffects& aEffects)
+{
+  // The configuration may have changed while it waited.
+  if (auto problem = CheckRequest(aState, *aRequest, aNow)) {
+    Refuse(aState, *aRequest, std::move(*problem), aEffects);
+    return;
+  }
+  Begin(aState, Admit(aState, aRequest, aArrived, aNow), aNow, aEffects);
+}
+
+namespace {
+
+void
+Begin(ForwarderState& aState,
+      const Admission& aAdmission,
+      TimePoint aNow,
+      ForwarderEffects& aEffects)
+{
+  RequestState& request = AddRequest(aState, aAdmission);
   SendSubSearches(aState, request, aNow, aEffects);
   std::vector<std::uint32_t> undispatched;
   for (std::uint32_t subRequest = 0; subRequest < request.mSubRequests.size();
@@ -303,6 +445,8 @@
   AnswerIfDue(aState, request, aNow, aEffects);
 }
 
+} // namespace
+
 void
 AwaitPausesOrFail(const ForwarderState& aState,
                   RequestState& aRequest,
@@ -343,6 +487,10 @@
                          TimePoint aNow,
                          ForwarderEffects& aEffects)
 {
+  if (RemoveWaitingRequest(aState, aEvent.mToken)) {
+    ++aState.mCounters.mCallersDisconnected;
+    return;
+  }
   const auto found = aState.mRequestOfCaller.find(aEvent.mToken);
   if (found == aState.mRequestOfCaller.end()) {
     return;
@@ -396,7 +544,7 @@
   SubRequest& subRequest = aRequest.mSubRequests[aSubRequest];
   const RouteId route = aRequest.mRoute->mId;
   TargetState* target = ChooseTarget(
-    aState, subRequest.mService, route, subRequest.mTriedTargets, aNow);
+    aState, aRequest, subRequest.mService, subRequest.mTriedTargets, aNow);
   if (target == nullptr) {
     return false;
   }
--- a/modules/wasabispread_forwarding_decisions/Routing.h
+++ b/modules/wasabispread_forwarding_decisions/Routing.h
@@ -55,6 +55,10 @@
   std::size_t mTopRecords = 0;
   /** The minimum share of shards, 0 to 1, that an answer must have. */
   double mMinCoverage = 0;
+  /** Whether requests need no key. */
+  bool mIsPublic = false;
+  /** The regions whose targets may serve it; empty for all. */
+  std::vector<RegionName> mRegions;
 
   bool IsSearch() const { return !mShards.empty(); }
 
@@ -73,6 +77,9 @@
   /** Maximum number of connections that one target accepts from all its callers
       together. */
   unsigned mMaxConnections = 1;
+  /** The requests per second that a cold target takes from all VMs together; 0
+      when no bound is named. */
+  double mColdRate = 0;
 };
 
 /** Limits on the size of callers' requests, and on the time they take. */
@@ -91,6 +98,9 @@
   std::vector<Route> mRoutes;
   std::unordered_map<ServiceId, ServiceRecord> mServices;
   CallerLimits mLimits;
+  /** The organisations whose keys requests carry; none when requests need no
+      key. */
+  std::optional<OrganisationDirectory> mOrganisations;
   /** The positions in mRoutes of each host's routes, longest prefix first. */
   std::map<std::string, std::vector<std::size_t>, std::less<>> mRoutesOfHost;
 };
--- a/modules/wasabispread_forwarding_decisions/ShardOwnership.cpp
+++ b/modules/wasabispread_forwarding_decisions/ShardOwnership.cpp
@@ -101,7 +101,10 @@
   const auto targets = aState.mTargetsOfService.find(aShard);
   if (targets != aState.mTargetsOfService.end()) {
     for (const TargetKey key : targets->second) {
-      zones.insert(aState.mTargets.at(key).mRecord.mZone);
+      const ZoneName& zone = aState.mTargets.at(key).mRecord.mZone;
+      if (!IsEvacuated(aState, zone)) {
+        zones.insert(zone);
+      }
     }
   }
   return zones;
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -96,6 +96,21 @@
     RemoveMember(mState.mMembership, aChange.mName, mNow);
   }
 
+  void operator()(const EvacuationChange& aChange)
+  {
+    ApplyEvacuation(mState, aChange, mNow, mEffects);
+  }
+
+  void operator()(const QuotaClaimChange& aChange)
+  {
+    ApplyClaim(mState, aChange, mNow);
+  }
+
+  void operator()(const QuotaClaimRemoval& aChange)
+  {
+    RemoveClaim(mState, aChange.mPartition, mNow);
+  }
+
   void operator()(const UnreadableEntry& aChange)
   {
     ReportUnreadable(aChange.mKey, aChange.mReason);
@@ -329,7 +344,8 @@
     return;
   }
   HandleStoreReply(aState, aNow, aEffects);
-  if (listed && store.mNeedsFreshList) {
+  const bool isFresh = listed && store.mNeedsFreshList;
+  if (isFresh) {
     RecordComplete(aState, listed->mSince);
   }
   const bool isFirst = !store.mIsLoaded;
@@ -339,7 +355,12 @@
   }
   RemoveTargetsMissingFrom(aState, content.mEntries, aNow, aEffects);
   RemoveMembersMissingFrom(aState.mMembership, content.mEntries, aNow);
+  RemoveClaimsMissingFrom(aState, content.mEntries, aNow);
+  SetEvacuations(aState, EvacuatedZones(content.mEntries), aNow, aEffects);
   RefreshAssignments(aState, aNow, aEffects);
+  if (isFresh && content.mRevision == content.mNewestRevision) {
+    RecordSound(aState, listed->mSince);
+  }
   store.mNeedsList = false;
   store.mNeedsFreshList = false;
   store.mRevision = content.mRevision;
@@ -360,7 +381,8 @@
                      TimePoint aNow,
                      ForwarderEffects& aEffects)
 {
-  aState.mStore.mPendingCall.reset();
+  const auto watched =
+    std::exchange(aState.mStore.mPendingCall, std::nullopt);
   if (!aEvent.mResult) {
     HandleStoreFailure(aState, aEvent.mResult.error(), aNow, aEffects);
     return;
@@ -382,6 +404,11 @@
   }
   ApplyChanges(aState, changes, aNow, aEffects);
   RecordComplete(aState, aNow);
+  // An answer with many changes may not hold all of them.
+  if (watched && changes.mChanges.size() < kManyChanges &&
+      store.mRevision >= store.mNewestListed) {
+    RecordSound(aState, watched->mSince);
+  }
   if (store.mIsCatchingUp) {
     const bool isBehind = store.mRevision < store.mNewestListed ||
                           changes.mChanges.size() >= kManyChanges;
@@ -454,6 +481,42 @@
   }
 }
 
+namespace {
+
+/** Removes the quota of organisations that the new configuration lacks. */
+void
+ForgetOrganisationsOf(ForwarderState& aState)
+{
+  std::erase_if(aState.mQuota.mOrganisations, [&](const auto& aEntry) {
+    return aEntry.second.mWaiting.empty() &&
+           !LimitOf(aState, aEntry.first).IsLimited();
+  });
+  for (QuotaPartition& partition : aState.mQuota.mClaims.mPartitions) {
+    std::erase_if(partition.mLedgers, [&](const auto& aEntry) {
+      return !LimitOf(aState, aEntry.first).IsLimited();
+    });
+  }
+}
+
+/** Writes a record when requests need no key from now on. */
+void
+LogKeysAbolished(const RoutingPointer& aPrevious,
+                 const RoutingConfiguration& aNext,
+                 ForwarderEffects& aEffects)
+{
+  if (aPrevious != nullptr && aPrevious->mOrganisations &&
+      !aNext.mOrganisations) {
+    aEffects.push_back(WriteDecisionRecord{
+      { RecordClass::kState,
+        "organisations-removed",
+        {},
+        { { "version", static_cast<std::int64_t>(aNext.mVersion.Value()) },
+          { "effect", std::string("requests need no key") } } } });
+  }
+}
+
+} // namespace
+
 void
 AdoptConfiguration(ForwarderState& aState,
                    const ConfigurationChange& aChange,
@@ -470,9 +533,11 @@
     aState.mConfiguration == nullptr
       ? std::int64_t{ 0 }
       : static_cast<std::int64_t>(aState.mConfiguration->mVersion.Value());
+  LogKeysAbolished(aState.mConfiguration, *aChange.mConfiguration, aEffects);
   aState.mConfiguration = aChange.mConfiguration;
   aState.mConfigurationText = aChange.mText;
   aState.mConfigurationSince = aNow;
+  ForgetOrganisationsOf(aState);
   aState.mRoutedServices.clear();
   for (const Route& route : aState.mConfiguration->mRoutes) {
     aState.mRoutedServices.insert(route.mShards.begin(), route.mShards.end());
--- a/modules/wasabispread_forwarding_decisions/StoreFreshness.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFreshness.cpp
@@ -57,6 +57,18 @@
   return static_cast<std::size_t>(self - aFollowers.begin());
 }
 
+/** When this VM must ask the store itself, so that its knowledge of keys stays
+    usable; TimePoint::max() when it need not. */
+TimePoint
+NextSoundCheck(const ForwarderState& aState)
+{
+  const KnowledgeRule& rule = aState.mPolicy.mKnowledgeRule;
+  const bool isNeeded = rule.mIsStrict && aState.mConfiguration != nullptr &&
+                        aState.mConfiguration->mOrganisations;
+  return isNeeded ? aState.mFreshness.mSoundUntil + RefreshAge(rule)
+                  : TimePoint::max();
+}
+
 TimePoint
 NextCheck(const ForwarderState& aState)
 {
@@ -64,7 +76,7 @@
     std::min(OwnPosition(aState, Followers(aState)), kMaxStaggeredVms);
   const TimePoint tooOld = aState.mFreshness.mCompleteUntil + kCheckInterval +
                            kCheckStagger * static_cast<int>(position);
-  return std::max({ tooOld,
+  return std::max({ std::min(tooOld, NextSoundCheck(aState)),
                     aState.mStore.mPendingCall->mSince + kMinWatchAge,
                     aState.mFreshness.mCheckedAt + kCheckInterval });
 }
@@ -119,6 +131,19 @@
 
 } // namespace
 
+Duration
+SoundAge(const ForwarderState& aState, TimePoint aNow)
+{
+  return std::max(Duration::zero(), aNow - aState.mFreshness.mSoundUntil);
+}
+
+void
+RecordSound(ForwarderState& aState, TimePoint aTime)
+{
+  TimePoint& soundUntil = aState.mFreshness.mSoundUntil;
+  soundUntil = std::max(soundUntil, aTime);
+}
+
 Duration
 KnowledgeAge(const ForwarderState& aState, TimePoint aNow)
 {
@@ -181,6 +206,9 @@
   aState.mFreshness.mIsCheckPending = false;
   if (aEvent.mResult) {
     RecordRevision(aState, *aEvent.mResult, checkedAt, aNow);
+    if (*aEvent.mResult <= aState.mStore.mRevision) {
+      RecordSound(aState, checkedAt);
+    }
     ReportRevision(aState, *aEvent.mResult, aNow - checkedAt, aEffects);
   } else if (IsWatching(aState.mStore) &&
              aState.mStore.mPendingCall->mSince <= checkedAt) {
--- a/modules/wasabispread_forwarding_decisions/StoreFreshness.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFreshness.h
@@ -24,6 +24,10 @@
   /** All changes that the store had up to this time are applied. It only
       rises. */
   TimePoint mCompleteUntil{};
+  /** As mCompleteUntil, but beyond doubt: counted from when the question was
+      sent whose answer shows it. An answer may arrive long after it was given.
+      The epoch while nothing is known. */
+  TimePoint mSoundUntil{};
   /** The newest revision that the store is known to have; it may be above the
       one up to which changes are applied. */
   StoreRevision mNewestSeen;
@@ -42,6 +46,15 @@
 void
 RecordComplete(ForwarderState& aState, TimePoint aTime);
 
+/** How old this VM's knowledge of the store is at most, beyond doubt. */
+Duration
+SoundAge(const ForwarderState& aState, TimePoint aNow);
+
+/** Records that all changes that the store had at aTime are applied, where
+    aTime is before the question was sent whose answer shows it. */
+void
+RecordSound(ForwarderState& aState, TimePoint aTime);
+
 /** Sees to it that the watch that was just begun is checked. */
 void
 ScheduleStoreCheck(ForwarderState& aState, TimePoint aNow);
--- a/modules/wasabispread_forwarding_decisions/StoreMessage.h
+++ b/modules/wasabispread_forwarding_decisions/StoreMessage.h
@@ -66,6 +66,44 @@
   std::string mName;
 };
 
+/** The targets of a zone are to get no requests, or may get them again. */
+struct EvacuationChange
+{
+  ZoneName mZone;
+  bool mIsEvacuated = true;
+};
+
+/** A VM claimed to grant the quota of the organisations of one partition. */
+struct QuotaClaimChange
+{
+  std::uint32_t mPartition = 0;
+  std::string mVm;
+  Endpoint mAddress;
+  /** The revision of the claim. */
+  StoreRevision mTerm;
+};
+
+/** A claim ended. */
+struct QuotaClaimRemoval
+{
+  std::uint32_t mPartition = 0;
+};
+
+/** A claim that is to be written if the partition's claim still has the
+    revision mKnown; 0 stands for none. */
+struct QuotaClaim
+{
+  std::uint32_t mPartition = 0;
+  StoreRevision mKnown;
+};
+
+/** What a lease is for. */
+enum class LeasePurpose : std::uint8_t
+{
+  kMembership,
+  kQuota,
+};
+
 /** An entry that cannot be read and changes nothing. */
 struct UnreadableEntry
 {
@@ -78,6 +116,9 @@
                                  TargetRemoval,
                                  MemberChange,
                                  MemberRemoval,
+                                 EvacuationChange,
+                                 QuotaClaimChange,
+                                 QuotaClaimRemoval,
                                  UnreadableEntry>;
 
 /** Entries of the store. */
--- a/modules/wasabispread_forwarding_decisions/SubSearches.cpp
+++ b/modules/wasabispread_forwarding_decisions/SubSearches.cpp
@@ -125,6 +125,17 @@
   for (const HttpHeader& header : request.mMessage.mHeaders) {
     search.mFields.push_back({ header.mName, header.mValue });
   }
+  if (aRequest.mOwner.mForwardsCredentials) {
+    for (const HttpHeader& header : request.mCredentials) {
+      search.mFields.push_back({ header.mName, header.mValue });
+    }
+  }
+  search.mOrganisation = aRequest.mOwner.mName;
+  search.mRank = aRequest.mOwner.mRank.mFirst;
+  search.mRouteRank = aRequest.mOwner.mRank.mRoute;
+  for (const RegionName& region : aRequest.mOwner.mRegions) {
+    search.mRegions.push_back(region.Value());
+  }
   search.mBody = request.mMessage.mBody;
   search.mRoute = aRequest.mRoute->mId.Value();
   for (const std::uint32_t subRequest : aSubSearch.mSubRequests) {
@@ -152,6 +163,19 @@
          member->second.mRecord.mZone == aState.mPolicy.mZone;
 }
 
+/** Whether a VM lies in the regions to which the request is bound. */
+bool
+MayGetBody(const ForwarderState& aState,
+           const std::string& aVm,
+           const RequestState& aRequest)
+{
+  const auto member = aState.mMembership.mMembers.find(aVm);
+  return member != aState.mMembership.mMembers.end() &&
+         IsInRegions(aState,
+                     member->second.mRecord.mZone,
+                     aRequest.mOwner.mRegions);
+}
+
 /** How much earlier than the soft deadline a shard owner is asked to report, so
     that its results arrive by then. */
 Duration
@@ -308,7 +332,10 @@
     SubRequest& subRequest = aRequest.mSubRequests[index];
     const bool isOwnerSilent =
       areOthersSilent && IsOwnedInOtherZone(aState, subRequest.mService);
-    if (isOwnerSilent || IsOwnShard(aState, subRequest.mService)) {
+    if (isOwnerSilent || IsOwnShard(aState, subRequest.mService) ||
+        !MayGetBody(
+          aState, aState.mShardOwnership.OwnerOf(subRequest.mService),
+          aRequest)) {
       continue;
     }
     subRequest.mIsAtShardOwner = true;
@@ -531,7 +558,13 @@
   route->mMaxTargets = search.mMaxTargets;
   route->mTopRecords = search.mTopRecords;
   route->mShards = search.mShards;
+  route->mPriority = search.mRouteRank;
   RequestState request;
+  request.mOwner.mName = search.mOrganisation;
+  request.mOwner.mRank = { search.mRank, search.mRouteRank };
+  for (const std::string& region : search.mRegions) {
+    request.mOwner.mRegions.emplace_back(region);
+  }
   request.mKey = RequestKey(aState.mNextRequest++);
   request.mRequest = aEvent.mRequest;
   request.mConfiguration = aState.mConfiguration;
--- a/modules/wasabispread_forwarding_decisions/TargetAssignment.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetAssignment.cpp
@@ -107,9 +107,11 @@
   if (aState.mConfiguration == nullptr) {
     return;
   }
+  ReviewQuotaClaims(aState, aNow, aEffects);
   RefreshShardOwnership(aState, aNow);
   for (auto& [key, target] : aState.mTargets) {
     RefreshLimit(aState, target, aNow);
+    RefreshColdLimit(aState, target, aNow);
   }
   ConnectToOwners(aState, aNow, aEffects);
   const std::vector<std::string> vms = MemberNames(aState);
--- a/modules/wasabispread_forwarding_decisions/TargetPause.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetPause.cpp
@@ -69,9 +69,9 @@
   }
 }
 
-/** Whether another target of the service, or this one, is in a pause. */
+/** Whether a target of the service is put aside for a while. */
 bool
-HasPausedTarget(const ForwarderState& aState,
+HasTargetAside(const ForwarderState& aState,
                 ServiceId aService,
                 TimePoint aNow)
 {
@@ -79,8 +79,7 @@
   return targets != aState.mTargetsOfService.end() &&
          std::any_of(
            targets->second.begin(), targets->second.end(), [&](TargetKey aKey) {
-             return WaitForPause(aState.mTargets.at(aKey), aNow) >
-                    Duration::zero();
+             return IsAside(aState, aState.mTargets.at(aKey), aNow);
            });
 }
 
@@ -113,7 +112,7 @@
   if (aTarget.mIsRetired || !isLonger) {
     return;
   }
-  const bool isFirst = WaitForPause(aTarget, aNow) == Duration::zero();
+  const bool isFirst = !IsAside(aState, aTarget, aNow);
   aTarget.mPausedUntil = until;
   aState.mTimers.Arm(until, ForwarderTimer::kPauseEnd, aTarget.mKey.Value());
   if (!isFirst) {
@@ -121,6 +120,24 @@
   }
   LogPutAside(
     aState, "target-put-aside", aTarget.mRecord, "pause", aPause, aEffects);
+  MoveLoadAway(aState, aTarget, aNow);
+  MoveWaitingSubRequests(aState, aTarget.mKey, aNow, aEffects);
+}
+
+} // namespace
+
+bool
+IsAside(const ForwarderState& aState,
+        const TargetState& aTarget,
+        TimePoint aNow)
+{
+  return WaitForPause(aTarget, aNow) > Duration::zero() ||
+         IsEvacuated(aState, aTarget.mRecord.mZone);
+}
+
+void
+MoveLoadAway(ForwarderState& aState, TargetState& aTarget, TimePoint aNow)
+{
   const double mean = MeanRate(aState, aTarget.mRecord.mService, aNow);
   const auto usualRate = [&](const TargetState& aAny) {
     return std::max(mean, RateAt(aAny.mSendRate, aNow));
@@ -130,14 +147,23 @@
   for (const TargetKey key :
        aState.mTargetsOfService[aTarget.mRecord.mService]) {
     TargetState& other = aState.mTargets.at(key);
-    if (WaitForPause(other, aNow) == Duration::zero()) {
+    if (!IsAside(aState, other, aNow)) {
       BeginTakeover(other.mPace, usualRate(other), aNow);
     }
   }
-  MoveWaitingSubRequests(aState, aTarget.mKey, aNow, aEffects);
 }
 
-} // namespace
+void
+TakeLoadBack(ForwarderState& aState, TargetState& aTarget, TimePoint aNow)
+{
+  if (!HasTargetAside(aState, aTarget.mRecord.mService, aNow)) {
+    for (const TargetKey key :
+         aState.mTargetsOfService[aTarget.mRecord.mService]) {
+      aState.mTargets.at(key).mPace = {};
+    }
+  }
+  BeginReturn(aTarget.mPace, aTarget.mRateBeforePause, aNow);
+}
 
 void
 RecordStatedAvailability(ForwarderState& aState,
@@ -212,13 +238,10 @@
               "pause",
               std::nullopt,
               aEffects);
-  if (!HasPausedTarget(aState, target.mRecord.mService, aNow)) {
-    for (const TargetKey key :
-         aState.mTargetsOfService[target.mRecord.mService]) {
-      aState.mTargets.at(key).mPace = {};
-    }
+  if (IsAside(aState, target, aNow)) {
+    return;
   }
-  BeginReturn(target.mPace, target.mRateBeforePause, aNow);
+  TakeLoadBack(aState, target, aNow);
   EnsureConnection(aState, target, aNow, aEffects);
 }
 
--- a/modules/wasabispread_forwarding_decisions/TargetPool.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.cpp
@@ -133,6 +133,7 @@
 CountSend(TargetState& aTarget, TimePoint aNow)
 {
   TakeAllowance(aTarget.mLimit, aNow);
+  TakeAllowance(aTarget.mColdLimit, aNow);
   CountSent(aTarget.mSendRate, aTarget.mPace, aNow);
 }
 
@@ -146,6 +147,7 @@
     aNow >= aState.mStarted + kStartupSettleTime &&
     aTarget.mConnections.empty() && aTarget.mIsAssigned &&
     WaitForPause(aTarget, aNow) == Duration::zero() &&
+    !IsEvacuated(aState, aTarget.mRecord.mZone) &&
     aState.mRoutedServices.contains(aTarget.mRecord.mService);
   if (isWanted && MayConnect(aState, aTarget, aNow)) {
     OpenTargetConnection(aState, aTarget, aNow, aEffects);
--- a/modules/wasabispread_forwarding_decisions/TargetPool.h
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.h
@@ -95,6 +95,11 @@
   TimePoint mConnectAfter{};
   Duration mConnectBackoff{};
   RequestLimit mLimit;
+  /** What the configuration allows while the target is cold. */
+  RequestLimit mColdLimit;
+  /** What it last stated about its load, and when. */
+  std::optional<TargetLoad> mLoad;
+  TimePoint mLoadTime{};
   /** Until when the target wants no request. */
   TimePoint mPausedUntil{};
   /** The requests per second that are usual for it, as of the begin of its last
--- a/modules/wasabispread_forwarding_decisions/TargetSelection.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetSelection.cpp
@@ -151,7 +151,7 @@
               const TargetState& aTarget,
               TimePoint aNow)
 {
-  return !aTarget.mIsRetired &&
+  return !aTarget.mIsRetired && !IsEvacuated(aState, aTarget.mRecord.mZone) &&
          (!aTarget.mConnections.empty() || MayConnect(aState, aTarget, aNow));
 }
 
@@ -163,16 +163,18 @@
   return IsConnectable(aState, aTarget, aNow) &&
          WaitForPause(aTarget, aNow) == Duration::zero() &&
          WaitForPace(aTarget.mPace, aNow) == Duration::zero() &&
-         WaitForAllowance(aTarget.mLimit, aNow) == Duration::zero();
+         WaitForAllowance(aTarget.mLimit, aNow) == Duration::zero() &&
+         WaitForColdLimit(aTarget, aNow) == Duration::zero();
 }
 
 TargetState*
 ChooseTarget(ForwarderState& aState,
+             const RequestState& aRequest,
              ServiceId aService,
-             RouteId aRoute,
              const std::vector<TargetKey>& aExcluded,
              TimePoint aNow)
 {
+  const RouteId route = aRequest.mRoute->mId;
   const auto ofService = aState.mTargetsOfService.find(aService);
   if (ofService == aState.mTargetsOfService.end()) {
     return nullptr;
@@ -184,7 +186,9 @@
     TargetState& target = aState.mTargets.at(key);
     const bool isExcluded =
       std::find(aExcluded.begin(), aExcluded.end(), key) != aExcluded.end();
-    if (isExcluded || !CanAcceptRequest(aState, target, aNow)) {
+    if (isExcluded || !CanAcceptRequest(aState, target, aNow) ||
+        !IsInRegions(
+          aState, target.mRecord.mZone, aRequest.mOwner.mRegions)) {
       continue;
     }
     const bool isAssigned = target.mIsAssigned || !target.mIdle.empty();
@@ -193,8 +197,8 @@
     }
     const bool isInOtherZone = target.mRecord.mZone != aState.mPolicy.mZone;
     const Duration expected =
-      ExpectedTime(aState, target, aRoute, aNow) +
-      (isInOtherZone ? OtherZoneCost(aState, aRoute) : Duration::zero());
+      ExpectedTime(aState, target, route, aNow) +
+      (isInOtherZone ? OtherZoneCost(aState, route) : Duration::zero());
     if (expected < shortest || (isAssigned && !isBestAssigned)) {
       shortest = expected;
       best = &target;
--- a/modules/wasabispread_forwarding_decisions/TargetSelection.h
+++ b/modules/wasabispread_forwarding_decisions/TargetSelection.h
@@ -32,12 +32,12 @@
            RouteId aRoute);
 
 /** The target of a service with the lowest expected time among those not in
-    aExcluded; null when none can accept a request. Targets assigned to this VM
-    come first. */
+    aExcluded and in the regions of aRequest; null when none can accept it.
+    Targets assigned to this VM come first. */
 TargetState*
 ChooseTarget(ForwarderState& aState,
+             const RequestState& aRequest,
              ServiceId aService,
-             RouteId aRoute,
              const std::vector<TargetKey>& aExcluded,
              TimePoint aNow);
 
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -42,6 +42,12 @@
 #include "TargetPause.h"
 #include "TargetPool.h"
 
+#include "organisations/QuotaClaims.h"
+#include "organisations/QuotaState.h"
+#include "organisations/RequestOwner.h"
+#include "placement/Evacuation.h"
+#include "placement/Homes.h"
+
 #include "RequestState.h"
 
 #include "ForwarderState.h"
@@ -53,6 +59,8 @@
 #include "TargetAssignment.h"
 #include "TargetSelection.h"
 
+#include "organisations/QuotaUse.h"
+
 #include "RequestHandling.h"
 #include "SubSearches.h"
 
--- a/modules/wasabispread_wire/ControlFrames.cpp
+++ b/modules/wasabispread_wire/ControlFrames.cpp
@@ -254,6 +254,13 @@
                           target->slots() });
     }
   }
+  reply.mSequence = aMessage.sequence();
+  reply.mAge = OptionalDuration(aMessage.age_us());
+  if (aMessage.evacuated_zones() != nullptr) {
+    for (const flatbuffers::String* zone : *aMessage.evacuated_zones()) {
+      reply.mEvacuatedZones.emplace_back(zone->str());
+    }
+  }
   return PeerFrame(PeerMessage(std::move(reply)));
 }
 
@@ -386,7 +393,8 @@
 EncodeInto(Builder& aBuilder, const RoutingRequest& aMessage)
 {
   const auto message =
-    frame::CreateRoutingRequest(aBuilder, aMessage.mKnownVersion);
+    frame::CreateRoutingRequest(
+      aBuilder, aMessage.mKnownVersion, aMessage.mSequence);
   return { frame::Message::RoutingRequest, message.Union() };
 }
 
@@ -414,8 +422,19 @@
                                                     target.mSlots));
   }
   const auto targetVector = aBuilder.CreateVector(targets);
-  const auto message = frame::CreateRoutingReply(
-    aBuilder, static_cast<std::uint32_t>(text.size()), bytes, targetVector);
+  std::vector<flatbuffers::Offset<flatbuffers::String>> zones;
+  for (const ZoneName& zone : aMessage.mEvacuatedZones) {
+    zones.push_back(aBuilder.CreateString(zone.Value()));
+  }
+  const auto zoneVector = aBuilder.CreateVector(zones);
+  const auto message =
+    frame::CreateRoutingReply(aBuilder,
+                              static_cast<std::uint32_t>(text.size()),
+                              bytes,
+                              targetVector,
+                              aMessage.mSequence,
+                              OptionalMicroseconds(aMessage.mAge),
+                              zoneVector);
   return { frame::Message::RoutingReply, message.Union() };
 }
 
@@ -462,9 +481,11 @@
         *aFrame.message_as_ConfirmationRequest());
     case frame::Message::ConfirmationReply:
       return DecodeConfirmation(*aFrame.message_as_ConfirmationReply());
-    case frame::Message::RoutingRequest:
+    case frame::Message::RoutingRequest: {
+      const auto* request = aFrame.message_as_RoutingRequest();
       return PeerFrame(PeerMessage(
-        RoutingRequest{ aFrame.message_as_RoutingRequest()->known_version() }));
+        RoutingRequest{ request->known_version(), request->sequence() }));
+    }
     case frame::Message::RoutingReply:
       return DecodeRouting(*aFrame.message_as_RoutingReply());
     case frame::Message::SubSearch:
@@ -481,13 +502,17 @@
         SubSearchConfirm{ aFrame.message_as_SubSearchConfirm()->sequence() }));
     case frame::Message::ChangesRequest: {
       const auto* request = aFrame.message_as_ChangesRequest();
-      return PeerFrame(
-        PeerMessage(ChangesRequest{ request->sequence(), request->after() }));
+      return PeerFrame(PeerMessage(ChangesRequest{
+        request->sequence(), request->after(), request->era() }));
     }
     case frame::Message::ChangesReply:
       return DecodeChanges(*aFrame.message_as_ChangesReply());
     case frame::Message::RevisionReport:
       return DecodeReport(*aFrame.message_as_RevisionReport());
+    case frame::Message::QuotaRequest:
+      return DecodeQuota(*aFrame.message_as_QuotaRequest());
+    case frame::Message::QuotaReply:
+      return DecodeQuota(*aFrame.message_as_QuotaReply());
     default:
       return Invalid("a frame holds a message that this release does not know");
   }
--- a/modules/wasabispread_wire/HttpMessage.cpp
+++ b/modules/wasabispread_wire/HttpMessage.cpp
@@ -75,6 +75,12 @@
 
 } // namespace
 
+bool
+IsNamed(const HttpHeader& aHeader, std::string_view aName)
+{
+  return EqualsWithoutCase(aHeader.mName, aName);
+}
+
 std::string_view
 FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName)
 {
--- a/modules/wasabispread_wire/HttpMessage.h
+++ b/modules/wasabispread_wire/HttpMessage.h
@@ -43,6 +43,10 @@
   std::function<void(const std::string&)> mWhenWritten;
 };
 
+/** Whether a field has a name, ignoring case. */
+bool
+IsNamed(const HttpHeader& aHeader, std::string_view aName);
+
 /** Returns the value of the first field with a name, ignoring case; empty when
     there is none. */
 std::string_view
--- a/modules/wasabispread_wire/PeerProtocol.cpp
+++ b/modules/wasabispread_wire/PeerProtocol.cpp
@@ -319,6 +319,11 @@
 FrameVersionOf(const PeerMessage& aMessage)
 {
   constexpr std::uint32_t kRevisionReportVersion = 2;
+  constexpr std::uint32_t kQuotaVersion = 3;
+  if (std::holds_alternative<QuotaRequest>(aMessage) ||
+      std::holds_alternative<QuotaReply>(aMessage)) {
+    return kQuotaVersion;
+  }
   return std::holds_alternative<RevisionReport>(aMessage)
            ? kRevisionReportVersion
            : kOldestFrameVersion;
--- a/modules/wasabispread_wire/PeerProtocol.h
+++ b/modules/wasabispread_wire/PeerProtocol.h
@@ -19,7 +19,7 @@
 
 /** The oldest and the newest frame version that this release supports. */
 inline constexpr std::uint32_t kOldestFrameVersion = 1;
-inline constexpr std::uint32_t kNewestFrameVersion = 2;
+inline constexpr std::uint32_t kNewestFrameVersion = 3;
 
 /** The first frame that each side of a connection sends. */
 struct PeerHello
--- a/modules/wasabispread_wire/SearchFrames.cpp
+++ b/modules/wasabispread_wire/SearchFrames.cpp
@@ -6,6 +6,7 @@
 #include "SearchFrames.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace wasabispread {
 
@@ -14,7 +15,23 @@
 using Builder = flatbuffers::FlatBufferBuilder;
 using Strings = std::vector<flatbuffers::Offset<flatbuffers::String>>;
 
-/** Whole microseconds of a duration; 0 for a negative one. */
+constexpr std::uint64_t kNoDuration = std::numeric_limits<std::uint64_t>::max();
+
+flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>>
+Bytes(Builder& aBuilder, const std::string& aBytes)
+{
+  return aBuilder.CreateVector(
+    reinterpret_cast<const std::uint8_t*>(aBytes.data()), aBytes.size());
+}
+
+std::string
+TextFrom(const flatbuffers::Vector<std::uint8_t>& aBytes)
+{
+  return { reinterpret_cast<const char*>(aBytes.data()), aBytes.size() };
+}
+
+} // namespace
+
 std::uint64_t
 NonNegativeMicroseconds(Duration aDuration)
 {
@@ -23,8 +40,12 @@
     std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
 }
 
-/** Converts a duration from a frame. Durations above one day are shortened to
-    one day, which has the same effect. */
+std::uint64_t
+OptionalMicroseconds(std::optional<Duration> aDuration)
+{
+  return aDuration ? NonNegativeMicroseconds(*aDuration) : kNoDuration;
+}
+
 Duration
 BoundedDuration(std::uint64_t aMicroseconds)
 {
@@ -32,21 +53,14 @@
   return std::chrono::microseconds(std::min(aMicroseconds, kMaxMicroseconds));
 }
 
-flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>>
-Bytes(Builder& aBuilder, const std::string& aBytes)
+std::optional<Duration>
+OptionalDuration(std::uint64_t aMicroseconds)
 {
-  return aBuilder.CreateVector(
-    reinterpret_cast<const std::uint8_t*>(aBytes.data()), aBytes.size());
-}
-
-std::string
-TextFrom(const flatbuffers::Vector<std::uint8_t>& aBytes)
-{
-  return { reinterpret_cast<const char*>(aBytes.data()), aBytes.size() };
+  return aMicroseconds == kNoDuration
+           ? std::nullopt
+           : std::optional<Duration>(BoundedDuration(aMicroseconds));
 }
 
-} // namespace
-
 EncodedMessage
 EncodeInto(Builder& aBuilder, const SubSearch& aMessage)
 {
@@ -66,6 +80,12 @@
   const auto fieldVector = aBuilder.CreateVector(fields);
   const auto body = Bytes(aBuilder, aMessage.mBody);
   const auto shardVector = aBuilder.CreateVector(shards);
+  const auto organisation = aBuilder.CreateString(aMessage.mOrganisation);
+  Strings regions;
+  for (const std::string& region : aMessage.mRegions) {
+    regions.push_back(aBuilder.CreateString(region));
+  }
+  const auto regionVector = aBuilder.CreateVector(regions);
   const auto message =
     frame::CreateSubSearch(aBuilder,
                            aMessage.mSequence,
@@ -80,7 +100,11 @@
                            aMessage.mMaxTargets,
                            NonNegativeMicroseconds(aMessage.mSoftTimeout),
                            NonNegativeMicroseconds(aMessage.mCallerTimeout),
-                           aMessage.mMinShards);
+                           aMessage.mMinShards,
+                           organisation,
+                           aMessage.mRank,
+                           aMessage.mRouteRank,
+                           regionVector);
   return { frame::Message::SubSearch, message.Union() };
 }
 
@@ -127,7 +151,8 @@
 EncodeInto(Builder& aBuilder, const ChangesRequest& aMessage)
 {
   const auto message =
-    frame::CreateChangesRequest(aBuilder, aMessage.mSequence, aMessage.mAfter);
+    frame::CreateChangesRequest(
+      aBuilder, aMessage.mSequence, aMessage.mAfter, aMessage.mEra);
   return { frame::Message::ChangesRequest, message.Union() };
 }
 
@@ -146,7 +171,9 @@
                               aMessage.mIsRefused,
                               aMessage.mIsUnavailable,
                               NonNegativeMicroseconds(aMessage.mAge),
-                              textVector);
+                              textVector,
+                              OptionalMicroseconds(aMessage.mSoundAge),
+                              aMessage.mEra);
   return { frame::Message::ChangesReply, message.Union() };
 }
 
@@ -154,15 +181,95 @@
 EncodeInto(Builder& aBuilder, const RevisionReport& aMessage)
 {
   const auto message = frame::CreateRevisionReport(
-    aBuilder, aMessage.mRevision, NonNegativeMicroseconds(aMessage.mAge));
+    aBuilder,
+    aMessage.mRevision,
+    NonNegativeMicroseconds(aMessage.mAge),
+    aMessage.mEra);
   return { frame::Message::RevisionReport, message.Union() };
 }
 
+EncodedMessage
+EncodeInto(Builder& aBuilder, const QuotaRequest& aMessage)
+{
+  std::vector<frame::QuotaNeed> needs;
+  for (const QuotaNeed& need : aMessage.mNeeds) {
+    needs.emplace_back(need.mOrganisation.Value(),
+                       need.mTerm,
+                       need.mReceived,
+                       need.mUsed,
+                       need.mReturned,
+                       need.mWaiting,
+                       need.mWanted);
+  }
+  const auto vector = aBuilder.CreateVectorOfStructs(needs);
+  const auto message =
+    frame::CreateQuotaRequest(
+      aBuilder, aMessage.mSequence, aMessage.mSession, vector);
+  return { frame::Message::QuotaRequest, message.Union() };
+}
+
+EncodedMessage
+EncodeInto(Builder& aBuilder, const QuotaReply& aMessage)
+{
+  std::vector<frame::QuotaGrant> grants;
+  for (const QuotaGrant& grant : aMessage.mGrants) {
+    grants.emplace_back(grant.mOrganisation.Value(),
+                        grant.mTerm,
+                        grant.mGranted,
+                        NonNegativeMicroseconds(grant.mNextGrant),
+                        NonNegativeMicroseconds(grant.mRetryAfter));
+  }
+  const auto vector = aBuilder.CreateVectorOfStructs(grants);
+  const auto message =
+    frame::CreateQuotaReply(aBuilder,
+                            aMessage.mSequence,
+                            NonNegativeMicroseconds(aMessage.mValid),
+                            vector);
+  return { frame::Message::QuotaReply, message.Union() };
+}
+
+Result<PeerFrame>
+DecodeQuota(const frame::QuotaRequest& aMessage)
+{
+  QuotaRequest request;
+  request.mSequence = aMessage.sequence();
+  request.mSession = aMessage.session();
+  for (const frame::QuotaNeed* need : *aMessage.needs()) {
+    request.mNeeds.push_back(QuotaNeed{ OrganisationId(need->organisation()),
+                                        need->term(),
+                                        need->received(),
+                                        need->used(),
+                                        need->returned(),
+                                        need->waiting(),
+                                        need->wanted() });
+  }
+  return PeerFrame(PeerMessage(std::move(request)));
+}
+
+Result<PeerFrame>
+DecodeQuota(const frame::QuotaReply& aMessage)
+{
+  QuotaReply reply;
+  reply.mSequence = aMessage.sequence();
+  reply.mValid = BoundedDuration(aMessage.valid_us());
+  for (const frame::QuotaGrant* grant : *aMessage.grants()) {
+    reply.mGrants.push_back(
+      QuotaGrant{ OrganisationId(grant->organisation()),
+                  grant->term(),
+                  grant->granted(),
+                  BoundedDuration(grant->next_grant_us()),
+                  BoundedDuration(grant->retry_after_us()) });
+  }
+  return PeerFrame(PeerMessage(std::move(reply)));
+}
+
 Result<PeerFrame>
 DecodeReport(const frame::RevisionReport& aMessage)
 {
   return PeerFrame(PeerMessage(
-    RevisionReport{ aMessage.revision(), BoundedDuration(aMessage.age_us()) }));
+    RevisionReport{ aMessage.revision(),
+                    BoundedDuration(aMessage.age_us()),
+                    aMessage.era() }));
 }
 
 Result<PeerFrame>
@@ -174,6 +281,8 @@
   reply.mIsRefused = aMessage.is_refused();
   reply.mIsUnavailable = aMessage.is_unavailable();
   reply.mAge = BoundedDuration(aMessage.age_us());
+  reply.mSoundAge = OptionalDuration(aMessage.sound_age_us());
+  reply.mEra = aMessage.era();
   for (const frame::WatchText* text : *aMessage.texts()) {
     if (text->text_bytes() > kMaxTextBytes) {
       return Fail(ErrorKind::kInvalidFrame,
@@ -207,6 +316,16 @@
   search.mSoftTimeout = BoundedDuration(aMessage.aim_us());
   search.mCallerTimeout = BoundedDuration(aMessage.patience_us());
   search.mMinShards = aMessage.least_shards();
+  if (aMessage.organisation() != nullptr) {
+    search.mOrganisation = aMessage.organisation()->str();
+  }
+  search.mRank = aMessage.rank();
+  search.mRouteRank = aMessage.route_rank();
+  if (aMessage.regions() != nullptr) {
+    for (const flatbuffers::String* region : *aMessage.regions()) {
+      search.mRegions.push_back(region->str());
+    }
+  }
   return PeerFrame(PeerMessage(std::move(search)));
 }
 
--- a/modules/wasabispread_wire/SearchFrames.h
+++ b/modules/wasabispread_wire/SearchFrames.h
@@ -8,6 +8,23 @@
 
 namespace wasabispread {
 
+/** Whole microseconds of a duration; 0 for a negative one. */
+std::uint64_t
+NonNegativeMicroseconds(Duration aDuration);
+
+/** As NonNegativeMicroseconds(); the largest number stands for none. */
+std::uint64_t
+OptionalMicroseconds(std::optional<Duration> aDuration);
+
+/** Converts a duration from a frame. Durations above one day are shortened to
+    one day, which has the same effect. */
+Duration
+BoundedDuration(std::uint64_t aMicroseconds);
+
+/** As BoundedDuration(); the largest number stands for none. */
+std::optional<Duration>
+OptionalDuration(std::uint64_t aMicroseconds);
+
 /** Encodes a message into the frame that aBuilder is building. */
 EncodedMessage
 EncodeInto(flatbuffers::FlatBufferBuilder& aBuilder, const SubSearch& aMessage);
@@ -30,6 +47,12 @@
 EncodedMessage
 EncodeInto(flatbuffers::FlatBufferBuilder& aBuilder,
            const RevisionReport& aMessage);
+EncodedMessage
+EncodeInto(flatbuffers::FlatBufferBuilder& aBuilder,
+           const QuotaRequest& aMessage);
+EncodedMessage
+EncodeInto(flatbuffers::FlatBufferBuilder& aBuilder,
+           const QuotaReply& aMessage);
 
 /** Decodes a verified message; kInvalidFrame when its fields are
     inconsistent. */
@@ -41,5 +64,9 @@
 DecodeChanges(const frame::ChangesReply& aMessage);
 Result<PeerFrame>
 DecodeReport(const frame::RevisionReport& aMessage);
+Result<PeerFrame>
+DecodeQuota(const frame::QuotaRequest& aMessage);
+Result<PeerFrame>
+DecodeQuota(const frame::QuotaReply& aMessage);
 
 } // namespace wasabispread
