--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -214,7 +214,7 @@
     mState.mStop = PlanStop(aEvent.mGrace, mNow);
     ShortenDeadlines(mState, mNow);
     RefuseWaitingVms(mState, mNow, mEffects);
-    RefuseWaitingRequests(mState, mEffects);
+    RefuseWaitingRequests(mState, mNow, mEffects);
     ReleaseQuotaClaims(mState, mEffects);
     if (mState.mMembership.mLeaseStatus == LeaseStatus::kHeld) {
       mEffects.push_back(EndLease{ mState.mMembership.mLease });
--- a/modules/wasabispread_forwarding_decisions/RequestHandling.h
+++ b/modules/wasabispread_forwarding_decisions/RequestHandling.h
@@ -17,8 +17,8 @@
 /** Continues a request that waited for quota and got it. */
 void
 AdmitWithQuota(ForwarderState& aState,
-               const ForwardedRequestPointer& aRequest,
-               TimePoint aArrived,
+               const WaitingRequest& aRequest,
+               QuotaSource aSource,
                TimePoint aNow,
                ForwarderEffects& aEffects);
 
@@ -26,6 +26,7 @@
 void
 RefuseForQuota(ForwarderState& aState,
                const ForwardedRequest& aRequest,
+               const RequestOwner& aOwner,
                const QuotaDecision& aDecision,
                ForwarderEffects& aEffects);
 
--- a/modules/wasabispread_forwarding_decisions/RequestState.h
+++ b/modules/wasabispread_forwarding_decisions/RequestState.h
@@ -5,7 +5,7 @@
 
 #include "Routing.h"
 #include "TargetPool.h"
-#include "organisations/RequestOwner.h"
+#include "organisations/QuotaState.h"
 
 #include <memory>
 #include <optional>
@@ -113,6 +113,7 @@
   std::shared_ptr<const Route> mOwnRoute;
   /** Whose request it is. */
   RequestOwner mOwner;
+  QuotaSource mQuotaSource = QuotaSource::kNone;
   /** The origin of a sub-search; none for a caller's request. */
   std::optional<SubSearchOrigin> mOrigin;
   std::vector<SentSubSearch> mSentSubSearches;
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -29,6 +29,7 @@
 LogRefusal(const ForwardedRequest& aRequest,
            const ForwarderState& aState,
            const Problem& aProblem,
+           const RequestOwner* aOwner,
            ForwarderEffects& aEffects)
 {
   const std::int64_t version =
@@ -41,6 +42,11 @@
                                    { "host", aRequest.mHost },
                                    { "path", aRequest.mTarget },
                                    { "version", version } };
+  if (aOwner != nullptr) {
+    fields.push_back({ "organisation", aOwner->mName });
+    fields.push_back({ "limit_per_second", aOwner->mLimit.mRatePerSecond });
+    fields.push_back({ "limit_burst", aOwner->mLimit.mBurst });
+  }
   if (aProblem.mRetryAfter) {
     fields.push_back(
       { "retry_after_ms", ToMilliseconds(*aProblem.mRetryAfter) });
@@ -51,17 +57,19 @@
                                             std::move(fields) } });
 }
 
-/** Answers a request of which nothing was sent. */
+/** Answers a request of which nothing was sent. aOwner is null where the owner
+    is not the reason. */
 void
 Refuse(ForwarderState& aState,
        const ForwardedRequest& aRequest,
        Problem aProblem,
+       const RequestOwner* aOwner,
        ForwarderEffects& aEffects)
 {
   ++aState.mCounters.mRefused;
   aState.mCounters.mUnauthorised +=
     aProblem.mKind == ProblemKind::kUnauthorised ? 1U : 0U;
-  LogRefusal(aRequest, aState, aProblem, aEffects);
+  LogRefusal(aRequest, aState, aProblem, aOwner, aEffects);
   aEffects.push_back(
     AnswerRequest{ aRequest.mToken, aRequest.mId, std::move(aProblem) });
 }
@@ -96,6 +104,7 @@
   const Route* mRoute = nullptr;
   RequestOwner mOwner;
   TimePoint mArrived{};
+  QuotaSource mQuotaSource = QuotaSource::kNone;
 };
 
 RequestState&
@@ -116,6 +125,7 @@
   request.mConfiguration = aState.mConfiguration;
   request.mRoute = route;
   request.mOwner = std::move(aAdmission.mOwner);
+  request.mQuotaSource = aAdmission.mQuotaSource;
   request.mArrived = aNow;
   const Duration roundTrip = aState.mPolicy.mCallerRoundTrip;
   const Duration reserve =
@@ -344,22 +354,22 @@
   if (auto problem = CheckRequest(aState, message, aNow)) {
     aState.mCounters.mKnowledgeTooOld +=
       IsKnowledgeTooOld(aState, message, aNow) ? 1U : 0U;
-    Refuse(aState, message, std::move(*problem), aEffects);
+    Refuse(aState, message, std::move(*problem), nullptr, aEffects);
     return;
   }
-  const Admission admission = Admit(aState, aEvent.mRequest, aNow, aNow);
-  const QuotaDecision quota = TakeQuota(
-    aState,
-    admission.mOwner,
-    WaitingRequest{ aEvent.mRequest, aNow, admission.mOwner.mRank },
-    aNow,
-    aEffects);
+  Admission admission = Admit(aState, aEvent.mRequest, aNow, aNow);
+  const QuotaDecision quota =
+    TakeQuota(aState,
+              WaitingRequest{ aEvent.mRequest, admission.mOwner, aNow },
+              aNow,
+              aEffects);
   if (quota.mOutcome == QuotaOutcome::kGranted) {
+    admission.mQuotaSource = quota.mSource;
     Begin(aState, admission, aNow, aEffects);
   } else if (quota.mOutcome == QuotaOutcome::kWaits) {
     ++aState.mCounters.mWaitedForQuota;
   } else {
-    RefuseForQuota(aState, message, quota, aEffects);
+    RefuseForQuota(aState, message, admission.mOwner, quota, aEffects);
   }
 }
 
@@ -378,6 +388,7 @@
 void
 RefuseForQuota(ForwarderState& aState,
                const ForwardedRequest& aRequest,
+               const RequestOwner& aOwner,
                const QuotaDecision& aDecision,
                ForwarderEffects& aEffects)
 {
@@ -389,6 +400,7 @@
                     "the quota of the caller's organisation is used up",
                     "retry the request after the time given",
                     aDecision.mRetryAfter },
+           &aOwner,
            aEffects);
     return;
   }
@@ -398,22 +410,27 @@
                                   aDecision.mRetryAfter);
   // Another VM may hold quota, or reach the VM that grants it.
   problem.mClosesConnection = true;
-  Refuse(aState, aRequest, std::move(problem), aEffects);
+  Refuse(aState, aRequest, std::move(problem), &aOwner, aEffects);
 }
 
 void
 AdmitWithQuota(ForwarderState& aState,
-               const ForwardedRequestPointer& aRequest,
-               TimePoint aArrived,
+               const WaitingRequest& aRequest,
+               QuotaSource aSource,
                TimePoint aNow,
                ForwarderEffects& aEffects)
 {
   // The configuration may have changed while it waited.
-  if (auto problem = CheckRequest(aState, *aRequest, aNow)) {
-    Refuse(aState, *aRequest, std::move(*problem), aEffects);
+  const ForwardedRequest& message = *aRequest.mRequest;
+  if (auto problem = CheckRequest(aState, message, aNow)) {
+    TakeBackQuota(aState, aRequest.mOwner.mId, aSource, aNow);
+    Refuse(aState, message, std::move(*problem), nullptr, aEffects);
     return;
   }
-  Begin(aState, Admit(aState, aRequest, aArrived, aNow), aNow, aEffects);
+  Admission admission =
+    Admit(aState, aRequest.mRequest, aRequest.mArrived, aNow);
+  admission.mQuotaSource = aSource;
+  Begin(aState, admission, aNow, aEffects);
 }
 
 namespace {
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaClaims.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaClaims.cpp
@@ -99,11 +99,18 @@
 }
 
 bool
-MayClaim(const ForwarderState& aState, TimePoint aNow)
+MayClaim(const ForwarderState& aState)
 {
   return HasLimits(aState) && aState.mStore.mIsLoaded &&
-         !aState.mStore.IsUnavailable() && !aState.IsStopping() &&
-         aState.mMembership.mLeaseStatus == LeaseStatus::kHeld &&
+         !aState.mStore.IsUnavailable() && !aState.IsStopping();
+}
+
+/** Whether this VM may claim what nobody has claimed. VMs that start together
+    know one another first, so that few of them try. */
+bool
+MayClaimVacant(const ForwarderState& aState, TimePoint aNow)
+{
+  return aState.mMembership.mLeaseStatus == LeaseStatus::kHeld &&
          aNow >= aState.mStarted + kStartupSettleTime;
 }
 
@@ -124,6 +131,11 @@
       }
       continue;
     }
+    if (!MayClaimVacant(aState, aNow)) {
+      aNext = std::min(
+        aNext, std::max(aNow, aState.mStarted + kStartupSettleTime) + kRetry);
+      continue;
+    }
     if (ranked.empty()) {
       ranked = RankedVms(aState);
     }
@@ -299,7 +311,7 @@
 {
   QuotaClaims& claims = aState.mQuota.mClaims;
   RenewIfDue(aState, aNow, aEffects);
-  if (!MayClaim(aState, aNow) || !claims.mPending.empty()) {
+  if (!MayClaim(aState) || !claims.mPending.empty()) {
     return;
   }
   TimePoint next = TimePoint::max();
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
@@ -4,32 +4,47 @@
 #include "../wasabispread_forwarding_decisions.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wasabispread::forwarding {
 
 namespace {
 
-/** How long an answer is awaited: twice the way between zones and what a busy
-    VM with a tenth of a processor core takes. */
+/** How long an answer from another zone is awaited: twice the way between zones
+    and what a busy VM with a tenth of a processor core takes. */
 constexpr Duration kAnswerTime = std::chrono::milliseconds(250);
-/** How long a VM that did not answer is not asked. */
-constexpr Duration kAvoidTime = std::chrono::milliseconds(500);
+/** As kAnswerTime, from a VM of the zone. */
+constexpr Duration kZoneAnswerTime = std::chrono::milliseconds(120);
+/** How long a request waits for quota at most. */
+constexpr Duration kMaxWait = std::chrono::milliseconds(300);
+/** How long a granting VM, or one of the zone, that did not answer is not
+    asked. */
+constexpr Duration kAvoidGranter = std::chrono::milliseconds(500);
+constexpr Duration kAvoidInZone = std::chrono::seconds(3);
 /** Interval between reports while quota is held. */
 constexpr Duration kReviewInterval = std::chrono::milliseconds(250);
 /** Part of the lease by which grants end before it, for the drift of clocks. */
 constexpr Duration kValidMargin = std::chrono::milliseconds(200);
-/** The most requests of one organisation that wait for quota. */
+/** The most requests, and VMs, that wait for one organisation's quota. */
 constexpr std::size_t kMaxWaiting = 256;
 /** Retry delay while nobody grants the quota: the next claim takes seconds. */
 constexpr Duration kNoGranterRetry = std::chrono::milliseconds(400);
+/** The time for whose needs a VM wants quota in advance from another one of the
+    zone. */
+constexpr double kAdvanceSeconds = 0.1;
+constexpr std::uint32_t kMaxAdvance = 16;
 
-const KnownClaim*
-ClaimFor(const ForwarderState& aState, OrganisationId aOrganisation)
-{
-  const auto& claim =
-    aState.mQuota.mClaims.mPartitions[PartitionOf(aOrganisation)].mClaim;
-  return claim ? &*claim : nullptr;
-}
+void
+Serve(ForwarderState& aState,
+      OrganisationId aOrganisation,
+      TimePoint aNow,
+      ForwarderEffects& aEffects);
+
+void
+AskFor(ForwarderState& aState,
+       OrganisationId aOrganisation,
+       TimePoint aNow,
+       ForwarderEffects& aEffects);
 
 void
 ArmTimer(ForwarderState& aState, TimePoint aNow)
@@ -44,7 +59,14 @@
 UsedUp(const HeldQuota& aHeld, TimePoint aNow)
 {
   return { QuotaOutcome::kUsedUp,
-           std::max(aHeld.mRetryAt, aHeld.mDeniedUntil) - aNow };
+           std::max({ aHeld.mRetryAt, aHeld.mDeniedUntil, aNow }) - aNow,
+           QuotaSource::kNone };
+}
+
+QuotaDecision
+Unavailable(Duration aRetryAfter)
+{
+  return { QuotaOutcome::kUnavailable, aRetryAfter, QuotaSource::kNone };
 }
 
 /** How long the grants of this VM are valid. */
@@ -56,7 +78,17 @@
   return std::clamp(left, Duration::zero(), kMaxGrantTime);
 }
 
-/** The answer of this VM to one need. */
+bool
+UseSpare(SpareQuota& aSpare, TimePoint aNow)
+{
+  if (aSpare.mCount == 0 || aNow >= aSpare.mValidUntil) {
+    return false;
+  }
+  --aSpare.mCount;
+  return true;
+}
+
+/** The answer of this VM, as the granting one, to one need. */
 QuotaGrant
 Answer(ForwarderState& aState,
        VmId aVm,
@@ -66,13 +98,8 @@
 {
   QuotaPartition& partition =
     aState.mQuota.mClaims.mPartitions[PartitionOf(aNeed.mOrganisation)];
-  const Organisation* organisation =
-    aState.mConfiguration == nullptr || !aState.mConfiguration->mOrganisations
-      ? nullptr
-      : aState.mConfiguration->mOrganisations->Find(aNeed.mOrganisation);
-  const bool isLimited =
-    organisation != nullptr && organisation->mLimit.IsLimited();
-  if (!isLimited || !IsGranting(aState, partition, aNow)) {
+  const OrganisationLimit limit = LimitOf(aState, aNeed.mOrganisation);
+  if (!limit.IsLimited() || !IsGranting(aState, partition, aNow)) {
     return QuotaGrant{ aNeed.mOrganisation, 0, 0, {}, {} };
   }
   if (aNeed.mTerm != partition.mOwnTerm.Value()) {
@@ -82,7 +109,7 @@
     };
   }
   const QuotaRule& rule = aState.mPolicy.mQuotaRule;
-  const QuotaParts parts = DivideQuota(organisation->mLimit, rule);
+  const QuotaParts parts = DivideQuota(limit, rule);
   auto ledger = partition.mLedgers.find(aNeed.mOrganisation);
   if (ledger == partition.mLedgers.end()) {
     ledger =
@@ -102,80 +129,85 @@
   return grant;
 }
 
+/** Answers another VM of the zone. */
 void
-RefuseWaiting(ForwarderState& aState,
+AnswerPeer(const OrganisationQuota& aQuota,
+           OrganisationId aOrganisation,
+           const WaitingPeer& aPeer,
+           const QuotaDecision& aDecision,
+           TimePoint aNow,
+           ForwarderEffects& aEffects)
+{
+  const bool isUsedUp = aDecision.mOutcome == QuotaOutcome::kUsedUp;
+  const bool isAvailable = aDecision.mOutcome != QuotaOutcome::kUnavailable;
+  QuotaReply reply;
+  reply.mSequence = aPeer.mSequence;
+  reply.mValid = std::max(Duration::zero(), aQuota.mHeld.mValidUntil - aNow);
+  reply.mGrants.push_back(QuotaGrant{
+    aOrganisation,
+    isAvailable ? std::max<std::uint64_t>(1, aQuota.mHeld.mTerm) : 0,
+    aPeer.mGiven,
+    isUsedUp ? std::max(Duration(1), aQuota.mHeld.mDeniedUntil - aNow)
+             : Duration::zero(),
+    aDecision.mRetryAfter });
+  aEffects.push_back(
+    SendPeerMessage{ aPeer.mVm, aPeer.mAddress, std::move(reply) });
+}
+
+void
+RefuseRequest(ForwarderState& aState,
               const WaitingRequest& aRequest,
               const QuotaDecision& aDecision,
               ForwarderEffects& aEffects)
 {
   aState.mQuota.mWaitingFor.erase(aRequest.mRequest->mToken);
-  RefuseForQuota(aState, *aRequest.mRequest, aDecision, aEffects);
+  RefuseForQuota(
+    aState, *aRequest.mRequest, aRequest.mOwner, aDecision, aEffects);
 }
 
-/** Removes and returns the waiting request that goes first: by rank, then by
-    arrival. */
-WaitingRequest
-TakeFirst(std::vector<WaitingRequest>& aWaiting)
+/** Removes and returns the entries that arrived until aUntil. */
+template<class Entry>
+std::vector<Entry>
+TakeArrivedUntil(std::vector<Entry>& aEntries, TimePoint aUntil)
 {
-  const auto first =
-    std::min_element(aWaiting.begin(),
-                     aWaiting.end(),
-                     [](const WaitingRequest& aLeft, const auto& aRight) {
-                       return std::tie(aLeft.mRank, aLeft.mArrived) <
-                              std::tie(aRight.mRank, aRight.mArrived);
-                     });
-  WaitingRequest taken = std::move(*first);
-  aWaiting.erase(first);
+  std::vector<Entry> taken;
+  std::erase_if(aEntries, [&](Entry& aEntry) {
+    if (aEntry.mArrived > aUntil) {
+      return false;
+    }
+    taken.push_back(std::move(aEntry));
+    return true;
+  });
   return taken;
 }
 
-/** Admits waiting requests while there is quota for them. */
+/** Refuses what arrived until aUntil and waits. */
 void
-AdmitWaiting(ForwarderState& aState,
-             OrganisationId aOrganisation,
-             TimePoint aNow,
-             ForwarderEffects& aEffects)
-{
-  OrganisationQuota& quota = aState.mQuota.mOrganisations[aOrganisation];
-  while (!quota.mWaiting.empty() && UseQuota(quota.mHeld, aNow)) {
-    const WaitingRequest request = TakeFirst(quota.mWaiting);
-    aState.mQuota.mWaitingFor.erase(request.mRequest->mToken);
-    AdmitWithQuota(
-      aState, request.mRequest, request.mArrived, aNow, aEffects);
-  }
-}
-
-/** Refuses the waiting requests that the question covered and the answer did
-    not satisfy. */
-void
-RefuseDenied(ForwarderState& aState,
-             OrganisationId aOrganisation,
-             const QuotaDecision& aDecision,
-             TimePoint aAsked,
-             ForwarderEffects& aEffects)
+RefuseWaiting(ForwarderState& aState,
+              OrganisationId aOrganisation,
+              QuotaDecision aDecision,
+              TimePoint aUntil,
+              TimePoint aNow,
+              ForwarderEffects& aEffects)
 {
   OrganisationQuota& quota = aState.mQuota.mOrganisations[aOrganisation];
-  std::vector<WaitingRequest> denied;
-  std::erase_if(quota.mWaiting, [&](WaitingRequest& aRequest) {
-    if (aRequest.mArrived > aAsked) {
-      return false;
-    }
-    denied.push_back(std::move(aRequest));
-    return true;
-  });
-  QuotaDecision decision = aDecision;
   const double rate = LimitOf(aState, aOrganisation).mRatePerSecond;
   const auto perRequest = std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(rate > 0 ? 1 / rate : 0));
-  for (const WaitingRequest& request : denied) {
-    RefuseWaiting(aState, request, decision, aEffects);
+  for (const WaitingPeer& peer : TakeArrivedUntil(quota.mPeers, aUntil)) {
+    AnswerPeer(quota, aOrganisation, peer, aDecision, aNow, aEffects);
+    aDecision.mRetryAfter += perRequest * (peer.mCount - peer.mGiven);
+  }
+  for (const WaitingRequest& request :
+       TakeArrivedUntil(quota.mWaiting, aUntil)) {
+    RefuseRequest(aState, request, aDecision, aEffects);
     // They must not all come back at once.
-    decision.mRetryAfter += perRequest;
+    aDecision.mRetryAfter += perRequest;
   }
 }
 
-/** Accepts the answer to one need; true when another question is due. */
-bool
+/** Accepts the answer of the granting VM to one need. */
+void
 AcceptAnswer(ForwarderState& aState,
              const QuotaNeed& aNeed,
              const QuotaGrant& aGrant,
@@ -184,30 +216,22 @@
              TimePoint aNow,
              ForwarderEffects& aEffects)
 {
-  OrganisationQuota& quota =
-    aState.mQuota.mOrganisations[aNeed.mOrganisation];
+  const OrganisationId id = aNeed.mOrganisation;
+  HeldQuota& held = aState.mQuota.mOrganisations[id].mHeld;
   if (aGrant.mTerm == 0) {
-    RefuseDenied(aState,
-                 aNeed.mOrganisation,
-                 { QuotaOutcome::kUnavailable, kNoGranterRetry },
-                 aAsked,
- aEffects);
-    return false;
+    RefuseWaiting(
+      aState, id, Unavailable(kNoGranterRetry), aAsked, aNow, aEffects);
+    return;
   }
   if (aGrant.mTerm != aNeed.mTerm) {
-    ForgetGrants(quota.mHeld, aGrant.mTerm);
-    return !quota.mWaiting.empty();
+    ForgetGrants(held, aGrant.mTerm);
+    return;
   }
-  AcceptGrant(quota.mHeld, aNeed, aGrant, aAsked, aValid, aNow);
-  AdmitWaiting(aState, aNeed.mOrganisation, aNow, aEffects);
+  AcceptGrant(held, aNeed, aGrant, aAsked, aValid, aNow);
+  Serve(aState, id, aNow, aEffects);
   if (aGrant.mNextGrant > Duration::zero()) {
-    RefuseDenied(aState,
-                 aNeed.mOrganisation,
-                 UsedUp(quota.mHeld, aNow),
-                 aAsked,
- aEffects);
+    RefuseWaiting(aState, id, UsedUp(held, aNow), aAsked, aNow, aEffects);
   }
-  return !quota.mWaiting.empty();
 }
 
 /** The needs that are to be stated to a granting VM: where a request waits or a
@@ -224,12 +248,16 @@
     if (quota.mHeld.mTerm < claim->mTerm.Value()) {
       ForgetGrants(quota.mHeld, claim->mTerm.Value());
     }
-    if (!quota.mWaiting.empty() || IsReportDue(quota.mHeld, aNow)) {
-      needs.push_back(
-        NeedOf(quota.mHeld,
-               id,
-               static_cast<std::uint32_t>(quota.mWaiting.size()),
-               aNow));
+    std::uint32_t waiting = 0;
+    // What waits for another VM of the zone is not asked for here too.
+    if (quota.mQuestion.mSequence == 0) {
+      waiting = static_cast<std::uint32_t>(quota.mWaiting.size());
+    }
+    for (const WaitingPeer& peer : quota.mPeers) {
+      waiting += peer.mCount - peer.mGiven;
+    }
+    if (waiting != 0 || IsReportDue(quota.mHeld, aNow)) {
+      needs.push_back(NeedOf(quota.mHeld, id, waiting, aNow));
     }
   }
   return needs;
@@ -258,19 +286,18 @@
 
 /** Asks a granting VM unless a question is unanswered or nothing is due. */
 void
-Ask(ForwarderState& aState,
-    const std::string& aVm,
-    const Endpoint& aAddress,
-    TimePoint aNow,
-    ForwarderEffects& aEffects)
-{
-  if (aVm == aState.mPolicy.mName) {
-    AskSelf(aState, aNow, aEffects);
-    return;
-  }
+AskGranter(ForwarderState& aState,
+           const std::string& aVm,
+           const Endpoint& aAddress,
+           TimePoint aNow,
+           ForwarderEffects& aEffects)
+{
   const VmId vm = IdFromName<VmId>(aVm);
   QuotaQuestion& question = aState.mQuota.mQuestions[vm];
-  if (question.mSequence != 0 || aNow < question.mAvoidUntil) {
+  const auto avoided = aState.mQuota.mAvoidUntil.find(vm);
+  const bool isAvoided =
+    avoided != aState.mQuota.mAvoidUntil.end() && aNow < avoided->second;
+  if (question.mSequence != 0 || isAvoided) {
     return;
   }
   std::vector<QuotaNeed> needs = NeedsAt(aState, vm, aNow);
@@ -279,88 +306,354 @@
   }
   question.mSequence = aState.mQuota.mNextSequence++;
   question.mAsked = aNow;
-  aState.mTimers.Arm(aNow + kAnswerTime,
-                     ForwarderTimer::kQuotaAnswer,
-                     question.mSequence);
   question.mNeeds = needs;
+  aState.mTimers.Arm(
+    aNow + kAnswerTime, ForwarderTimer::kQuotaAnswer, question.mSequence);
   aEffects.push_back(SendPeerMessage{ vm,
                                       aAddress,
                                       QuotaRequest{ question.mSequence,
                                                     aState.mQuota.mSession,
+                                                    false,
                                                     std::move(needs) } });
 }
 
-/** Gives up a question: what waits for its answer is refused. */
+/** Asks another VM of the zone unless a question is unanswered. */
 void
-GiveUpQuestion(ForwarderState& aState,
-               VmId aVm,
+AskInZone(ForwarderState& aState,
+          OrganisationId aOrganisation,
+          const QuotaPath& aPath,
+          TimePoint aNow,
+          ForwarderEffects& aEffects)
+{
+  OrganisationQuota& quota = aState.mQuota.mOrganisations[aOrganisation];
+  if (quota.mQuestion.mSequence != 0 || quota.mWaiting.empty()) {
+    return;
+  }
+  quota.mQuestion =
+    ZoneQuestion{ aState.mQuota.mNextSequence++, aPath.mVm, aNow };
+  const std::uint64_t sequence = quota.mQuestion.mSequence;
+  aState.mQuota.mZoneQuestions[sequence] = aOrganisation;
+  aState.mTimers.Arm(
+    aNow + kZoneAnswerTime, ForwarderTimer::kQuotaAnswer, sequence);
+  QuotaNeed need;
+  need.mOrganisation = aOrganisation;
+  need.mWaiting = static_cast<std::uint32_t>(quota.mWaiting.size());
+  need.mWanted = std::min(
+    kMaxAdvance,
+    static_cast<std::uint32_t>(kAdvanceSeconds * quota.mHeld.mNeedRate));
+  aEffects.push_back(SendPeerMessage{
+    IdFromName<VmId>(aPath.mVm),
+    aPath.mAddress,
+    QuotaRequest{ sequence, aState.mQuota.mSession, true, { need } } });
+}
+
+void
+AskOn(ForwarderState& aState,
+      OrganisationId aOrganisation,
+      const QuotaPath& aPath,
+      TimePoint aNow,
+      ForwarderEffects& aEffects)
+{
+  switch (aPath.mKind) {
+    case QuotaPath::Kind::kSelf:
+      AskSelf(aState, aNow, aEffects);
+      break;
+    case QuotaPath::Kind::kGranter:
+      AskGranter(aState, aPath.mVm, aPath.mAddress, aNow, aEffects);
+      break;
+    case QuotaPath::Kind::kZone:
+      AskInZone(aState, aOrganisation, aPath, aNow, aEffects);
+      break;
+    case QuotaPath::Kind::kNone:
+      RefuseWaiting(
+        aState, aOrganisation, Unavailable(kOtherVmRetry), aNow, aNow, aEffects);
+      break;
+  }
+}
+
+void
+AskFor(ForwarderState& aState,
+       OrganisationId aOrganisation,
+       TimePoint aNow,
+       ForwarderEffects& aEffects)
+{
+  const OrganisationQuota& quota = aState.mQuota.mOrganisations[aOrganisation];
+  if (!quota.mPeers.empty()) {
+    AskOn(aState,
+          aOrganisation,
+          PathForPeers(aState, aOrganisation, aNow),
+          aNow,
+          aEffects);
+  }
+  if (!quota.mWaiting.empty()) {
+    AskOn(aState,
+          aOrganisation,
+          PathForRequests(aState, aOrganisation, aNow),
+          aNow,
+          aEffects);
+  }
+}
+
+/** Gives a VM of the zone what is held; true when it has all it needs. */
+bool
+ServePeer(OrganisationQuota& aQuota, WaitingPeer& aPeer, TimePoint aNow)
+{
+  while (aPeer.mGiven < aPeer.mCount) {
+    if (!UseQuota(aQuota.mHeld, aNow)) {
+      return false;
+    }
+    ++aPeer.mGiven;
+  }
+  // The last grant stays for the next VM that asks.
+  for (std::uint32_t count = 0;
+       count < aPeer.mAdvance && aQuota.mHeld.Held() > 1 &&
+       UseQuota(aQuota.mHeld, aNow);
+       ++count) {
+    ++aPeer.mGiven;
+  }
+  return true;
+}
+
+/** Removes and returns the waiting request that goes first: by rank, then by
+    arrival. */
+WaitingRequest
+TakeFirst(std::vector<WaitingRequest>& aWaiting)
+{
+  const auto first = std::min_element(
+    aWaiting.begin(),
+    aWaiting.end(),
+    [](const WaitingRequest& aLeft, const WaitingRequest& aRight) {
+      return std::tie(aLeft.mOwner.mRank, aLeft.mArrived) <
+             std::tie(aRight.mOwner.mRank, aRight.mArrived);
+    });
+  WaitingRequest taken = std::move(*first);
+  aWaiting.erase(first);
+  return taken;
+}
+
+/** Gives what there is to the requests and the VMs that wait. */
+void
+Serve(ForwarderState& aState,
+      OrganisationId aOrganisation,
+      TimePoint aNow,
+      ForwarderEffects& aEffects)
+{
+  OrganisationQuota& quota = aState.mQuota.mOrganisations[aOrganisation];
+  while (!quota.mPeers.empty() &&
+         ServePeer(quota, quota.mPeers.front(), aNow)) {
+    AnswerPeer(
+      quota, aOrganisation, quota.mPeers.front(), {}, aNow, aEffects);
+    quota.mPeers.erase(quota.mPeers.begin());
+  }
+  while (!quota.mWaiting.empty()) {
+    QuotaSource source = QuotaSource::kHeld;
+    if (UseSpare(quota.mSpare, aNow)) {
+      source = QuotaSource::kSpare;
+    } else if (!UseQuota(quota.mHeld, aNow)) {
+      return;
+    }
+    const WaitingRequest request = TakeFirst(quota.mWaiting);
+    aState.mQuota.mWaitingFor.erase(request.mRequest->mToken);
+    AdmitWithQuota(aState, request, source, aNow, aEffects);
+  }
+}
+
+void
+LogNotAnswered(std::string aVm,
+               TimePoint aAsked,
                TimePoint aNow,
                ForwarderEffects& aEffects)
+{
+  aEffects.push_back(WriteDecisionRecord{
+    { RecordClass::kNotable,
+      "quota-not-answered",
+      {},
+      { { "by", std::move(aVm) },
+        { "age_ms", ToMilliseconds(aNow - aAsked) } } } });
+}
+
+/** Gives up a question to a granting VM: what waits for it is refused. */
+void
+GiveUpGranter(ForwarderState& aState,
+              VmId aVm,
+              TimePoint aNow,
+              ForwarderEffects& aEffects)
 {
   QuotaQuestion& question = aState.mQuota.mQuestions[aVm];
   question.mSequence = 0;
-  question.mAvoidUntil = aNow + kAvoidTime;
-  aEffects.push_back(
-    WriteDecisionRecord{ { RecordClass::kNotable,
-                           "quota-not-answered",
-                           {},
-                           { { "age_ms",
-                               ToMilliseconds(aNow - question.mAsked) } } } });
+  aState.mQuota.mAvoidUntil[aVm] = aNow + kAvoidGranter;
+  LogNotAnswered("granting vm", question.mAsked, aNow, aEffects);
   for (const QuotaNeed& need : std::exchange(question.mNeeds, {})) {
-    RefuseDenied(aState,
-                 need.mOrganisation,
-                 { QuotaOutcome::kUnavailable, kOtherVmRetry },
-                 aNow,
- aEffects);
+    RefuseWaiting(aState,
+                  need.mOrganisation,
+                  Unavailable(kOtherVmRetry),
+                  aNow,
+                  aNow,
+                  aEffects);
+  }
+}
+
+/** Gives up a question to a VM of the zone: what waits takes another way, unless
+    it has waited for too long. */
+void
+GiveUpInZone(ForwarderState& aState,
+             OrganisationId aOrganisation,
+             TimePoint aNow,
+             ForwarderEffects& aEffects)
+{
+  OrganisationQuota& quota = aState.mQuota.mOrganisations[aOrganisation];
+  const ZoneQuestion question = std::exchange(quota.mQuestion, {});
+  aState.mQuota.mZoneQuestions.erase(question.mSequence);
+  aState.mQuota.mAvoidUntil[IdFromName<VmId>(question.mVm)] =
+    aNow + kAvoidInZone;
+  LogNotAnswered(question.mVm, question.mAsked, aNow, aEffects);
+  RefuseWaiting(aState,
+                aOrganisation,
+                Unavailable(kOtherVmRetry),
+                aNow - kMaxWait + kZoneAnswerTime,
+                aNow,
+                aEffects);
+  AskFor(aState, aOrganisation, aNow, aEffects);
+}
+
+/** Accepts the answer of another VM of the zone. */
+void
+AcceptInZone(ForwarderState& aState,
+             OrganisationId aOrganisation,
+             const QuotaReply& aReply,
+             TimePoint aNow,
+             ForwarderEffects& aEffects)
+{
+  OrganisationQuota& quota = aState.mQuota.mOrganisations[aOrganisation];
+  const TimePoint asked = std::exchange(quota.mQuestion, {}).mAsked;
+  aState.mQuota.mZoneQuestions.erase(aReply.mSequence);
+  const QuotaGrant grant =
+    aReply.mGrants.empty() ? QuotaGrant{} : aReply.mGrants.front();
+  const TimePoint valid = asked + aReply.mValid;
+  SpareQuota& spare = quota.mSpare;
+  const bool isLeft = spare.mCount != 0 && aNow < spare.mValidUntil;
+  spare.mValidUntil = isLeft ? std::min(spare.mValidUntil, valid) : valid;
+  spare.mCount = (isLeft ? spare.mCount : 0) + grant.mGranted;
+  Serve(aState, aOrganisation, aNow, aEffects);
+  if (grant.mTerm == 0) {
+    RefuseWaiting(aState,
+                  aOrganisation,
+                  Unavailable(std::max(grant.mRetryAfter, kOtherVmRetry)),
+                  asked,
+                  aNow,
+                  aEffects);
+  } else if (grant.mNextGrant > Duration::zero()) {
+    RecordDenial(quota.mHeld, grant, aNow);
+    RefuseWaiting(aState,
+                  aOrganisation,
+                  UsedUp(quota.mHeld, aNow),
+                  asked,
+                  aNow,
+                  aEffects);
+  }
+  if (!quota.mWaiting.empty()) {
+    AskFor(aState, aOrganisation, aNow, aEffects);
   }
 }
 
+/** Serves another VM of the zone, or lets it wait for an answer. */
+void
+HandlePeerNeed(ForwarderState& aState,
+               const QuotaRequested& aEvent,
+               const QuotaNeed& aNeed,
+               TimePoint aNow,
+               ForwarderEffects& aEffects)
+{
+  const OrganisationId id = aNeed.mOrganisation;
+  const WaitingPeer peer{ aEvent.mVm,
+                          aEvent.mAddress,
+                          aEvent.mRequest.mSequence,
+                          aNeed.mWaiting,
+                          std::min(aNeed.mWanted, kMaxAdvance),
+                          0,
+                          aNow };
+  if (!LimitOf(aState, id).IsLimited() || aState.IsStopping()) {
+    AnswerPeer({}, id, peer, Unavailable(kOtherVmRetry), aNow, aEffects);
+    return;
+  }
+  OrganisationQuota& quota = aState.mQuota.mOrganisations[id];
+  for (std::uint32_t count = 0;
+       count < std::min(peer.mCount + peer.mAdvance, 2 * kMaxAdvance);
+       ++count) {
+    CountNeed(quota.mHeld, aNow);
+  }
+  ArmTimer(aState, aNow);
+  if (quota.mPeers.size() >= kMaxWaiting) {
+    AnswerPeer(quota, id, peer, Unavailable(kOtherVmRetry), aNow, aEffects);
+    return;
+  }
+  quota.mPeers.push_back(peer);
+  Serve(aState, id, aNow, aEffects);
+  if (quota.mPeers.empty()) {
+    return;
+  }
+  if (aNow < quota.mHeld.mDeniedUntil) {
+    RefuseWaiting(aState, id, UsedUp(quota.mHeld, aNow), aNow, aNow, aEffects);
+    return;
+  }
+  AskFor(aState, id, aNow, aEffects);
+}
+
 } // namespace
 
 QuotaDecision
 TakeQuota(ForwarderState& aState,
-          const RequestOwner& aOwner,
           const WaitingRequest& aRequest,
           TimePoint aNow,
           ForwarderEffects& aEffects)
 {
-  if (!aOwner.mLimit.IsLimited()) {
+  const RequestOwner& owner = aRequest.mOwner;
+  if (!owner.mLimit.IsLimited()) {
     return {};
   }
-  OrganisationQuota& quota = aState.mQuota.mOrganisations[aOwner.mId];
+  OrganisationQuota& quota = aState.mQuota.mOrganisations[owner.mId];
   CountNeed(quota.mHeld, aNow);
   ArmTimer(aState, aNow);
-  if (quota.mWaiting.empty() && UseQuota(quota.mHeld, aNow)) {
-    return {};
+  if (quota.mWaiting.empty()) {
+    if (UseSpare(quota.mSpare, aNow)) {
+      return { QuotaOutcome::kGranted, {}, QuotaSource::kSpare };
+    }
+    if (quota.mPeers.empty() && UseQuota(quota.mHeld, aNow)) {
+      return { QuotaOutcome::kGranted, {}, QuotaSource::kHeld };
+    }
   }
   if (aNow < quota.mHeld.mDeniedUntil) {
     return UsedUp(quota.mHeld, aNow);
   }
-  const KnownClaim* claim = ClaimFor(aState, aOwner.mId);
-  if (claim == nullptr) {
-    return { QuotaOutcome::kUnavailable, kNoGranterRetry };
+  const QuotaPath path = PathForRequests(aState, owner.mId, aNow);
+  if (path.mKind == QuotaPath::Kind::kNone) {
+    return Unavailable(ClaimFor(aState, owner.mId) == nullptr ? kNoGranterRetry
+                                                              : kOtherVmRetry);
   }
-  const auto question =
-    aState.mQuota.mQuestions.find(IdFromName<VmId>(claim->mVm));
-  const bool isAvoided = question != aState.mQuota.mQuestions.end() &&
-                         aNow < question->second.mAvoidUntil;
-  if (isAvoided || quota.mWaiting.size() >= kMaxWaiting) {
-    return { QuotaOutcome::kUnavailable, kOtherVmRetry };
+  if (quota.mWaiting.size() >= kMaxWaiting) {
+    return Unavailable(kOtherVmRetry);
   }
   quota.mWaiting.push_back(aRequest);
-  aState.mQuota.mWaitingFor[aRequest.mRequest->mToken] = aOwner.mId;
-  const KnownClaim granter = *claim;
-  Ask(aState, granter.mVm, granter.mAddress, aNow, aEffects);
-  return { QuotaOutcome::kWaits, {} };
+  aState.mQuota.mWaitingFor[aRequest.mRequest->mToken] = owner.mId;
+  AskOn(aState, owner.mId, path, aNow, aEffects);
+  return { QuotaOutcome::kWaits, {}, QuotaSource::kNone };
 }
 
 void
-TakeBackQuota(ForwarderState& aState, const RequestOwner& aOwner)
+TakeBackQuota(ForwarderState& aState,
+              OrganisationId aOrganisation,
+              QuotaSource aSource,
+              TimePoint aNow)
 {
-  const auto quota = aState.mQuota.mOrganisations.find(aOwner.mId);
-  if (aOwner.mLimit.IsLimited() &&
-      quota != aState.mQuota.mOrganisations.end()) {
+  const auto quota = aState.mQuota.mOrganisations.find(aOrganisation);
+  if (quota == aState.mQuota.mOrganisations.end()) {
+    return;
+  }
+  if (aSource == QuotaSource::kHeld) {
     TakeBackUse(quota->second.mHeld);
+  } else if (aSource == QuotaSource::kSpare &&
+             aNow < quota->second.mSpare.mValidUntil) {
+    ++quota->second.mSpare.mCount;
   }
 }
 
@@ -380,15 +673,17 @@
 }
 
 void
-RefuseWaitingRequests(ForwarderState& aState, ForwarderEffects& aEffects)
+RefuseWaitingRequests(ForwarderState& aState,
+                      TimePoint aNow,
+                      ForwarderEffects& aEffects)
 {
-  for (auto& [id, quota] : aState.mQuota.mOrganisations) {
-    for (const WaitingRequest& request : std::exchange(quota.mWaiting, {})) {
-      RefuseWaiting(aState,
-                    request,
-                    { QuotaOutcome::kUnavailable, kOtherVmRetry },
-                    aEffects);
-    }
+  std::vector<OrganisationId> organisations;
+  for (const auto& [id, quota] : aState.mQuota.mOrganisations) {
+    organisations.push_back(id);
+  }
+  for (const OrganisationId id : organisations) {
+    RefuseWaiting(
+      aState, id, Unavailable(kOtherVmRetry), aNow, aNow, aEffects);
   }
 }
 
@@ -398,6 +693,12 @@
                      TimePoint aNow,
                      ForwarderEffects& aEffects)
 {
+  if (aEvent.mRequest.mIsForZone) {
+    for (const QuotaNeed& need : aEvent.mRequest.mNeeds) {
+      HandlePeerNeed(aState, aEvent, need, aNow, aEffects);
+    }
+    return;
+  }
   QuotaReply reply;
   reply.mSequence = aEvent.mRequest.mSequence;
   reply.mValid = ValidTime(aState, aNow);
@@ -415,9 +716,15 @@
                    TimePoint aNow,
                    ForwarderEffects& aEffects)
 {
+  const QuotaReply& reply = aEvent.mReply;
+  const auto inZone = aState.mQuota.mZoneQuestions.find(reply.mSequence);
+  if (inZone != aState.mQuota.mZoneQuestions.end()) {
+    AcceptInZone(aState, inZone->second, reply, aNow, aEffects);
+    return;
+  }
   const auto found = aState.mQuota.mQuestions.find(aEvent.mVm);
   if (found == aState.mQuota.mQuestions.end() ||
-      found->second.mSequence != aEvent.mReply.mSequence) {
+      found->second.mSequence != reply.mSequence) {
     // The grants of an answer that came too late are not used.
     return;
   }
@@ -425,32 +732,22 @@
   found->second.mSequence = 0;
   const std::vector<QuotaNeed> needs =
     std::exchange(found->second.mNeeds, {});
-  bool isMoreDue = false;
   for (std::size_t position = 0;
-       position < std::min(needs.size(), aEvent.mReply.mGrants.size());
+       position < std::min(needs.size(), reply.mGrants.size());
        ++position) {
-    const QuotaGrant& grant = aEvent.mReply.mGrants[position];
+    const QuotaGrant& grant = reply.mGrants[position];
     if (grant.mOrganisation == needs[position].mOrganisation) {
-      isMoreDue = AcceptAnswer(aState,
-                               needs[position],
-                               grant,
-                               asked,
-                               aEvent.mReply.mValid,
-                               aNow,
-                               aEffects) ||
-                  isMoreDue;
+      AcceptAnswer(aState,
+                   needs[position],
+                   grant,
+                   asked,
+                   reply.mValid,
+                   aNow,
+                   aEffects);
     }
   }
-  if (!isMoreDue) {
-    return;
-  }
-  for (const QuotaPartition& partition : aState.mQuota.mClaims.mPartitions) {
-    if (partition.mClaim &&
-        IdFromName<VmId>(partition.mClaim->mVm) == aEvent.mVm) {
-      const KnownClaim granter = *partition.mClaim;
-      Ask(aState, granter.mVm, granter.mAddress, aNow, aEffects);
-      return;
-    }
+  for (const QuotaNeed& need : needs) {
+    AskFor(aState, need.mOrganisation, aNow, aEffects);
   }
 }
 
@@ -461,11 +758,15 @@
 {
   QuotaState& quota = aState.mQuota;
   quota.mIsTimerArmed = false;
+  std::erase_if(quota.mAvoidUntil, [aNow](const auto& aEntry) {
+    return aNow >= aEntry.second;
+  });
   bool isAnyHeld = false;
   for (auto& [id, organisation] : quota.mOrganisations) {
     ReturnUnusable(organisation.mHeld, aNow);
     isAnyHeld = isAnyHeld || organisation.mHeld.Held() != 0 ||
                 !organisation.mWaiting.empty() ||
+                !organisation.mPeers.empty() ||
                 IsReportDue(organisation.mHeld, aNow);
   }
   std::map<std::string, Endpoint> granters;
@@ -475,7 +776,11 @@
     }
   }
   for (const auto& [vm, address] : granters) {
-    Ask(aState, vm, address, aNow, aEffects);
+    if (vm == aState.mPolicy.mName) {
+      AskSelf(aState, aNow, aEffects);
+    } else {
+      AskGranter(aState, vm, address, aNow, aEffects);
+    }
   }
   if (isAnyHeld) {
     ArmTimer(aState, aNow);
@@ -488,6 +793,11 @@
                      TimePoint aNow,
                      ForwarderEffects& aEffects)
 {
+  const auto inZone = aState.mQuota.mZoneQuestions.find(aSequence);
+  if (inZone != aState.mQuota.mZoneQuestions.end()) {
+    GiveUpInZone(aState, inZone->second, aNow, aEffects);
+    return;
+  }
   const auto question =
     std::find_if(aState.mQuota.mQuestions.begin(),
                  aState.mQuota.mQuestions.end(),
@@ -495,7 +805,7 @@
                    return aEntry.second.mSequence == aSequence;
                  });
   if (question != aState.mQuota.mQuestions.end()) {
-    GiveUpQuestion(aState, question->first, aNow, aEffects);
+    GiveUpGranter(aState, question->first, aNow, aEffects);
   }
 }
 
@@ -508,7 +818,18 @@
   const auto question = aState.mQuota.mQuestions.find(aVm);
   if (question != aState.mQuota.mQuestions.end() &&
       question->second.mSequence != 0) {
-    GiveUpQuestion(aState, aVm, aNow, aEffects);
+    GiveUpGranter(aState, aVm, aNow, aEffects);
+  }
+  std::vector<OrganisationId> asked;
+  for (const auto& [sequence, organisation] : aState.mQuota.mZoneQuestions) {
+    const auto& vm =
+      aState.mQuota.mOrganisations[organisation].mQuestion.mVm;
+    if (IdFromName<VmId>(vm) == aVm) {
+      asked.push_back(organisation);
+    }
+  }
+  for (const OrganisationId organisation : asked) {
+    GiveUpInZone(aState, organisation, aNow, aEffects);
   }
 }
 
@@ -522,6 +843,8 @@
   }
   for (auto& [id, quota] : aQuota.mOrganisations) {
     quota.mHeld.mValidUntil -= aTime;
+    quota.mSpare.mValidUntil -= aTime;
+    quota.mQuestion.mAsked -= aTime;
   }
   for (auto& [vm, question] : aQuota.mQuestions) {
     question.mAsked -= aTime;
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.h
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.h
@@ -1,11 +1,12 @@
 /*
- * Takes quota for requests, asks the granting VM for more, and grants quota to
- * others.
+ * Takes quota for requests, asks for more, and grants quota to others.
  *
  * This handles organisations whose callers hold few connections and so sit at
  * few VMs, of which some send many times their usual: equal parts for all VMs
- * would refuse most of what is owed. A VM that uses an organisation's quota
- * holds some in advance, so that most requests do not wait for an answer.
+ * would refuse most of what is owed. It also handles callers that reach another
+ * VM with each request: a VM without quota asks one of its own zone, which
+ * holds some in advance for all VMs there, so that requests do not wait for an
+ * answer from another zone.
  */
 #pragma once
 
@@ -17,7 +18,7 @@
 enum class QuotaOutcome : std::uint8_t
 {
   kGranted,
-  /** It waits for the answer of the granting VM. */
+  /** It waits for the answer of another VM, or was answered meanwhile. */
   kWaits,
   /** The quota is used up. */
   kUsedUp,
@@ -30,19 +31,22 @@
   QuotaOutcome mOutcome = QuotaOutcome::kGranted;
   /** When a refused request is to be tried again. */
   Duration mRetryAfter{};
+  QuotaSource mSource = QuotaSource::kNone;
 };
 
 /** Takes quota for a request that arrived, or lets it wait. */
 QuotaDecision
 TakeQuota(ForwarderState& aState,
-          const RequestOwner& aOwner,
           const WaitingRequest& aRequest,
           TimePoint aNow,
           ForwarderEffects& aEffects);
 
 /** Takes back the quota of a request that has not run and will not run. */
 void
-TakeBackQuota(ForwarderState& aState, const RequestOwner& aOwner);
+TakeBackQuota(ForwarderState& aState,
+              OrganisationId aOrganisation,
+              QuotaSource aSource,
+              TimePoint aNow);
 
 /** Removes a request whose caller left while it waited; false when none did. */
 bool
@@ -50,7 +54,9 @@
 
 /** Refuses all requests that wait, because the process stops. */
 void
-RefuseWaitingRequests(ForwarderState& aState, ForwarderEffects& aEffects);
+RefuseWaitingRequests(ForwarderState& aState,
+                      TimePoint aNow,
+                      ForwarderEffects& aEffects);
 
 void
 HandleQuotaRequested(ForwarderState& aState,
@@ -78,7 +84,7 @@
                      TimePoint aNow,
                      ForwarderEffects& aEffects);
 
-/** Gives up the question to a VM whose connection broke. */
+/** Gives up the questions to a VM whose connection broke. */
 void
 HandleGranterLost(ForwarderState& aState,
                   VmId aVm,
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -59,6 +59,7 @@
 #include "TargetAssignment.h"
 #include "TargetSelection.h"
 
+#include "organisations/QuotaPath.h"
 #include "organisations/QuotaUse.h"
 
 #include "RequestHandling.h"
--- a/modules/wasabispread_organisations/HeldQuota.cpp
+++ b/modules/wasabispread_organisations/HeldQuota.cpp
@@ -15,12 +15,13 @@
 constexpr Duration kKeptUnused = std::chrono::seconds(20);
 /** How long before they end grants are extended. Several questions may fail in
     this time. */
-constexpr Duration kExtendBefore = std::chrono::milliseconds(2500);
+constexpr Duration kExtendBefore = std::chrono::milliseconds(3000);
 /** How long nothing more is asked for after a denial, at most: the granting VM
     then decides anew. */
 constexpr Duration kMaxDenial = std::chrono::milliseconds(250);
-/** The time for whose needs grants are held in advance. */
-constexpr double kAdvanceSeconds = 0.5;
+/** The time for whose needs grants are held in advance: as long as they are
+    valid, so that a zone that is cut off goes on for a while. */
+constexpr double kAdvanceSeconds = 4;
 constexpr double kMaxWanted = 64;
 
 } // namespace
@@ -103,11 +104,17 @@
   aHeld.mReceived = std::max(aHeld.mReceived, aGrant.mGranted);
   aHeld.mValidUntil = aAsked + aValid;
   if (aGrant.mNextGrant > Duration::zero()) {
-    aHeld.mDeniedUntil = aNow + std::min(aGrant.mNextGrant, kMaxDenial);
-    aHeld.mRetryAt = aNow + aGrant.mRetryAfter;
+    RecordDenial(aHeld, aGrant, aNow);
   }
 }
 
+void
+RecordDenial(HeldQuota& aHeld, const QuotaGrant& aGrant, TimePoint aNow)
+{
+  aHeld.mDeniedUntil = aNow + std::min(aGrant.mNextGrant, kMaxDenial);
+  aHeld.mRetryAt = aNow + aGrant.mRetryAfter;
+}
+
 void
 ForgetGrants(HeldQuota& aHeld, std::uint64_t aTerm)
 {
--- a/modules/wasabispread_organisations/HeldQuota.h
+++ b/modules/wasabispread_organisations/HeldQuota.h
@@ -73,6 +73,10 @@
             Duration aValid,
             TimePoint aNow);
 
+/** Records that a request was denied. */
+void
+RecordDenial(HeldQuota& aHeld, const QuotaGrant& aGrant, TimePoint aNow);
+
 /** Starts anew under another term: at another granting VM, or at one that was
     started again. */
 void
--- a/modules/wasabispread_organisations/QuotaRule.cpp
+++ b/modules/wasabispread_organisations/QuotaRule.cpp
@@ -30,20 +30,24 @@
 {
   // The rest of the surplus stays unused.
   constexpr double kReserveShare = 0.5;
-  constexpr double kTakeoverShare = 0.4;
+  constexpr double kTakeoverShare = 0.15;
+  constexpr double kUnusedShare = 0.05;
   const double window = Seconds(aRule.mWindow);
+  const double perWindow = aLimit.mRatePerSecond * window + aLimit.mBurst;
   const double most = MaxInWindow(aLimit, aRule);
-  const double surplus =
-    most - aLimit.mRatePerSecond * window - aLimit.mBurst;
+  const double surplus = most - perWindow;
   QuotaParts parts;
   parts.mReserve = kReserveShare * surplus;
   parts.mTakeover = kTakeoverShare * surplus;
-  // Less than one request could never be granted.
-  parts.mCapacity = std::min(
-    most, std::max(1.0, aLimit.mBurst + parts.mReserve));
-  parts.mTakeover = std::min(parts.mTakeover, most - parts.mCapacity);
-  const double rest = most - parts.mCapacity - parts.mTakeover;
-  parts.mRate = std::min(aLimit.mRatePerSecond, rest / window);
+  const double usable =
+    most - parts.mTakeover - kUnusedShare * surplus;
+  // Less than one request could never be granted, and a burst must fit.
+  const double leastCapacity =
+    std::min(usable, std::max({ 1.0, aLimit.mBurst, parts.mReserve }));
+  // The burst is renewed with each window.
+  parts.mRate =
+    std::min(perWindow, std::max(0.0, usable - leastCapacity)) / window;
+  parts.mCapacity = usable - parts.mRate * window;
   return parts;
 }
 
--- a/modules/wasabispread_wire/SearchFrames.cpp
+++ b/modules/wasabispread_wire/SearchFrames.cpp
@@ -204,7 +204,11 @@
   const auto vector = aBuilder.CreateVectorOfStructs(needs);
   const auto message =
     frame::CreateQuotaRequest(
-      aBuilder, aMessage.mSequence, aMessage.mSession, vector);
+      aBuilder,
+      aMessage.mSequence,
+      aMessage.mSession,
+      aMessage.mIsForZone,
+      vector);
   return { frame::Message::QuotaRequest, message.Union() };
 }
 
@@ -234,6 +238,7 @@
   QuotaRequest request;
   request.mSequence = aMessage.sequence();
   request.mSession = aMessage.session();
+  request.mIsForZone = aMessage.is_for_zone();
   for (const frame::QuotaNeed* need : *aMessage.needs()) {
     request.mNeeds.push_back(QuotaNeed{ OrganisationId(need->organisation()),
                                         need->term(),
