--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -249,13 +249,12 @@
     return EXIT_SUCCESS;
   }
   if (line->mForwards) {
-    return CheckAndRun(
-      *line,
-      ReadSettings<ForwarderSettings>(line->mSettingsFile,
-                                      ParseWithExtraSettings),
-      [&](const ForwarderSettings& aSettings) {
-        return RunForwarder(aSettings, line->mSettingsFile);
-      });
+    return CheckAndRun(*line,
+                       ReadSettings<ForwarderSettings>(line->mSettingsFile,
+                                                       ParseWithExtraSettings),
+                       [&](const ForwarderSettings& aSettings) {
+                         return RunForwarder(aSettings, line->mSettingsFile);
+                       });
   }
   return CheckAndRun(
     *line, ReadSettings(line->mSettingsFile, ParseDaemonSettings), RunDaemon);
--- a/modules/wasabispread_config/ForwarderSettings.cpp
+++ b/modules/wasabispread_config/ForwarderSettings.cpp
@@ -159,9 +159,7 @@
 
 /** Adds the settings of aExtra to those of the file. */
 void
-AddExtraSettings(toml::table& aRoot,
-                 std::string_view aExtra,
-                 Faults& aFaults)
+AddExtraSettings(toml::table& aRoot, std::string_view aExtra, Faults& aFaults)
 {
   const auto extra = ParseToml(aExtra, kExtraSettingsVariable);
   if (!extra) {
--- a/modules/wasabispread_decisions/PeerMessage.h
+++ b/modules/wasabispread_decisions/PeerMessage.h
@@ -251,8 +251,8 @@
   std::uint64_t mSequence = 0;
   /** Differs between the processes that a VM runs one after the other. */
   std::uint64_t mSession = 0;
-  /** Whether a VM of the zone asks for quota that it uses at once. The answer to
-      each need is a reply of its own, whose grants count only this answer. */
+  /** Whether a VM of the zone asks for quota that it uses at once. The answer
+     to each need is a reply of its own, whose grants count only this answer. */
   bool mIsForZone = false;
   std::vector<QuotaNeed> mNeeds;
 };
--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -41,8 +41,8 @@
   policy.mExtraAttemptRule = ExtraAttemptRule{ aSettings.mExtraAttemptShare,
                                                aSettings.mFixedExtraAttempts,
                                                aSettings.mExtraAttemptWindow };
-  policy.mKnowledgeRule = KnowledgeRule{ aSettings.mIsStrictOnKeys,
-                                         aSettings.mKeyWithdrawalTime };
+  policy.mKnowledgeRule =
+    KnowledgeRule{ aSettings.mIsStrictOnKeys, aSettings.mKeyWithdrawalTime };
   policy.mQuotaRule = QuotaRule{ aSettings.mQuotaWindow,
                                  aSettings.mQuotaOverage,
                                  aSettings.mQuotaSlack };
--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -87,14 +87,16 @@
                   "Requests rejected because their key is missing, malformed "
                   "or held by no organisation.",
                   counters.mUnauthorised);
-  list.AddCounter("requests_refused_for_old_knowledge_total",
-                  "Requests refused because this VM's knowledge of keys was too "
-                  "old.",
-                  counters.mKnowledgeTooOld);
-  list.AddCounter("requests_over_quota_total",
-                  "Requests refused because their organisation's quota was used "
-                  "up.",
-                  counters.mOverQuota);
+  list.AddCounter(
+    "requests_refused_for_old_knowledge_total",
+    "Requests refused because this VM's knowledge of keys was too "
+    "old.",
+    counters.mKnowledgeTooOld);
+  list.AddCounter(
+    "requests_over_quota_total",
+    "Requests refused because their organisation's quota was used "
+    "up.",
+    counters.mOverQuota);
   list.AddCounter("requests_without_quota_total",
                   "Requests refused because no VM granted their organisation's "
                   "quota.",
--- a/modules/wasabispread_forwarding/ForwarderRunner.cpp
+++ b/modules/wasabispread_forwarding/ForwarderRunner.cpp
@@ -416,10 +416,10 @@
 void
 ForwarderRunner::Perform(RequestPeerRouting& aEffect)
 {
-  mTransport->Send(IdFromName<VmId>(aEffect.mPeer),
-                   aEffect.mAddress,
-                   RoutingRequest{ aEffect.mKnownVersion.Value(),
-                                   aEffect.mSequence });
+  mTransport->Send(
+    IdFromName<VmId>(aEffect.mPeer),
+    aEffect.mAddress,
+    RoutingRequest{ aEffect.mKnownVersion.Value(), aEffect.mSequence });
 }
 
 void
--- a/modules/wasabispread_forwarding/ForwarderRunner.h
+++ b/modules/wasabispread_forwarding/ForwarderRunner.h
@@ -62,8 +62,8 @@
 private:
   struct TargetLink;
 
-  /** Tells the reducer when the machine was suspended: the steady clock does not
-      count that time. */
+  /** Tells the reducer when the machine was suspended: the steady clock does
+     not count that time. */
   void NoticeSuspension();
   /** This VM's entry in the store. */
   MemberRecord Self() const;
--- a/modules/wasabispread_forwarding_decisions/Membership.cpp
+++ b/modules/wasabispread_forwarding_decisions/Membership.cpp
@@ -240,8 +240,8 @@
     }
     if (next->first != aState.mPolicy.mName) {
       aState.mMembership.mLastAskedPeer = next->first;
-      const std::uint64_t sequence = RememberRoutingRequest(
-        aState.mMembership, aNow);
+      const std::uint64_t sequence =
+        RememberRoutingRequest(aState.mMembership, aNow);
       aEffects.push_back(RequestPeerRouting{
         next->first, next->second.mRecord.mAddress, known, sequence });
       return;
@@ -281,8 +281,7 @@
   if (isReadable) {
     const auto asked =
       aState.mMembership.mRoutingRequests.find(aEvent.mSequence);
-    if (aEvent.mAge &&
-        asked != aState.mMembership.mRoutingRequests.end()) {
+    if (aEvent.mAge && asked != aState.mMembership.mRoutingRequests.end()) {
       // The age was stated after the request was sent.
       RecordSound(aState, asked->second - *aEvent.mAge);
     }
--- a/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
@@ -231,7 +231,7 @@
     ForwarderHarness other;
     other.Configure({ SingleRoute("s", Repeatability::kIdempotent) });
     other.AddTarget("new", "s", 3);
-    const RoutingReply sent = MakeRoutingReply(other.mState, 0);
+    const RoutingReply sent = MakeRoutingReply(other.mState, {}, other.mNow);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, sent.mTargets.size());
     mForwarder->AddTarget("old", "s", 7);
     PeerRouting routing;
@@ -244,7 +244,8 @@
     CPPUNIT_ASSERT(mForwarder->Has("new"));
     CPPUNIT_ASSERT(!mForwarder->Has("old"));
     // A VM to which the store is unavailable too sends no targets.
-    CPPUNIT_ASSERT(MakeRoutingReply(mForwarder->mState, 0).mTargets.empty());
+    CPPUNIT_ASSERT(MakeRoutingReply(mForwarder->mState, {}, mForwarder->mNow)
+                     .mTargets.empty());
   }
 
 private:
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -328,14 +328,14 @@
   ++subRequest.mAttempts;
   ++subRequest.mPossibleRuns;
   ++aState.mCounters.mAttempts;
-  aEffects.push_back(SendRequest{
-    id,
-    aRequest.mRequest,
-    aTarget.mRecord.mInstance,
-    aRequest.mDeadline - aNow,
-    aRequest.mRoute->IsSearch() ? kMaxPartBytes : kMaxReplyBytes,
-    aRequest.mOwner.mName,
-    aRequest.mOwner.mForwardsCredentials });
+  aEffects.push_back(
+    SendRequest{ id,
+                 aRequest.mRequest,
+                 aTarget.mRecord.mInstance,
+                 aRequest.mDeadline - aNow,
+                 aRequest.mRoute->IsSearch() ? kMaxPartBytes : kMaxReplyBytes,
+                 aRequest.mOwner.mName,
+                 aRequest.mOwner.mForwardsCredentials });
 }
 
 void
--- a/modules/wasabispread_forwarding_decisions/RequestLimit.cpp
+++ b/modules/wasabispread_forwarding_decisions/RequestLimit.cpp
@@ -152,8 +152,7 @@
     QueryingVms(aState, aTarget.mService, aNow);
   const auto most = static_cast<std::size_t>(
     std::min(aRoom, static_cast<double>(senders.size())));
-  const std::uint64_t salt =
-    StableHash(aTarget.mInstance.Value(), kSenderSalt);
+  const std::uint64_t salt = StableHash(aTarget.mInstance.Value(), kSenderSalt);
   std::sort(senders.begin(),
             senders.end(),
             [&](const std::string& aLeft, const std::string& aRight) {
@@ -185,8 +184,8 @@
   const LimitShare share = ShareLimit(aState, aTarget.mRecord, room, aNow);
   const double probeRate = kProbeShare * std::max(perSecond, kMinProbedRate) /
                            static_cast<double>(FleetSize(aState, aNow));
-  limit.mRate = share.mIsSender ? std::max(perSecond / share.mParts, probeRate)
-                                : probeRate;
+  limit.mRate =
+    share.mIsSender ? std::max(perSecond / share.mParts, probeRate) : probeRate;
   limit.mCapacity = share.mIsSender ? std::max(1.0, room / share.mParts) : 1;
   limit.mAllowance = std::min(limit.mAllowance, limit.mCapacity);
 }
--- a/modules/wasabispread_forwarding_decisions/RequestLimit.h
+++ b/modules/wasabispread_forwarding_decisions/RequestLimit.h
@@ -59,9 +59,7 @@
 /** Recomputes this VM's part of the rate that the configuration names for the
     target while it is cold. */
 void
-RefreshColdLimit(ForwarderState& aState,
-                 TargetState& aTarget,
-                 TimePoint aNow);
+RefreshColdLimit(ForwarderState& aState, TargetState& aTarget, TimePoint aNow);
 
 /** How long until the target's limit lets this VM send a request; zero when it
     may send one now. */
--- a/modules/wasabispread_forwarding_decisions/RequestSteps.h
+++ b/modules/wasabispread_forwarding_decisions/RequestSteps.h
@@ -52,7 +52,8 @@
                         TimePoint aNow,
                         ForwarderEffects& aEffects);
 
-/** Removes and returns the next waiting sub-request: by rank, then by arrival. None when none waits any more. */
+/** Removes and returns the next waiting sub-request: by rank, then by arrival.
+ * None when none waits any more. */
 std::optional<SubRequestRef>
 TakeNextWaitingSubRequest(ForwarderState& aState, TargetState& aTarget);
 
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -149,8 +149,7 @@
   const Route* route =
     aState.mConfiguration == nullptr
       ? nullptr
-      : FindRoute(
-          *aState.mConfiguration, aRequest.mHost, aRequest.mTarget);
+      : FindRoute(*aState.mConfiguration, aRequest.mHost, aRequest.mTarget);
   return route != nullptr &&
          DecideKey(aState, aRequest, *route, aNow).mVerdict ==
            KeyVerdict::kKnowledgeTooOld;
@@ -169,11 +168,10 @@
   admission.mRoute =
     FindRoute(*aState.mConfiguration, aMessage->mHost, aMessage->mTarget);
   assert(admission.mRoute != nullptr);
-  admission.mOwner =
-    OwnerOf(*aState.mConfiguration,
-            *admission.mRoute,
-            DecideKey(aState, *aMessage, *admission.mRoute, aNow)
-              .mOrganisation);
+  admission.mOwner = OwnerOf(
+    *aState.mConfiguration,
+    *admission.mRoute,
+    DecideKey(aState, *aMessage, *admission.mRoute, aNow).mOrganisation);
   return admission;
 }
 
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -381,8 +381,7 @@
                      TimePoint aNow,
                      ForwarderEffects& aEffects)
 {
-  const auto watched =
-    std::exchange(aState.mStore.mPendingCall, std::nullopt);
+  const auto watched = std::exchange(aState.mStore.mPendingCall, std::nullopt);
   if (!aEvent.mResult) {
     HandleStoreFailure(aState, aEvent.mResult.error(), aNow, aEffects);
     return;
--- a/modules/wasabispread_forwarding_decisions/SubSearches.cpp
+++ b/modules/wasabispread_forwarding_decisions/SubSearches.cpp
@@ -171,9 +171,8 @@
 {
   const auto member = aState.mMembership.mMembers.find(aVm);
   return member != aState.mMembership.mMembers.end() &&
-         IsInRegions(aState,
-                     member->second.mRecord.mZone,
-                     aRequest.mOwner.mRegions);
+         IsInRegions(
+           aState, member->second.mRecord.mZone, aRequest.mOwner.mRegions);
 }
 
 /** How much earlier than the soft deadline a shard owner is asked to report, so
@@ -333,9 +332,9 @@
     const bool isOwnerSilent =
       areOthersSilent && IsOwnedInOtherZone(aState, subRequest.mService);
     if (isOwnerSilent || IsOwnShard(aState, subRequest.mService) ||
-        !MayGetBody(
-          aState, aState.mShardOwnership.OwnerOf(subRequest.mService),
-          aRequest)) {
+        !MayGetBody(aState,
+                    aState.mShardOwnership.OwnerOf(subRequest.mService),
+                    aRequest)) {
       continue;
     }
     subRequest.mIsAtShardOwner = true;
--- a/modules/wasabispread_forwarding_decisions/TargetPause.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetPause.cpp
@@ -71,9 +71,7 @@
 
 /** Whether a target of the service is put aside for a while. */
 bool
-HasTargetAside(const ForwarderState& aState,
-                ServiceId aService,
-                TimePoint aNow)
+HasTargetAside(const ForwarderState& aState, ServiceId aService, TimePoint aNow)
 {
   const auto targets = aState.mTargetsOfService.find(aService);
   return targets != aState.mTargetsOfService.end() &&
--- a/modules/wasabispread_forwarding_decisions/TargetPause.h
+++ b/modules/wasabispread_forwarding_decisions/TargetPause.h
@@ -65,15 +65,15 @@
 std::size_t
 CountPaused(const ForwarderState& aState, TimePoint aNow);
 
-/** Whether the target gets no requests for a while: it is in a pause, or its zone
-    is evacuated. */
+/** Whether the target gets no requests for a while: it is in a pause, or its
+   zone is evacuated. */
 bool
 IsAside(const ForwarderState& aState,
         const TargetState& aTarget,
         TimePoint aNow);
 
-/** Bounds how fast the load of a target that is put aside moves to the others of
-    its service. */
+/** Bounds how fast the load of a target that is put aside moves to the others
+   of its service. */
 void
 MoveLoadAway(ForwarderState& aState, TargetState& aTarget, TimePoint aNow);
 
--- a/modules/wasabispread_forwarding_decisions/TargetSelection.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetSelection.cpp
@@ -187,8 +187,7 @@
     const bool isExcluded =
       std::find(aExcluded.begin(), aExcluded.end(), key) != aExcluded.end();
     if (isExcluded || !CanAcceptRequest(aState, target, aNow) ||
-        !IsInRegions(
-          aState, target.mRecord.mZone, aRequest.mOwner.mRegions)) {
+        !IsInRegions(aState, target.mRecord.mZone, aRequest.mOwner.mRegions)) {
       continue;
     }
     const bool isAssigned = target.mIsAssigned || !target.mIdle.empty();
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaClaims.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaClaims.cpp
@@ -66,10 +66,8 @@
        const std::vector<std::string>& aRankedVms,
        std::uint32_t aPartition)
 {
-  const std::size_t granters =
-    std::clamp<std::size_t>(aRankedVms.size() / kVmsPerGranter,
-                            1,
-                            kQuotaPartitions);
+  const std::size_t granters = std::clamp<std::size_t>(
+    aRankedVms.size() / kVmsPerGranter, 1, kQuotaPartitions);
   std::vector<std::string> candidates(
     aRankedVms.begin(),
     aRankedVms.begin() +
@@ -85,10 +83,10 @@
     candidates.push_back(aRankedVms[position]);
   }
   // The VM whose claim ended is likely lost.
-  const auto last = std::find(
-    candidates.begin(),
-    candidates.end(),
-    aState.mQuota.mClaims.mPartitions[aPartition].mLastHolder);
+  const auto last =
+    std::find(candidates.begin(),
+              candidates.end(),
+              aState.mQuota.mClaims.mPartitions[aPartition].mLastHolder);
   if (last != candidates.end()) {
     std::rotate(last, last + 1, candidates.end());
   }
@@ -139,8 +137,8 @@
     if (ranked.empty()) {
       ranked = RankedVms(aState);
     }
-    const TimePoint since = std::max(partition.mVacantSince,
-                                     aState.mStarted + kStartupSettleTime);
+    const TimePoint since =
+      std::max(partition.mVacantSince, aState.mStarted + kStartupSettleTime);
     const TimePoint turn =
       since + kTurn * static_cast<int>(TurnOf(aState, ranked, number));
     if (aNow >= turn) {
@@ -178,8 +176,7 @@
   }
   if (!HasOwnClaim(aState.mQuota.mClaims) &&
       aState.mQuota.mClaims.mPending.empty()) {
-    // Not needed any more: it ends by itself.
-    lease = QuotaLease{};
+    // A lease that is not needed ends by itself.
     return;
   }
   lease.mAsked = aNow;
@@ -263,8 +260,7 @@
   if (partition.mClaim && aChange.mTerm <= partition.mClaim->mTerm) {
     return;
   }
-  partition.mClaim =
-    KnownClaim{ aChange.mVm, aChange.mAddress, aChange.mTerm };
+  partition.mClaim = KnownClaim{ aChange.mVm, aChange.mAddress, aChange.mTerm };
   partition.mLastHolder = aChange.mVm;
   partition.mLastClaim = aNow;
   partition.mVacantSince = TimePoint::max();
@@ -276,8 +272,7 @@
 void
 RemoveClaim(ForwarderState& aState, std::uint32_t aPartition, TimePoint aNow)
 {
-  QuotaPartition& partition =
-    aState.mQuota.mClaims.mPartitions.at(aPartition);
+  QuotaPartition& partition = aState.mQuota.mClaims.mPartitions.at(aPartition);
   partition.mClaim.reset();
   EndOwnTerm(partition);
   if (partition.mVacantSince == TimePoint::max()) {
@@ -346,8 +341,8 @@
                         ForwarderEffects& aEffects)
 {
   QuotaLease& lease = aState.mQuota.mClaims.mLease;
-  const TimePoint asked = std::exchange(lease.mAsked, std::nullopt).value_or(
-    aNow);
+  const TimePoint asked =
+    std::exchange(lease.mAsked, std::nullopt).value_or(aNow);
   if (!aResult) {
     ++aState.mCounters.mStoreFailures;
     aState.mQuota.mClaims.mClaimAfter = aNow + kRetry;
@@ -385,8 +380,8 @@
   for (QuotaPartition& partition : claims.mPartitions) {
     EndOwnTerm(partition);
   }
-  aEffects.push_back(
-    WriteDecisionRecord{ { RecordClass::kState, "quota-lease-ended", {}, {} } });
+  aEffects.push_back(WriteDecisionRecord{
+    { RecordClass::kState, "quota-lease-ended", {}, {} } });
   ReviewQuotaClaims(aState, aNow, aEffects);
 }
 
@@ -412,6 +407,7 @@
     ArmReview(aState, claims.mClaimAfter);
     return;
   }
+  ArmReview(aState, std::max(aNow, claims.mLease.mRenewAt));
   for (const QuotaClaim& claim : claimed) {
     const auto& known = claims.mPartitions[claim.mPartition].mClaim;
     if (!known || known->mTerm <= **aResult) {
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaPath.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaPath.cpp
@@ -116,8 +116,7 @@
       IsInOwnZone(aState, direct.mVm)) {
     return { QuotaPath::Kind::kZone, direct.mVm, direct.mAddress };
   }
-  const Member* holder =
-    HolderInZone(aState, PartitionOf(aOrganisation), aNow);
+  const Member* holder = HolderInZone(aState, PartitionOf(aOrganisation), aNow);
   if (holder == nullptr || holder->mRecord.mName == aState.mPolicy.mName) {
     return direct;
   }
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
@@ -114,10 +114,9 @@
   if (ledger == partition.mLedgers.end()) {
     ledger =
       partition.mLedgers
-        .emplace(
-          aNeed.mOrganisation,
-          BeginLedger(
-            parts, rule, partition.mMayGrantAtOnce, partition.mOwnSince))
+        .emplace(aNeed.mOrganisation,
+                 BeginLedger(
+                   parts, rule, partition.mMayGrantAtOnce, partition.mOwnSince))
         .first;
   }
   const TimePoint expires =
@@ -273,13 +272,8 @@
     for (const QuotaNeed& need : NeedsAt(aState, self, aNow)) {
       const QuotaGrant grant =
         Answer(aState, self, aState.mQuota.mSession, need, aNow);
-      AcceptAnswer(aState,
-                   need,
-                   grant,
-                   aNow,
-                   ValidTime(aState, aNow),
-                   aNow,
-                   aEffects);
+      AcceptAnswer(
+        aState, need, grant, aNow, ValidTime(aState, aNow), aNow, aEffects);
     }
   }
 }
@@ -309,12 +303,11 @@
   question.mNeeds = needs;
   aState.mTimers.Arm(
     aNow + kAnswerTime, ForwarderTimer::kQuotaAnswer, question.mSequence);
-  aEffects.push_back(SendPeerMessage{ vm,
-                                      aAddress,
-                                      QuotaRequest{ question.mSequence,
-                                                    aState.mQuota.mSession,
-                                                    false,
-                                                    std::move(needs) } });
+  aEffects.push_back(SendPeerMessage{
+    vm,
+    aAddress,
+    QuotaRequest{
+      question.mSequence, aState.mQuota.mSession, false, std::move(needs) } });
 }
 
 /** Asks another VM of the zone unless a question is unanswered. */
@@ -365,8 +358,12 @@
       AskInZone(aState, aOrganisation, aPath, aNow, aEffects);
       break;
     case QuotaPath::Kind::kNone:
-      RefuseWaiting(
-        aState, aOrganisation, Unavailable(kOtherVmRetry), aNow, aNow, aEffects);
+      RefuseWaiting(aState,
+                    aOrganisation,
+                    Unavailable(kOtherVmRetry),
+                    aNow,
+                    aNow,
+                    aEffects);
       break;
   }
 }
@@ -441,8 +438,7 @@
   OrganisationQuota& quota = aState.mQuota.mOrganisations[aOrganisation];
   while (!quota.mPeers.empty() &&
          ServePeer(quota, quota.mPeers.front(), aNow)) {
-    AnswerPeer(
-      quota, aOrganisation, quota.mPeers.front(), {}, aNow, aEffects);
+    AnswerPeer(quota, aOrganisation, quota.mPeers.front(), {}, aNow, aEffects);
     quota.mPeers.erase(quota.mPeers.begin());
   }
   while (!quota.mWaiting.empty()) {
@@ -464,12 +460,12 @@
                TimePoint aNow,
                ForwarderEffects& aEffects)
 {
-  aEffects.push_back(WriteDecisionRecord{
-    { RecordClass::kNotable,
-      "quota-not-answered",
-      {},
-      { { "by", std::move(aVm) },
-        { "age_ms", ToMilliseconds(aNow - aAsked) } } } });
+  aEffects.push_back(
+    WriteDecisionRecord{ { RecordClass::kNotable,
+                           "quota-not-answered",
+                           {},
+                           { { "by", std::move(aVm) },
+                             { "age_ms", ToMilliseconds(aNow - aAsked) } } } });
 }
 
 /** Gives up a question to a granting VM: what waits for it is refused. */
@@ -493,8 +489,8 @@
   }
 }
 
-/** Gives up a question to a VM of the zone: what waits takes another way, unless
-    it has waited for too long. */
+/** Gives up a question to a VM of the zone: what waits takes another way,
+   unless it has waited for too long. */
 void
 GiveUpInZone(ForwarderState& aState,
              OrganisationId aOrganisation,
@@ -544,12 +540,8 @@
                   aEffects);
   } else if (grant.mNextGrant > Duration::zero()) {
     RecordDenial(quota.mHeld, grant, aNow);
-    RefuseWaiting(aState,
-                  aOrganisation,
-                  UsedUp(quota.mHeld, aNow),
-                  asked,
-                  aNow,
-                  aEffects);
+    RefuseWaiting(
+      aState, aOrganisation, UsedUp(quota.mHeld, aNow), asked, aNow, aEffects);
   }
   if (!quota.mWaiting.empty()) {
     AskFor(aState, aOrganisation, aNow, aEffects);
@@ -682,8 +674,7 @@
     organisations.push_back(id);
   }
   for (const OrganisationId id : organisations) {
-    RefuseWaiting(
-      aState, id, Unavailable(kOtherVmRetry), aNow, aNow, aEffects);
+    RefuseWaiting(aState, id, Unavailable(kOtherVmRetry), aNow, aNow, aEffects);
   }
 }
 
@@ -730,20 +721,14 @@
   }
   const TimePoint asked = found->second.mAsked;
   found->second.mSequence = 0;
-  const std::vector<QuotaNeed> needs =
-    std::exchange(found->second.mNeeds, {});
+  const std::vector<QuotaNeed> needs = std::exchange(found->second.mNeeds, {});
   for (std::size_t position = 0;
        position < std::min(needs.size(), reply.mGrants.size());
        ++position) {
     const QuotaGrant& grant = reply.mGrants[position];
     if (grant.mOrganisation == needs[position].mOrganisation) {
-      AcceptAnswer(aState,
-                   needs[position],
-                   grant,
-                   asked,
-                   reply.mValid,
-                   aNow,
-                   aEffects);
+      AcceptAnswer(
+        aState, needs[position], grant, asked, reply.mValid, aNow, aEffects);
     }
   }
   for (const QuotaNeed& need : needs) {
@@ -752,15 +737,12 @@
 }
 
 void
-ReviewQuota(ForwarderState& aState,
-            TimePoint aNow,
-            ForwarderEffects& aEffects)
+ReviewQuota(ForwarderState& aState, TimePoint aNow, ForwarderEffects& aEffects)
 {
   QuotaState& quota = aState.mQuota;
   quota.mIsTimerArmed = false;
-  std::erase_if(quota.mAvoidUntil, [aNow](const auto& aEntry) {
-    return aNow >= aEntry.second;
-  });
+  std::erase_if(quota.mAvoidUntil,
+                [aNow](const auto& aEntry) { return aNow >= aEntry.second; });
   bool isAnyHeld = false;
   for (auto& [id, organisation] : quota.mOrganisations) {
     ReturnUnusable(organisation.mHeld, aNow);
@@ -798,12 +780,10 @@
     GiveUpInZone(aState, inZone->second, aNow, aEffects);
     return;
   }
-  const auto question =
-    std::find_if(aState.mQuota.mQuestions.begin(),
-                 aState.mQuota.mQuestions.end(),
-                 [&](const auto& aEntry) {
-                   return aEntry.second.mSequence == aSequence;
-                 });
+  const auto question = std::find_if(
+    aState.mQuota.mQuestions.begin(),
+    aState.mQuota.mQuestions.end(),
+    [&](const auto& aEntry) { return aEntry.second.mSequence == aSequence; });
   if (question != aState.mQuota.mQuestions.end()) {
     GiveUpGranter(aState, question->first, aNow, aEffects);
   }
@@ -822,8 +802,7 @@
   }
   std::vector<OrganisationId> asked;
   for (const auto& [sequence, organisation] : aState.mQuota.mZoneQuestions) {
-    const auto& vm =
-      aState.mQuota.mOrganisations[organisation].mQuestion.mVm;
+    const auto& vm = aState.mQuota.mOrganisations[organisation].mQuestion.mVm;
     if (IdFromName<VmId>(vm) == aVm) {
       asked.push_back(organisation);
     }
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.h
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.h
@@ -73,9 +73,7 @@
 /** Reports what was used and extends grants. Called whenever the kQuota timer
     fires. */
 void
-ReviewQuota(ForwarderState& aState,
-            TimePoint aNow,
-            ForwarderEffects& aEffects);
+ReviewQuota(ForwarderState& aState, TimePoint aNow, ForwarderEffects& aEffects);
 
 /** Gives up a question that was not answered in time. */
 void
--- /dev/null
+++ b/modules/wasabispread_forwarding_decisions/placement/EvacuationTests.cpp
@@ -0,0 +1,342 @@
+/*
+ * Tests of evacuated zones, cold targets and regions.
+ */
+#include <tests/support/ForwarderHarness.h>
+
+#include <numeric>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace wasabispread;
+using namespace wasabispread::forwarding;
+using namespace wasabispread::testing;
+
+namespace {
+
+constexpr Duration kMillisecond = std::chrono::milliseconds(1);
+constexpr Duration kSecond = std::chrono::seconds(1);
+
+ForwarderPolicy
+PolicyWithRegions()
+{
+  ForwarderPolicy policy = TestPolicy();
+  policy.mRegionOfZone = { { ZoneName("a"), RegionName("north") },
+                           { ZoneName("b"), RegionName("south") } };
+  policy.mColdRule = ColdRule{ 1.5, 5 };
+  return policy;
+}
+
+} // namespace
+
+class EvacuationTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(EvacuationTests);
+  CPPUNIT_TEST(SendsNothingToAnEvacuatedZone);
+  CPPUNIT_TEST(MovesWaitingRequestsAway);
+  CPPUNIT_TEST(RefusesAtOnceWhatNoOtherZoneServes);
+  CPPUNIT_TEST(TakesTheZoneBackStepByStep);
+  CPPUNIT_TEST(EndsEvacuationsMissingFromAList);
+  CPPUNIT_TEST(LearnsOfEvacuationsFromOtherVms);
+  CPPUNIT_TEST(LogsZonesThatDoNotExist);
+  CPPUNIT_TEST(KeepsTheRateOfColdTargets);
+  CPPUNIT_TEST(SendsOnlyToAllowedRegions);
+  CPPUNIT_TEST(KeepsBodiesFromVmsInOtherRegions);
+  CPPUNIT_TEST(RefusesWhenRouteAndOrganisationShareNoRegion);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    mForwarder = std::make_unique<ForwarderHarness>(PolicyWithRegions());
+  }
+
+  void ConfigureOneService()
+  {
+    mForwarder->Configure({ SingleRoute("s", Repeatability::kIdempotent) });
+    mForwarder->AddTarget("near", "s", 1, false, 1, "a");
+    mForwarder->AddTarget("far", "s", 1, false, 1, "b");
+  }
+
+  void Evacuate(const char* aZone, bool aIsEvacuated = true)
+  {
+    mForwarder->Change(EvacuationChange{ ZoneName(aZone), aIsEvacuated });
+  }
+
+  std::size_t CountRecords(const std::string& aEvent) const
+  {
+    std::size_t count = 0;
+    for (const auto& record : mForwarder->mDecisionRecords) {
+      count += record.mEvent == aEvent ? 1U : 0U;
+    }
+    return count;
+  }
+
+  /** Guards against first and second sends, and new connections, to targets of
+      the zone. */
+  void SendsNothingToAnEvacuatedZone()
+  {
+    ConfigureOneService();
+    mForwarder->Ask("/s/");
+    CPPUNIT_ASSERT(mForwarder->Has("near"));
+    mForwarder->Reply("near", ReplyKind::kSuccess);
+    Evacuate("a");
+    int served = 0;
+    for (int count = 0; count < 10; ++count) {
+      mForwarder->Ask("/s/");
+      mForwarder->RunFor(100 * kMillisecond);
+      CPPUNIT_ASSERT(!mForwarder->Has("near"));
+      // The other target takes over step by step.
+      if (mForwarder->Has("far")) {
+        ++served;
+        mForwarder->Reply("far", ReplyKind::kSuccess);
+      }
+    }
+    CPPUNIT_ASSERT(served >= 3);
+    mForwarder->RunFor(kSecond);
+    mForwarder->Ask("/s/");
+    // A retry, too, goes nowhere.
+    mForwarder->Reply("far", ReplyKind::kNotRun);
+    mForwarder->RunFor(kSecond);
+    CPPUNIT_ASSERT(!mForwarder->Has("near"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, CountRecords("zone-evacuated"));
+  }
+
+  void MovesWaitingRequestsAway()
+  {
+    ConfigureOneService();
+    std::vector<CallerToken> tokens;
+    for (int count = 0; count < 60; ++count) {
+      tokens.push_back(mForwarder->Ask("/s/"));
+    }
+    const auto& near = mForwarder->mState.mTargets.at(
+      mForwarder->mState.mTargetOfInstance.at(InstanceId("near")));
+    CPPUNIT_ASSERT(!near.mWaiting.empty());
+    Evacuate("a");
+    CPPUNIT_ASSERT(near.mWaiting.empty());
+    const std::size_t atNear = static_cast<std::size_t>(
+      std::count_if(mForwarder->Received().begin(),
+                    mForwarder->Received().end(),
+                    [](const ReceivedRequest& aRequest) {
+                      return aRequest.mInstance == "near";
+                    }));
+    mForwarder->Reply("near", ReplyKind::kSuccess);
+    mForwarder->RunFor(50 * kMillisecond);
+    const std::size_t left = static_cast<std::size_t>(
+      std::count_if(mForwarder->Received().begin(),
+                    mForwarder->Received().end(),
+                    [](const ReceivedRequest& aRequest) {
+                      return aRequest.mInstance == "near";
+                    }));
+    CPPUNIT_ASSERT_EQUAL(atNear - 1, left);
+  }
+
+  void RefusesAtOnceWhatNoOtherZoneServes()
+  {
+    mForwarder->Configure({ SingleRoute("s", Repeatability::kIdempotent) });
+    mForwarder->AddTarget("near", "s", 1, false, 1, "a");
+    Evacuate("a");
+    const CallerToken token = mForwarder->Ask("/s/");
+    const auto& problem = std::get<Problem>(*mForwarder->AnswerTo(token));
+    CPPUNIT_ASSERT(problem.mKind == ProblemKind::kNotRun);
+    CPPUNIT_ASSERT(problem.mRetryAfter.has_value());
+  }
+
+  /** The load: 100 requests a second that prefer the zone. */
+  void TakesTheZoneBackStepByStep()
+  {
+    ConfigureOneService();
+    RunLoad(3 * kSecond);
+    Evacuate("a");
+    RunLoad(3 * kSecond);
+    Evacuate("a", false);
+    const unsigned first = RunLoad(300 * kMillisecond);
+    CPPUNIT_ASSERT(first > 0 && first < 25);
+    RunLoad(8 * kSecond);
+    CPPUNIT_ASSERT(RunLoad(kSecond) > 90);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, CountRecords("zone-taken-back"));
+  }
+
+  void EndsEvacuationsMissingFromAList()
+  {
+    ConfigureOneService();
+    Evacuate("a");
+    Evacuate("b");
+    SetEvacuations(mForwarder->mState,
+                   EvacuatedZones({ EvacuationChange{ ZoneName("b") } }),
+                   mForwarder->mNow,
+                   mEffects);
+    CPPUNIT_ASSERT(!IsEvacuated(mForwarder->mState, ZoneName("a")));
+    CPPUNIT_ASSERT(IsEvacuated(mForwarder->mState, ZoneName("b")));
+  }
+
+  void LearnsOfEvacuationsFromOtherVms()
+  {
+    ConfigureOneService();
+    mForwarder->Deliver(ChangesWatched{
+      Fail(ErrorKind::kPlatformUnavailable, "no answer", "wait") });
+    PeerRouting routing;
+    routing.mAge = kSecond;
+    routing.mEvacuatedZones = { ZoneName("b") };
+    mForwarder->Deliver(routing);
+    CPPUNIT_ASSERT(IsEvacuated(mForwarder->mState, ZoneName("b")));
+    // A VM that cannot tell changes nothing.
+    mForwarder->Deliver(PeerRouting{});
+    CPPUNIT_ASSERT(IsEvacuated(mForwarder->mState, ZoneName("b")));
+  }
+
+  void LogsZonesThatDoNotExist()
+  {
+    ConfigureOneService();
+    Evacuate("nowhere");
+    const auto& record = mForwarder->mDecisionRecords.back();
+    CPPUNIT_ASSERT_EQUAL(std::string("zone-evacuated"),
+                         std::string(record.mEvent));
+    CPPUNIT_ASSERT_EQUAL(std::string("no"),
+                         std::get<std::string>(record.mFields[1].mValue));
+    mForwarder->Ask("/s/");
+    CPPUNIT_ASSERT(mForwarder->Has("near"));
+  }
+
+  /** The load: as many requests as can be sent, from several VMs. All together
+      send no more than the configuration allows in any second. */
+  void KeepsTheRateOfColdTargets()
+  {
+    constexpr double kRate = 10;
+    constexpr std::size_t kVms = 8;
+    constexpr double kMost = kRate * 1.5 + 5;
+    std::vector<std::unique_ptr<ForwarderHarness>> vms;
+    for (std::size_t number = 0; number < kVms; ++number) {
+      ForwarderPolicy policy = PolicyWithRegions();
+      policy.mName = "vm-" + std::to_string(number);
+      vms.push_back(std::make_unique<ForwarderHarness>(policy));
+      ForwarderHarness& vm = *vms.back();
+      vm.mColdRate = kRate;
+      vm.Configure({ SingleRoute("s", Repeatability::kIdempotent) });
+      for (std::size_t other = 0; other < kVms; ++other) {
+        const std::string name = "vm-" + std::to_string(other);
+        vm.Change(MemberChange{
+          MemberRecord{ name, ZoneName("a"), Endpoint{ name, 1 }, 1 } });
+      }
+      TargetRecord record;
+      record.mInstance = InstanceId("cold");
+      record.mService = IdFromName<ServiceId>("s");
+      record.mZone = ZoneName("a");
+      record.mSlots = 2;
+      record.mWarmUp = 4 * kSecond;
+      record.mAddress = Endpoint{ "cold", 1 };
+      vm.Change(TargetChange{ record });
+    }
+    std::vector<double> sentPerStep;
+    for (int step = 0; step < 600; ++step) {
+      double sent = 0;
+      for (const auto& vm : vms) {
+        const CallerToken token = vm->Ask("/s/");
+        if (vm->AnswerTo(token) == nullptr) {
+          ++sent;
+          vm->Reply("cold", ReplyKind::kSuccess);
+        }
+        vm->RunFor(10 * kMillisecond);
+      }
+      sentPerStep.push_back(sent);
+    }
+    const auto sentIn = [&](std::size_t aFirst) {
+      return std::accumulate(
+        sentPerStep.begin() + static_cast<std::ptrdiff_t>(aFirst),
+        sentPerStep.begin() + static_cast<std::ptrdiff_t>(aFirst + 100),
+        0.0);
+    };
+    for (std::size_t first = 0; first + 100 <= 400; ++first) {
+      CPPUNIT_ASSERT(sentIn(first) <= kMost);
+    }
+    CPPUNIT_ASSERT(sentIn(200) >= 0.6 * kRate);
+    // Warm again.
+    CPPUNIT_ASSERT(sentIn(450) > 5 * kMost);
+  }
+
+  void SendsOnlyToAllowedRegions()
+  {
+    Route route = SingleRoute("s", Repeatability::kIdempotent);
+    route.mRegions = { RegionName("south") };
+    mForwarder->Configure({ route });
+    mForwarder->AddTarget("near", "s", 1, false, 1, "a");
+    mForwarder->AddTarget("far", "s", 1, false, 1, "b");
+    mForwarder->AddTarget("lost", "s", 1, false, 1, "no region");
+    mForwarder->Ask("/s/");
+    CPPUNIT_ASSERT(mForwarder->Has("far"));
+    mForwarder->Reply("far", ReplyKind::kNotRun);
+    mForwarder->RunFor(kSecond);
+    CPPUNIT_ASSERT(!mForwarder->Has("near") && !mForwarder->Has("lost"));
+  }
+
+  void KeepsBodiesFromVmsInOtherRegions()
+  {
+    Route route = SearchRoute(40, 0.5);
+    route.mRegions = { RegionName("south") };
+    mForwarder->Configure({ route });
+    for (const char* name : { "vm-b", "vm-c", "vm-d", "vm-e" }) {
+      mForwarder->Change(MemberChange{
+        MemberRecord{ name, ZoneName("a"), Endpoint{ name, 1 }, 1 } });
+    }
+    for (int shard = 0; shard < 40; ++shard) {
+      mForwarder->AddTarget("t-" + std::to_string(shard),
+                            "shard-" + std::to_string(shard),
+                            1,
+                            false,
+                            1,
+                            shard % 2 == 0 ? "a" : "b");
+    }
+    mForwarder->Ask("/search/");
+    for (const SendPeerMessage& message : mForwarder->mPeerMessages) {
+      const auto* search = std::get_if<SubSearch>(&message.mMessage);
+      CPPUNIT_ASSERT(search == nullptr || search->mShards.empty());
+    }
+    CPPUNIT_ASSERT(!mForwarder->Received().empty());
+    for (const ReceivedRequest& request : mForwarder->Received()) {
+      CPPUNIT_ASSERT(std::stoi(request.mInstance.substr(2)) % 2 == 1);
+    }
+  }
+
+  void RefusesWhenRouteAndOrganisationShareNoRegion()
+  {
+    OrganisationDirectory directory;
+    Organisation acme;
+    acme.mName = "acme";
+    acme.mId = IdFromName<OrganisationId>(acme.mName);
+    acme.mRegions = { RegionName("north") };
+    CPPUNIT_ASSERT(directory.Add(acme, { "key" }));
+    Route route = SingleRoute("s", Repeatability::kIdempotent);
+    route.mRegions = { RegionName("south") };
+    mForwarder->Configure({ route }, directory, 1);
+    mForwarder->AddTarget("near", "s", 1, false, 1, "a");
+    mForwarder->AddTarget("far", "s", 1, false, 1, "b");
+    mForwarder->mKey = { KeyForm::kPresent, "key" };
+    const CallerToken token = mForwarder->Ask("/s/");
+    CPPUNIT_ASSERT(
+      std::get<Problem>(*mForwarder->AnswerTo(token)).mMessage.find("region") !=
+      std::string::npos);
+    CPPUNIT_ASSERT(mForwarder->Received().empty());
+  }
+
+private:
+  /** Sends a request every 10 ms, each answered at once; returns how many went
+      to the near target. */
+  unsigned RunLoad(Duration aTime)
+  {
+    unsigned near = 0;
+    for (Duration time{}; time < aTime; time += 10 * kMillisecond) {
+      mForwarder->Ask("/s/");
+      while (!mForwarder->Received().empty()) {
+        const std::string instance = mForwarder->Received().back().mInstance;
+        near += instance == "near" ? 1U : 0U;
+        mForwarder->Reply(instance, ReplyKind::kSuccess);
+      }
+      mForwarder->RunFor(10 * kMillisecond);
+    }
+    return near;
+  }
+
+  std::unique_ptr<ForwarderHarness> mForwarder;
+  ForwarderEffects mEffects;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EvacuationTests);
--- a/modules/wasabispread_organisations/HeldQuota.cpp
+++ b/modules/wasabispread_organisations/HeldQuota.cpp
@@ -84,8 +84,8 @@
 bool
 IsReportDue(const HeldQuota& aHeld, TimePoint aNow)
 {
-  const bool isChanged = aHeld.mUsed > aHeld.mUsedKnown ||
-                         aHeld.mReturned > aHeld.mReturnedKnown;
+  const bool isChanged =
+    aHeld.mUsed > aHeld.mUsedKnown || aHeld.mReturned > aHeld.mReturnedKnown;
   const bool endsSoon =
     aHeld.Held() != 0 && aNow + kExtendBefore >= aHeld.mValidUntil;
   return isChanged || endsSoon;
--- a/modules/wasabispread_organisations/KeyCheckTests.cpp
+++ b/modules/wasabispread_organisations/KeyCheckTests.cpp
@@ -70,8 +70,7 @@
     OrganisationDirectory directory;
     CPPUNIT_ASSERT(directory.Add(Named("a"), { "key-1", "key-1" }));
     CPPUNIT_ASSERT(directory.Add(Named("b"), { "key-3" }));
-    CPPUNIT_ASSERT_EQUAL(std::string("b"),
-                         directory.FindByKey("key-3")->mName);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), directory.FindByKey("key-3")->mName);
     CPPUNIT_ASSERT(directory.FindByKey("key-30") == nullptr);
     CPPUNIT_ASSERT(directory.Find(IdFromName<OrganisationId>("a")) != nullptr);
     CPPUNIT_ASSERT(directory.Find(IdFromName<OrganisationId>("c")) == nullptr);
@@ -124,9 +123,8 @@
                        KeyVerdict::kAllowed);
       }
     }
-    CPPUNIT_ASSERT(
-      CheckKey(directory, Present("key"), true, kFresh, kStrict).mOrganisation !=
-      nullptr);
+    CPPUNIT_ASSERT(CheckKey(directory, Present("key"), true, kFresh, kStrict)
+                     .mOrganisation != nullptr);
     CPPUNIT_ASSERT(
       CheckKey(directory, Present("key"), true, kOld, kStrict).mOrganisation ==
       nullptr);
--- a/modules/wasabispread_organisations/QuotaLedger.cpp
+++ b/modules/wasabispread_organisations/QuotaLedger.cpp
@@ -16,8 +16,8 @@
 Duration
 FromSeconds(double aSeconds)
 {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-    std::clamp(aSeconds, 0.0, kMaxWaitSeconds)));
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(std::clamp(aSeconds, 0.0, kMaxWaitSeconds)));
 }
 
 bool
@@ -180,9 +180,10 @@
     return grant;
   }
   const double missing = std::max(0.0, 1 - Grantable(aLedger, aNow));
-  const double perGrant =
-    aParts.mRate > 0 ? 1 / aParts.mRate : kMaxWaitSeconds;
-  grant.mNextGrant = FromSeconds(missing * perGrant);
+  const double perGrant = aParts.mRate > 0 ? 1 / aParts.mRate : kMaxWaitSeconds;
+  // Zero would say that nothing was denied.
+  grant.mNextGrant = std::max<Duration>(std::chrono::milliseconds(1),
+                                        FromSeconds(missing * perGrant));
   aLedger.mPromisedUntil =
     std::max(aLedger.mPromisedUntil, aNow + grant.mNextGrant);
   grant.mRetryAfter = aLedger.mPromisedUntil - aNow;
--- a/modules/wasabispread_organisations/QuotaLedgerTests.cpp
+++ b/modules/wasabispread_organisations/QuotaLedgerTests.cpp
@@ -110,8 +110,8 @@
     const bool mayGrantAtOnce =
       !mLastTakeover || mNow - *mLastTakeover >= mRule.mWindow;
     mLastTakeover = mNow;
-    mLedger = BeginLedger(
-      DivideQuota(mLimit, mRule), mRule, mayGrantAtOnce, mNow);
+    mLedger =
+      BeginLedger(DivideQuota(mLimit, mRule), mRule, mayGrantAtOnce, mNow);
     ++mTerm;
     RenewLease();
   }
@@ -250,8 +250,7 @@
                             *rc::gen::inRange(0, 100) / 100.0,
                             *rc::gen::inRange(0, 50) * 1.0 };
       const QuotaParts parts = DivideQuota(limit, rule);
-      const double window =
-        std::chrono::duration<double>(rule.mWindow).count();
+      const double window = std::chrono::duration<double>(rule.mWindow).count();
       const double most = MaxInWindow(limit, rule);
       RC_ASSERT(parts.mCapacity + parts.mRate * window + parts.mTakeover <=
                 most + 1e-6);
@@ -348,8 +347,8 @@
     constexpr double kSeconds = 20;
     const double allowance = limit.mRatePerSecond * kSeconds + limit.mBurst;
     // Two VMs with a part each, whatever the others do not use.
-    const double equalParts = MaxInWindow(limit, kRule) / kFleet * 2 *
-                              (kSeconds / 5);
+    const double equalParts =
+      MaxInWindow(limit, kRule) / kFleet * 2 * (kSeconds / 5);
     CPPUNIT_ASSERT(equalParts < 0.05 * allowance);
     QuotaModel model(limit, kRule);
     constexpr Duration kWay = std::chrono::milliseconds(4);
@@ -365,9 +364,8 @@
       model.Request(1, 3 + static_cast<std::size_t>(step % 2), kWay, false);
     }
     CPPUNIT_ASSERT(static_cast<double>(model.mRun.size()) >= 0.95 * allowance);
-    CPPUNIT_ASSERT(
-      static_cast<double>(MostInWindow(model.mRun, kRule.mWindow)) <=
-      MaxInWindow(limit, kRule));
+    CPPUNIT_ASSERT(static_cast<double>(MostInWindow(
+                     model.mRun, kRule.mWindow)) <= MaxInWindow(limit, kRule));
   }
 
   /** Guards against a VM that is killed again and again and each time gets
--- a/modules/wasabispread_organisations/QuotaRule.cpp
+++ b/modules/wasabispread_organisations/QuotaRule.cpp
@@ -39,8 +39,7 @@
   QuotaParts parts;
   parts.mReserve = kReserveShare * surplus;
   parts.mTakeover = kTakeoverShare * surplus;
-  const double usable =
-    most - parts.mTakeover - kUnusedShare * surplus;
+  const double usable = most - parts.mTakeover - kUnusedShare * surplus;
   // Less than one request could never be granted, and a burst must fit.
   const double leastCapacity =
     std::min(usable, std::max({ 1.0, aLimit.mBurst, parts.mReserve }));
--- a/modules/wasabispread_wire/ControlFrames.cpp
+++ b/modules/wasabispread_wire/ControlFrames.cpp
@@ -392,9 +392,8 @@
 EncodedMessage
 EncodeInto(Builder& aBuilder, const RoutingRequest& aMessage)
 {
-  const auto message =
-    frame::CreateRoutingRequest(
-      aBuilder, aMessage.mKnownVersion, aMessage.mSequence);
+  const auto message = frame::CreateRoutingRequest(
+    aBuilder, aMessage.mKnownVersion, aMessage.mSequence);
   return { frame::Message::RoutingRequest, message.Union() };
 }
 
--- a/modules/wasabispread_wire/SearchFrames.cpp
+++ b/modules/wasabispread_wire/SearchFrames.cpp
@@ -150,9 +150,8 @@
 EncodedMessage
 EncodeInto(Builder& aBuilder, const ChangesRequest& aMessage)
 {
-  const auto message =
-    frame::CreateChangesRequest(
-      aBuilder, aMessage.mSequence, aMessage.mAfter, aMessage.mEra);
+  const auto message = frame::CreateChangesRequest(
+    aBuilder, aMessage.mSequence, aMessage.mAfter, aMessage.mEra);
   return { frame::Message::ChangesRequest, message.Union() };
 }
 
@@ -180,11 +179,11 @@
 EncodedMessage
 EncodeInto(Builder& aBuilder, const RevisionReport& aMessage)
 {
-  const auto message = frame::CreateRevisionReport(
-    aBuilder,
-    aMessage.mRevision,
-    NonNegativeMicroseconds(aMessage.mAge),
-    aMessage.mEra);
+  const auto message =
+    frame::CreateRevisionReport(aBuilder,
+                                aMessage.mRevision,
+                                NonNegativeMicroseconds(aMessage.mAge),
+                                aMessage.mEra);
   return { frame::Message::RevisionReport, message.Union() };
 }
 
@@ -202,13 +201,11 @@
                        need.mWanted);
   }
   const auto vector = aBuilder.CreateVectorOfStructs(needs);
-  const auto message =
-    frame::CreateQuotaRequest(
-      aBuilder,
-      aMessage.mSequence,
-      aMessage.mSession,
-      aMessage.mIsForZone,
-      vector);
+  const auto message = frame::CreateQuotaRequest(aBuilder,
+                                                 aMessage.mSequence,
+                                                 aMessage.mSession,
+                                                 aMessage.mIsForZone,
+                                                 vector);
   return { frame::Message::QuotaRequest, message.Union() };
 }
 
@@ -271,10 +268,8 @@
 Result<PeerFrame>
 DecodeReport(const frame::RevisionReport& aMessage)
 {
-  return PeerFrame(PeerMessage(
-    RevisionReport{ aMessage.revision(),
-                    BoundedDuration(aMessage.age_us()),
-                    aMessage.era() }));
+  return PeerFrame(PeerMessage(RevisionReport{
+    aMessage.revision(), BoundedDuration(aMessage.age_us()), aMessage.era() }));
 }
 
 Result<PeerFrame>
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -11,14 +11,20 @@
 
 using namespace forwarding;
 
-ForwarderHarness::ForwarderHarness()
+ForwarderPolicy
+TestPolicy()
 {
   ForwarderPolicy policy;
   policy.mName = "vm-a";
   policy.mZone = ZoneName("a");
   policy.mExtraAttemptRule =
     ExtraAttemptRule{ 0.2, 200, std::chrono::seconds(10) };
-  mState = MakeForwarderState(std::move(policy), 1);
+  return policy;
+}
+
+ForwarderHarness::ForwarderHarness(ForwarderPolicy aPolicy)
+{
+  mState = MakeForwarderState(std::move(aPolicy), 1);
   Deliver(ForwarderStarted{});
   Deliver(EntriesListed{ StoreContent{ {}, StoreRevision(mRevision) } });
   Deliver(ChangesWatched{ StoreChanges{ {}, StoreRevision(mRevision) } });
@@ -27,15 +33,24 @@
 
 void
 ForwarderHarness::Configure(std::vector<Route> aRoutes, std::uint64_t aVersion)
+{
+  Configure(std::move(aRoutes), std::nullopt, aVersion);
+}
+
+void
+ForwarderHarness::Configure(std::vector<Route> aRoutes,
+                            std::optional<OrganisationDirectory> aOrganisations,
+                            std::uint64_t aVersion)
 {
   RoutingConfiguration configuration;
+  configuration.mOrganisations = std::move(aOrganisations);
   configuration.mVersion = ConfigurationVersion(aVersion);
   configuration.mRoutes = std::move(aRoutes);
   for (const Route& route : configuration.mRoutes) {
     const auto add = [&](ServiceId aService) {
       constexpr unsigned kConnections = 26;
       configuration.mServices[aService] =
-        ServiceRecord{ "service", "/health", kConnections };
+        ServiceRecord{ "service", "/health", kConnections, mColdRate };
     };
     std::for_each(route.mShards.begin(), route.mShards.end(), add);
     for (const SplitPart& part : route.mParts) {
@@ -93,6 +108,10 @@
   request.mHost = "host";
   request.mTarget = aTarget;
   request.mCallerTimeout = aCallerTimeout;
+  request.mKey = mKey;
+  if (mKey.mForm != KeyForm::kAbsent) {
+    request.mCredentials.push_back({ "Credentials", mKey.mText });
+  }
   const CallerToken token = request.mToken;
   Deliver(RequestArrived{
     std::make_shared<const ForwardedRequest>(std::move(request)) });
@@ -235,13 +254,21 @@
     mReceived.push_back(ReceivedRequest{ send->mConnection,
                                          send->mInstance.Value(),
                                          send->mRequest->mId,
-                                         send->mCallerTimeout });
+                                         send->mCallerTimeout,
+                                         send->mOrganisation,
+                                         send->mForwardsCredentials });
   } else if (auto* answer = std::get_if<AnswerRequest>(&aEffect)) {
     mAnswers.emplace_back(answer->mToken, std::move(answer->mAnswer));
   } else if (const auto* request = std::get_if<RequestPeerRouting>(&aEffect)) {
     mPeerRoutingRequests.push_back(*request);
   } else if (const auto* message = std::get_if<SendPeerMessage>(&aEffect)) {
     mPeerMessages.push_back(*message);
+  } else if (const auto* grant = std::get_if<GrantLease>(&aEffect)) {
+    mLeaseGrants.push_back(*grant);
+  } else if (const auto* renewal = std::get_if<RenewLease>(&aEffect)) {
+    mLeaseRenewals.push_back(*renewal);
+  } else if (const auto* claim = std::get_if<ClaimQuota>(&aEffect)) {
+    mClaims.push_back(*claim);
   } else if (const auto* list = std::get_if<ListStore>(&aEffect)) {
     mLists.push_back(*list);
   } else if (const auto* watch = std::get_if<WatchStore>(&aEffect)) {
--- a/tests/support/ForwarderHarness.h
+++ b/tests/support/ForwarderHarness.h
@@ -21,8 +21,15 @@
   std::string mInstance;
   RequestId mId;
   Duration mCallerTimeout{};
+  /** What the request states beside the caller's message. */
+  std::string mOrganisation;
+  bool mHasCredentials = false;
 };
 
+/** The policy of the VM "vm-a" in the zone "a". */
+forwarding::ForwarderPolicy
+TestPolicy();
+
 /** Passes events to Reduce() and carries out the effects. Connections open at
     once unless mRefusesAllConnections or mResetting says otherwise; requests
     stay unanswered until a test calls Reply() or Break(). */
@@ -30,12 +37,17 @@
 {
 public:
   /** Starts with an empty store and no other VM in the membership. */
-  ForwarderHarness();
+  explicit ForwarderHarness(forwarding::ForwarderPolicy aPolicy = TestPolicy());
 
   /** Delivers a configuration as a change of the store. */
   void Configure(std::vector<forwarding::Route> aRoutes,
                  std::uint64_t aVersion = 1);
 
+  /** As above, with organisations. */
+  void Configure(std::vector<forwarding::Route> aRoutes,
+                 std::optional<OrganisationDirectory> aOrganisations,
+                 std::uint64_t aVersion);
+
   /** Registers a target of a service, or changes its record. aSequence and
       aBorn are the record's fields of the same names. */
   void AddTarget(const std::string& aInstance,
@@ -87,6 +99,10 @@
 
   forwarding::ForwarderState mState;
   TimePoint mNow{ std::chrono::seconds(1000) };
+  /** The key that callers' requests carry. */
+  CallerKey mKey;
+  /** The rate that the configuration names for cold targets. */
+  double mColdRate = 0;
   /** Targets that accept connections and reset them at once. */
   std::vector<std::string> mResetting;
   /** The limits that targets name in their replies, by instance. */
@@ -103,6 +119,9 @@
   std::vector<ConnectionId> mClosed;
   std::vector<forwarding::RequestPeerRouting> mPeerRoutingRequests;
   std::vector<forwarding::SendPeerMessage> mPeerMessages;
+  std::vector<forwarding::GrantLease> mLeaseGrants;
+  std::vector<forwarding::RenewLease> mLeaseRenewals;
+  std::vector<forwarding::ClaimQuota> mClaims;
   std::vector<forwarding::ListStore> mLists;
   std::vector<forwarding::WatchStore> mWatches;
   std::size_t mAbandonedWatches = 0;
