Find out how many requests each target takes well

Servers of one service differ in speed, and some slow down long before they are full. Each VM now measures the time of work by the number of requests it has in flight at a target, relative to the route's usual time, and expects accordingly; a target's own statement of its load counts for a moment. Without measurements the rule is the one before.

--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -146,6 +146,10 @@
   list.AddGauge("targets_leaving",
                 "Targets put aside because they state that they leave.",
                 static_cast<double>(CountLeaving(aState)));
+  list.AddGauge("targets_slow_under_load",
+                "Targets that take fewer requests of this VM well than they "
+                "have slots.",
+                static_cast<double>(CountSlowUnderLoad(aState, aNow)));
   list.AddGauge("targets_paused",
                 "Targets put aside because they asked for a pause.",
                 static_cast<double>(CountPaused(aState, aNow)));
--- a/modules/wasabispread_forwarding_decisions/Answers.cpp
+++ b/modules/wasabispread_forwarding_decisions/Answers.cpp
@@ -267,6 +267,10 @@
       { "overdue_ms",
         ToMilliseconds(OverdueBy(aState, target->second, aNow)) });
     fields.push_back({ "failure_share", FailureShare(target->second, aNow) });
+    fields.push_back(
+      { "takes_well",
+        static_cast<std::int64_t>(GoodConcurrency(
+          target->second.mCapacity, target->second.mRecord.mSlots, aNow)) });
   }
   aEffects.push_back(WriteDecisionRecord{ { RecordClass::kNotable,
                                             aEvent,
--- a/modules/wasabispread_forwarding_decisions/Message.h
+++ b/modules/wasabispread_forwarding_decisions/Message.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <wasabispread_load/wasabispread_load.h>
 #include <wasabispread_wire/wasabispread_wire.h>
 
 #include <cstdint>
@@ -71,18 +72,6 @@
 std::string_view
 ToText(ReplyKind aKind);
 
-/** What a target states about its load. */
-struct TargetLoad
-{
-  /** The requests that it works on, and those that wait. */
-  unsigned mRunning = 0;
-  unsigned mWaiting = 0;
-  /** The requests that it works on concurrently. */
-  unsigned mSlots = 1;
-  /** How long work takes there now, relative to the usual time. */
-  double mSlowness = 1;
-};
-
 /** A target's complete reply. */
 struct Reply
 {
@@ -106,7 +95,7 @@
   std::optional<Duration> mWantedPause;
   /** The load that the target states; none when it states none, or one that
       cannot be read. */
-  std::optional<TargetLoad> mLoad;
+  std::optional<StatedLoad> mLoad;
   bool mIsLoadUnreadable = false;
   /** How much longer the target is slow after its start; none when it did not
       say. */
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -179,6 +179,13 @@
   RecordOutcome(aTarget, aKind != ReplyKind::kSuccess, aNow);
   if (aKind == ReplyKind::kSuccess) {
     const Duration taken = aNow - aConnection.mSent;
+    const double usual = aState.mRoutes[aConnection.mRoute].mLatency.mMean;
+    if (usual > 0) {
+      RecordWork(aTarget.mCapacity,
+                 aConnection.mInFlight,
+                 static_cast<double>(taken.count()) / usual,
+                 aNow);
+    }
     AddSample(LatencyOf(aTarget, aConnection.mRoute), taken, aNow);
     AddSample(aState.mRoutes[aConnection.mRoute].mLatency, taken, aNow);
   }
@@ -314,6 +321,7 @@
   connection.mSubRequest = SubRequestRef{ aRequest.mKey, aSubRequest };
   connection.mRoute = aRequest.mRoute->mId;
   connection.mSent = aNow;
+  connection.mInFlight = aTarget.BusyCount(aState);
   connection.mAbandonAt = TimePoint::max();
   const Duration delay = HedgeDelay(aState, aTarget, aRequest.mRoute->mId);
   subRequest.mInFlight.push_back(
--- a/modules/wasabispread_forwarding_decisions/TargetPool.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.cpp
@@ -268,6 +268,17 @@
   return aTarget.mFailureShare * std::exp2(-halfLives);
 }
 
+std::size_t
+CountSlowUnderLoad(const ForwarderState& aState, TimePoint aNow)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aState.mTargets.begin(), aState.mTargets.end(), [&](const auto& aEntry) {
+      const TargetState& target = aEntry.second;
+      return GoodConcurrency(target.mCapacity, target.mRecord.mSlots, aNow) <
+             std::min<std::size_t>(target.mRecord.mSlots, kLoadLevels);
+    }));
+}
+
 LatencyEstimate&
 LatencyOf(TargetState& aTarget, RouteId aRoute)
 {
--- a/modules/wasabispread_forwarding_decisions/TargetPool.h
+++ b/modules/wasabispread_forwarding_decisions/TargetPool.h
@@ -48,6 +48,9 @@
   RouteId mRoute;
   /** When the request in flight was sent, or when opening began. */
   TimePoint mSent{};
+  /** How many requests of this VM were in flight at the target then, this one
+      included. */
+  std::size_t mInFlight = 0;
   /** Whether it has carried a reply. */
   bool mHasCarriedReply = false;
   /** When the connection is closed although a reply, which no sub-request needs
@@ -98,8 +101,10 @@
   /** What the configuration allows while the target is cold. */
   RequestLimit mColdLimit;
   /** What it last stated about its load, and when. */
-  std::optional<TargetLoad> mLoad;
+  std::optional<StatedLoad> mLoad;
   TimePoint mLoadTime{};
+  /** How much load it takes well, as this VM measured it. */
+  TargetCapacity mCapacity;
   /** Until when the target wants no request. */
   TimePoint mPausedUntil{};
   /** The requests per second that are usual for it, as of the begin of its last
@@ -201,6 +206,11 @@
 double
 FailureShare(const TargetState& aTarget, TimePoint aNow);
 
+/** The targets that take fewer requests of this VM well than they have slots.
+ */
+std::size_t
+CountSlowUnderLoad(const ForwarderState& aState, TimePoint aNow);
+
 LatencyEstimate&
 LatencyOf(TargetState& aTarget, RouteId aRoute);
 
--- a/modules/wasabispread_forwarding_decisions/TargetSelection.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetSelection.cpp
@@ -75,6 +75,23 @@
   return weight * known->mMean + (1 - weight) * typical;
 }
 
+/** By how much longer than alone a request takes that is sent to the target
+    now. */
+double
+PresentLoadFactor(const ForwarderState& aState,
+                  const TargetState& aTarget,
+                  TimePoint aNow)
+{
+  const double measured = LoadFactor(aTarget.mCapacity,
+                                     aTarget.BusyCount(aState) + 1,
+                                     aTarget.mRecord.mSlots,
+                                     aNow);
+  return aTarget.mLoad
+           ? std::max(measured,
+                      StatedFactor(*aTarget.mLoad, aNow - aTarget.mLoadTime))
+           : measured;
+}
+
 Duration
 OtherZoneCost(const ForwarderState& aState, RouteId aRoute)
 {
@@ -125,9 +142,7 @@
              TimePoint aNow)
 {
   const double mean = CurrentMean(aState, aTarget, aRoute, aNow);
-  const auto slots = static_cast<double>(std::max(1U, aTarget.mRecord.mSlots));
-  const auto busy = static_cast<double>(aTarget.BusyCount(aState));
-  double expected = mean * (1 + busy / slots);
+  double expected = mean * PresentLoadFactor(aState, aTarget, aNow);
   if (aTarget.mIdle.empty()) {
     const auto connections = static_cast<double>(
       std::max<std::size_t>(1, aTarget.mConnections.size()));
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -5,7 +5,8 @@
  * following the store.
  *
  * Pure: no input or output, no clock, no threads. Depends on
- * wasabispread_decisions for its histogram, its timers and its random source.
+ * wasabispread_decisions for its histogram, its timers and its random source,
+ * and on wasabispread_load for what targets take well.
  */
 #pragma once
 
