--- a/tests/platform/ForwarderFleet.cpp
+++ b/tests/platform/ForwarderFleet.cpp
@@ -170,9 +170,9 @@
   std::ofstream(SettingsFile(aDaemon))
     << "name = \"vm-" << aDaemon << "\"\nzone = \"zone-a\"\nstore = \""
     << ToText(setup.mStoreAddress)
-    << "\"\nmemory_megabytes = 160\nstop_grace_seconds = 4\n[listen]\ncallers "
-       "= "
-    << address(0) << "readiness = " << address(1) << "peers = " << address(2)
+    << "\"\nmemory_megabytes = " << mMemoryMegabytes
+    << "\nstop_grace_seconds = 4\n[listen]\ncallers = " << address(0)
+    << "readiness = " << address(1) << "peers = " << address(2)
     << "[repeats]\nshare = 0.2\nfixed = 200\nwindow_seconds = 10\n";
   setup.mProcess =
     ChildProcess("wasabispreadd",
--- a/tests/platform/ForwarderFleet.h
+++ b/tests/platform/ForwarderFleet.h
@@ -72,6 +72,9 @@
   ForwarderFleet(const ForwarderFleet&) = delete;
   ForwarderFleet& operator=(const ForwarderFleet&) = delete;
 
+  /** The memory of the VMs whose daemons are started from now on. */
+  std::size_t mMemoryMegabytes = 160;
+
   StandInStore& Store() { return *mStore; }
   const RunLog& Runs() const { return mRuns; }
   ChildProcess& Daemon(std::size_t aDaemon)
