Keep the memory of a VM's daemon when crowds of callers fill it

Causes: each body being received held a read buffer of 64 KiB that nothing counted; a chunked body was counted by its size, not by the block it grew into; a rejected request kept its body until its caller had read the rejection; and stacks of fibers between blocks of other sizes left holes in the heap. Now a connection holds no buffer while it waits for a body, a body's growth is counted before it happens, a rejected request is freed at once, stacks are pages of their own, and the limits leave out what the program itself takes.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -231,8 +231,9 @@
 void
 ReturnLargeBlocks()
 {
-  // Larger than the stack of a fiber, which is better kept.
-  constexpr int kLargeBlock = 512 << 10;
+  // Small enough for the blocks of large bodies, which would leave holes between
+  // others, and larger than what is read at once.
+  constexpr int kLargeBlock = 192 << 10;
   constexpr int kKeptAtTheEnd = 4 << 20;
   mallopt(M_MMAP_THRESHOLD, kLargeBlock);
   mallopt(M_TRIM_THRESHOLD, kKeptAtTheEnd);
--- a/modules/wasabispread_decisions/MemoryAccount.cpp
+++ b/modules/wasabispread_decisions/MemoryAccount.cpp
@@ -38,10 +38,16 @@
 MemoryLimits
 LimitsOfProcess(std::size_t aProcessBytes)
 {
-  // Of the other half, one part is for connections, the other for the program
-  // itself and copies that exist for a moment.
+  // What the program takes without any request, with its libraries, the routing
+  // and the log; measured 12 to 14 MB.
+  constexpr std::size_t kBytesOfProgram = std::size_t{ 14 } << 20U;
+  // Of the other half, one part is for connections, the other for copies that
+  // exist for a moment and what the allocator keeps.
   constexpr std::size_t kBytesOfConnection = 32U << 10U;
-  const std::size_t total = aProcessBytes / 2;
+  const std::size_t total =
+    std::max(aProcessBytes / 16,
+             aProcessBytes - std::min(aProcessBytes, kBytesOfProgram)) /
+    2;
   return { total, total / 4 * 3, total / 2, total / 2 / kBytesOfConnection };
 }
 
--- a/modules/wasabispread_runtime/HttpServer.cpp
+++ b/modules/wasabispread_runtime/HttpServer.cpp
@@ -220,6 +220,38 @@
     return asio::error::timed_out;
   }
 
+  /** As ReadSome(), but holds no buffer while it waits: many clients may be
+      waited for at once. */
+  error_code ReadWithoutHolding(std::size_t aBytes)
+  {
+    bool isReady = false;
+    while (true) {
+      error_code error;
+      const std::size_t arrived = mSocket.available(error);
+      if (error) {
+        return error;
+      }
+      if (isReady || arrived != 0) {
+        const std::size_t bytes = std::clamp<std::size_t>(arrived, 1, aBytes);
+        mBuffer.commit(mSocket.read_some(mBuffer.prepare(bytes), error));
+        if (error != asio::error::would_block) {
+          return error;
+        }
+      }
+      if (mIsExpired) {
+        return asio::error::timed_out;
+      }
+      mBuffer.shrink_to_fit();
+      const IoResult waited = Await([&](auto aHandler) {
+        mSocket.async_wait(Tcp::socket::wait_read, aHandler);
+      });
+      isReady = !waited.mError;
+      if (waited.mError && waited.mError != asio::error::operation_aborted) {
+        return waited.mError;
+      }
+    }
+  }
+
   /** Waits until the socket accepts output or mExpiry passes. */
   error_code AwaitWritable()
   {
@@ -530,21 +562,56 @@
   return !error;
 }
 
-/** Counts the memory of a request that is being received; false when it must be
-    refused. */
+/** Counts the memory of a request that is being received, whose body takes
+    aBodyBytes; false when it must be refused. */
 bool
-AdmitRequest(ServerConnection& aConnection, const RequestParser& aParser)
+AdmitBytes(ServerConnection& aConnection, std::size_t aBodyBytes)
 {
-  const std::size_t stated = aParser.content_length().value_or(0);
-  const std::size_t bytes =
-    std::max<std::size_t>(stated, aParser.get().body().size()) +
-    aConnection.mBuffer.size();
+  const std::size_t bytes = aBodyBytes + aConnection.mBuffer.capacity();
   return !aConnection.mIsGivenUp &&
          aConnection.mMemory->Admit(&aConnection, bytes, Now(), [&aConnection] {
            aConnection.GiveUp();
          });
 }
 
+bool
+AdmitRequest(ServerConnection& aConnection, const RequestParser& aParser)
+{
+  const std::size_t stated = aParser.content_length().value_or(0);
+  return AdmitBytes(aConnection,
+                    std::max<std::size_t>(stated, aParser.get().body().size()));
+}
+
+/** Makes room for the input in a body without a stated length, and counts it
+    before it is there; false when the request must be refused. A large body
+   gets a block of its own, of which only the used pages take memory. */
+bool
+ReserveBody(ServerConnection& aConnection,
+            RequestParser& aParser,
+            std::uint64_t aMaxBodyBytes)
+{
+  constexpr std::size_t kSmallBody = 16U << 10U;
+  constexpr std::size_t kLeastBlock = 256U << 10U;
+  std::string& body = aParser.get().body();
+  const std::size_t needed = body.size() + aConnection.mBuffer.size();
+  if (aParser.content_length()) {
+    return true;
+  }
+  if (needed <= body.capacity()) {
+    return AdmitBytes(aConnection, needed);
+  }
+  const std::size_t doubled = needed <= kSmallBody
+                                ? 2 * needed
+                                : std::max(2 * body.capacity(), kLeastBlock);
+  // Both blocks exist while the body moves from one to the other.
+  if (!AdmitBytes(aConnection, needed + body.size())) {
+    return false;
+  }
+  body.reserve(std::max<std::size_t>(
+    needed, std::min<std::uint64_t>(doubled, aMaxBodyBytes)));
+  return true;
+}
+
 /** Reads a request, of which some bytes are in the connection's buffer, and no
     body of one that is rejected for its header: aProblem then says why. */
 template<class Server>
@@ -563,6 +630,10 @@
   aConnection.ExpireAt(start + aServer.mLimits.mHeaderLimit);
   bool isHeaderRead = false;
   while (true) {
+    if (isHeaderRead &&
+        !ReserveBody(aConnection, aParser, aServer.mLimits.mMaxBodyBytes)) {
+      return asio::error::no_memory;
+    }
     error_code error;
     try {
       const auto used = aParser.put(aConnection.mBuffer.data(), error);
@@ -608,8 +679,8 @@
         return http::error::buffer_overflow;
       }
     }
-    error =
-      aConnection.ReadSome(isHeaderRead ? kBodyReadBytes : kHeaderReadBytes);
+    error = isHeaderRead ? aConnection.ReadWithoutHolding(kBodyReadBytes)
+                         : aConnection.ReadSome(kHeaderReadBytes);
     aConnection.mMemory->Move(&aConnection, aConnection.mBuffer.size(), Now());
     if (error) {
       return aConnection.mIsGivenUp ? asio::error::no_memory : error;
@@ -805,13 +876,18 @@
 ServeRequest(Server& aServer, ServerConnection& aConnection)
 {
   const Duration writeLimit = aServer.mLimits.mTransferLimit;
-  RequestParser parser;
+  std::optional<RequestParser> parser(std::in_place);
   std::optional<Error> problem;
-  const error_code error = ReadRequest(aServer, aConnection, parser, problem);
+  const error_code error = ReadRequest(aServer, aConnection, *parser, problem);
   if (error) {
     problem = ReadProblem(error);
   }
   if (error || problem) {
+    // What was received is not needed any more, and the client may take long to
+    // read the rejection.
+    parser.reset();
+    aConnection.mBuffer.clear();
+    aConnection.mBuffer.shrink_to_fit();
     aConnection.mMemory->Release(&aConnection);
   }
   if (problem) {
@@ -825,15 +901,18 @@
     return false;
   }
   aConnection.ExpireAt(TimePoint::max());
-  const bool wantsKeepAlive = parser.keep_alive();
-  if (ExpectsContinue(parser.get())) {
+  const bool wantsKeepAlive = parser->keep_alive();
+  if (ExpectsContinue(parser->get())) {
     // Whoever handles the request has its body already.
-    parser.get().erase(http::field::expect);
+    parser->get().erase(http::field::expect);
   }
-  const bool isHttp11 = parser.get().version() >= 11;
-  HttpRequest request = FromBeast(parser.release());
+  const bool isHttp11 = parser->get().version() >= 11;
+  HttpRequest request = FromBeast(parser->release());
+  parser.reset();
   UseOriginForm(request);
   const bool isHead = request.mMethod == "HEAD";
+  // Nothing is read on while the request is handled.
+  aConnection.mBuffer.shrink_to_fit();
   aConnection.CountMemory(MemoryUse::kRequest,
                           kCopiesOfRequest * request.mBody.size());
   request.mIsFirstOnConnection = aConnection.mRequestsRead == 0;
--- a/modules/wasabispread_runtime/IoLoop.cpp
+++ b/modules/wasabispread_runtime/IoLoop.cpp
@@ -2,6 +2,7 @@
  * The fiber scheduling algorithm that runs an Asio context.
  */
 #include "AsioSupport.h"
+#include "FiberStacks.h"
 
 #include "wasabispread_runtime.h"
 
@@ -190,7 +191,11 @@
 void
 StartFiber(std::function<void()> aBody)
 {
-  boost::fibers::fiber(boost::fibers::launch::post, std::move(aBody)).detach();
+  boost::fibers::fiber(boost::fibers::launch::post,
+                       std::allocator_arg,
+                       FiberStacks(),
+                       std::move(aBody))
+    .detach();
 }
 
 } // namespace wasabispread
