--- a/tests/platform/StandInStore.cpp
+++ b/tests/platform/StandInStore.cpp
@@ -169,15 +169,37 @@
 StandInStore::NextReplica(bool aIsFirstPage)
 {
   mNextReplica = aIsFirstPage ? 0 : mNextReplica + 1;
-  const TimePoint at =
-    Now() - mReplicaLags.at(mNextReplica % mReplicaLags.size());
+  return SnapshotAt(Now() -
+                    mReplicaLags.at(mNextReplica % mReplicaLags.size()));
+}
+
+StandInStore::Snapshot
+StandInStore::SnapshotAt(TimePoint aTime) const
+{
   const auto found = std::find_if(
     mSnapshots.rbegin(), mSnapshots.rend(), [&](const Snapshot& aSnapshot) {
-      return aSnapshot.mSince <= at;
+      return aSnapshot.mSince <= aTime;
     });
   return found == mSnapshots.rend() ? Snapshot{ {}, 1, {} } : *found;
 }
 
+void
+StandInStore::ComeBackFromCopy(Duration aAge)
+{
+  Snapshot copy = SnapshotAt(Now() - aAge);
+  std::erase_if(copy.mItems, [](const auto& aEntry) {
+    return !IsWrittenByOthers(aEntry.first);
+  });
+  mItems = std::move(copy.mItems);
+  mRevision = copy.mRevision;
+  mCompactedRevision = mRevision;
+  mHistory.clear();
+  mSnapshots.clear();
+  mLeases.clear();
+  ++mEra;
+  AbortWatches();
+}
+
 StandInStore::Json
 StandInStore::Describe(const std::string& aKey, const Item& aItem) const
 {
@@ -190,6 +212,16 @@
 
 HttpResponse
 StandInStore::Serve(VmPort& aVmPort, const HttpRequest& aRequest)
+{
+  HttpResponse response = Handle(aVmPort, aRequest);
+  if (mEra != 0) {
+    response.mHeaders.push_back({ "Store-Era", std::to_string(mEra) });
+  }
+  return response;
+}
+
+HttpResponse
+StandInStore::Handle(VmPort& aVmPort, const HttpRequest& aRequest)
 {
   ++mCalls;
   const HttpPath path = ParsePath(aRequest.mTarget);
@@ -281,7 +313,7 @@
     }
     const std::uint64_t oldest =
       mHistory.empty() ? mRevision : std::min(mCompactedRevision, mRevision);
-    if (after < oldest) {
+    if (after < oldest || (mEra != 0 && after > mRevision)) {
       return JsonResponse(kGone, "{}");
     }
     Json events = Json::array();
--- a/tests/platform/StandInStore.h
+++ b/tests/platform/StandInStore.h
@@ -74,6 +74,10 @@
   /** Ends each waiting watch without an answer. */
   void AbortWatches();
 
+  /** Comes back from a copy that is aAge old: revisions go back and are given
+      out again, what VMs wrote is gone, and the era rises. */
+  void ComeBackFromCopy(Duration aAge);
+
   /** Answers the reads that allow stale content from replicas in turn: the
       first page of each list from the first one. Each replica has its own
       lag. */
@@ -87,6 +91,8 @@
 
   /** Changes the values that VMs write; may be empty. */
   std::function<std::string(std::string aValue)> mOnPut;
+  /** The era that every answer names; none names it while it is 0. */
+  std::uint64_t mEra = 0;
   /** The delay of every answer. */
   Duration mDelay = std::chrono::milliseconds(1);
   WriteFault mWriteFault = WriteFault::kNone;
@@ -113,6 +119,14 @@
 
   using Items = std::map<std::string, Item>;
 
+  /** The content since a time, with its revision. */
+  struct Snapshot
+  {
+    TimePoint mSince{};
+    std::uint64_t mRevision = 0;
+    Items mItems;
+  };
+
   struct Lease
   {
     Duration mLifetime{};
@@ -126,6 +140,9 @@
   };
 
   HttpResponse Serve(VmPort& aVmPort, const HttpRequest& aRequest);
+  HttpResponse Handle(VmPort& aVmPort, const HttpRequest& aRequest);
+  /** The content that the store had at a time. */
+  Snapshot SnapshotAt(TimePoint aTime) const;
   HttpResponse Read(const HttpPath& aPath);
   HttpResponse Watch(VmPort& aVmPort, const HttpPath& aPath);
   /** Blocks until the store ends. */
@@ -141,14 +158,6 @@
   IoLoop& mLoop;
   std::vector<std::unique_ptr<VmPort>> mVmPorts;
   Items mItems;
-  /** The content since a time, with its revision. */
-  struct Snapshot
-  {
-    TimePoint mSince{};
-    std::uint64_t mRevision = 0;
-    Items mItems;
-  };
-
   /** The snapshot that the next read which allows stale content gets. */
   Snapshot NextReplica(bool aIsFirstPage);
 
