--- a/modules/wasabispread_forwarding_decisions/Membership.cpp
+++ b/modules/wasabispread_forwarding_decisions/Membership.cpp
@@ -102,6 +102,14 @@
          aNow - aMember.mLeftAt < kLeftMemberRetention;
 }
 
+bool
+IsInOwnZone(const ForwarderState& aState, const std::string& aVm)
+{
+  const auto member = aState.mMembership.mMembers.find(aVm);
+  return member != aState.mMembership.mMembers.end() &&
+         member->second.mRecord.mZone == aState.mPolicy.mZone;
+}
+
 void
 ApplyMember(MembershipState& aMembership, const MemberRecord& aRecord)
 {
--- a/modules/wasabispread_forwarding_decisions/Membership.h
+++ b/modules/wasabispread_forwarding_decisions/Membership.h
@@ -78,6 +78,10 @@
 bool
 SharesLimits(const Member& aMember, TimePoint aNow);
 
+/** Whether a VM is known and in the zone of this one. */
+bool
+IsInOwnZone(const ForwarderState& aState, const std::string& aVm);
+
 void
 ApplyMember(MembershipState& aMembership, const MemberRecord& aRecord);
 
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -110,33 +110,33 @@
 RequestState&
 AddRequest(ForwarderState& aState, Admission aAdmission)
 {
-  const ForwardedRequestPointer& aMessage = aAdmission.mMessage;
+  const ForwardedRequestPointer& message = aAdmission.mMessage;
   const Route* route = aAdmission.mRoute;
-  const TimePoint aNow = aAdmission.mArrived;
+  const TimePoint arrived = aAdmission.mArrived;
   RouteState& routeState = aState.mRoutes[route->mId];
   routeState.mSoftTimeout = route->mSoftTimeout;
-  if (aMessage->mCallerTimeout) {
+  if (message->mCallerTimeout) {
     routeState.mLongestCallerTimeout =
-      std::max(routeState.mLongestCallerTimeout, *aMessage->mCallerTimeout);
+      std::max(routeState.mLongestCallerTimeout, *message->mCallerTimeout);
   }
   RequestState request;
   request.mKey = RequestKey(aState.mNextRequest++);
-  request.mRequest = aMessage;
+  request.mRequest = message;
   request.mConfiguration = aState.mConfiguration;
   request.mRoute = route;
   request.mOwner = std::move(aAdmission.mOwner);
   request.mQuotaSource = aAdmission.mQuotaSource;
-  request.mArrived = aNow;
+  request.mArrived = arrived;
   const Duration roundTrip = aState.mPolicy.mCallerRoundTrip;
   const Duration reserve =
     ReserveForAnswer(aState.mAnswerReserve, route->mShards.size());
   request.mDeadline =
-    BeforeExit(aState.mStop, DeadlineOf(aState, *aMessage, *route, aNow));
+    BeforeExit(aState.mStop, DeadlineOf(aState, *message, *route, arrived));
   request.mSoftDeadline = BeforeExit(
     aState.mStop,
-    SoftDeadlineOf(*aMessage, *route, routeState, roundTrip, reserve, aNow));
+    SoftDeadlineOf(*message, *route, routeState, roundTrip, reserve, arrived));
   AddSubRequests(request, routeState);
-  aState.mRequestOfCaller[aMessage->mToken] = request.mKey;
+  aState.mRequestOfCaller[message->mToken] = request.mKey;
   const RequestKey key = request.mKey;
   return aState.mRequests.emplace(key, std::move(request)).first->second;
 }
--- a/modules/wasabispread_forwarding_decisions/SubSearches.cpp
+++ b/modules/wasabispread_forwarding_decisions/SubSearches.cpp
@@ -155,14 +155,6 @@
   return search;
 }
 
-bool
-IsInOwnZone(const ForwarderState& aState, const std::string& aVm)
-{
-  const auto member = aState.mMembership.mMembers.find(aVm);
-  return member != aState.mMembership.mMembers.end() &&
-         member->second.mRecord.mZone == aState.mPolicy.mZone;
-}
-
 /** Whether a VM lies in the regions to which the request is bound. */
 bool
 MayGetBody(const ForwarderState& aState,
--- a/modules/wasabispread_forwarding_decisions/organisations/KeyAdmissionTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/KeyAdmissionTests.cpp
@@ -203,6 +203,7 @@
     StayInTouch();
     mForwarder->mKey = Present("key-p");
     std::vector<CallerToken> busy;
+    busy.reserve(40);
     // More than a target's connections.
     for (int count = 0; count < 40; ++count) {
       busy.push_back(mForwarder->Ask("/s/"));
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaClaims.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaClaims.cpp
@@ -54,6 +54,7 @@
               return rank(aLeft) < rank(aRight);
             });
   std::vector<std::string> names;
+  names.reserve(members.size());
   for (const Member* member : members) {
     names.push_back(member->mRecord.mName);
   }
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaPath.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaPath.cpp
@@ -67,14 +67,6 @@
     });
 }
 
-bool
-IsInOwnZone(const ForwarderState& aState, const std::string& aVm)
-{
-  const auto member = aState.mMembership.mMembers.find(aVm);
-  return member != aState.mMembership.mMembers.end() &&
-         member->second.mRecord.mZone == aState.mPolicy.mZone;
-}
-
 } // namespace
 
 const KnownClaim*
@@ -108,7 +100,7 @@
                 OrganisationId aOrganisation,
                 TimePoint aNow)
 {
-  const QuotaPath direct = PathForPeers(aState, aOrganisation, aNow);
+  QuotaPath direct = PathForPeers(aState, aOrganisation, aNow);
   if (direct.mKind == QuotaPath::Kind::kSelf) {
     return direct;
   }
--- a/modules/wasabispread_forwarding_decisions/placement/EvacuationTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/placement/EvacuationTests.cpp
@@ -105,6 +105,7 @@
   {
     ConfigureOneService();
     std::vector<CallerToken> tokens;
+    tokens.reserve(60);
     for (int count = 0; count < 60; ++count) {
       tokens.push_back(mForwarder->Ask("/s/"));
     }
--- a/tests/platform/CallerCrowdTests.cpp
+++ b/tests/platform/CallerCrowdTests.cpp
@@ -39,7 +39,7 @@
   static constexpr unsigned kReaders = 60;
   static constexpr std::size_t kReplyBytes = std::size_t{ 4 } << 20U;
   /** The crowd, the targets, the store and the daemon's own. */
-  static constexpr std::size_t kMaxDescriptors = 6 * kCrowd;
+  static constexpr std::size_t kMaxDescriptors = std::size_t{ 6 } * kCrowd;
 
   void setUp() override
   {
