--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -231,8 +231,8 @@
 void
 ReturnLargeBlocks()
 {
-  // Small enough for the blocks of large bodies, which would leave holes between
-  // others, and larger than what is read at once.
+  // Small enough for the blocks of large bodies, which would leave holes
+  // between others, and larger than what is read at once.
   constexpr int kLargeBlock = 192 << 10;
   constexpr int kKeptAtTheEnd = 4 << 20;
   mallopt(M_MMAP_THRESHOLD, kLargeBlock);
--- a/modules/wasabispread_runtime/FiberStacks.h
+++ b/modules/wasabispread_runtime/FiberStacks.h
@@ -1,6 +1,6 @@
 /*
- * The stacks of fibers. They are kept out of the heap: many stacks that come and
- * go between blocks of other sizes would leave holes in it that are never
+ * The stacks of fibers. They are kept out of the heap: many stacks that come
+ * and go between blocks of other sizes would leave holes in it that are never
  * returned. Private to this module.
  */
 #pragma once
