--- a/tests/platform/ForwarderFleet.cpp
+++ b/tests/platform/ForwarderFleet.cpp
@@ -53,9 +53,11 @@
 
 ForwarderFleet::ForwarderFleet(std::size_t aDaemons,
                                std::size_t aShards,
-                               FleetLinks aLinks)
+                               FleetLinks aLinks,
+                               std::string aMoreSettings)
   : mFolder(MakeFolder())
   , mLinks(aLinks)
+  , mMoreSettings(std::move(aMoreSettings))
   , mStore(std::make_unique<StandInStore>(TestLoop()))
   , mDaemons(aDaemons)
   , mShards(aShards)
@@ -173,7 +175,8 @@
     << "\"\nmemory_megabytes = " << mMemoryMegabytes
     << "\nstop_grace_seconds = 4\n[listen]\ncallers = " << address(0)
     << "readiness = " << address(1) << "peers = " << address(2)
-    << "[repeats]\nshare = 0.2\nfixed = 200\nwindow_seconds = 10\n";
+    << "[repeats]\nshare = 0.2\nfixed = 200\nwindow_seconds = 10\n"
+    << mMoreSettings;
   setup.mProcess =
     ChildProcess("wasabispreadd",
                  { "--forward", "--settings", SettingsFile(aDaemon) },
@@ -222,9 +225,10 @@
   const Endpoint address = link == mTargetLinks.end()
                              ? Endpoint{ "127.0.0.1", aTarget.Port() }
                              : link->second->Address();
+  const auto zone = mZones.find(aTarget.Instance());
   const Json entry{ { "service", aTarget.Service() },
                     { "address", ToText(address) },
-                    { "zone", "zone-a" },
+                    { "zone", zone == mZones.end() ? "zone-a" : zone->second },
                     { "version", "1" },
                     { "slots", aTarget.mSlots },
                     { "state", aState },
@@ -290,17 +294,20 @@
   if (oneService != "one" && oneService != "once") {
     add(oneService);
   }
-  mStore->Put(
-    "op/config",
-    Json{ { "version", mVersion },
-          { "routes", { one, once, search, own } },
-          { "services", services },
-          { "limits",
-            { { "maxHeaderBytes", aChoice.mHeaderBytes },
-              { "maxBodyBytes", aChoice.mBodyBytes },
-              { "headerTimeoutMs", 3000 },
-              { "idleTimeoutMs", milliseconds(aChoice.mIdleTime) } } } }
-      .dump());
+  Json configuration{
+    { "version", mVersion },
+    { "routes", { one, once, search, own } },
+    { "services", services },
+    { "limits",
+      { { "maxHeaderBytes", aChoice.mHeaderBytes },
+        { "maxBodyBytes", aChoice.mBodyBytes },
+        { "headerTimeoutMs", 3000 },
+        { "idleTimeoutMs", milliseconds(aChoice.mIdleTime) } } }
+  };
+  if (!aChoice.mOrganisations.is_null()) {
+    configuration["tenants"] = aChoice.mOrganisations;
+  }
+  mStore->Put("op/config", configuration.dump());
   return mVersion;
 }
 
--- a/tests/platform/ForwarderFleet.h
+++ b/tests/platform/ForwarderFleet.h
@@ -32,6 +32,8 @@
   Duration mIdleTime = std::chrono::seconds(15);
   unsigned mHeaderBytes = 8192;
   unsigned mBodyBytes = 100000;
+  /** The organisations; null when the configuration names none. */
+  nlohmann::json mOrganisations = nullptr;
 };
 
 /** The id of a request and its response or error. */
@@ -63,10 +65,12 @@
 {
 public:
   /** Starts the store with a configuration, two targets of each service and
-      aDaemons daemons, and waits until the daemons are ready. */
+      aDaemons daemons, and waits until the daemons are ready. aMoreSettings are
+      tables at the end of the daemons' settings. */
   explicit ForwarderFleet(std::size_t aDaemons = 1,
                           std::size_t aShards = 4,
-                          FleetLinks aLinks = FleetLinks::kDirect);
+                          FleetLinks aLinks = FleetLinks::kDirect,
+                          std::string aMoreSettings = "");
   ~ForwarderFleet();
 
   ForwarderFleet(const ForwarderFleet&) = delete;
@@ -74,6 +78,9 @@
 
   /** The memory of the VMs whose daemons are started from now on. */
   std::size_t mMemoryMegabytes = 160;
+  /** The availability zones of targets that are not in "zone-a", by name; in
+      effect from the next Register(). */
+  std::map<std::string, std::string> mZones;
 
   StandInStore& Store() { return *mStore; }
   const RunLog& Runs() const { return mRuns; }
@@ -154,6 +161,7 @@
 
   std::string mFolder;
   FleetLinks mLinks;
+  std::string mMoreSettings;
   RunLog mRuns;
   std::unique_ptr<StandInStore> mStore;
   std::vector<std::unique_ptr<StandInTarget>> mTargets;
