--- a/tests/platform/OrganisationSoakTests.cpp
+++ b/tests/platform/OrganisationSoakTests.cpp
@@ -292,6 +292,7 @@
       }
     }
     std::vector<TimePoint> starts;
+    starts.reserve(firstRuns.size());
     for (const auto& [id, start] : firstRuns) {
       starts.push_back(start);
     }
