--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -153,6 +153,10 @@
   list.AddGauge("targets_paused",
                 "Targets put aside because they asked for a pause.",
                 static_cast<double>(CountPaused(aState, aNow)));
+  list.AddGauge("targets_cold",
+                "Cold targets that get no more than the rate that the "
+                "configuration names.",
+                static_cast<double>(CountCold(aState, aNow)));
   list.AddGauge("zones_evacuated",
                 "Zones whose targets get no requests.",
                 static_cast<double>(aState.mEvacuations.size()));
--- a/modules/wasabispread_forwarding_decisions/Registry.cpp
+++ b/modules/wasabispread_forwarding_decisions/Registry.cpp
@@ -70,7 +70,7 @@
   target.mIsAssigned = false;
   TargetState& added =
     aState.mTargets.emplace(key, std::move(target)).first->second;
-  RefreshColdLimit(aState, added, aNow);
+  RefreshColdLimit(aState, added, aNow, aEffects);
   LogTarget(aState, "target-added", aRecord, aEffects);
 }
 
@@ -111,7 +111,7 @@
     known->mWarmUntil = aNow + aRecord.mWarmUp;
   }
   known->mRecord = aRecord;
-  RefreshColdLimit(aState, *known, aNow);
+  RefreshColdLimit(aState, *known, aNow, aEffects);
 }
 
 void
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -196,7 +196,8 @@
 RecordStatedLoad(ForwarderState& aState,
                  TargetState& aTarget,
                  const Reply& aReply,
-                 TimePoint aNow)
+                 TimePoint aNow,
+                 ForwarderEffects& aEffects)
 {
   aState.mCounters.mUnreadableLoads += aReply.mIsLoadUnreadable ? 1U : 0U;
   // A misdirected reply is another instance's.
@@ -209,7 +210,7 @@
   }
   if (aReply.mWarmUp) {
     aTarget.mWarmUntil = aNow + *aReply.mWarmUp;
-    RefreshColdLimit(aState, aTarget, aNow);
+    RefreshColdLimit(aState, aTarget, aNow, aEffects);
   }
 }
 
@@ -402,7 +403,7 @@
   }
   const auto reply = std::make_shared<const Reply>(std::move(aEvent.mReply));
   RecordReply(aState, target, connection, reply->mKind, aNow);
-  RecordStatedLoad(aState, target, *reply, aNow);
+  RecordStatedLoad(aState, target, *reply, aNow, aEffects);
   RecordLimit(aState, target, *reply, aNow, aEffects);
   RecordStatedAvailability(aState, targetKey, *reply, aNow, aEffects);
   ReleaseConnection(aState,
--- a/modules/wasabispread_forwarding_decisions/RequestLimit.cpp
+++ b/modules/wasabispread_forwarding_decisions/RequestLimit.cpp
@@ -191,7 +191,10 @@
 }
 
 void
-RefreshColdLimit(ForwarderState& aState, TargetState& aTarget, TimePoint aNow)
+RefreshColdLimit(ForwarderState& aState,
+                 TargetState& aTarget,
+                 TimePoint aNow,
+                 ForwarderEffects& aEffects)
 {
   RequestLimit& limit = aTarget.mColdLimit;
   const double rate = ColdRateOf(aState, aTarget.mRecord.mService);
@@ -204,7 +207,8 @@
   // Each sender may send one request at once, and all together the rate.
   const double room = std::max(1.0, std::floor(most - rate));
   const LimitShare share = ShareLimit(aState, aTarget.mRecord, room, aNow);
-  limit.mAllowance = limit.mPerSecond ? AllowanceAt(limit, aNow) : 1;
+  const bool begins = !limit.mPerSecond;
+  limit.mAllowance = begins ? 1 : AllowanceAt(limit, aNow);
   limit.mAllowanceTime = aNow;
   limit.mPerSecond = rate;
   limit.mCapacity = std::max(1.0, room / share.mParts);
@@ -214,6 +218,27 @@
                   : 0;
   limit.mAllowance =
     share.mIsSender ? std::min(limit.mAllowance, limit.mCapacity) : 0;
+  if (begins) {
+    aEffects.push_back(WriteDecisionRecord{
+      { RecordClass::kNotable,
+        "target-cold",
+        {},
+        { { "target", aTarget.mRecord.mInstance.Value() },
+          { "service", NameOf(aState, aTarget.mRecord.mService) },
+          { "for_ms", ToMilliseconds(aTarget.mWarmUntil - aNow) },
+          { "requests_per_second", rate },
+          { "own_requests_per_second", limit.mRate } } } });
+  }
+}
+
+std::size_t
+CountCold(const ForwarderState& aState, TimePoint aNow)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aState.mTargets.begin(), aState.mTargets.end(), [&](const auto& aEntry) {
+      const TargetState& target = aEntry.second;
+      return target.mColdLimit.mPerSecond && aNow < target.mWarmUntil;
+    }));
 }
 
 void
--- a/modules/wasabispread_forwarding_decisions/RequestLimit.h
+++ b/modules/wasabispread_forwarding_decisions/RequestLimit.h
@@ -57,9 +57,16 @@
 RefreshLimit(ForwarderState& aState, TargetState& aTarget, TimePoint aNow);
 
 /** Recomputes this VM's part of the rate that the configuration names for the
-    target while it is cold. */
+    target while it is cold, and logs when it begins to hold. */
 void
-RefreshColdLimit(ForwarderState& aState, TargetState& aTarget, TimePoint aNow);
+RefreshColdLimit(ForwarderState& aState,
+                 TargetState& aTarget,
+                 TimePoint aNow,
+                 ForwarderEffects& aEffects);
+
+/** How many targets are cold and get no more than the named rate. */
+std::size_t
+CountCold(const ForwarderState& aState, TimePoint aNow);
 
 /** How long until the target's limit lets this VM send a request; zero when it
     may send one now. */
--- a/modules/wasabispread_forwarding_decisions/TargetAssignment.cpp
+++ b/modules/wasabispread_forwarding_decisions/TargetAssignment.cpp
@@ -111,7 +111,7 @@
   RefreshShardOwnership(aState, aNow);
   for (auto& [key, target] : aState.mTargets) {
     RefreshLimit(aState, target, aNow);
-    RefreshColdLimit(aState, target, aNow);
+    RefreshColdLimit(aState, target, aNow, aEffects);
   }
   ConnectToOwners(aState, aNow, aEffects);
   const std::vector<std::string> vms = MemberNames(aState);
--- a/modules/wasabispread_forwarding_decisions/organisations/KeyAdmissionTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/KeyAdmissionTests.cpp
@@ -218,10 +218,11 @@
                          mForwarder->Received().back().mId.Value());
   }
 
+  /** They get the name and the rank of the organisation instead. */
   void KeepsTheKeyFromOtherVms()
   {
     AddOwners();
-    mForwarder->mKey = Present("key-u");
+    mForwarder->mKey = Present("key-p");
     mForwarder->Ask("/search/");
     std::size_t subSearches = 0;
     for (const SendPeerMessage& message : mForwarder->mPeerMessages) {
@@ -230,9 +231,10 @@
         continue;
       }
       ++subSearches;
-      CPPUNIT_ASSERT_EQUAL(std::string("urgent"), search->mOrganisation);
+      CPPUNIT_ASSERT_EQUAL(std::string("patient"), search->mOrganisation);
+      CPPUNIT_ASSERT_EQUAL(3U, search->mRank);
       for (const RelayedField& field : search->mFields) {
-        CPPUNIT_ASSERT(field.mValue.find("key-u") == std::string::npos);
+        CPPUNIT_ASSERT(field.mValue.find("key-p") == std::string::npos);
       }
     }
     CPPUNIT_ASSERT(subSearches > 0);
--- a/modules/wasabispread_forwarding_decisions/placement/EvacuationTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/placement/EvacuationTests.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(LearnsOfEvacuationsFromOtherVms);
   CPPUNIT_TEST(LogsZonesThatDoNotExist);
   CPPUNIT_TEST(KeepsTheRateOfColdTargets);
+  CPPUNIT_TEST(KeepsTheRateOfColdTargetsWhenVmsAreLost);
   CPPUNIT_TEST(SendsOnlyToAllowedRegions);
   CPPUNIT_TEST(KeepsBodiesFromVmsInOtherRegions);
   CPPUNIT_TEST(RefusesWhenRouteAndOrganisationShareNoRegion);
@@ -200,23 +201,30 @@
 
   /** The load: as many requests as can be sent, from several VMs. All together
       send no more than the configuration allows in any second. */
-  void KeepsTheRateOfColdTargets()
+  static constexpr double kColdRate = 10;
+  /** What the rule of PolicyWithRegions() allows in any second. */
+  static constexpr double kMostOfColdTarget = kColdRate * 1.5 + 5;
+  static constexpr std::size_t kSenders = 8;
+
+  static MemberChange MemberNamed(std::size_t aNumber)
+  {
+    const std::string name = "vm-" + std::to_string(aNumber);
+    return { MemberRecord{ name, ZoneName("a"), Endpoint{ name, 1 }, 1 } };
+  }
+
+  /** VMs that all send as much as they may to one target that is cold. */
+  static std::vector<std::unique_ptr<ForwarderHarness>> SendersToAColdTarget()
   {
-    constexpr double kRate = 10;
-    constexpr std::size_t kVms = 8;
-    constexpr double kMost = kRate * 1.5 + 5;
     std::vector<std::unique_ptr<ForwarderHarness>> vms;
-    for (std::size_t number = 0; number < kVms; ++number) {
+    for (std::size_t number = 0; number < kSenders; ++number) {
       ForwarderPolicy policy = PolicyWithRegions();
       policy.mName = "vm-" + std::to_string(number);
       vms.push_back(std::make_unique<ForwarderHarness>(policy));
       ForwarderHarness& vm = *vms.back();
-      vm.mColdRate = kRate;
+      vm.mColdRate = kColdRate;
       vm.Configure({ SingleRoute("s", Repeatability::kIdempotent) });
-      for (std::size_t other = 0; other < kVms; ++other) {
-        const std::string name = "vm-" + std::to_string(other);
-        vm.Change(MemberChange{
-          MemberRecord{ name, ZoneName("a"), Endpoint{ name, 1 }, 1 } });
+      for (std::size_t other = 0; other < kSenders; ++other) {
+        vm.Change(MemberNamed(other));
       }
       TargetRecord record;
       record.mInstance = InstanceId("cold");
@@ -227,31 +235,75 @@
       record.mAddress = Endpoint{ "cold", 1 };
       vm.Change(TargetChange{ record });
     }
-    std::vector<double> sentPerStep;
-    for (int step = 0; step < 600; ++step) {
-      double sent = 0;
-      for (const auto& vm : vms) {
-        const CallerToken token = vm->Ask("/s/");
-        if (vm->AnswerTo(token) == nullptr) {
-          ++sent;
-          vm->Reply("cold", ReplyKind::kSuccess);
-        }
-        vm->RunFor(10 * kMillisecond);
+    return vms;
+  }
+
+  /** Lets each VM try once; returns how many requests they sent. */
+  static double SendOnce(
+    const std::vector<std::unique_ptr<ForwarderHarness>>& aVms)
+  {
+    double sent = 0;
+    for (const auto& vm : aVms) {
+      const CallerToken token = vm->Ask("/s/");
+      if (vm->AnswerTo(token) == nullptr) {
+        ++sent;
+        vm->Reply("cold", ReplyKind::kSuccess);
       }
-      sentPerStep.push_back(sent);
+      vm->RunFor(10 * kMillisecond);
+    }
+    return sent;
+  }
+
+  /** Those sent in the 100 steps, a second, from aFirst on. */
+  static double SentIn(const std::vector<double>& aSentPerStep,
+                       std::size_t aFirst)
+  {
+    const auto first =
+      aSentPerStep.begin() + static_cast<std::ptrdiff_t>(aFirst);
+    return std::accumulate(first, first + 100, 0.0);
+  }
+
+  void KeepsTheRateOfColdTargets()
+  {
+    const auto vms = SendersToAColdTarget();
+    std::vector<double> sent;
+    for (int step = 0; step < 600; ++step) {
+      sent.push_back(SendOnce(vms));
     }
-    const auto sentIn = [&](std::size_t aFirst) {
-      return std::accumulate(
-        sentPerStep.begin() + static_cast<std::ptrdiff_t>(aFirst),
-        sentPerStep.begin() + static_cast<std::ptrdiff_t>(aFirst + 100),
-        0.0);
-    };
     for (std::size_t first = 0; first + 100 <= 400; ++first) {
-      CPPUNIT_ASSERT(sentIn(first) <= kMost);
+      CPPUNIT_ASSERT(SentIn(sent, first) <= kMostOfColdTarget);
     }
-    CPPUNIT_ASSERT(sentIn(200) >= 0.6 * kRate);
+    CPPUNIT_ASSERT(SentIn(sent, 200) >= 0.6 * kColdRate);
     // Warm again.
-    CPPUNIT_ASSERT(sentIn(450) > 5 * kMost);
+    CPPUNIT_ASSERT(SentIn(sent, 450) > 5 * kMostOfColdTarget);
+    std::size_t logged = 0;
+    for (const auto& record : vms.front()->mDecisionRecords) {
+      logged += record.mEvent == "target-cold" ? 1U : 0U;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, logged);
+  }
+
+  /** Guards against parts that grow while some VMs still count on the former
+      ones: they learn of a loss one after the other. */
+  void KeepsTheRateOfColdTargetsWhenVmsAreLost()
+  {
+    auto vms = SendersToAColdTarget();
+    std::vector<double> sent;
+    for (std::size_t step = 0; step < 390; ++step) {
+      if (step == 100) {
+        vms.resize(kSenders / 2);
+      }
+      if (step > 100 && step <= 100 + vms.size()) {
+        for (std::size_t lost = kSenders / 2; lost < kSenders; ++lost) {
+          vms[step - 101]->Change(
+            MemberRemoval{ MemberNamed(lost).mRecord.mName });
+        }
+      }
+      sent.push_back(SendOnce(vms));
+    }
+    for (std::size_t first = 0; first + 100 <= sent.size(); ++first) {
+      CPPUNIT_ASSERT(SentIn(sent, first) <= kMostOfColdTarget);
+    }
   }
 
   void SendsOnlyToAllowedRegions()
--- a/tests/platform/OrganisationSoakTests.cpp
+++ b/tests/platform/OrganisationSoakTests.cpp
@@ -268,6 +268,13 @@
                                  mFleet.CountRuns(id) == 0);
       }
     }
+    for (std::size_t vm = 0; vm < mVms; ++vm) {
+      const std::string log = ReadWholeFile(mFleet.LogFile(vm));
+      for (const char* key : kKeys) {
+        CPPUNIT_ASSERT_MESSAGE("a key in a log",
+                               log.find(key) == std::string::npos);
+      }
+    }
     for (const TargetRun& run : mFleet.Runs()) {
       const KeyedRequest* request = FindRequest(run.mRequestId);
       if (request == nullptr) {
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -164,6 +164,10 @@
   if (pause != mWantedPauses.end()) {
     reply.mWantedPause = pause->second;
   }
+  const auto load = mStatedLoads.find(aInstance);
+  if (load != mStatedLoads.end()) {
+    reply.mLoad = load->second;
+  }
   reply.mMessage.mStatus = aStatus;
   reply.mMessage.mBody = aBody;
   Deliver(ReplyArrived{ connection, std::move(reply) });
--- a/tests/support/ForwarderHarness.h
+++ b/tests/support/ForwarderHarness.h
@@ -113,6 +113,8 @@
   std::set<std::string> mLeaving;
   /** The pauses that targets ask for in their replies, by instance. */
   std::map<std::string, Duration> mWantedPauses;
+  /** The loads that targets state in their replies, by instance. */
+  std::map<std::string, StatedLoad> mStatedLoads;
   /** Whether each reply ends its connection. */
   bool mEndsConnections = false;
   /** Whether every attempt to connect is refused. */
