--- a/modules/wasabispread_config/ForwarderSettings.cpp
+++ b/modules/wasabispread_config/ForwarderSettings.cpp
@@ -77,22 +77,27 @@
          Faults& aFaults,
          ForwarderSettings& aSettings)
 {
-  constexpr double kMinWithdrawal = 500;
-  constexpr double kMaxWithdrawal = 3'600'000;
+  constexpr double kMinWithdrawalMilliseconds = 500;
+  constexpr double kMaxWithdrawalMilliseconds = 3'600'000;
   const toml::table* table = aReader.OptionalTable("keys");
   if (table == nullptr) {
     return;
   }
   TableReader keys(*table, aFile, "[keys]", aFaults);
   aSettings.mIsStrictOnKeys = keys.OptionalBoolean("strict").value_or(false);
-  const auto withdrawal = keys.OptionalNumber(
-    "withdrawal_milliseconds", kMinWithdrawal, kMaxWithdrawal);
+  const auto withdrawal = keys.OptionalNumber("withdrawal_milliseconds",
+                                              kMinWithdrawalMilliseconds,
+                                              kMaxWithdrawalMilliseconds);
   if (withdrawal) {
     aSettings.mKeyWithdrawalTime = Milliseconds(*withdrawal);
   }
   keys.RejectUnknownKeys();
 }
 
+/** The most requests by which a bound may be exceeded besides its share: more
+    would limit nothing. */
+constexpr double kMaxSlackRequests = 1e6;
+
 void
 ReadQuota(TableReader& aReader,
           const std::string& aFile,
@@ -101,8 +106,7 @@
 {
   constexpr double kMinWindowSeconds = 1;
   constexpr double kMaxWindowSeconds = 3600;
-  constexpr double kMaxOverage = 10;
-  constexpr double kMaxSlack = 1e6;
+  constexpr double kMaxQuotaOverage = 10;
   const toml::table* table = aReader.OptionalTable("quota");
   if (table == nullptr) {
     return;
@@ -114,9 +118,9 @@
     aSettings.mQuotaWindow = Seconds(*window);
   }
   aSettings.mQuotaOverage =
-    quota.OptionalNumber("overage", 0, kMaxOverage).value_or(0);
+    quota.OptionalNumber("overage", 0, kMaxQuotaOverage).value_or(0);
   aSettings.mQuotaSlack =
-    quota.OptionalNumber("slack", 0, kMaxSlack).value_or(0);
+    quota.OptionalNumber("slack", 0, kMaxSlackRequests).value_or(0);
   quota.RejectUnknownKeys();
 }
 
@@ -126,16 +130,16 @@
                 Faults& aFaults,
                 ForwarderSettings& aSettings)
 {
-  constexpr double kMaxOverage = 100;
-  constexpr double kMaxSlack = 1e6;
+  constexpr double kMaxColdFactor = 100;
   const toml::table* table = aReader.OptionalTable("cold_targets");
   if (table == nullptr) {
     return;
   }
   TableReader cold(*table, aFile, "[cold_targets]", aFaults);
   aSettings.mColdOverage =
-    cold.OptionalNumber("overage", 1, kMaxOverage).value_or(1);
-  aSettings.mColdSlack = cold.OptionalNumber("slack", 0, kMaxSlack).value_or(0);
+    cold.OptionalNumber("overage", 1, kMaxColdFactor).value_or(1);
+  aSettings.mColdSlack =
+    cold.OptionalNumber("slack", 0, kMaxSlackRequests).value_or(0);
   cold.RejectUnknownKeys();
 }
 
