Test what measured load changes, and that cold targets get nothing saved up

Cause: two mutants survived the tests so far: work not recorded at all (the mean times alone led to the same choice with three requests at a time), and each VM saving up the room of all for a cold target. Change: four requests at a time at targets of four slots, of which one takes one well and the other three; VMs that are silent for 2.5 s.

--- a/modules/wasabispread_forwarding_decisions/load/TargetLoadTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/load/TargetLoadTests.cpp
@@ -23,7 +23,9 @@
 public:
   static constexpr Duration kShort = std::chrono::milliseconds(10);
   static constexpr Duration kLong = std::chrono::milliseconds(40);
-  static constexpr unsigned kRounds = 30;
+  static constexpr unsigned kRounds = 40;
+  static constexpr unsigned kSlots = 4;
+  static constexpr unsigned kAtATime = 4;
 
   void setUp() override
   {
@@ -31,27 +33,33 @@
     // Without second sends, which would be counted too.
     mForwarder->Configure({ SingleRoute("s", Repeatability::kAtMostOnce) });
     for (const char* target : { "a", "b" }) {
-      mForwarder->AddTarget(target, "s");
+      TargetRecord record;
+      record.mInstance = InstanceId(target);
+      record.mService = IdFromName<ServiceId>("s");
+      record.mAddress = Endpoint{ target, 1 };
+      record.mZone = ZoneName("a");
+      record.mSlots = kSlots;
+      mForwarder->Change(TargetChange{ record });
     }
   }
 
   void tearDown() override { mForwarder.reset(); }
 
-  /** Three requests at a time: with one at "a" and two at "b", all take the
-      shortest time that there is. */
+  /** With one request at "a" and three at "b", all take the shortest time that
+      there is. */
   void SendsEachTargetWhatItTakesWell()
   {
-    mTakesWell = { { "a", 1 }, { "b", 2 } };
+    mTakesWell = { { "a", 1 }, { "b", 3 } };
     CountFastRounds(kRounds);
     CPPUNIT_ASSERT(CountFastRounds(kRounds) >= kRounds * 8 / 10);
   }
 
-  /** Within two seconds of the change. */
+  /** Within two seconds: 40 rounds of 40 ms. */
   void FollowsATargetThatBecomesSlowUnderLoad()
   {
-    mTakesWell = { { "a", 1 }, { "b", 2 } };
+    mTakesWell = { { "a", 1 }, { "b", 3 } };
     CountFastRounds(kRounds);
-    mTakesWell = { { "a", 2 }, { "b", 1 } };
+    mTakesWell = { { "a", 3 }, { "b", 1 } };
     CountFastRounds(kRounds);
     CPPUNIT_ASSERT(CountFastRounds(kRounds) >= kRounds * 8 / 10);
   }
@@ -76,13 +84,13 @@
   }
 
 private:
-  /** Sends three requests at a time; returns how often all of them took the
+  /** Sends kAtATime requests at a time; returns how often all of them took the
       short time. */
   unsigned CountFastRounds(unsigned aRounds)
   {
     unsigned fast = 0;
     for (unsigned round = 0; round < aRounds; ++round) {
-      for (unsigned request = 0; request < 3; ++request) {
+      for (unsigned request = 0; request < kAtATime; ++request) {
         mForwarder->Ask("/s/");
       }
       std::map<std::string, unsigned> sent;
--- a/modules/wasabispread_forwarding_decisions/placement/EvacuationTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/placement/EvacuationTests.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(LearnsOfEvacuationsFromOtherVms);
   CPPUNIT_TEST(LogsZonesThatDoNotExist);
   CPPUNIT_TEST(KeepsTheRateOfColdTargets);
+  CPPUNIT_TEST(KeepsTheRateOfColdTargetsAfterSilence);
   CPPUNIT_TEST(KeepsTheRateOfColdTargetsWhenVmsAreLost);
   CPPUNIT_TEST(SendsOnlyToAllowedRegions);
   CPPUNIT_TEST(KeepsBodiesFromVmsInOtherRegions);
@@ -265,9 +266,11 @@
 
   void KeepsTheRateOfColdTargets()
   {
+    constexpr std::size_t kSteps = 600;
     const auto vms = SendersToAColdTarget();
     std::vector<double> sent;
-    for (int step = 0; step < 600; ++step) {
+    sent.reserve(kSteps);
+    for (std::size_t step = 0; step < kSteps; ++step) {
       sent.push_back(SendOnce(vms));
     }
     for (std::size_t first = 0; first + 100 <= 400; ++first) {
@@ -283,13 +286,33 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, logged);
   }
 
+  /** Guards against VMs that save up what they did not send. */
+  void KeepsTheRateOfColdTargetsAfterSilence()
+  {
+    constexpr std::size_t kSteps = 140;
+    const auto vms = SendersToAColdTarget();
+    for (const auto& vm : vms) {
+      vm->RunFor(std::chrono::milliseconds(2500));
+    }
+    std::vector<double> sent;
+    sent.reserve(kSteps);
+    for (std::size_t step = 0; step < kSteps; ++step) {
+      sent.push_back(SendOnce(vms));
+    }
+    for (std::size_t first = 0; first + 100 <= kSteps; ++first) {
+      CPPUNIT_ASSERT(SentIn(sent, first) <= kMostOfColdTarget);
+    }
+  }
+
   /** Guards against parts that grow while some VMs still count on the former
       ones: they learn of a loss one after the other. */
   void KeepsTheRateOfColdTargetsWhenVmsAreLost()
   {
+    constexpr std::size_t kSteps = 390;
     auto vms = SendersToAColdTarget();
     std::vector<double> sent;
-    for (std::size_t step = 0; step < 390; ++step) {
+    sent.reserve(kSteps);
+    for (std::size_t step = 0; step < kSteps; ++step) {
       if (step == 100) {
         vms.resize(kSenders / 2);
       }
