Test that no connection is opened to an evacuated zone, and load by times alone

Cause: mutants that survived: EnsureConnection() without the check of evacuated zones; work not recorded, where the number of open connections kept the split. Each of the two tests fails with its mutant now.

--- a/modules/wasabispread_forwarding_decisions/load/TargetLoadTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/load/TargetLoadTests.cpp
@@ -41,6 +41,7 @@
       record.mSlots = kSlots;
       mForwarder->Change(TargetChange{ record });
     }
+    OpenAllConnections();
   }
 
   void tearDown() override { mForwarder.reset(); }
@@ -84,6 +85,17 @@
   }
 
 private:
+  /** So that only the expected times decide, not which connections are open. */
+  void OpenAllConnections()
+  {
+    for (unsigned request = 0; request < 2 * kSlots; ++request) {
+      mForwarder->Ask("/s/");
+    }
+    mForwarder->RunFor(kShort);
+    ReplyToAll("a");
+    ReplyToAll("b");
+  }
+
   /** Sends kAtATime requests at a time; returns how often all of them took the
       short time. */
   unsigned CountFastRounds(unsigned aRounds)
--- a/modules/wasabispread_forwarding_decisions/placement/EvacuationTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/placement/EvacuationTests.cpp
@@ -32,6 +32,7 @@
 {
   CPPUNIT_TEST_SUITE(EvacuationTests);
   CPPUNIT_TEST(SendsNothingToAnEvacuatedZone);
+  CPPUNIT_TEST(OpensNoConnectionToAnEvacuatedZone);
   CPPUNIT_TEST(MovesWaitingRequestsAway);
   CPPUNIT_TEST(RefusesAtOnceWhatNoOtherZoneServes);
   CPPUNIT_TEST(TakesTheZoneBackStepByStep);
@@ -103,6 +104,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, CountRecords("zone-evacuated"));
   }
 
+  void OpensNoConnectionToAnEvacuatedZone()
+  {
+    Evacuate("b");
+    mForwarder->Configure({ SingleRoute("s", Repeatability::kIdempotent) });
+    mForwarder->AddTarget("far", "s", 1, false, 1, "b");
+    mForwarder->RunFor(20 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, mForwarder->mOpenedConnections);
+    Evacuate("b", false);
+    mForwarder->RunFor(20 * kSecond);
+    CPPUNIT_ASSERT(mForwarder->mOpenedConnections > 0);
+  }
+
   void MovesWaitingRequestsAway()
   {
     ConfigureOneService();
