Ask the targets after a hold-up, whatever was measured in it

Cause: AnswerReserve counted the standstill as time that answers take to be written, once for each search that waited. The reserve then took the whole time of each search, no shard was asked, no answer in part was made, and so nothing was measured that would have replaced the samples. They had no age.

Now the time of a hold-up, which a timer that is 250 ms late shows, is not measured; the reserve takes at most a quarter of a caller's timeout, as it did of a soft timeout; and a delay counts for 30 s.

--- a/modules/wasabispread_forwarding_decisions/AnswerReserve.cpp
+++ b/modules/wasabispread_forwarding_decisions/AnswerReserve.cpp
@@ -14,6 +14,11 @@
 constexpr std::size_t kWindowSize = 32;
 /** Number of delays for which an estimate counts until as many are measured. */
 constexpr std::size_t kEstimateWeight = 8;
+/** Time for which a measured delay counts. */
+constexpr Duration kMaxAge = std::chrono::seconds(30);
+/** A timer that is this late shows that the process stood still. A processor
+    share of a tenth delays timers by less. */
+constexpr Duration kHoldUp = std::chrono::milliseconds(250);
 /** Share of the delays that the reserve covers. */
 constexpr double kCoveredShare = 0.9;
 /** Work of an answer that does not depend on its parts, in parts. */
@@ -44,28 +49,34 @@
 MakeDelayWindow(Duration aEstimate)
 {
   DelayWindow window;
-  window.mDelays.assign(kEstimateWeight, aEstimate);
+  window.mEstimate = aEstimate;
   return window;
 }
 
 void
-AddDelay(DelayWindow& aWindow, Duration aDelay)
+AddDelay(DelayWindow& aWindow, Duration aDelay, TimePoint aNow)
 {
-  assert(!aWindow.mDelays.empty());
-  const Duration delay = std::max(Duration::zero(), aDelay);
+  const MeasuredDelay measured{ std::max(Duration::zero(), aDelay), aNow };
   if (aWindow.mDelays.size() < kWindowSize) {
-    aWindow.mDelays.push_back(delay);
+    aWindow.mDelays.push_back(measured);
     return;
   }
-  aWindow.mDelays[aWindow.mNext] = delay;
+  aWindow.mDelays[aWindow.mNext] = measured;
   aWindow.mNext = (aWindow.mNext + 1) % kWindowSize;
 }
 
 Duration
-HighDelay(const DelayWindow& aWindow)
+HighDelay(const DelayWindow& aWindow, TimePoint aNow)
 {
-  assert(!aWindow.mDelays.empty());
-  std::vector<Duration> delays = aWindow.mDelays;
+  std::vector<Duration> delays;
+  for (const MeasuredDelay& measured : aWindow.mDelays) {
+    if (aNow - measured.mMeasured < kMaxAge) {
+      delays.push_back(measured.mDelay);
+    }
+  }
+  const std::size_t estimates =
+    std::min(kEstimateWeight, kWindowSize - delays.size());
+  delays.insert(delays.end(), estimates, aWindow.mEstimate);
   const auto position = static_cast<std::ptrdiff_t>(
     kCoveredShare * static_cast<double>(delays.size() - 1));
   std::nth_element(delays.begin(), delays.begin() + position, delays.end());
@@ -84,16 +95,27 @@
 }
 
 Duration
-ReserveForAnswer(const AnswerReserve& aReserve, std::size_t aParts)
+ReserveForAnswer(const AnswerReserve& aReserve,
+                 std::size_t aParts,
+                 TimePoint aNow)
 {
-  return kJitter + WorkUnits(aParts) * HighDelay(aReserve.mAnswerPerUnit);
+  return kJitter + WorkUnits(aParts) * HighDelay(aReserve.mAnswerPerUnit, aNow);
 }
 
 Duration
-ReserveForReport(const AnswerReserve& aReserve, bool aIsInZone)
+ReserveForReport(const AnswerReserve& aReserve, bool aIsInZone, TimePoint aNow)
 {
   return kJitter + HighDelay(aIsInZone ? aReserve.mReportInZone
-                                       : aReserve.mReportFromOtherZone);
+                                       : aReserve.mReportFromOtherZone,
+                             aNow);
+}
+
+void
+NoticeHoldUp(AnswerReserve& aReserve, TimePoint aDue, TimePoint aNow)
+{
+  if (aDue < aNow - kHoldUp) {
+    aReserve.mHeldUpUntil = aNow;
+  }
 }
 
 void
@@ -112,8 +134,10 @@
   if (found == aReserve.mUnwritten.end()) {
     return;
   }
+  const TimePoint due = std::max(found->second.mDue, aReserve.mHeldUpUntil);
   AddDelay(aReserve.mAnswerPerUnit,
-           (aNow - found->second.mDue) / WorkUnits(found->second.mParts));
+           (aNow - due) / WorkUnits(found->second.mParts),
+           aNow);
   aReserve.mUnwritten.erase(found);
 }
 
--- a/modules/wasabispread_forwarding_decisions/AnswerReserve.h
+++ b/modules/wasabispread_forwarding_decisions/AnswerReserve.h
@@ -5,6 +5,10 @@
  * a shard owner that reports its results. The reserve is a high quantile of
  * the delays that this VM measured. This handles searches over many shards on
  * small or busy VMs.
+ *
+ * A reserve that leaves no time for a search would also end its measurement.
+ * So delays count for a limited time, and what this VM did not do because its
+ * process stood still is not measured: no reserve helps against that.
  */
 #pragma once
 
@@ -15,11 +19,19 @@
 
 namespace wasabispread::forwarding {
 
-/** The last delays measured. Invariant: mDelays is not empty, and mNext is the
-    position of the oldest one. */
+struct MeasuredDelay
+{
+  Duration mDelay{};
+  TimePoint mMeasured{};
+};
+
+/** The last delays measured. Invariant: mNext is the position of the oldest one
+    once the window is full. */
 struct DelayWindow
 {
-  std::vector<Duration> mDelays;
+  /** What is assumed where too few delays were measured lately. */
+  Duration mEstimate{};
+  std::vector<MeasuredDelay> mDelays;
   std::size_t mNext = 0;
 };
 
@@ -28,11 +40,12 @@
 MakeDelayWindow(Duration aEstimate);
 
 void
-AddDelay(DelayWindow& aWindow, Duration aDelay);
+AddDelay(DelayWindow& aWindow, Duration aDelay, TimePoint aNow);
 
-/** The delay that nine of ten measured ones do not exceed. */
+/** The delay that nine of ten do not exceed of those measured in the last half
+    minute. */
 Duration
-HighDelay(const DelayWindow& aWindow);
+HighDelay(const DelayWindow& aWindow, TimePoint aNow);
 
 /** An answer in part that was handed to the runtime but is not written yet. */
 struct UnwrittenAnswer
@@ -53,6 +66,8 @@
   DelayWindow mReportInZone;
   DelayWindow mReportFromOtherZone;
   std::unordered_map<CallerToken, UnwrittenAnswer> mUnwritten;
+  /** The end of the last hold-up of this VM's process. */
+  TimePoint mHeldUpUntil{};
 };
 
 /** The reserve of a VM that has not measured anything yet, estimated from its
@@ -63,11 +78,18 @@
 /** The time to reserve for merging and writing an answer of this many parts,
     and for jitter on the way to the caller. */
 Duration
-ReserveForAnswer(const AnswerReserve& aReserve, std::size_t aParts);
+ReserveForAnswer(const AnswerReserve& aReserve,
+                 std::size_t aParts,
+                 TimePoint aNow);
 
 /** The time to reserve for the report of a shard owner. */
 Duration
-ReserveForReport(const AnswerReserve& aReserve, bool aIsInZone);
+ReserveForReport(const AnswerReserve& aReserve, bool aIsInZone, TimePoint aNow);
+
+/** Records a hold-up of this VM's process if the earliest timer, due at aDue,
+    is later than a small processor share explains. */
+void
+NoticeHoldUp(AnswerReserve& aReserve, TimePoint aDue, TimePoint aNow);
 
 /** Records that an answer in part was due at aDue; AnswerWritten ends the
     measurement. */
--- a/modules/wasabispread_forwarding_decisions/AnswerReserveTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/AnswerReserveTests.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kShards = 10;
+constexpr TimePoint kNow{ std::chrono::seconds(1000) };
 
 Duration
 Milliseconds(std::int64_t aCount)
@@ -26,10 +27,13 @@
   CPPUNIT_TEST_SUITE(AnswerReserveTests);
   CPPUNIT_TEST(CoversNineOfTenDelays);
   CPPUNIT_TEST(ForgetsOldDelays);
+  CPPUNIT_TEST(ForgetsDelaysThatAreLongAgo);
   CPPUNIT_TEST(EstimatesMoreForSmallerProcessorShares);
   CPPUNIT_TEST(AnswersEarlierWhenAnswersAreWrittenLate);
   CPPUNIT_TEST(KeepsMostOfTheSoftTimeoutForTheShards);
   CPPUNIT_TEST(IgnoresAnswersThatWaitedForTheMinimumCoverage);
+  CPPUNIT_TEST(LeavesTimeForTheTargetsAfterAHoldUp);
+  CPPUNIT_TEST(LeavesTimeForTheTargetsWhenAnswersAreWrittenVeryLate);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -37,9 +41,9 @@
   {
     DelayWindow window = MakeDelayWindow(Duration::zero());
     for (int delay = 1; delay <= 32; ++delay) {
-      AddDelay(window, Milliseconds(delay));
+      AddDelay(window, Milliseconds(delay), kNow);
     }
-    const Duration covered = HighDelay(window);
+    const Duration covered = HighDelay(window, kNow);
     CPPUNIT_ASSERT(covered >= Milliseconds(27));
     CPPUNIT_ASSERT(covered <= Milliseconds(30));
   }
@@ -48,19 +52,34 @@
   {
     DelayWindow window = MakeDelayWindow(Milliseconds(100));
     for (int sample = 0; sample < 40; ++sample) {
-      AddDelay(window, Milliseconds(2));
+      AddDelay(window, Milliseconds(2), kNow);
     }
-    CPPUNIT_ASSERT(HighDelay(window) == Milliseconds(2));
+    CPPUNIT_ASSERT(HighDelay(window, kNow) == Milliseconds(2));
+  }
+
+  // Guards against delays that count for good where nothing is measured after
+  // them.
+  void ForgetsDelaysThatAreLongAgo()
+  {
+    DelayWindow window = MakeDelayWindow(Milliseconds(3));
+    for (int sample = 0; sample < 40; ++sample) {
+      AddDelay(window, Milliseconds(100), kNow);
+    }
+    CPPUNIT_ASSERT(HighDelay(window, kNow) == Milliseconds(100));
+    CPPUNIT_ASSERT(HighDelay(window, kNow + std::chrono::minutes(1)) ==
+                   Milliseconds(3));
   }
 
   void EstimatesMoreForSmallerProcessorShares()
   {
     const AnswerReserve large = MakeAnswerReserve(1);
     const AnswerReserve small = MakeAnswerReserve(0.12);
-    CPPUNIT_ASSERT(ReserveForAnswer(small, 180) > ReserveForAnswer(large, 180));
-    CPPUNIT_ASSERT(ReserveForAnswer(small, 180) > ReserveForAnswer(small, 20));
-    CPPUNIT_ASSERT(ReserveForReport(small, true) >
-                   ReserveForReport(large, true));
+    CPPUNIT_ASSERT(ReserveForAnswer(small, 180, kNow) >
+                   ReserveForAnswer(large, 180, kNow));
+    CPPUNIT_ASSERT(ReserveForAnswer(small, 180, kNow) >
+                   ReserveForAnswer(small, 20, kNow));
+    CPPUNIT_ASSERT(ReserveForReport(small, true, kNow) >
+                   ReserveForReport(large, true, kNow));
   }
 
   void AnswersEarlierWhenAnswersAreWrittenLate()
@@ -90,8 +109,8 @@
   {
     ForwarderHarness forwarder;
     Start(forwarder);
-    const Duration before =
-      HighDelay(forwarder.mState.mAnswerReserve.mAnswerPerUnit);
+    const DelayWindow& delays = forwarder.mState.mAnswerReserve.mAnswerPerUnit;
+    const Duration before = HighDelay(delays, forwarder.mNow);
     for (int search = 0; search < 32; ++search) {
       const CallerToken token = forwarder.Ask("/search/x");
       forwarder.RunFor(Milliseconds(300));
@@ -101,11 +120,63 @@
       forwarder.Deliver(AnswerWritten{ token });
       forwarder.RunFor(Milliseconds(800));
     }
-    CPPUNIT_ASSERT(HighDelay(forwarder.mState.mAnswerReserve.mAnswerPerUnit) <=
-                   before);
+    CPPUNIT_ASSERT(HighDelay(delays, forwarder.mNow) <= before);
+  }
+
+  // Guards against a hold-up of the process that is measured as if answers took
+  // that long to write: the reserve then took the whole time of each search, no
+  // target was asked and nothing more was measured.
+  void LeavesTimeForTheTargetsAfterAHoldUp()
+  {
+    ForwarderHarness forwarder;
+    Start(forwarder);
+    std::vector<CallerToken> tokens;
+    for (int search = 0; search < 8; ++search) {
+      tokens.push_back(forwarder.Ask("/search/x", std::chrono::seconds(1)));
+      ReplyToAllButTheLast(forwarder);
+      forwarder.RunFor(Milliseconds(5));
+    }
+    forwarder.mNow += Milliseconds(1500);
+    forwarder.RunFor(Duration::zero());
+    for (const CallerToken token : tokens) {
+      CPPUNIT_ASSERT(forwarder.AnswerTo(token) != nullptr);
+      forwarder.Deliver(AnswerWritten{ token });
+    }
+    forwarder.RunFor(Milliseconds(3000));
+    CPPUNIT_ASSERT(ReserveForAnswer(forwarder.mState.mAnswerReserve,
+                                    kShards,
+                                    forwarder.mNow) < Milliseconds(20));
+    CPPUNIT_ASSERT(IsServed(forwarder));
+  }
+
+  // Guards against a reserve that takes all of a caller's time, whatever was
+  // measured.
+  void LeavesTimeForTheTargetsWhenAnswersAreWrittenVeryLate()
+  {
+    ForwarderHarness forwarder;
+    Start(forwarder);
+    AnswerReserve& reserve = forwarder.mState.mAnswerReserve;
+    for (int sample = 0; sample < 32; ++sample) {
+      AddDelay(reserve.mAnswerPerUnit, Milliseconds(500), forwarder.mNow);
+    }
+    CPPUNIT_ASSERT(IsServed(forwarder));
   }
 
 private:
+  /** Whether a search reaches the targets and is answered with what they
+      reply. */
+  static bool IsServed(ForwarderHarness& aForwarder)
+  {
+    const CallerToken token =
+      aForwarder.Ask("/search/x", std::chrono::seconds(1));
+    if (aForwarder.AnswerTo(token) == nullptr) {
+      ReplyToAllButTheLast(aForwarder);
+      aForwarder.RunFor(Milliseconds(900));
+    }
+    const CallerAnswer* answer = aForwarder.AnswerTo(token);
+    return answer != nullptr && !std::holds_alternative<Problem>(*answer);
+  }
+
   static void Start(ForwarderHarness& aForwarder)
   {
     for (std::size_t shard = 0; shard < kShards; ++shard) {
--- a/modules/wasabispread_forwarding_decisions/AnswerTiming.cpp
+++ b/modules/wasabispread_forwarding_decisions/AnswerTiming.cpp
@@ -11,7 +11,9 @@
 
 namespace {
 
-/** The largest part of a soft timeout that is kept in reserve. */
+/** The largest part of a timeout or soft timeout that is kept in reserve. What
+    is left must be enough to ask the targets: only answers show that the
+   reserve is too large. */
 constexpr double kMaxReserve = 0.25;
 /** Part of the soft timeout that is granted to a caller whose soft timeout is
     already over: by then most shards have answered. */
@@ -35,8 +37,9 @@
 {
   Duration timeout = aRoute.mTimeout;
   if (aRequest.mCallerTimeout) {
-    timeout =
-      std::min(timeout, *aRequest.mCallerTimeout - aCallerRoundTrip - aReserve);
+    const Duration stated = *aRequest.mCallerTimeout;
+    const Duration reserve = std::min(aReserve, Fraction(stated, kMaxReserve));
+    timeout = std::min(timeout, stated - aCallerRoundTrip - reserve);
   }
   return aNow + std::max(timeout, Duration::zero());
 }
@@ -51,7 +54,7 @@
     aRequest,
     aRoute,
     aState.mPolicy.mCallerRoundTrip,
-    ReserveForAnswer(aState.mAnswerReserve, aRoute.mShards.size()),
+    ReserveForAnswer(aState.mAnswerReserve, aRoute.mShards.size(), aNow),
     aNow);
 }
 
--- a/modules/wasabispread_forwarding_decisions/AnswerTiming.h
+++ b/modules/wasabispread_forwarding_decisions/AnswerTiming.h
@@ -9,7 +9,8 @@
 namespace wasabispread::forwarding {
 
 /** When the answer must be due so that it arrives within the caller's timeout
-    and the route's. aReserve is the time from then until it is written. */
+    and the route's. aReserve is the time from then until it is written; at most
+    a quarter of the caller's timeout is kept for it. */
 TimePoint
 DeadlineOf(const ForwardedRequest& aRequest,
            const Route& aRoute,
--- a/modules/wasabispread_forwarding_decisions/Answers.cpp
+++ b/modules/wasabispread_forwarding_decisions/Answers.cpp
@@ -224,8 +224,8 @@
     { "took_ms", ToMilliseconds(aNow - aRequest.mArrived) },
     { "allowed_ms", ToMilliseconds(aRequest.mDeadline - aRequest.mArrived) },
     { "reserve_ms",
-      ToMilliseconds(ReserveForAnswer(aState.mAnswerReserve,
-                                      aRequest.mSubRequests.size())) },
+      ToMilliseconds(ReserveForAnswer(
+        aState.mAnswerReserve, aRequest.mSubRequests.size(), aNow)) },
     { "answered", static_cast<std::int64_t>(aRequest.mAnswered) },
     { "sub_requests", static_cast<std::int64_t>(aRequest.mSubRequests.size()) },
     { "attempts", static_cast<std::int64_t>(CountAttempts(aRequest)) },
@@ -324,7 +324,7 @@
   MeasurePartialAnswer(aState, aRequest);
   aEffects.push_back(
     AnswerRequest{ token, aRequest.mRequest->mId, std::move(answer) });
-  CancelSentSubSearches(aState, aRequest, false, aEffects);
+  CancelSentSubSearches(aState, aRequest, false, aNow, aEffects);
   AbandonAttempts(aState, aRequest, aNow);
   aState.mRequestOfCaller.erase(token);
   aState.mRequests.erase(aRequest.mKey);
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -336,6 +336,7 @@
 ForwarderEffects
 Reduce(ForwarderState& aState, ForwarderEvent aEvent, TimePoint aNow)
 {
+  NoticeHoldUp(aState.mAnswerReserve, aState.NextDue(), aNow);
   ForwarderEffects effects;
   EventHandler handler{ aState, aNow, effects };
   std::visit(handler, aEvent);
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -129,7 +129,7 @@
   request.mArrived = arrived;
   const Duration roundTrip = aState.mPolicy.mCallerRoundTrip;
   const Duration reserve =
-    ReserveForAnswer(aState.mAnswerReserve, route->mShards.size());
+    ReserveForAnswer(aState.mAnswerReserve, route->mShards.size(), arrived);
   request.mDeadline =
     BeforeExit(aState.mStop, DeadlineOf(aState, *message, *route, arrived));
   request.mSoftDeadline = BeforeExit(
@@ -527,7 +527,7 @@
     AbandonAttempts(aState, request, aNow);
     return;
   }
-  CancelSentSubSearches(aState, request, true, aEffects);
+  CancelSentSubSearches(aState, request, true, aNow, aEffects);
   CloseAttemptConnections(aState, request, aNow, aEffects);
 }
 
--- a/modules/wasabispread_forwarding_decisions/SubSearches.cpp
+++ b/modules/wasabispread_forwarding_decisions/SubSearches.cpp
@@ -181,7 +181,7 @@
   const double left =
     static_cast<double>((aRequest.mSoftDeadline - aNow).count());
   return std::min(
-    ReserveForReport(aState.mAnswerReserve, IsInOwnZone(aState, aVm)),
+    ReserveForReport(aState.mAnswerReserve, IsInOwnZone(aState, aVm), aNow),
     Duration(static_cast<std::int64_t>(kMaxReportLead * left)));
 }
 
@@ -189,12 +189,14 @@
 void
 RecordReportDelay(ForwarderState& aState,
                   const std::string& aVm,
-                  Duration aDelay)
+                  Duration aDelay,
+                  TimePoint aNow)
 {
   AnswerReserve& reserve = aState.mAnswerReserve;
   AddDelay(IsInOwnZone(aState, aVm) ? reserve.mReportInZone
                                     : reserve.mReportFromOtherZone,
-           aDelay);
+           aDelay,
+           aNow);
 }
 
 /** The request that sent a sub-search; null when it is over. */
@@ -425,6 +427,7 @@
 CancelSentSubSearches(ForwarderState& aState,
                       const RequestState& aRequest,
                       bool aIsCallerDisconnected,
+                      TimePoint aNow,
                       ForwarderEffects& aEffects)
 {
   for (const SentSubSearch& subSearch : aRequest.mSentSubSearches) {
@@ -437,7 +440,8 @@
                         subSearch.mVm,
                         Duration(static_cast<std::int64_t>(
                           kMissingReportFactor *
-                          static_cast<double>(subSearch.mReportLead.count()))));
+                          static_cast<double>(subSearch.mReportLead.count()))),
+                        aNow);
     }
     aState.mSubSearches.erase(subSearch.mSequence);
     const auto member = aState.mMembership.mMembers.find(subSearch.mVm);
@@ -498,8 +502,10 @@
     !reply.mIsLast && !reply.mShards.empty() && !subSearch.mHasReported;
   if (isSoftReport) {
     subSearch.mHasReported = true;
-    const TimePoint asked = request->mSoftDeadline - subSearch.mReportLead;
-    RecordReportDelay(aState, subSearch.mVm, aNow - asked);
+    const TimePoint asked =
+      std::max(request->mSoftDeadline - subSearch.mReportLead,
+               aState.mAnswerReserve.mHeldUpUntil);
+    RecordReportDelay(aState, subSearch.mVm, aNow - asked, aNow);
   }
   AcceptSubSearchReply(*request, subSearch, reply, aNow);
   if (reply.mIsLast) {
--- a/modules/wasabispread_forwarding_decisions/SubSearches.h
+++ b/modules/wasabispread_forwarding_decisions/SubSearches.h
@@ -43,6 +43,7 @@
 CancelSentSubSearches(ForwarderState& aState,
                       const RequestState& aRequest,
                       bool aIsCallerDisconnected,
+                      TimePoint aNow,
                       ForwarderEffects& aEffects);
 
 void
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -147,9 +147,18 @@
                         const std::string& aBody,
                         unsigned aStatus)
 {
-  const ConnectionId connection = At(aInstance).mConnection;
+  ReplyOn(At(aInstance).mConnection, aInstance, aKind, aBody, aStatus);
+}
+
+void
+ForwarderHarness::ReplyOn(ConnectionId aConnection,
+                          const std::string& aInstance,
+                          ReplyKind aKind,
+                          const std::string& aBody,
+                          unsigned aStatus)
+{
   std::erase_if(mReceived, [&](const ReceivedRequest& aRequest) {
-    return aRequest.mConnection == connection;
+    return aRequest.mConnection == aConnection;
   });
   forwarding::Reply reply;
   reply.mKind = aKind;
@@ -170,7 +179,7 @@
   }
   reply.mMessage.mStatus = aStatus;
   reply.mMessage.mBody = aBody;
-  Deliver(ReplyArrived{ connection, std::move(reply) });
+  Deliver(ReplyArrived{ aConnection, std::move(reply) });
 }
 
 void
--- a/tests/support/ForwarderHarness.h
+++ b/tests/support/ForwarderHarness.h
@@ -80,6 +80,13 @@
              const std::string& aBody = "",
              unsigned aStatus = 200);
 
+  /** As above, for the request on one connection to the target. */
+  void ReplyOn(ConnectionId aConnection,
+               const std::string& aInstance,
+               forwarding::ReplyKind aKind,
+               const std::string& aBody = "",
+               unsigned aStatus = 200);
+
   /** Ends the connection of the request that At() returns. aIsWritten says
       whether the request had been written to the connection. */
   void Break(const std::string& aInstance, bool aIsWritten = true);
