Replace connections between VMs that go silent

Cause: PeerTransport took a connection for lost only when it was closed or a write blocked for 5 s. Nothing on it had to be answered, so a silent one was used for good, though new connections worked.

Now what is written is followed by a heartbeat, at most one a second, which the other VM answers on the same connection. Without an answer the connection is closed and reported as lost. Idle connections carry none; slow links and hold-ups of the own process get time. A VM that opens another connection has given up the earlier one, whose unread bytes are dropped. Frame version 4.

--- a/modules/wasabispread_runtime/PeerTransport.cpp
+++ b/modules/wasabispread_runtime/PeerTransport.cpp
@@ -11,6 +11,7 @@
 
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/fiber/operations.hpp>
+#include <netinet/tcp.h>
 
 namespace wasabispread {
 
@@ -23,6 +24,20 @@
 /** The pause after a failed accept. */
 constexpr Duration kAcceptPause = std::chrono::milliseconds(2);
 
+/** The least time between heartbeats on one connection. */
+constexpr Duration kHeartbeatInterval = std::chrono::seconds(1);
+/** How long the answer to a heartbeat is awaited, beside the time that the
+   bytes before it take at kSlowLinkBytes a second. */
+constexpr Duration kHeartbeatTimeout = std::chrono::milliseconds(1500);
+constexpr std::size_t kSlowLinkBytes = 16U << 10U;
+/** A timer that is this late shows that this process stood still. The answer
+   may have arrived and is read within kArrivedReadTime. */
+constexpr Duration kLateTimer = std::chrono::milliseconds(100);
+constexpr Duration kArrivedReadTime = std::chrono::milliseconds(250);
+/** How long an accepted connection may be idle before the kernel checks whether
+    the other VM still exists. */
+constexpr int kKeepAliveIdleSeconds = 300;
+
 /** The most of a frame that is allocated before it arrives. */
 constexpr std::size_t kFrameReadBytes = 64U << 10U;
 
@@ -39,20 +54,61 @@
   std::uint32_t mVersion = kOldestFrameVersion;
 };
 
+TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+/** What is known of whether a connection carries bytes. */
+struct Heartbeats
+{
+  /** When the next heartbeat may be sent. */
+  TimePoint mNext{};
+  /** When the connection is given up; TimePoint::max() while no answer is
+      awaited. */
+  TimePoint mDeadline = TimePoint::max();
+  /** The bytes written since the last heartbeat that was answered, and those of
+      them after the last heartbeat. */
+  std::size_t mUnconfirmedBytes = 0;
+  std::size_t mBytesSinceHeartbeat = 0;
+
+  bool IsAwaited() const { return mDeadline != TimePoint::max(); }
+  /** Whether a heartbeat is due when aBytes are about to be written. */
+  bool IsDue(std::size_t aBytes, TimePoint aNow) const
+  {
+    return !IsAwaited() && aBytes + mBytesSinceHeartbeat != 0 && aNow >= mNext;
+  }
+  /** When there is something to do although nothing is to be written. */
+  TimePoint Due() const
+  {
+    return IsAwaited() || mBytesSinceHeartbeat == 0 ? mDeadline : mNext;
+  }
+};
+
 /** The connection to one VM and the messages queued for it. */
 struct OutgoingLink
 {
   Endpoint mAddress;
   std::deque<QueuedFrame> mQueue;
   std::size_t mQueuedBytes = 0;
+  Heartbeats mHeartbeats;
   /** Set when a message is queued or the link fails. */
   FiberEvent mWake;
   bool mIsBroken = false;
 };
 
+/** A connection that another VM opened. */
+struct AcceptedLink
+{
+  Incarnation mIncarnation;
+  std::shared_ptr<Stream> mStream;
+};
+
 /** Reads one frame, within the time limit set on the stream if there is one. */
+template<class ReadStream>
 Result<PeerFrame>
-ReadFrame(Stream& aStream, std::uint32_t aMaxBytes)
+ReadFrame(ReadStream& aStream, std::uint32_t aMaxBytes)
 {
   std::array<std::uint8_t, kFrameLengthBytes> prefix{};
   const IoResult prefixRead = Await([&](auto aHandler) {
@@ -174,25 +230,58 @@
     return NegotiateFrameVersion(*hello);
   }
 
-  /** Writes the queued messages of a link until the link fails. Messages that
-      a peer of frame version aVersion does not know are dropped. */
+  /** Removes the queued messages of a link and returns their bytes. Messages
+      that a peer of frame version aVersion does not know are dropped. */
+  static std::string TakeQueued(OutgoingLink& aLink, std::uint32_t aVersion)
+  {
+    std::string bytes;
+    for (const QueuedFrame& frame : aLink.mQueue) {
+      if (frame.mVersion <= aVersion) {
+        bytes += frame.mBytes;
+      }
+    }
+    aLink.mQueue.clear();
+    aLink.mQueuedBytes = 0;
+    return bytes;
+  }
+
+  /** Writes the queued messages of a link, and heartbeats, until the link
+      fails. */
   void RunWriter(Stream& aStream,
                  OutgoingLink& aLink,
                  std::uint32_t aVersion) const
   {
+    Heartbeats& heartbeats = aLink.mHeartbeats;
     while (!aLink.mIsBroken) {
-      if (aLink.mQueue.empty()) {
-        aLink.mWake.Wait();
-        continue;
-      }
-      std::string bytes;
-      for (const QueuedFrame& frame : aLink.mQueue) {
-        if (frame.mVersion <= aVersion) {
-          bytes += frame.mBytes;
+      const TimePoint now = Now();
+      if (now >= heartbeats.mDeadline) {
+        if (now < heartbeats.mDeadline + kLateTimer) {
+          LogWarning(Error{ ErrorKind::kConnectionFailed,
+                            "the connection to the VM at " +
+                              ToText(aLink.mAddress) + " is silent",
+                            "check the network between the VMs" });
+          return;
         }
+        heartbeats.mDeadline = now + kArrivedReadTime;
+      }
+      std::string bytes = TakeQueued(aLink, aVersion);
+      heartbeats.mUnconfirmedBytes += bytes.size();
+      const bool isDue =
+        aVersion >= kHeartbeatVersion && heartbeats.IsDue(bytes.size(), now);
+      heartbeats.mBytesSinceHeartbeat += bytes.size();
+      if (isDue) {
+        bytes += EncodeHeartbeat(PeerHeartbeat{});
+        heartbeats.mNext = now + kHeartbeatInterval;
+        heartbeats.mDeadline =
+          now + kHeartbeatTimeout +
+          std::chrono::seconds(heartbeats.mUnconfirmedBytes / kSlowLinkBytes);
+        heartbeats.mBytesSinceHeartbeat = 0;
+      }
+      if (bytes.empty()) {
+        aLink.mWake.WaitUntil(aVersion >= kHeartbeatVersion ? heartbeats.Due()
+                                                            : TimePoint::max());
+        continue;
       }
-      aLink.mQueue.clear();
-      aLink.mQueuedBytes = 0;
       aStream.expires_after(kWriteTimeout);
       if (!WriteBytes(aStream, bytes)) {
         return;
@@ -213,21 +302,30 @@
   PeerTransportLimits mLimits;
   PeerTransportHandlers mHandlers;
   std::unordered_map<VmId, std::shared_ptr<OutgoingLink>> mLinks;
+  std::unordered_map<VmId, AcceptedLink> mAccepted;
 };
 
 namespace {
 
-/** Detects that the peer closes the connection while nothing is being written.
-    The peer sends nothing on it after its hello, so that the read ends only
-    when the connection does. */
+/** Reads the answers to heartbeats, and detects that the peer closes the
+    connection. The peer sends nothing else on it after its hello. */
 void
-WatchForClose(const std::shared_ptr<Stream>& aStream,
-              const std::shared_ptr<OutgoingLink>& aLink)
+WatchConnection(const std::shared_ptr<Stream>& aStream,
+                const std::shared_ptr<OutgoingLink>& aLink)
 {
-  std::array<std::uint8_t, 1> byte{};
-  Await([&](auto aHandler) {
-    aStream->socket().async_read_some(boost::asio::buffer(byte), aHandler);
-  });
+  constexpr std::uint32_t kMaxAnswerBytes = 1024;
+  Heartbeats& heartbeats = aLink->mHeartbeats;
+  while (true) {
+    // Time limits of the stream are those of the writer.
+    const auto frame = ReadFrame(aStream->socket(), kMaxAnswerBytes);
+    if (!frame || !std::holds_alternative<PeerHeartbeat>(*frame)) {
+      break;
+    }
+    heartbeats.mDeadline = TimePoint::max();
+    heartbeats.mUnconfirmedBytes = heartbeats.mBytesSinceHeartbeat;
+    // The writer may wait for the deadline.
+    aLink->mWake.Notify();
+  }
   aLink->mIsBroken = true;
   aLink->mWake.Notify();
 }
@@ -271,7 +369,7 @@
   const auto opened = aTransport->Open(*stream, aPeer, aLink->mAddress);
   if (opened) {
     stream->expires_never();
-    StartFiber([stream, aLink] { WatchForClose(stream, aLink); });
+    StartFiber([stream, aLink] { WatchConnection(stream, aLink); });
     aTransport->RunWriter(*stream, *aLink, *opened);
     stream->close();
   } else {
@@ -289,37 +387,93 @@
   aTransport->mHandlers.mLost(aPeer);
 }
 
-/** Receives messages on a connection that another VM opened. */
+/** Makes the kernel find out that a VM is gone whose connection was not
+    closed. */
+void
+EnableKeepAlive(Stream& aStream)
+{
+  using Idle =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  boost::system::error_code ignored;
+  aStream.socket().set_option(boost::asio::socket_base::keep_alive(true),
+                              ignored);
+  aStream.socket().set_option(Idle(kKeepAliveIdleSeconds), ignored);
+}
+
+/** Records the connection that a VM opened and closes the one that it had
+    opened before: nothing is written to that any more. */
 template<class Transport>
 void
-ServePeer(const std::shared_ptr<Transport>& aTransport, Stream& aStream)
+ReplaceAccepted(Transport& aTransport,
+                const PeerHello& aHello,
+                const std::shared_ptr<Stream>& aStream)
 {
-  aStream.expires_after(kHelloTimeout);
-  const auto hello = ReadHello(aStream, aTransport->mLimits.mMaxFrameBytes);
-  if (!hello) {
-    aTransport->LogWarning(hello.error());
-    return;
-  }
-  const std::string reply = EncodeHello(aTransport->MakeHello(hello->mVm));
-  const bool isExpectedVm = hello->mExpectedVm == aTransport->mSelf.mId;
-  if (!WriteBytes(aStream, reply) || !isExpectedVm) {
-    return;
+  AcceptedLink& accepted = aTransport.mAccepted[aHello.mVm];
+  if (accepted.mStream != nullptr) {
+    if (aHello.mIncarnation < accepted.mIncarnation) {
+      return;
+    }
+    accepted.mStream->close();
   }
-  aStream.expires_never();
+  accepted = AcceptedLink{ aHello.mIncarnation, aStream };
+}
+
+/** Receives messages on a connection after its hello frames, until it ends. */
+template<class Transport>
+void
+ReceiveMessages(Transport& aTransport, const PeerHello& aHello, Stream& aStream)
+{
   while (true) {
-    auto frame = ReadFrame(aStream, aTransport->mLimits.mMaxFrameBytes);
+    auto frame = ReadFrame(aStream, aTransport.mLimits.mMaxFrameBytes);
     if (!frame) {
       if (frame.error().mKind == ErrorKind::kInvalidFrame) {
-        aTransport->LogWarning(frame.error());
+        aTransport.LogWarning(frame.error());
       }
       return;
     }
+    if (std::holds_alternative<PeerHeartbeat>(*frame)) {
+      aStream.expires_after(kWriteTimeout);
+      if (!WriteBytes(aStream, EncodeHeartbeat(PeerHeartbeat{ true }))) {
+        return;
+      }
+      aStream.expires_never();
+      continue;
+    }
     PeerMessage* message = std::get_if<PeerMessage>(&*frame);
-    if (message == nullptr) {
+    // A connection that was replaced may have been read in part.
+    if (message == nullptr || !aStream.socket().is_open()) {
       return;
     }
-    aTransport->mHandlers.mMessage(
-      hello->mVm, hello->mPeerAddress, std::move(*message));
+    aTransport.mHandlers.mMessage(
+      aHello.mVm, aHello.mPeerAddress, std::move(*message));
+  }
+}
+
+/** Serves a connection that another VM opened. */
+template<class Transport>
+void
+ServePeer(const std::shared_ptr<Transport>& aTransport,
+          const std::shared_ptr<Stream>& aStream)
+{
+  aStream->expires_after(kHelloTimeout);
+  const auto hello = ReadHello(*aStream, aTransport->mLimits.mMaxFrameBytes);
+  if (!hello) {
+    aTransport->LogWarning(hello.error());
+    return;
+  }
+  const std::string reply = EncodeHello(aTransport->MakeHello(hello->mVm));
+  const bool isExpectedVm = hello->mExpectedVm == aTransport->mSelf.mId;
+  if (!WriteBytes(*aStream, reply) || !isExpectedVm) {
+    return;
+  }
+  aStream->expires_never();
+  EnableKeepAlive(*aStream);
+  ReplaceAccepted(*aTransport, *hello, aStream);
+  ReceiveMessages(*aTransport, *hello, *aStream);
+  const auto accepted = aTransport->mAccepted.find(hello->mVm);
+  if (accepted != aTransport->mAccepted.end() &&
+      accepted->second.mStream == aStream) {
+    aTransport->mAccepted.erase(accepted);
   }
 }
 
@@ -338,7 +492,7 @@
     }
     auto stream = std::make_shared<Stream>(std::move(socket));
     StartFiber([aTransport, stream] {
-      ServePeer(aTransport, *stream);
+      ServePeer(aTransport, stream);
       stream->close();
     });
   }
--- a/modules/wasabispread_runtime/PeerTransport.h
+++ b/modules/wasabispread_runtime/PeerTransport.h
@@ -42,7 +42,14 @@
     by the first message. A connection begins with a hello frame in each
     direction. By it both sides check that the connection reached the VM that it
     was meant for, and that their releases share a version of the frame
-    format. */
+    format.
+
+    A connection may go silent for good without a reset, in one direction or
+    both, while new ones work. So what is written is followed by a heartbeat,
+    and a connection whose heartbeat is not answered is closed and reported as
+    lost; the next message opens another one. Idle connections carry none. A VM
+    that opens another connection has given up the earlier one, whose unread
+    bytes are dropped. */
 class PeerTransport
 {
 public:
--- a/modules/wasabispread_wire/PeerProtocol.cpp
+++ b/modules/wasabispread_wire/PeerProtocol.cpp
@@ -254,6 +254,14 @@
   return FinishFrame(builder, frame::Message::Hello, message.Union());
 }
 
+std::string
+EncodeHeartbeat(const PeerHeartbeat& aHeartbeat)
+{
+  Builder builder;
+  const auto message = frame::CreateHeartbeat(builder, aHeartbeat.mIsReply);
+  return FinishFrame(builder, frame::Message::Heartbeat, message.Union());
+}
+
 std::string
 EncodeMessage(const PeerMessage& aMessage)
 {
@@ -295,6 +303,9 @@
       return Decode(*root->message_as_BatchReply());
     case frame::Message::BatchCancel:
       return Decode(*root->message_as_BatchCancel());
+    case frame::Message::Heartbeat:
+      return PeerFrame(
+        PeerHeartbeat{ root->message_as_Heartbeat()->is_reply() });
     default:
       return DecodeControl(*root);
   }
--- a/modules/wasabispread_wire/PeerProtocol.h
+++ b/modules/wasabispread_wire/PeerProtocol.h
@@ -19,7 +19,9 @@
 
 /** The oldest and the newest frame version that this release supports. */
 inline constexpr std::uint32_t kOldestFrameVersion = 1;
-inline constexpr std::uint32_t kNewestFrameVersion = 3;
+inline constexpr std::uint32_t kNewestFrameVersion = 4;
+/** The first frame version that has PeerHeartbeat. */
+inline constexpr std::uint32_t kHeartbeatVersion = 4;
 
 /** The first frame that each side of a connection sends. */
 struct PeerHello
@@ -33,13 +35,24 @@
   VmId mExpectedVm;
 };
 
+/** Asks whether a connection still carries bytes in both directions, or answers
+    this on the same connection. */
+struct PeerHeartbeat
+{
+  bool mIsReply = false;
+};
+
 /** The content of a frame. */
-using PeerFrame = std::variant<PeerHello, PeerMessage>;
+using PeerFrame = std::variant<PeerHello, PeerMessage, PeerHeartbeat>;
 
 /** Encodes a whole frame, including its length. */
 std::string
 EncodeHello(const PeerHello& aHello);
 
+/** Encodes a whole frame, including its length. */
+std::string
+EncodeHeartbeat(const PeerHeartbeat& aHeartbeat);
+
 /** Encodes a whole frame, including its length. */
 std::string
 EncodeMessage(const PeerMessage& aMessage);
--- a/tests/platform/LinkRelay.cpp
+++ b/tests/platform/LinkRelay.cpp
@@ -68,7 +68,8 @@
   Tcp::socket mClient;
   Tcp::socket mServer;
   std::shared_ptr<LinkRecord> mRecord = std::make_shared<LinkRecord>();
-  bool mIsSilent = false;
+  /** Whether the bytes of each direction are lost. */
+  std::array<bool, 2> mIsSilent{};
   bool mIsClosed = false;
   /** The bytes of replies after which the connection is closed. */
   std::size_t mReplyBytesLeft = kNoLimit;
@@ -168,7 +169,8 @@
         End(aPair, to, read.mError);
         return;
       }
-      if (!aPair.mIsSilent && !Write(aPair, isToServer, to, bytes, read)) {
+      const bool isSilent = aPair.mIsSilent.at(std::size_t(aDirection));
+      if (!isSilent && !Write(aPair, isToServer, to, bytes, read)) {
         return;
       }
     }
@@ -224,7 +226,7 @@
   /** Passes the end of a direction on. */
   static void End(Pair& aPair, Tcp::socket& aTo, error_code aError)
   {
-    if (aPair.mIsSilent) {
+    if (aPair.mIsSilent[0] || aPair.mIsSilent[1]) {
       return;
     }
     if (aError == asio::error::eof) {
@@ -239,7 +241,7 @@
   void AwaitPassage(const Pair& aPair, LinkDirection aDirection) const
   {
     const TimePoint& heldUntil = mHeldUntil.at(std::size_t(aDirection));
-    while (!aPair.mIsClosed && !aPair.mIsSilent &&
+    while (!aPair.mIsClosed && !aPair.mIsSilent.at(std::size_t(aDirection)) &&
            (mIsCut || Now() < heldUntil)) {
       boost::this_fiber::sleep_for(kPollInterval);
     }
@@ -330,10 +332,17 @@
 
 void
 LinkRelay::SilenceOpen()
+{
+  SilenceOpen(LinkDirection::kToServer);
+  SilenceOpen(LinkDirection::kToClient);
+}
+
+void
+LinkRelay::SilenceOpen(LinkDirection aDirection)
 {
   for (const auto& pair : mImplementation->mPairs) {
     pair->Harm("silenced");
-    pair->mIsSilent = true;
+    pair->mIsSilent.at(std::size_t(aDirection)) = true;
   }
 }
 
@@ -366,6 +375,13 @@
   return found == records.rend() ? nullptr : *found;
 }
 
+std::shared_ptr<const LinkRecord>
+LinkRelay::Last() const
+{
+  const auto& records = mImplementation->mRecords;
+  return records.empty() ? nullptr : records.back();
+}
+
 const std::vector<LinkSpan>&
 LinkRelay::Cuts() const
 {
--- a/tests/platform/LinkRelay.h
+++ b/tests/platform/LinkRelay.h
@@ -76,6 +76,9 @@
   /** Loses all further bytes of the open connections, without a reset. */
   void SilenceOpen();
 
+  /** As above, in one direction only. */
+  void SilenceOpen(LinkDirection aDirection);
+
   /** Resets the open connections. */
   void ResetOpen();
 
@@ -88,6 +91,9 @@
   std::shared_ptr<const LinkRecord> Find(std::uint16_t aClientPort,
                                          TimePoint aTime) const;
 
+  /** The record of the last connection; null before the first one. */
+  std::shared_ptr<const LinkRecord> Last() const;
+
   /** The spans in which the link was cut. */
   const std::vector<LinkSpan>& Cuts() const;
 
