Refuse what waits for quota once nobody can be asked

When a question is given up, all that waits now asks elsewhere or is refused as not run; what waits while the claim goes is refused within 250 ms.

--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
@@ -466,7 +466,32 @@
                              { "age_ms", ToMilliseconds(aNow - aAsked) } } } });
 }
 
-/** Gives up a question to a granting VM: what waits for it is refused. */
+/** The organisations for which requests or VMs of the zone wait. */
+std::vector<OrganisationId>
+WaitingOrganisations(const ForwarderState& aState)
+{
+  std::vector<OrganisationId> waiting;
+  for (const auto& [id, quota] : aState.mQuota.mOrganisations) {
+    if (!quota.mWaiting.empty() || !quota.mPeers.empty()) {
+      waiting.push_back(id);
+    }
+  }
+  return waiting;
+}
+
+/** Asks for what waits wherever it can be had now, and refuses the rest. */
+void
+AskForAllThatWaits(ForwarderState& aState,
+                   TimePoint aNow,
+                   ForwarderEffects& aEffects)
+{
+  for (const OrganisationId id : WaitingOrganisations(aState)) {
+    AskFor(aState, id, aNow, aEffects);
+  }
+}
+
+/** Gives up a question to a granting VM: what waits for it is refused, also
+    what arrived after the question and waits for the next one. */
 void
 GiveUpGranter(ForwarderState& aState,
               VmId aVm,
@@ -485,6 +510,7 @@
                   aNow,
                   aEffects);
   }
+  AskForAllThatWaits(aState, aNow, aEffects);
 }
 
 /** Gives up a question to a VM of the zone: what waits takes another way,
@@ -762,6 +788,8 @@
       AskGranter(aState, vm, address, aNow, aEffects);
     }
   }
+  // The claim may have gone meanwhile.
+  AskForAllThatWaits(aState, aNow, aEffects);
   if (isAnyHeld) {
     ArmTimer(aState, aNow);
   }
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUseTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUseTests.cpp
@@ -201,6 +201,8 @@
   CPPUNIT_TEST(TakesItsOwnClaimsBackAfterARestart);
   CPPUNIT_TEST(LetsRequestsWaitForAGrant);
   CPPUNIT_TEST(RefusesWhenTheGranterDoesNotAnswer);
+  CPPUNIT_TEST(RefusesWhatArrivedAfterAQuestionThatIsNotAnswered);
+  CPPUNIT_TEST(RefusesWhenTheClaimGoes);
   CPPUNIT_TEST(IgnoresLateGrants);
   CPPUNIT_TEST(TakesBackQuotaOfRequestsThatDidNotRun);
   CPPUNIT_TEST(AsksAVmOfItsZone);
@@ -398,6 +400,40 @@
     CPPUNIT_ASSERT(reply.mValid > Duration::zero());
   }
 
+  // Guards against requests that wait for more than a second until the next
+  // question to a granting VM that does not answer.
+  void RefusesWhatArrivedAfterAQuestionThatIsNotAnswered()
+  {
+    auto vm = MakeVmOfTwo();
+    Join(*vm, "vm-g", "b");
+    ClaimBy(*vm, "vm-g", 40);
+    const CallerToken first = vm->Ask("/s/");
+    vm->RunFor(100 * kMillisecond);
+    vm->mKey = { KeyForm::kPresent, "other key" };
+    const CallerToken second = vm->Ask("/s/");
+    vm->RunFor(200 * kMillisecond);
+    CPPUNIT_ASSERT(KindOf(*vm, first) == ProblemKind::kNotRun);
+    CPPUNIT_ASSERT(vm->AnswerTo(second) != nullptr);
+    CPPUNIT_ASSERT(KindOf(*vm, second) == ProblemKind::kNotRun);
+  }
+
+  // Guards against requests that wait until somebody claims to grant quota.
+  void RefusesWhenTheClaimGoes()
+  {
+    auto vm = MakeVmOfTwo();
+    Join(*vm, "vm-g", "b");
+    ClaimBy(*vm, "vm-g", 40);
+    vm->Ask("/s/");
+    vm->mKey = { KeyForm::kPresent, "other key" };
+    const CallerToken second = vm->Ask("/s/");
+    for (std::uint32_t number = 0; number < kQuotaPartitions; ++number) {
+      vm->Change(QuotaClaimRemoval{ number });
+    }
+    vm->RunFor(300 * kMillisecond);
+    CPPUNIT_ASSERT(vm->AnswerTo(second) != nullptr);
+    CPPUNIT_ASSERT(KindOf(*vm, second) == ProblemKind::kNotRun);
+  }
+
   void TakesAnotherWayWhenAVmOfItsZoneIsSilent()
   {
     auto vm = MakeVm();
@@ -446,6 +482,21 @@
   }
 
 private:
+  /** As MakeVm(), with a second organisation. */
+  static std::unique_ptr<ForwarderHarness> MakeVmOfTwo()
+  {
+    auto vm = MakeVm();
+    OrganisationDirectory directory = Organisations();
+    Organisation other;
+    other.mName = "other";
+    other.mId = IdFromName<OrganisationId>(other.mName);
+    other.mLimit = kLimit;
+    CPPUNIT_ASSERT(directory.Add(other, { "other key" }));
+    vm->Configure(
+      { SingleRoute("s", Repeatability::kIdempotent) }, directory, 2);
+    return vm;
+  }
+
   static void JoinZone(ForwarderHarness& aVm)
   {
     for (const char* name : { "vm-a", "vm-b", "vm-c", "vm-d" }) {
