Count quota on when a limit is lifted and set again

Cause: a VM dropped what it held and counted of an organisation without a limit. Its counts began again at 0 under the same session and term; the granting VM, which had not learned of that configuration, answered with all that it had granted in its term, and the difference was used a second time.

Now the counts are kept as long as the session that they are stated under. The granting VM also states what the other one holds by its own count, and that keeps no more; this covers a granting VM that drops its balance while others hold grants.

--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -522,14 +522,19 @@
 
 namespace {
 
-/** Removes the quota of organisations that the new configuration lacks. */
+/** Gives up the quota of organisations that have no limit in the new
+    configuration. What this VM counted of it is kept: a granting VM that did
+   not learn of that configuration counts on, and the counts of one session only
+    rise. */
 void
 ForgetOrganisationsOf(ForwarderState& aState)
 {
-  std::erase_if(aState.mQuota.mOrganisations, [&](const auto& aEntry) {
-    return aEntry.second.mWaiting.empty() &&
-           !LimitOf(aState, aEntry.first).IsLimited();
-  });
+  for (auto& [id, quota] : aState.mQuota.mOrganisations) {
+    if (!LimitOf(aState, id).IsLimited()) {
+      ReturnAll(quota.mHeld);
+      quota.mSpare = {};
+    }
+  }
   for (QuotaPartition& partition : aState.mQuota.mClaims.mPartitions) {
     std::erase_if(partition.mLedgers, [&](const auto& aEntry) {
       return !LimitOf(aState, aEntry.first).IsLimited();
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
@@ -100,11 +100,11 @@
     aState.mQuota.mClaims.mPartitions[PartitionOf(aNeed.mOrganisation)];
   const OrganisationLimit limit = LimitOf(aState, aNeed.mOrganisation);
   if (!limit.IsLimited() || !IsGranting(aState, partition, aNow)) {
-    return QuotaGrant{ aNeed.mOrganisation, 0, 0, {}, {} };
+    return QuotaGrant{ aNeed.mOrganisation, 0, 0, {}, {}, {} };
   }
   if (aNeed.mTerm != partition.mOwnTerm) {
     // It does not know this term yet and starts anew.
-    return QuotaGrant{ aNeed.mOrganisation, partition.mOwnTerm, 0, {}, {} };
+    return QuotaGrant{ aNeed.mOrganisation, partition.mOwnTerm, 0, {}, {}, {} };
   }
   const QuotaRule& rule = aState.mPolicy.mQuotaRule;
   const QuotaParts parts = DivideQuota(limit, rule);
@@ -146,7 +146,8 @@
     aPeer.mGiven,
     isUsedUp ? std::max(Duration(1), aQuota.mHeld.mDeniedUntil - aNow)
              : Duration::zero(),
-    aDecision.mRetryAfter });
+    aDecision.mRetryAfter,
+    std::nullopt });
   aEffects.push_back(
     SendPeerMessage{ aPeer.mVm, aPeer.mAddress, std::move(reply) });
 }
@@ -231,6 +232,18 @@
   }
 }
 
+/** Whether there is something to state without a waiting request. Nothing is
+    stated of an organisation without a limit; its counts are only kept. */
+bool
+IsReportDue(const ForwarderState& aState,
+            OrganisationId aOrganisation,
+            const HeldQuota& aHeld,
+            TimePoint aNow)
+{
+  return LimitOf(aState, aOrganisation).IsLimited() &&
+         wasabispread::IsReportDue(aHeld, aNow);
+}
+
 /** The needs that are to be stated to a granting VM: where a request waits or a
     report is due. */
 std::vector<QuotaNeed>
@@ -253,7 +266,7 @@
     for (const WaitingPeer& peer : quota.mPeers) {
       waiting += peer.mCount - peer.mGiven;
     }
-    if (waiting != 0 || IsReportDue(quota.mHeld, aNow)) {
+    if (waiting != 0 || IsReportDue(aState, id, quota.mHeld, aNow)) {
       needs.push_back(NeedOf(quota.mHeld, id, waiting, aNow));
     }
   }
@@ -773,7 +786,7 @@
     isAnyHeld = isAnyHeld || organisation.mHeld.Held() != 0 ||
                 !organisation.mWaiting.empty() ||
                 !organisation.mPeers.empty() ||
-                IsReportDue(organisation.mHeld, aNow);
+                IsReportDue(aState, id, organisation.mHeld, aNow);
   }
   std::map<std::string, Endpoint> granters;
   for (const QuotaPartition& partition : quota.mClaims.mPartitions) {
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUseTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUseTests.cpp
@@ -203,6 +203,7 @@
   CPPUNIT_TEST(RefusesWhenTheGranterDoesNotAnswer);
   CPPUNIT_TEST(RefusesWhatArrivedAfterAQuestionThatIsNotAnswered);
   CPPUNIT_TEST(RefusesWhenTheClaimGoes);
+  CPPUNIT_TEST(CountsOnWhenALimitIsLiftedAndSetAgain);
   CPPUNIT_TEST(IgnoresLateGrants);
   CPPUNIT_TEST(TakesBackQuotaOfRequestsThatDidNotRun);
   CPPUNIT_TEST(AsksAVmOfItsZone);
@@ -434,6 +435,32 @@
     CPPUNIT_ASSERT(KindOf(*vm, second) == ProblemKind::kNotRun);
   }
 
+  // Guards against counts that begin again at 0 under the same session and
+  // term: a granting VM that did not learn that the limit was lifted then
+  // answers with all that it granted, and it is used a second time.
+  void CountsOnWhenALimitIsLiftedAndSetAgain()
+  {
+    auto vm = MakeVm();
+    Join(*vm, "vm-g", "b");
+    ClaimBy(*vm, "vm-g", 40);
+    vm->Ask("/s/");
+    Grant(*vm, "vm-g", 40);
+    Grant(*vm, "vm-g", 40);
+    const std::vector<Route> routes{ SingleRoute("s",
+                                                 Repeatability::kIdempotent) };
+    vm->Configure(routes, Organisations({}), 2);
+    const HeldQuota& held = vm->mState.mQuota.mOrganisations.at(kId).mHeld;
+    const std::uint64_t received = held.mReceived;
+    CPPUNIT_ASSERT(received != 0);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, held.Held());
+    vm->Configure(routes, Organisations(), 3);
+    vm->Ask("/s/");
+    vm->RunFor(kSecond);
+    const QuotaNeed need = QuestionTo(*vm, "vm-g")->mNeeds.front();
+    CPPUNIT_ASSERT(need.mReceived >= received);
+    CPPUNIT_ASSERT_EQUAL(need.mReceived, need.mUsed + need.mReturned);
+  }
+
   void TakesAnotherWayWhenAVmOfItsZoneIsSilent()
   {
     auto vm = MakeVm();
--- a/modules/wasabispread_organisations/HeldQuota.cpp
+++ b/modules/wasabispread_organisations/HeldQuota.cpp
@@ -24,6 +24,20 @@
 constexpr double kAdvanceSeconds = 4;
 constexpr double kMaxWanted = 64;
 
+/** Gives back what the granting VM does not count as held. aCounted is its
+   count when it had settled aNeed. */
+void
+KeepAtMost(HeldQuota& aHeld, const QuotaNeed& aNeed, std::uint64_t aCounted)
+{
+  const std::uint64_t usedSince =
+    aHeld.mUsed - std::min(aHeld.mUsed, aNeed.mUsed);
+  const std::uint64_t returnedSince =
+    aHeld.mReturned - std::min(aHeld.mReturned, aNeed.mReturned);
+  const std::uint64_t most =
+    aCounted - std::min(aCounted, usedSince + returnedSince);
+  aHeld.mReturned += aHeld.Held() - std::min(aHeld.Held(), most);
+}
+
 } // namespace
 
 void
@@ -59,10 +73,16 @@
 ReturnUnusable(HeldQuota& aHeld, TimePoint aNow)
 {
   if (aNow >= aHeld.mValidUntil || aNow - aHeld.mLastNeeded >= kKeptUnused) {
-    aHeld.mReturned += aHeld.Held();
+    ReturnAll(aHeld);
   }
 }
 
+void
+ReturnAll(HeldQuota& aHeld)
+{
+  aHeld.mReturned += aHeld.Held();
+}
+
 QuotaNeed
 NeedOf(const HeldQuota& aHeld,
        OrganisationId aOrganisation,
@@ -102,6 +122,9 @@
   aHeld.mUsedKnown = std::max(aHeld.mUsedKnown, aNeed.mUsed);
   aHeld.mReturnedKnown = std::max(aHeld.mReturnedKnown, aNeed.mReturned);
   aHeld.mReceived = std::max(aHeld.mReceived, aGrant.mGranted);
+  if (aGrant.mHeld) {
+    KeepAtMost(aHeld, aNeed, *aGrant.mHeld);
+  }
   aHeld.mValidUntil = aAsked + aValid;
   if (aGrant.mNextGrant > Duration::zero()) {
     RecordDenial(aHeld, aGrant, aNow);
--- a/modules/wasabispread_organisations/HeldQuota.h
+++ b/modules/wasabispread_organisations/HeldQuota.h
@@ -63,6 +63,11 @@
 bool
 IsReportDue(const HeldQuota& aHeld, TimePoint aNow);
 
+/** Gives back all that is held, because it may not be used any more. The counts
+    go on: the granting VM may still know them. */
+void
+ReturnAll(HeldQuota& aHeld);
+
 /** Accepts the answer to a question that was sent at aAsked. aValid is how long
     the grants were valid then. */
 void
--- a/modules/wasabispread_organisations/QuotaLedger.cpp
+++ b/modules/wasabispread_organisations/QuotaLedger.cpp
@@ -172,9 +172,8 @@
     static_cast<std::uint64_t>(std::max(0.0, Grantable(aLedger, aNow))));
   Grant(aLedger, holding, forWaiting);
   GrantInAdvance(aLedger, aParts, holding, aNeed, forWaiting, aNow);
-  QuotaGrant grant{
-    aNeed.mOrganisation, aNeed.mTerm, holding.mGranted, {}, {}
-  };
+  QuotaGrant grant{ aNeed.mOrganisation, aNeed.mTerm, holding.mGranted, {}, {},
+                    holding.Held() };
   const std::uint64_t denied = aNeed.mWaiting - forWaiting;
   if (denied == 0) {
     return grant;
--- a/modules/wasabispread_organisations/QuotaLedger.h
+++ b/modules/wasabispread_organisations/QuotaLedger.h
@@ -6,6 +6,7 @@
 #include "QuotaRule.h"
 
 #include <map>
+#include <optional>
 
 namespace wasabispread {
 
@@ -46,6 +47,10 @@
   /** When the first denied request is to be tried again. Differs between VMs
       and answers, so that not all come back at once. */
   Duration mRetryAfter{};
+  /** What the VM holds by the granting VM's count; none from older releases. It
+      holds no more, whatever else it counts: one of the two may have begun to
+      count anew. */
+  std::optional<std::uint64_t> mHeld;
 };
 
 /** The grants of one VM. */
--- a/modules/wasabispread_organisations/QuotaLedgerTests.cpp
+++ b/modules/wasabispread_organisations/QuotaLedgerTests.cpp
@@ -235,6 +235,7 @@
   CPPUNIT_TEST(DividesTheBound);
   CPPUNIT_TEST(KeepsTheBoundOverAnyEvents);
   CPPUNIT_TEST(KeepsALoweredBoundAfterAWindow);
+  CPPUNIT_TEST(HoldsNoMoreThanTheGrantingVmCounts);
   CPPUNIT_TEST(ServesAHotOrganisationAtFewVms);
   CPPUNIT_TEST(CountsWhatALostVmHeldAsUsed);
   CPPUNIT_TEST(SpreadsTheReturnsOfDeniedRequests);
@@ -337,6 +338,37 @@
     }));
   }
 
+  /** Guards against grants that were used and are taken for new ones by a VM
+      that counts anew under the same session and term. */
+  void HoldsNoMoreThanTheGrantingVmCounts()
+  {
+    const OrganisationLimit limit{ 30, 30 };
+    const QuotaParts parts = DivideQuota(limit, kRule);
+    QuotaLedger ledger = BeginLedger(parts, kRule, true, kStart);
+    const TimePoint warm = kStart + std::chrono::seconds(20);
+    const Duration valid = std::chrono::seconds(4);
+    HeldQuota held;
+    const auto settle = [&](std::uint32_t aWaiting) {
+      const QuotaNeed need = NeedOf(held, OrganisationId(1), aWaiting, warm);
+      const QuotaGrant grant =
+        Settle(ledger, parts, VmId(1), 1, need, warm + valid, warm);
+      AcceptGrant(held, need, grant, warm, valid, warm);
+    };
+    settle(20);
+    while (UseQuota(held, warm)) {
+    }
+    settle(0);
+    held = HeldQuota{};
+    settle(1);
+    CPPUNIT_ASSERT(held.Held() >= 1);
+    CPPUNIT_ASSERT(held.Held() <= ledger.mHoldings.at(VmId(1)).Held());
+    // The other way round: the granting VM counts anew.
+    ledger = BeginLedger(parts, kRule, true, kStart);
+    settle(1);
+    CPPUNIT_ASSERT(held.Held() >= 1);
+    CPPUNIT_ASSERT(held.Held() <= ledger.mHoldings.at(VmId(1)).Held());
+  }
+
   /** The load: one organisation sends 7.5 times its limit, all of it through
       two of 79 VMs. Rivals: equal parts for all VMs, which is what membership
       alone allows, and this one. Callers need the whole allowance. */
--- a/modules/wasabispread_wire/PeerProtocolTests.cpp
+++ b/modules/wasabispread_wire/PeerProtocolTests.cpp
@@ -65,13 +65,17 @@
                               7,
                               20,
                               std::chrono::milliseconds(3),
-                              std::chrono::milliseconds(44) });
+                              std::chrono::milliseconds(44),
+                              5 });
+    reply.mGrants.emplace_back();
     const QuotaReply answered = SentOver(reply);
     CPPUNIT_ASSERT(answered.mValid == std::chrono::milliseconds(1234));
     const QuotaGrant& grant = answered.mGrants.front();
     CPPUNIT_ASSERT(grant.mTerm == 7 && grant.mGranted == 20);
     CPPUNIT_ASSERT(grant.mNextGrant == std::chrono::milliseconds(3));
     CPPUNIT_ASSERT(grant.mRetryAfter == std::chrono::milliseconds(44));
+    CPPUNIT_ASSERT(grant.mHeld == std::uint64_t{ 5 });
+    CPPUNIT_ASSERT(!answered.mGrants.back().mHeld);
     CPPUNIT_ASSERT_EQUAL(3U, FrameVersionOf(QuotaRequest{}));
   }
 
--- a/modules/wasabispread_wire/SearchFrames.cpp
+++ b/modules/wasabispread_wire/SearchFrames.cpp
@@ -16,6 +16,8 @@
 using Strings = std::vector<flatbuffers::Offset<flatbuffers::String>>;
 
 constexpr std::uint64_t kNoDuration = std::numeric_limits<std::uint64_t>::max();
+constexpr std::uint64_t kUnknownHeld =
+  std::numeric_limits<std::uint64_t>::max();
 
 flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>>
 Bytes(Builder& aBuilder, const std::string& aBytes)
@@ -213,19 +215,23 @@
 EncodeInto(Builder& aBuilder, const QuotaReply& aMessage)
 {
   std::vector<frame::QuotaGrant> grants;
+  std::vector<std::uint64_t> held;
   for (const QuotaGrant& grant : aMessage.mGrants) {
     grants.emplace_back(grant.mOrganisation.Value(),
                         grant.mTerm,
                         grant.mGranted,
                         NonNegativeMicroseconds(grant.mNextGrant),
                         NonNegativeMicroseconds(grant.mRetryAfter));
+    held.push_back(grant.mHeld.value_or(kUnknownHeld));
   }
   const auto vector = aBuilder.CreateVectorOfStructs(grants);
+  const auto heldVector = aBuilder.CreateVector(held);
   const auto message =
     frame::CreateQuotaReply(aBuilder,
                             aMessage.mSequence,
                             NonNegativeMicroseconds(aMessage.mValid),
-                            vector);
+                            vector,
+                            heldVector);
   return { frame::Message::QuotaReply, message.Union() };
 }
 
@@ -248,6 +254,23 @@
   return PeerFrame(PeerMessage(std::move(request)));
 }
 
+namespace {
+
+/** The receiver's quota by the sender's count, if the sender states it. */
+std::optional<std::uint64_t>
+HeldAt(const frame::QuotaReply& aMessage, std::size_t aPosition)
+{
+  const auto* held = aMessage.held();
+  if (held == nullptr || aPosition >= held->size()) {
+    return std::nullopt;
+  }
+  const std::uint64_t count =
+    held->Get(static_cast<flatbuffers::uoffset_t>(aPosition));
+  return count == kUnknownHeld ? std::nullopt : std::optional(count);
+}
+
+} // namespace
+
 Result<PeerFrame>
 DecodeQuota(const frame::QuotaReply& aMessage)
 {
@@ -260,7 +283,8 @@
                   grant->term(),
                   grant->granted(),
                   BoundedDuration(grant->next_grant_us()),
-                  BoundedDuration(grant->retry_after_us()) });
+                  BoundedDuration(grant->retry_after_us()),
+                  HeldAt(aMessage, reply.mGrants.size()) });
   }
   return PeerFrame(PeerMessage(std::move(reply)));
 }
