End grants at the moment when an answer would extend them

Cause: grants that have ended were given back by a timer only. After a standstill input is handled before due timers; the first answer moved the time up to which all grants are valid, and so made valid again what had ended and what the granting VM had granted in its place.

Now ended grants are given back before a question states them and before an answer extends what is held. Quota for another VM of the zone is valid as long as what it was taken from, and quota that a request gives back is not added to what was given after it.

--- a/modules/wasabispread_forwarding_decisions/Answers.cpp
+++ b/modules/wasabispread_forwarding_decisions/Answers.cpp
@@ -318,7 +318,11 @@
   LogAnswer(aState, aRequest, summary, aNow, aEffects);
   if (const auto* problem = std::get_if<Problem>(&answer);
       problem != nullptr && problem->mKind == ProblemKind::kNotRun) {
-    TakeBackQuota(aState, aRequest.mOwner.mId, aRequest.mQuotaSource, aNow);
+    TakeBackQuota(aState,
+                  aRequest.mOwner.mId,
+                  aRequest.mQuotaSource,
+                  aRequest.mQuotaTaken,
+                  aNow);
   }
   const CallerToken token = aRequest.mRequest->mToken;
   MeasurePartialAnswer(aState, aRequest);
--- a/modules/wasabispread_forwarding_decisions/RequestState.h
+++ b/modules/wasabispread_forwarding_decisions/RequestState.h
@@ -114,6 +114,7 @@
   /** Whose request it is. */
   RequestOwner mOwner;
   QuotaSource mQuotaSource = QuotaSource::kNone;
+  TimePoint mQuotaTaken{};
   /** The origin of a sub-search; none for a caller's request. */
   std::optional<SubSearchOrigin> mOrigin;
   std::vector<SentSubSearch> mSentSubSearches;
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -105,6 +105,7 @@
   RequestOwner mOwner;
   TimePoint mArrived{};
   QuotaSource mQuotaSource = QuotaSource::kNone;
+  TimePoint mQuotaTaken{};
 };
 
 RequestState&
@@ -126,6 +127,7 @@
   request.mRoute = route;
   request.mOwner = std::move(aAdmission.mOwner);
   request.mQuotaSource = aAdmission.mQuotaSource;
+  request.mQuotaTaken = aAdmission.mQuotaTaken;
   request.mArrived = arrived;
   const Duration roundTrip = aState.mPolicy.mCallerRoundTrip;
   const Duration reserve =
@@ -421,13 +423,14 @@
   // The configuration may have changed while it waited.
   const ForwardedRequest& message = *aRequest.mRequest;
   if (auto problem = CheckRequest(aState, message, aNow)) {
-    TakeBackQuota(aState, aRequest.mOwner.mId, aSource, aNow);
+    TakeBackQuota(aState, aRequest.mOwner.mId, aSource, aNow, aNow);
     Refuse(aState, message, std::move(*problem), nullptr, aEffects);
     return;
   }
   Admission admission =
     Admit(aState, aRequest.mRequest, aRequest.mArrived, aNow);
   admission.mQuotaSource = aSource;
+  admission.mQuotaTaken = aNow;
   Begin(aState, admission, aNow, aEffects);
 }
 
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaState.h
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaState.h
@@ -40,6 +40,8 @@
   std::uint32_t mAdvance = 0;
   std::uint32_t mGiven = 0;
   TimePoint mArrived{};
+  /** Until when what it was given may be used. */
+  TimePoint mValidUntil = TimePoint::max();
 };
 
 /** Quota that another VM of the zone gave and that is not used yet. */
@@ -47,6 +49,8 @@
 {
   std::uint64_t mCount = 0;
   TimePoint mValidUntil{};
+  /** When the oldest part of it was given. */
+  TimePoint mSince{};
 };
 
 /** The question to another VM of the zone that it has not answered. */
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
@@ -88,6 +88,20 @@
   return true;
 }
 
+/** Adds quota that another VM of the zone gave. */
+void
+AddSpare(SpareQuota& aSpare,
+         std::uint64_t aCount,
+         TimePoint aValidUntil,
+         TimePoint aNow)
+{
+  if (aSpare.mCount == 0 || aNow >= aSpare.mValidUntil) {
+    aSpare = SpareQuota{ 0, aValidUntil, aNow };
+  }
+  aSpare.mValidUntil = std::min(aSpare.mValidUntil, aValidUntil);
+  aSpare.mCount += aCount;
+}
+
 /** The answer of this VM, as the granting one, to one need. */
 QuotaGrant
 Answer(ForwarderState& aState,
@@ -139,7 +153,9 @@
   const bool isAvailable = aDecision.mOutcome != QuotaOutcome::kUnavailable;
   QuotaReply reply;
   reply.mSequence = aPeer.mSequence;
-  reply.mValid = std::max(Duration::zero(), aQuota.mHeld.mValidUntil - aNow);
+  reply.mValid = aPeer.mGiven == 0
+                   ? Duration::zero()
+                   : std::max(Duration::zero(), aPeer.mValidUntil - aNow);
   reply.mGrants.push_back(QuotaGrant{
     aOrganisation,
     isAvailable ? std::max<std::uint64_t>(1, aQuota.mHeld.mTerm) : 0,
@@ -258,6 +274,7 @@
     if (quota.mHeld.mTerm < claim->mTerm) {
       ForgetGrants(quota.mHeld, claim->mTerm);
     }
+    ReturnUnusable(quota.mHeld, aNow);
     std::uint32_t waiting = 0;
     // What waits for another VM of the zone is not asked for here too.
     if (quota.mQuestion.mSequence == 0) {
@@ -406,18 +423,23 @@
 bool
 ServePeer(OrganisationQuota& aQuota, WaitingPeer& aPeer, TimePoint aNow)
 {
-  while (aPeer.mGiven < aPeer.mCount) {
+  const auto give = [&] {
     if (!UseQuota(aQuota.mHeld, aNow)) {
       return false;
     }
     ++aPeer.mGiven;
+    aPeer.mValidUntil = std::min(aPeer.mValidUntil, aQuota.mHeld.mValidUntil);
+    return true;
+  };
+  while (aPeer.mGiven < aPeer.mCount) {
+    if (!give()) {
+      return false;
+    }
   }
   // The last grant stays for the next VM that asks.
   for (std::uint32_t count = 0;
-       count < aPeer.mAdvance && aQuota.mHeld.Held() > 1 &&
-       UseQuota(aQuota.mHeld, aNow);
+       count < aPeer.mAdvance && aQuota.mHeld.Held() > 1 && give();
        ++count) {
-    ++aPeer.mGiven;
   }
   return true;
 }
@@ -563,10 +585,9 @@
   const QuotaGrant grant =
     aReply.mGrants.empty() ? QuotaGrant{} : aReply.mGrants.front();
   const TimePoint valid = asked + aReply.mValid;
-  SpareQuota& spare = quota.mSpare;
-  const bool isLeft = spare.mCount != 0 && aNow < spare.mValidUntil;
-  spare.mValidUntil = isLeft ? std::min(spare.mValidUntil, valid) : valid;
-  spare.mCount = (isLeft ? spare.mCount : 0) + grant.mGranted;
+  if (grant.mGranted != 0) {
+    AddSpare(quota.mSpare, grant.mGranted, valid, aNow);
+  }
   Serve(aState, aOrganisation, aNow, aEffects);
   if (grant.mTerm == 0) {
     RefuseWaiting(aState,
@@ -600,7 +621,8 @@
                           aNeed.mWaiting,
                           std::min(aNeed.mWanted, kMaxAdvance),
                           0,
-                          aNow };
+                          aNow,
+                          TimePoint::max() };
   if (!LimitOf(aState, id).IsLimited() || aState.IsStopping()) {
     AnswerPeer({}, id, peer, Unavailable(kOtherVmRetry), aNow, aEffects);
     return;
@@ -672,6 +694,7 @@
 TakeBackQuota(ForwarderState& aState,
               OrganisationId aOrganisation,
               QuotaSource aSource,
+              TimePoint aTaken,
               TimePoint aNow)
 {
   const auto quota = aState.mQuota.mOrganisations.find(aOrganisation);
@@ -680,9 +703,13 @@
   }
   if (aSource == QuotaSource::kHeld) {
     TakeBackUse(quota->second.mHeld);
-  } else if (aSource == QuotaSource::kSpare &&
-             aNow < quota->second.mSpare.mValidUntil) {
-    ++quota->second.mSpare.mCount;
+    return;
+  }
+  // What was given earlier than the rest may have ended.
+  SpareQuota& spare = quota->second.mSpare;
+  if (aSource == QuotaSource::kSpare && aTaken >= spare.mSince &&
+      aNow < spare.mValidUntil) {
+    ++spare.mCount;
   }
 }
 
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.h
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.h
@@ -41,11 +41,13 @@
           TimePoint aNow,
           ForwarderEffects& aEffects);
 
-/** Takes back the quota of a request that has not run and will not run. */
+/** Takes back the quota, taken at aTaken, of a request that has not run and
+   will not run. */
 void
 TakeBackQuota(ForwarderState& aState,
               OrganisationId aOrganisation,
               QuotaSource aSource,
+              TimePoint aTaken,
               TimePoint aNow);
 
 /** Removes a request whose caller left while it waited; false when none did. */
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUseTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUseTests.cpp
@@ -204,6 +204,8 @@
   CPPUNIT_TEST(RefusesWhatArrivedAfterAQuestionThatIsNotAnswered);
   CPPUNIT_TEST(RefusesWhenTheClaimGoes);
   CPPUNIT_TEST(CountsOnWhenALimitIsLiftedAndSetAgain);
+  CPPUNIT_TEST(GivesBackGrantsThatEndedInAStandstill);
+  CPPUNIT_TEST(GivesToItsZoneForAsLongAsItMayUseIt);
   CPPUNIT_TEST(IgnoresLateGrants);
   CPPUNIT_TEST(TakesBackQuotaOfRequestsThatDidNotRun);
   CPPUNIT_TEST(AsksAVmOfItsZone);
@@ -401,6 +403,59 @@
     CPPUNIT_ASSERT(reply.mValid > Duration::zero());
   }
 
+  // Guards against grants that ended while the process stood still, and that
+  // the first answer after it makes valid again: input comes before due timers.
+  void GivesBackGrantsThatEndedInAStandstill()
+  {
+    auto vm = MakeVm();
+    Join(*vm, "vm-g", "b");
+    ClaimBy(*vm, "vm-g", 40);
+    vm->Ask("/s/");
+    Grant(*vm, "vm-g", 40);
+    Grant(*vm, "vm-g", 40);
+    const HeldQuota& held = vm->mState.mQuota.mOrganisations.at(kId).mHeld;
+    CPPUNIT_ASSERT(held.Held() != 0);
+    const std::uint64_t received = held.mReceived;
+    vm->mNow += std::chrono::milliseconds(3400);
+    vm->Ask("/s/");
+    const QuotaNeed need = QuestionTo(*vm, "vm-g")->mNeeds.front();
+    CPPUNIT_ASSERT_EQUAL(need.mReceived, need.mUsed + need.mReturned);
+    Grant(*vm, "vm-g", 40);
+    CPPUNIT_ASSERT(held.Held() <= held.mReceived - received);
+  }
+
+  // Guards against quota for a VM of the zone that is stated to be valid for as
+  // long as what was granted after it.
+  void GivesToItsZoneForAsLongAsItMayUseIt()
+  {
+    auto vm = MakeVm("vm-z");
+    JoinZone(*vm);
+    vm->Ask("/s/");
+    Grant(*vm, "vm-g", 40);
+    Grant(*vm, "vm-g", 40);
+    HeldQuota& held = vm->mState.mQuota.mOrganisations.at(kId).mHeld;
+    while (held.Held() > 1) {
+      CPPUNIT_ASSERT(UseQuota(held, vm->mNow));
+    }
+    const TimePoint ends = held.mValidUntil;
+    vm->RunFor(200 * kMillisecond);
+    QuotaRequest question;
+    question.mSequence = 7;
+    question.mIsForZone = true;
+    question.mNeeds.push_back({ kId, 0, 0, 0, 0, 2, 0 });
+    vm->Deliver(QuotaRequested{ VmId(99), Endpoint{ "vm-b", 1 }, question });
+    Grant(*vm, "vm-g", 40);
+    CPPUNIT_ASSERT(held.mValidUntil > ends);
+    const auto reply = std::find_if(
+      vm->mPeerMessages.begin(),
+      vm->mPeerMessages.end(),
+      [](const SendPeerMessage& aMessage) { return aMessage.mVm == VmId(99); });
+    CPPUNIT_ASSERT(reply != vm->mPeerMessages.end());
+    const auto& given = std::get<QuotaReply>(reply->mMessage);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 2 }, given.mGrants.front().mGranted);
+    CPPUNIT_ASSERT(vm->mNow + given.mValid <= ends);
+  }
+
   // Guards against requests that wait for more than a second until the next
   // question to a granting VM that does not answer.
   void RefusesWhatArrivedAfterAQuestionThatIsNotAnswered()
--- a/modules/wasabispread_organisations/HeldQuota.cpp
+++ b/modules/wasabispread_organisations/HeldQuota.cpp
@@ -119,6 +119,9 @@
             Duration aValid,
             TimePoint aNow)
 {
+  // The answer extends what is held, but not what has ended: the granting VM
+  // may have granted that again.
+  ReturnUnusable(aHeld, aNow);
   aHeld.mUsedKnown = std::max(aHeld.mUsedKnown, aNeed.mUsed);
   aHeld.mReturnedKnown = std::max(aHeld.mReturnedKnown, aNeed.mReturned);
   aHeld.mReceived = std::max(aHeld.mReceived, aGrant.mGranted);
--- a/modules/wasabispread_organisations/QuotaLedgerTests.cpp
+++ b/modules/wasabispread_organisations/QuotaLedgerTests.cpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <optional>
 #include <random>
+#include <utility>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -85,6 +86,11 @@
                bool aLost)
   {
     Vm& vm = mVms[aVm];
+    vm.mArrived += aRequests;
+    if (mNow < vm.mStandsUntil) {
+      return;
+    }
+    aRequests = std::exchange(vm.mArrived, 0);
     std::size_t waiting = 0;
     for (std::size_t count = 0; count < aRequests; ++count) {
       CountNeed(vm.mHeld, mNow);
@@ -94,7 +100,9 @@
         ++waiting;
       }
     }
-    ReturnUnusable(vm.mHeld, mNow);
+    if (mNow >= vm.mTimerDue) {
+      ReturnUnusable(vm.mHeld, mNow);
+    }
     if (!vm.mAsked || mNow - *vm.mAsked > std::chrono::milliseconds(250)) {
       Ask(aVm, waiting, aDelay, aLost || vm.mIsCutOff);
     }
@@ -130,6 +138,15 @@
     mVms[aVm].mIsCutOff = aIsCutOff;
   }
 
+  /** A VM's process stands still. When it goes on, what arrived meanwhile is
+      handled before its timers. */
+  void StandStill(std::size_t aVm, Duration aTime)
+  {
+    mVms[aVm].mStandsUntil = mNow + aTime;
+    constexpr Duration kInputTime = std::chrono::milliseconds(200);
+    mVms[aVm].mTimerDue = mVms[aVm].mStandsUntil + kInputTime;
+  }
+
   void ChangeLimit(const OrganisationLimit& aLimit) { mLimit = aLimit; }
 
   std::vector<TimePoint> mRun;
@@ -143,6 +160,12 @@
     std::uint64_t mSequence = 0;
     std::optional<TimePoint> mAsked;
     bool mIsCutOff = false;
+    TimePoint mStandsUntil{};
+    /** Before this time no timer runs. */
+    TimePoint mTimerDue{};
+    /** The requests that wait in the socket's buffer. */
+    std::size_t mArrived = 0;
+    std::deque<UnderWay<GrantContent>> mGrantsArrived;
   };
 
   void Ask(std::size_t aVm, std::size_t aWaiting, Duration aDelay, bool aLost)
@@ -192,9 +215,21 @@
   void DeliverGrants()
   {
     while (!mGrants.empty() && mGrants.front().mArrives <= mNow) {
-      const auto message = mGrants.front();
+      mVms[mGrants.front().mVm].mGrantsArrived.push_back(mGrants.front());
       mGrants.pop_front();
-      Vm& vm = mVms[message.mVm];
+    }
+    for (Vm& vm : mVms) {
+      if (mNow >= vm.mStandsUntil) {
+        HandleGrants(vm);
+      }
+    }
+  }
+
+  void HandleGrants(Vm& aVm) const
+  {
+    for (; !aVm.mGrantsArrived.empty(); aVm.mGrantsArrived.pop_front()) {
+      const auto& message = aVm.mGrantsArrived.front();
+      Vm& vm = aVm;
       if (message.mSequence != vm.mSequence ||
           message.mSession != vm.mSession) {
         continue;
@@ -234,6 +269,7 @@
   CPPUNIT_TEST_SUITE(QuotaLedgerTests);
   CPPUNIT_TEST(DividesTheBound);
   CPPUNIT_TEST(KeepsTheBoundOverAnyEvents);
+  CPPUNIT_TEST(KeepsTheBoundOverStandstills);
   CPPUNIT_TEST(KeepsALoweredBoundAfterAWindow);
   CPPUNIT_TEST(HoldsNoMoreThanTheGrantingVmCounts);
   CPPUNIT_TEST(ServesAHotOrganisationAtFewVms);
@@ -318,6 +354,41 @@
     }));
   }
 
+  /** Guards against grants that end while a VM stands still, and that the
+      first answer after it makes valid again. */
+  void KeepsTheBoundOverStandstills()
+  {
+    CPPUNIT_ASSERT(rc::check("no window has more than the bound", [] {
+      constexpr std::size_t kPerStep = 2;
+      constexpr Duration kWay = std::chrono::milliseconds(4);
+      const OrganisationLimit limit{ *rc::gen::element(3.0, 8.0, 30.0),
+                                     *rc::gen::element(3.0, 8.0, 30.0) };
+      std::mt19937 random(*rc::gen::inRange(0, 1 << 30));
+      QuotaModel model(limit, kRule);
+      for (unsigned phase = 0; phase < 20; ++phase) {
+        const std::size_t chosen = random() % kVms;
+        const bool isHot = random() % 2 == 0;
+        for (unsigned step = 0; step < 200; ++step) {
+          if (step == 100) {
+            model.StandStill(chosen,
+                             std::chrono::milliseconds(50 + random() % 4950));
+          }
+          model.RenewLease();
+          model.Step(kWay);
+          for (std::size_t vm = 0; vm < kVms; ++vm) {
+            const bool isMany = isHot && step > 100;
+            model.Request(vm,
+                          isMany ? kPerStep : (random() % 10 == 0 ? 1 : 0),
+                          kWay,
+                          false);
+          }
+        }
+      }
+      RC_ASSERT(static_cast<double>(MostInWindow(model.mRun, kRule.mWindow)) <=
+                MaxInWindow(limit, kRule));
+    }));
+  }
+
   void KeepsALoweredBoundAfterAWindow()
   {
     CPPUNIT_ASSERT(rc::check("a lower limit binds after one window", [] {
@@ -349,6 +420,7 @@
     const Duration valid = std::chrono::seconds(4);
     HeldQuota held;
     const auto settle = [&](std::uint32_t aWaiting) {
+      CountNeed(held, warm);
       const QuotaNeed need = NeedOf(held, OrganisationId(1), aWaiting, warm);
       const QuotaGrant grant =
         Settle(ledger, parts, VmId(1), 1, need, warm + valid, warm);
