Send no hedges into the backlog of a hold-up

All that arrives in a hold-up reaches the targets at once, so that all replies are late, and the hedges doubled the load of that moment.

Hedges now wait for 250 ms after a hold-up. HoldUpTests:: SendsNoHedgesIntoTheBacklogOfAHoldUp fails without this change.

--- a/modules/wasabispread_forwarding_decisions/HoldUpTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/HoldUpTests.cpp
@@ -172,6 +172,7 @@
 {
   CPPUNIT_TEST_SUITE(HoldUpTests);
   CPPUNIT_TEST(ServesAgainAfterHoldUps);
+  CPPUNIT_TEST(SendsNoHedgesIntoTheBacklogOfAHoldUp);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -196,6 +197,38 @@
         RC_ASSERT(load.ServedShare() > 0.95);
       }));
   }
+
+  // Guards against requests that run twice because all that arrived in a
+  // hold-up reaches the targets at once and is answered late.
+  void SendsNoHedgesIntoTheBacklogOfAHoldUp()
+  {
+    CPPUNIT_ASSERT(HedgesWithin(milliseconds(100), Duration::zero()) == 1);
+    const Duration holdUp = std::chrono::seconds(3);
+    CPPUNIT_ASSERT(HedgesWithin(milliseconds(100), holdUp) == 0);
+    CPPUNIT_ASSERT(HedgesWithin(milliseconds(400), holdUp) == 1);
+  }
+
+private:
+  /** The hedges within a time after a request that arrives after a hold-up and
+      gets no reply. */
+  static std::uint64_t HedgesWithin(Duration aTime, Duration aHoldUp)
+  {
+    ForwarderHarness forwarder;
+    for (const char* target : { "t-0", "t-1" }) {
+      forwarder.AddTarget(target, "s");
+    }
+    forwarder.Configure({ SingleRoute("s", Repeatability::kIdempotent) });
+    for (int request = 0; request < 20; ++request) {
+      forwarder.Ask("/s/x");
+      const std::string target = forwarder.Received().front().mInstance;
+      forwarder.RunFor(milliseconds(5));
+      forwarder.Reply(target, ReplyKind::kSuccess);
+    }
+    forwarder.mNow += aHoldUp;
+    forwarder.Ask("/s/x");
+    forwarder.RunFor(aTime);
+    return forwarder.mState.mCounters.mHedges;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HoldUpTests);
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -21,6 +21,10 @@
 /** Interval at which a late sub-request of an unconfirmed sub-search is checked
     for a hedge. */
 constexpr Duration kConfirmPoll = std::chrono::milliseconds(3);
+/** Time after a hold-up of this process in which no hedge is sent. The targets
+    get at once what arrived in the hold-up, so that all replies are late;
+   hedges would double that load. */
+constexpr Duration kBacklogTime = std::chrono::milliseconds(250);
 /** Share of the allowance for extra attempts that hedges leave to retries after
     failures. */
 constexpr double kReservedForRetries = 0.25;
@@ -220,6 +224,12 @@
     late.mHedgeAt = aNow + kConfirmPoll;
     return;
   }
+  const TimePoint backlogEnds =
+    aState.mAnswerReserve.mHeldUpUntil + kBacklogTime;
+  if (aNow < backlogEnds) {
+    late.mHedgeAt = backlogEnds;
+    return;
+  }
   TargetState* other = ChooseTarget(
     aState, aRequest, subRequest.mService, subRequest.mTriedTargets, aNow);
   if (other == nullptr || !HasUsableIdle(aState, *other, aNow, aEffects) ||
