Hold the stated length of a response against its limit

Beast reports a stated length above the limit, but forgets it when a part of the body arrives with the head: the parser goes on with the rest. So limits of bodies held for chunked ones only.

The client connection now compares the length itself. HttpClientTests:: FailsWhenABodyIsOverItsLimit fails without this and passes now.

--- a/modules/wasabispread_runtime/HttpClient.cpp
+++ b/modules/wasabispread_runtime/HttpClient.cpp
@@ -339,7 +339,7 @@
 
   /** Reads until the response is complete. The buffer is modified only while no
       read is pending, since a pending read writes into it. */
-  error_code Read(ResponseParser& aParser)
+  error_code Read(ResponseParser& aParser, std::uint64_t aMaxBodyBytes)
   {
     error_code error;
     bool needsMore = mBuffer.size() == 0;
@@ -366,6 +366,12 @@
       if (error && error != http::error::need_more) {
         return error;
       }
+      // Beast forgets that the stated length is above the limit when a part of
+      // the body arrives with the head.
+      if (aParser.is_header_done() && !aParser.is_done() &&
+          aParser.content_length().value_or(0) > aMaxBodyBytes) {
+        return http::error::body_limit;
+      }
       CountMemory(aParser);
       if (!aParser.is_done() && mBuffer.size() > kMaxUnparsedBytes) {
         return http::error::buffer_overflow;
@@ -455,10 +461,18 @@
 
 Result<HttpResponse>
 HttpConnection::Exchange(HttpRequest aRequest, Duration aTimeout)
+{
+  return Exchange(std::move(aRequest), aTimeout, kMaxResponseBytes);
+}
+
+Result<HttpResponse>
+HttpConnection::Exchange(HttpRequest aRequest,
+                         Duration aTimeout,
+                         std::uint64_t aMaxBodyBytes)
 {
   return Exchange(std::move(aRequest),
                   aTimeout,
-                  kMaxResponseBytes,
+                  aMaxBodyBytes,
                   [](const auto&) { return true; });
 }
 
@@ -498,7 +512,7 @@
       parser->eager(true);
       parser->body_limit(aMaxBodyBytes);
       parser->skip(isHead);
-      failure = connection.Read(*parser);
+      failure = connection.Read(*parser, aMaxBodyBytes);
     } while (!failure && IsInterim(*parser) &&
              interim++ < kMaxInterimResponses);
     if (!failure && HasUnknownTransferCoding(parser->get())) {
@@ -551,14 +565,15 @@
 ExchangeOnce(IoLoop& aLoop,
              const Endpoint& aAddress,
              const HttpRequest& aRequest,
-             Duration aTimeout)
+             Duration aTimeout,
+             std::uint64_t aMaxBodyBytes)
 {
   HttpConnection connection(aLoop);
   const auto connected = connection.Connect(aAddress, aTimeout);
   if (!connected) {
     return tl::unexpected<Error>(connected.error());
   }
-  return connection.Exchange(aRequest, aTimeout);
+  return connection.Exchange(aRequest, aTimeout, aMaxBodyBytes);
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_runtime/HttpClient.h
+++ b/modules/wasabispread_runtime/HttpClient.h
@@ -42,9 +42,13 @@
   /** Sends a request and reads its response; aTimeout limits both together. */
   Result<HttpResponse> Exchange(HttpRequest aRequest, Duration aTimeout);
 
+  /** As above, but fails when the body is larger than aMaxBodyBytes. */
+  Result<HttpResponse> Exchange(HttpRequest aRequest,
+                                Duration aTimeout,
+                                std::uint64_t aMaxBodyBytes);
+
   /** As above, but reads and discards a few responses that aBelongs rejects.
-      After any such response the connection is not kept alive. The exchange
-      fails when a body is larger than aMaxBodyBytes. */
+      After any such response the connection is not kept alive. */
   Result<HttpResponse> Exchange(HttpRequest aRequest,
                                 Duration aTimeout,
                                 std::uint64_t aMaxBodyBytes,
@@ -69,6 +73,7 @@
 ExchangeOnce(IoLoop& aLoop,
              const Endpoint& aAddress,
              const HttpRequest& aRequest,
-             Duration aTimeout);
+             Duration aTimeout,
+             std::uint64_t aMaxBodyBytes = kMaxResponseBytes);
 
 } // namespace wasabispread
--- a/tests/processes/HttpClientTests.cpp
+++ b/tests/processes/HttpClientTests.cpp
@@ -82,6 +82,7 @@
   CPPUNIT_TEST_SUITE(HttpClientTests);
   CPPUNIT_TEST(FailsWhenAReplyIsCutOffAnywhere);
   CPPUNIT_TEST(FailsWhenATrailerIsTooLarge);
+  CPPUNIT_TEST(FailsWhenABodyIsOverItsLimit);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -119,6 +120,28 @@
     CPPUNIT_ASSERT_NO_THROW(ExpectFailure(reply, reply.size(), 0, false));
   }
 
+  // Guards against a stated length that is not held against the limit, because
+  // the first bytes of the body arrive with the head.
+  void FailsWhenABodyIsOverItsLimit()
+  {
+    constexpr std::size_t kBytes = 100'000;
+    const Endpoint address{ "127.0.0.1", NextFreePort() };
+    CuttingServer server(TestLoop(), address.mPort);
+    server.mReply =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBytes) +
+      "\r\n\r\n" + std::string(kBytes, 'x');
+    server.mWholeReplies = 2;
+    HttpConnection connection(TestLoop());
+    CPPUNIT_ASSERT(connection.Connect(address, std::chrono::seconds(1)));
+    HttpRequest request;
+    request.mMethod = "GET";
+    request.mTarget = "/";
+    CPPUNIT_ASSERT(
+      connection.Exchange(request, std::chrono::seconds(1), kBytes));
+    CPPUNIT_ASSERT(
+      !connection.Exchange(request, std::chrono::seconds(1), kBytes - 1));
+  }
+
 private:
   static void ExpectFailure(const std::string& aReply,
                             std::size_t aCut,
