Bound the answers of the store

Each answer of the store could hold 64 MiB, which no account of memory counts.

Lists and watches may now have 8 MiB, other answers 1 MiB.

--- a/modules/wasabispread_forwarding/StoreClient.cpp
+++ b/modules/wasabispread_forwarding/StoreClient.cpp
@@ -12,6 +12,12 @@
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1500);
 /** How much longer a watch may take than the wait that was asked for. */
 constexpr Duration kWatchMargin = std::chrono::milliseconds(900);
+/** The most bytes of the answer to a list or a watch: a page has 1 MB or one
+    value, which takes 1.4 MB as text. A watch whose changes take more is
+   followed by a list. */
+constexpr std::uint64_t kMaxChangesBytes = 8ULL << 20U;
+/** The most bytes of any other answer. */
+constexpr std::uint64_t kMaxAnswerBytes = 1ULL << 20U;
 
 } // namespace
 
@@ -27,13 +33,14 @@
 Result<HttpResponse>
 StoreClient::Call(Channel& aChannel,
                   const HttpRequest& aRequest,
-                  Duration aTimeout)
+                  Duration aTimeout,
+                  std::uint64_t aMaxBytes)
 {
   if (aChannel.mIsBusy) {
-    return ExchangeOnce(mLoop, mAddress, aRequest, aTimeout);
+    return ExchangeOnce(mLoop, mAddress, aRequest, aTimeout, aMaxBytes);
   }
   aChannel.mIsBusy = true;
-  auto response = CallOnChannel(aChannel, aRequest, aTimeout);
+  auto response = CallOnChannel(aChannel, aRequest, aTimeout, aMaxBytes);
   aChannel.mIsBusy = false;
   return response;
 }
@@ -41,7 +48,8 @@
 Result<HttpResponse>
 StoreClient::CallOnChannel(Channel& aChannel,
                            const HttpRequest& aRequest,
-                           Duration aTimeout)
+                           Duration aTimeout,
+                           std::uint64_t aMaxBytes)
 {
   if (aChannel.mConnection == nullptr) {
     auto connection = std::make_unique<HttpConnection>(mLoop);
@@ -51,7 +59,7 @@
     }
     aChannel.mConnection = std::move(connection);
   }
-  auto response = aChannel.mConnection->Exchange(aRequest, aTimeout);
+  auto response = aChannel.mConnection->Exchange(aRequest, aTimeout, aMaxBytes);
   if (!response || !response->mKeepAlive) {
     aChannel.mConnection.reset();
   }
@@ -67,7 +75,8 @@
     const auto added =
       Call(*channel,
            mAdapter.WriteStoreList(aList, listing.mContinueAfter),
-           kCallTimeout)
+           kCallTimeout,
+           kMaxChangesBytes)
         .and_then([&](const HttpResponse& aResponse) {
           return mAdapter.ReadStoreList(aResponse).map([&](StorePage&& aPage) {
             aPage.mEra = mAdapter.ReadEra(aResponse);
@@ -89,7 +98,8 @@
   const std::shared_ptr<Channel> channel = mWatchChannel;
   return Call(*channel,
               mAdapter.WriteStoreWatch(aWatch),
-              aWatch.mWait + kWatchMargin)
+              aWatch.mWait + kWatchMargin,
+              kMaxChangesBytes)
     .and_then([&](const HttpResponse& aResponse) {
       return mAdapter.ReadStoreWatch(aResponse, aWatch.mAfter)
         .map([&](StoreChanges&& aChanges) {
@@ -113,8 +123,11 @@
 StoreChecked
 StoreClient::ReadRevision()
 {
-  const auto response =
-    ExchangeOnce(mLoop, mAddress, mAdapter.WriteRevisionRead(), kCallTimeout);
+  const auto response = ExchangeOnce(mLoop,
+                                     mAddress,
+                                     mAdapter.WriteRevisionRead(),
+                                     kCallTimeout,
+                                     kMaxAnswerBytes);
   if (!response) {
     return { tl::unexpected<Error>(response.error()), 0 };
   }
@@ -126,7 +139,8 @@
 {
   return Call(LeaseChannelFor(aGrant.mPurpose),
               mAdapter.WriteLeaseGrant(aGrant.mLifetime),
-              kCallTimeout)
+              kCallTimeout,
+              kMaxAnswerBytes)
     .and_then([&](const HttpResponse& aResponse) {
       return mAdapter.ReadLeaseGrant(aResponse);
     });
@@ -137,7 +151,8 @@
 {
   return Call(mLeaseChannel,
               mAdapter.WriteMemberEntry(aLease, aRecord),
-              kCallTimeout)
+              kCallTimeout,
+              kMaxAnswerBytes)
     .and_then([&](const HttpResponse& aResponse) {
       return mAdapter.ReadWriteReply(aResponse);
     });
@@ -148,7 +163,8 @@
 {
   return Call(LeaseChannelFor(LeasePurpose::kQuota),
               mAdapter.WriteQuotaClaims(aClaims, aSelf),
-              kCallTimeout)
+              kCallTimeout,
+              kMaxAnswerBytes)
     .and_then([&](const HttpResponse& aResponse) {
       return mAdapter.ReadQuotaClaims(aResponse);
     });
@@ -165,7 +181,8 @@
 {
   return Call(LeaseChannelFor(aRenewal.mPurpose),
               mAdapter.WriteLeaseRenewal(aRenewal.mLease),
-              kCallTimeout)
+              kCallTimeout,
+              kMaxAnswerBytes)
     .and_then([&](const HttpResponse& aResponse) {
       return mAdapter.ReadLeaseRenewal(aResponse);
     });
@@ -175,8 +192,10 @@
 StoreClient::End(LeaseId aLease)
 {
   // A failure is ignored: a lease that is not ended expires.
-  static_cast<void>(
-    Call(mLeaseChannel, mAdapter.WriteLeaseEnd(aLease), kCallTimeout));
+  static_cast<void>(Call(mLeaseChannel,
+                         mAdapter.WriteLeaseEnd(aLease),
+                         kCallTimeout,
+                         kMaxAnswerBytes));
 }
 
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding/StoreClient.h
+++ b/modules/wasabispread_forwarding/StoreClient.h
@@ -59,10 +59,12 @@
       exchange without the connecting. */
   Result<HttpResponse> Call(Channel& aChannel,
                             const HttpRequest& aRequest,
-                            Duration aTimeout);
+                            Duration aTimeout,
+                            std::uint64_t aMaxBytes);
   Result<HttpResponse> CallOnChannel(Channel& aChannel,
                                      const HttpRequest& aRequest,
-                                     Duration aTimeout);
+                                     Duration aTimeout,
+                                     std::uint64_t aMaxBytes);
 
   IoLoop& mLoop;
   Endpoint mAddress;
--- a/tests/platform/ProcessMemoryTests.cpp
+++ b/tests/platform/ProcessMemoryTests.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(AnswersManyCallersOfLargeReplies);
   CPPUNIT_TEST(AnswersSearchesWithLargeParts);
   CPPUNIT_TEST(SurvivesAReplyThatItCannotAllocate);
+  CPPUNIT_TEST(StaysWithinItsMemoryWhenTheStoreSendsTooMuch);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -37,6 +38,33 @@
 
   void tearDown() override { mFleet.reset(); }
 
+  // Guards against answers of the store without end, which no account of memory
+  // counts: the daemon was ended for its memory, and with it the requests of
+  // all callers.
+  void StaysWithinItsMemoryWhenTheStoreSendsTooMuch()
+  {
+    constexpr std::size_t kSmallest = 112;
+    Start(4);
+    mFleet->mMemoryMegabytes = kSmallest;
+    mFleet->Daemon(0).Kill();
+    mFleet->StartDaemon(0);
+    AwaitCondition([&] { return mFleet->SendRequest({}).Status() == 200; },
+                   "requests are served");
+    mFleet->Store().SetAllVmPortStates(VmPortState::kSendsTooMuch);
+    const TimePoint until =
+      std::chrono::steady_clock::now() + std::chrono::seconds(8);
+    while (std::chrono::steady_clock::now() < until) {
+      CPPUNIT_ASSERT_EQUAL(200U, mFleet->SendRequest({}).Status());
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+    }
+    const std::size_t peak = mFleet->Daemon(0).PeakMemoryBytes();
+    CPPUNIT_ASSERT_MESSAGE("peak " + std::to_string(peak),
+                           peak < kSmallest << 20U);
+    mFleet->Store().SetAllVmPortStates(VmPortState::kServes);
+    AwaitCondition([&] { return mFleet->HasLogged(0, "store-available"); },
+                   "the store is followed again");
+  }
+
   void ServesWhileCallersDoNotReadTheirAnswers()
   {
     Start(4);
--- a/tests/platform/StandInStore.cpp
+++ b/tests/platform/StandInStore.cpp
@@ -241,6 +241,10 @@
       return JsonResponse(kUnavailable, "{}");
     case VmPortState::kLimits:
       return JsonResponse(kTooManyRequests, "{}");
+    case VmPortState::kSendsTooMuch: {
+      constexpr std::size_t kTooManyBytes = std::size_t{ 60 } << 20U;
+      return JsonResponse(kOk, std::string(kTooManyBytes, ' '));
+    }
     case VmPortState::kServes:
       break;
   }
--- a/tests/platform/StandInStore.h
+++ b/tests/platform/StandInStore.h
@@ -32,6 +32,8 @@
   kRefuses,
   /** Answers 429 (too many calls) and does nothing. */
   kLimits,
+  /** Answers with more bytes than a process may hold, which are no answer. */
+  kSendsTooMuch,
 };
 
 /** The fault that is injected into writes. */
