Note when quota was taken for requests that did not wait

Since quota of the zone is added back only if it was taken after the rest was given; for a request that had not waited no time was noted, so its quota was lost when it did not run. QuotaUseTests:: TakesBackQuotaThatItsZoneGave covers both.

--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -375,6 +375,7 @@
               aEffects);
   if (quota.mOutcome == QuotaOutcome::kGranted) {
     admission.mQuotaSource = quota.mSource;
+    admission.mQuotaTaken = aNow;
     Begin(aState, admission, aNow, aEffects);
   } else if (quota.mOutcome == QuotaOutcome::kWaits) {
     ++aState.mCounters.mWaitedForQuota;
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUseTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUseTests.cpp
@@ -208,6 +208,7 @@
   CPPUNIT_TEST(GivesToItsZoneForAsLongAsItMayUseIt);
   CPPUNIT_TEST(IgnoresLateGrants);
   CPPUNIT_TEST(TakesBackQuotaOfRequestsThatDidNotRun);
+  CPPUNIT_TEST(TakesBackQuotaThatItsZoneGave);
   CPPUNIT_TEST(AsksAVmOfItsZone);
   CPPUNIT_TEST(GivesQuotaToVmsOfItsZone);
   CPPUNIT_TEST(TakesAnotherWayWhenAVmOfItsZoneIsSilent);
@@ -347,6 +348,28 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, held.mUsed);
   }
 
+  // Guards against quota that is lost with requests that do not run, whether
+  // they waited for it or not.
+  void TakesBackQuotaThatItsZoneGave()
+  {
+    constexpr std::uint64_t kGiven = 3;
+    auto vm = MakeVm();
+    JoinZone(*vm);
+    vm->RemoveTarget("t");
+    const CallerToken waited = vm->Ask("/s/");
+    QuotaReply reply;
+    reply.mSequence = QuestionTo(*vm, "vm-z")->mSequence;
+    reply.mValid = kSecond;
+    reply.mGrants.push_back({ kId, 1, kGiven, {}, {} });
+    vm->Deliver(QuotaReplied{ IdFromName<VmId>("vm-z"), reply });
+    CPPUNIT_ASSERT(KindOf(*vm, waited) == ProblemKind::kNotRun);
+    const SpareQuota& spare = vm->mState.mQuota.mOrganisations.at(kId).mSpare;
+    CPPUNIT_ASSERT_EQUAL(kGiven, spare.mCount);
+    vm->RunFor(kMillisecond);
+    CPPUNIT_ASSERT(KindOf(*vm, vm->Ask("/s/")) == ProblemKind::kNotRun);
+    CPPUNIT_ASSERT_EQUAL(kGiven, spare.mCount);
+  }
+
   /** The load: callers that reach another VM with each request. */
   void AsksAVmOfItsZone()
   {
