Leave room for grants of the VM before at a takeover

Cause: a VM that takes over saves up a full balance while the organisation is quiet, and within the same window others use what the VM before had granted in advance. The sum for two granting VMs left that out.

Until the grants of the VM before have ended, the balance stays below the capacity by the part that is granted in advance.

--- a/modules/wasabispread_organisations/QuotaLedger.cpp
+++ b/modules/wasabispread_organisations/QuotaLedger.cpp
@@ -54,8 +54,12 @@
   aLedger.mUpdated = aNow;
   aLedger.mAvailable = std::min(aLedger.mAvailable + added,
                                 aParts.mCapacity - aLedger.mOutstanding);
-  aLedger.mSinceTakeover =
-    std::min(aLedger.mSinceTakeover + added, aParts.mCapacity);
+  // What the VM before granted in advance may be used besides.
+  const double most =
+    aNow < aLedger.mOldGrantsEnd
+      ? std::max(aParts.mTakeover, aParts.mCapacity - aParts.mReserve)
+      : aParts.mCapacity;
+  aLedger.mSinceTakeover = std::min(aLedger.mSinceTakeover + added, most);
 }
 
 void
@@ -139,6 +143,7 @@
   ledger.mAvailable = aParts.mCapacity;
   ledger.mSinceTakeover = aMayGrantAtOnce ? aParts.mTakeover : 0;
   ledger.mTakeoverEnds = aNow + aRule.mWindow + kMaxGrantTime;
+  ledger.mOldGrantsEnd = aNow + kMaxGrantTime;
   ledger.mUpdated = aNow;
   return ledger;
 }
--- a/modules/wasabispread_organisations/QuotaLedger.h
+++ b/modules/wasabispread_organisations/QuotaLedger.h
@@ -77,6 +77,8 @@
       mTakeoverEnds, because the VM before may have granted all it had. */
   double mSinceTakeover = 0;
   TimePoint mTakeoverEnds{};
+  /** Until when grants of the VM before may be used. */
+  TimePoint mOldGrantsEnd{};
   TimePoint mUpdated{};
   double mOutstanding = 0;
   std::map<VmId, QuotaHolding> mHoldings;
--- a/modules/wasabispread_organisations/QuotaLedgerTests.cpp
+++ b/modules/wasabispread_organisations/QuotaLedgerTests.cpp
@@ -269,6 +269,7 @@
   CPPUNIT_TEST_SUITE(QuotaLedgerTests);
   CPPUNIT_TEST(DividesTheBound);
   CPPUNIT_TEST(KeepsTheBoundOverAnyEvents);
+  CPPUNIT_TEST(LeavesRoomForGrantsOfTheVmBefore);
   CPPUNIT_TEST(KeepsTheBoundOverStandstills);
   CPPUNIT_TEST(KeepsALoweredBoundAfterAWindow);
   CPPUNIT_TEST(HoldsNoMoreThanTheGrantingVmCounts);
@@ -354,6 +355,43 @@
     }));
   }
 
+  /** Guards against a VM that takes over and saves up a full balance while the
+      grants of the one before may still be used. */
+  void LeavesRoomForGrantsOfTheVmBefore()
+  {
+    const OrganisationLimit limit{ 3, 30 };
+    constexpr Duration kWay = std::chrono::milliseconds(4);
+    constexpr std::size_t kMany = 30;
+    constexpr int kWarmSteps = 400;
+    constexpr int kQuietSteps = 70;
+    QuotaModel model(limit, kRule);
+    const auto run = [&](int aSteps, const auto& aRequest) {
+      for (int step = 0; step < aSteps; ++step) {
+        model.RenewLease();
+        model.Step(kWay);
+        aRequest(step);
+      }
+    };
+    // All but one VM hold quota in advance, and do not learn of the takeover.
+    run(kWarmSteps, [&](int aStep) {
+      for (std::size_t vm = 0; vm + 1 < kVms; ++vm) {
+        model.Request(vm, aStep % 40 == 0 ? 1 : 0, kWay, false);
+      }
+    });
+    for (std::size_t vm = 0; vm + 1 < kVms; ++vm) {
+      model.CutOff(vm, true);
+    }
+    model.TakeOver(false);
+    run(kQuietSteps, [&](int) { model.Request(kVms - 1, 0, kWay, false); });
+    run(2 * kQuietSteps, [&](int) {
+      for (std::size_t vm = 0; vm < kVms; ++vm) {
+        model.Request(vm, kMany, kWay, false);
+      }
+    });
+    CPPUNIT_ASSERT(static_cast<double>(MostInWindow(
+                     model.mRun, kRule.mWindow)) <= MaxInWindow(limit, kRule));
+  }
+
   /** Guards against grants that end while a VM stands still, and that the
       first answer after it makes valid again. */
   void KeepsTheBoundOverStandstills()
