--- a/modules/wasabispread_wire/PeerProtocolTests.cpp
+++ b/modules/wasabispread_wire/PeerProtocolTests.cpp
@@ -11,6 +11,7 @@
 {
   CPPUNIT_TEST_SUITE(PeerProtocolTests);
   CPPUNIT_TEST(KeepsTheAgeOfARevision);
+  CPPUNIT_TEST(KeepsHeartbeats);
   CPPUNIT_TEST(KnowsWhichFramesAnOlderReleaseReads);
   CPPUNIT_TEST(KeepsQuotaMessages);
   CPPUNIT_TEST(KeepsWhoseSearchItIs);
@@ -112,6 +113,22 @@
                    routing.mEvacuatedZones);
   }
 
+  // Guards against heartbeats that are taken for answers, and against ones that
+  // cost more than the messages that they follow.
+  void KeepsHeartbeats()
+  {
+    constexpr std::size_t kMaxBytes = 48;
+    for (const bool isReply : { false, true }) {
+      const std::string frame = EncodeHeartbeat(PeerHeartbeat{ isReply });
+      CPPUNIT_ASSERT(frame.size() <= kMaxBytes);
+      const std::vector<std::uint8_t> bytes(frame.begin() + kFrameLengthBytes,
+                                            frame.end());
+      const auto read = DecodeFrame(bytes);
+      CPPUNIT_ASSERT(read.has_value());
+      CPPUNIT_ASSERT_EQUAL(isReply, std::get<PeerHeartbeat>(*read).mIsReply);
+    }
+  }
+
   /** Guards against a message that ends the connections of older releases. */
   void KnowsWhichFramesAnOlderReleaseReads()
   {
