Let the program of the platform's tests end after PeerConnectionTests

platform_process_tests printed that all had passed and did not end: in DropsWhatIsUnreadOnAReplacedConnection two transports of the test's own process kept a direct connection, and the fibers of a connection that nobody closes are awaited at the end of the program. The connection now goes over a link of its own, whose end resets it. The checks are the same. A daemon is not concerned; it does not wait for fibers at its end.

--- a/tests/platform/PeerConnectionTests.cpp
+++ b/tests/platform/PeerConnectionTests.cpp
@@ -167,8 +167,11 @@
     mLink->Hold(LinkDirection::kToServer,
                 std::chrono::steady_clock::now() + milliseconds(1000));
     mSender->Send(mLink->Address(), 2);
+    // The end of the link ends the connection's fibers; else the program would
+    // wait for them at its end.
+    LinkRelay otherLink(TestLoop(), mReceiver->mIdentity.mPeerAddress);
     Vm later("vm-a", 2);
-    later.Send(mReceiver->mIdentity.mPeerAddress, 3);
+    later.Send(otherLink.Address(), 3);
     AwaitCondition([&] { return mReceiver->HasReceived(3); }, "the message");
     boost::this_fiber::sleep_for(milliseconds(1500));
     CPPUNIT_ASSERT(!mReceiver->HasReceived(2));
