Bound hello frames and lists; give hold-ups a place of their own

Kin of the bytes without end: a hello frame of another VM, or of whatever connects to the port, could state 16 MiB, now 4 KiB; a list of the store was read for as long as the store named a next page, now to 32 MiB. Tests in ProcessMemoryTests: StaysWithinItsMemoryWhenAListHasNoEnd and StaysWithinItsMemoryWhenAnotherVmSendsTooMuch.

The time of the last hold-up was kept in AnswerReserve, though hedges and reports use it too; it is now in HoldUp.

--- a/modules/wasabispread_forwarding/StoreClient.cpp
+++ b/modules/wasabispread_forwarding/StoreClient.cpp
@@ -80,6 +80,7 @@
         .and_then([&](const HttpResponse& aResponse) {
           return mAdapter.ReadStoreList(aResponse).map([&](StorePage&& aPage) {
             aPage.mEra = mAdapter.ReadEra(aResponse);
+            aPage.mTextBytes = aResponse.mBody.size();
             return std::move(aPage);
           });
         })
--- a/modules/wasabispread_forwarding_decisions/AnswerReserve.cpp
+++ b/modules/wasabispread_forwarding_decisions/AnswerReserve.cpp
@@ -15,10 +15,7 @@
 /** Number of delays for which an estimate counts until as many are measured. */
 constexpr std::size_t kEstimateWeight = 8;
 /** Time for which a measured delay counts. */
-constexpr Duration kMaxAge = std::chrono::seconds(30);
-/** A timer that is this late shows that the process stood still. A processor
-    share of a tenth delays timers by less. */
-constexpr Duration kHoldUp = std::chrono::milliseconds(250);
+constexpr Duration kMaxDelayAge = std::chrono::seconds(30);
 /** Share of the delays that the reserve covers. */
 constexpr double kCoveredShare = 0.9;
 /** Work of an answer that does not depend on its parts, in parts. */
@@ -70,7 +67,7 @@
 {
   std::vector<Duration> delays;
   for (const MeasuredDelay& measured : aWindow.mDelays) {
-    if (aNow - measured.mMeasured < kMaxAge) {
+    if (aNow - measured.mMeasured < kMaxDelayAge) {
       delays.push_back(measured.mDelay);
     }
   }
@@ -110,14 +107,6 @@
                              aNow);
 }
 
-void
-NoticeHoldUp(AnswerReserve& aReserve, TimePoint aDue, TimePoint aNow)
-{
-  if (aDue < aNow - kHoldUp) {
-    aReserve.mHeldUpUntil = aNow;
-  }
-}
-
 void
 StartAnswerMeasurement(AnswerReserve& aReserve,
                        CallerToken aToken,
@@ -128,13 +117,16 @@
 }
 
 void
-HandleAnswerWritten(AnswerReserve& aReserve, CallerToken aToken, TimePoint aNow)
+HandleAnswerWritten(AnswerReserve& aReserve,
+                    CallerToken aToken,
+                    const HoldUp& aHoldUp,
+                    TimePoint aNow)
 {
   const auto found = aReserve.mUnwritten.find(aToken);
   if (found == aReserve.mUnwritten.end()) {
     return;
   }
-  const TimePoint due = std::max(found->second.mDue, aReserve.mHeldUpUntil);
+  const TimePoint due = std::max(found->second.mDue, aHoldUp.mEnd);
   AddDelay(aReserve.mAnswerPerUnit,
            (aNow - due) / WorkUnits(found->second.mParts),
            aNow);
--- a/modules/wasabispread_forwarding_decisions/AnswerReserve.h
+++ b/modules/wasabispread_forwarding_decisions/AnswerReserve.h
@@ -12,6 +12,7 @@
  */
 #pragma once
 
+#include "HoldUp.h"
 #include "Message.h"
 
 #include <unordered_map>
@@ -66,8 +67,6 @@
   DelayWindow mReportInZone;
   DelayWindow mReportFromOtherZone;
   std::unordered_map<CallerToken, UnwrittenAnswer> mUnwritten;
-  /** The end of the last hold-up of this VM's process. */
-  TimePoint mHeldUpUntil{};
 };
 
 /** The reserve of a VM that has not measured anything yet, estimated from its
@@ -86,11 +85,6 @@
 Duration
 ReserveForReport(const AnswerReserve& aReserve, bool aIsInZone, TimePoint aNow);
 
-/** Records a hold-up of this VM's process if the earliest timer, due at aDue,
-    is later than a small processor share explains. */
-void
-NoticeHoldUp(AnswerReserve& aReserve, TimePoint aDue, TimePoint aNow);
-
 /** Records that an answer in part was due at aDue; AnswerWritten ends the
     measurement. */
 void
@@ -99,10 +93,11 @@
                        std::size_t aParts,
                        TimePoint aDue);
 
-/** Records that an answer was written. */
+/** Records that an answer was written. The time of aHoldUp is not measured. */
 void
 HandleAnswerWritten(AnswerReserve& aReserve,
                     CallerToken aToken,
+                    const HoldUp& aHoldUp,
                     TimePoint aNow);
 
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -73,7 +73,8 @@
 
   void operator()(const AnswerWritten& aEvent)
   {
-    HandleAnswerWritten(mState.mAnswerReserve, aEvent.mToken, mNow);
+    HandleAnswerWritten(
+      mState.mAnswerReserve, aEvent.mToken, mState.mHoldUp, mNow);
   }
 
   void operator()(const ConnectionOpened& aEvent)
@@ -336,7 +337,7 @@
 ForwarderEffects
 Reduce(ForwarderState& aState, ForwarderEvent aEvent, TimePoint aNow)
 {
-  NoticeHoldUp(aState.mAnswerReserve, aState.NextDue(), aNow);
+  NoticeHoldUp(aState.mHoldUp, aState.NextDue(), aNow);
   ForwarderEffects effects;
   EventHandler handler{ aState, aNow, effects };
   std::visit(handler, aEvent);
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -6,6 +6,7 @@
 #include "AnswerReserve.h"
 #include "ChangeRelay.h"
 #include "ExtraAttemptBudget.h"
+#include "HoldUp.h"
 #include "Membership.h"
 #include "RequestState.h"
 #include "ShardOwnership.h"
@@ -183,6 +184,7 @@
   /** The starts of targets that stated that they leave. */
   std::unordered_map<InstanceId, LeavingTarget> mLeavingTargets;
   AnswerReserve mAnswerReserve;
+  HoldUp mHoldUp;
   TimerQueueOf<ForwarderTimer> mTimers;
   ForwarderCounters mCounters;
   /** Since when nothing was received from other availability zones although
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -224,8 +224,7 @@
     late.mHedgeAt = aNow + kConfirmPoll;
     return;
   }
-  const TimePoint backlogEnds =
-    aState.mAnswerReserve.mHeldUpUntil + kBacklogTime;
+  const TimePoint backlogEnds = aState.mHoldUp.mEnd + kBacklogTime;
   if (aNow < backlogEnds) {
     late.mHedgeAt = backlogEnds;
     return;
--- a/modules/wasabispread_forwarding_decisions/StoreListing.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreListing.cpp
@@ -17,6 +17,13 @@
                 "a page of the store's list leads back to an earlier one",
                 "wait until the store is available again");
   }
+  aListing.mTextBytes += aPage.mTextBytes;
+  if (aListing.mTextBytes > kMaxListBytes) {
+    return Fail(ErrorKind::kPlatformUnavailable,
+                "the store's list is longer than " +
+                  std::to_string(kMaxListBytes) + " bytes",
+                "remove entries that no part of the system needs");
+  }
   StoreContent& content = aListing.mContent;
   if (aListing.mHasPages && content.mEra != aPage.mEra) {
     return Fail(ErrorKind::kPlatformUnavailable,
--- a/modules/wasabispread_forwarding_decisions/StoreMessage.h
+++ b/modules/wasabispread_forwarding_decisions/StoreMessage.h
@@ -143,6 +143,8 @@
   std::string mContinueAfter;
   /** As StoreContent::mEra. */
   std::uint64_t mEra = 0;
+  /** The size of the store's answer. */
+  std::size_t mTextBytes = 0;
 };
 
 /** The changes in the store since a revision. */
--- a/modules/wasabispread_forwarding_decisions/SubSearches.cpp
+++ b/modules/wasabispread_forwarding_decisions/SubSearches.cpp
@@ -502,9 +502,8 @@
     !reply.mIsLast && !reply.mShards.empty() && !subSearch.mHasReported;
   if (isSoftReport) {
     subSearch.mHasReported = true;
-    const TimePoint asked =
-      std::max(request->mSoftDeadline - subSearch.mReportLead,
-               aState.mAnswerReserve.mHeldUpUntil);
+    const TimePoint asked = std::max(
+      request->mSoftDeadline - subSearch.mReportLead, aState.mHoldUp.mEnd);
     RecordReportDelay(aState, subSearch.mVm, aNow - asked, aNow);
   }
   AcceptSubSearchReply(*request, subSearch, reply, aNow);
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
@@ -251,13 +251,12 @@
 /** Whether there is something to state without a waiting request. Nothing is
     stated of an organisation without a limit; its counts are only kept. */
 bool
-IsReportDue(const ForwarderState& aState,
-            OrganisationId aOrganisation,
-            const HeldQuota& aHeld,
-            TimePoint aNow)
+MustReport(const ForwarderState& aState,
+           OrganisationId aOrganisation,
+           const HeldQuota& aHeld,
+           TimePoint aNow)
 {
-  return LimitOf(aState, aOrganisation).IsLimited() &&
-         wasabispread::IsReportDue(aHeld, aNow);
+  return LimitOf(aState, aOrganisation).IsLimited() && IsReportDue(aHeld, aNow);
 }
 
 /** The needs that are to be stated to a granting VM: where a request waits or a
@@ -274,6 +273,7 @@
     if (quota.mHeld.mTerm < claim->mTerm) {
       ForgetGrants(quota.mHeld, claim->mTerm);
     }
+    // The timer that does this may be late.
     ReturnUnusable(quota.mHeld, aNow);
     std::uint32_t waiting = 0;
     // What waits for another VM of the zone is not asked for here too.
@@ -283,7 +283,7 @@
     for (const WaitingPeer& peer : quota.mPeers) {
       waiting += peer.mCount - peer.mGiven;
     }
-    if (waiting != 0 || IsReportDue(aState, id, quota.mHeld, aNow)) {
+    if (waiting != 0 || MustReport(aState, id, quota.mHeld, aNow)) {
       needs.push_back(NeedOf(quota.mHeld, id, waiting, aNow));
     }
   }
@@ -813,7 +813,7 @@
     isAnyHeld = isAnyHeld || organisation.mHeld.Held() != 0 ||
                 !organisation.mWaiting.empty() ||
                 !organisation.mPeers.empty() ||
-                IsReportDue(aState, id, organisation.mHeld, aNow);
+                MustReport(aState, id, organisation.mHeld, aNow);
   }
   std::map<std::string, Endpoint> granters;
   for (const QuotaPartition& partition : quota.mClaims.mPartitions) {
--- a/modules/wasabispread_runtime/PeerTransport.cpp
+++ b/modules/wasabispread_runtime/PeerTransport.cpp
@@ -38,6 +38,9 @@
     the other VM still exists. */
 constexpr int kKeepAliveIdleSeconds = 300;
 
+/** The most bytes of a hello frame, which names one address. Whatever connects
+    to the port may send what it likes before it. */
+constexpr std::uint32_t kMaxHelloBytes = 4U << 10U;
 /** The most of a frame that is allocated before it arrives. */
 constexpr std::size_t kFrameReadBytes = 64U << 10U;
 
@@ -79,8 +82,8 @@
   {
     return !IsAwaited() && aBytes + mBytesSinceHeartbeat != 0 && aNow >= mNext;
   }
-  /** When there is something to do although nothing is to be written. */
-  TimePoint Due() const
+  /** When the writer acts next although no message is queued. */
+  TimePoint NextStep() const
   {
     return IsAwaited() || mBytesSinceHeartbeat == 0 ? mDeadline : mNext;
   }
@@ -153,9 +156,9 @@
 /** Reads the hello frame that begins a connection, and checks that both
     releases share a frame version. */
 Result<PeerHello>
-ReadHello(Stream& aStream, std::uint32_t aMaxBytes)
+ReadHello(Stream& aStream)
 {
-  auto frame = ReadFrame(aStream, aMaxBytes);
+  auto frame = ReadFrame(aStream, kMaxHelloBytes);
   if (!frame) {
     return tl::unexpected<Error>(frame.error());
   }
@@ -218,7 +221,7 @@
                   "the VM at " + ToText(aAddress) + " closed the connection",
                   "check that its daemon runs");
     }
-    const auto hello = ReadHello(aStream, mLimits.mMaxFrameBytes);
+    const auto hello = ReadHello(aStream);
     if (!hello) {
       return tl::unexpected<Error>(hello.error());
     }
@@ -278,8 +281,9 @@
         heartbeats.mBytesSinceHeartbeat = 0;
       }
       if (bytes.empty()) {
-        aLink.mWake.WaitUntil(aVersion >= kHeartbeatVersion ? heartbeats.Due()
-                                                            : TimePoint::max());
+        aLink.mWake.WaitUntil(aVersion >= kHeartbeatVersion
+                                ? heartbeats.NextStep()
+                                : TimePoint::max());
         continue;
       }
       aStream.expires_after(kWriteTimeout);
@@ -456,7 +460,7 @@
           const std::shared_ptr<Stream>& aStream)
 {
   aStream->expires_after(kHelloTimeout);
-  const auto hello = ReadHello(*aStream, aTransport->mLimits.mMaxFrameBytes);
+  const auto hello = ReadHello(*aStream);
   if (!hello) {
     aTransport->LogWarning(hello.error());
     return;
--- a/tests/platform/ForwarderFleet.cpp
+++ b/tests/platform/ForwarderFleet.cpp
@@ -346,6 +346,12 @@
   return { "127.0.0.1", mDaemons.at(aDaemon).mPorts[0] };
 }
 
+Endpoint
+ForwarderFleet::PeerEndpoint(std::size_t aDaemon) const
+{
+  return { "127.0.0.1", mDaemons.at(aDaemon).mPorts[2] };
+}
+
 bool
 ForwarderFleet::IsReady(std::size_t aDaemon)
 {
--- a/tests/platform/ForwarderFleet.h
+++ b/tests/platform/ForwarderFleet.h
@@ -122,6 +122,8 @@
                                const ForwarderRequest& aRequest);
 
   Endpoint CallerEndpoint(std::size_t aDaemon) const;
+  /** The address at which a daemon accepts connections of other VMs. */
+  Endpoint PeerEndpoint(std::size_t aDaemon) const;
 
   /** The links of a fleet with kRelayed: the one of the callers that use it,
       the one on which other daemons connect to this one, and the one to the
--- a/tests/platform/ProcessMemoryTests.cpp
+++ b/tests/platform/ProcessMemoryTests.cpp
@@ -28,11 +28,15 @@
   CPPUNIT_TEST(AnswersSearchesWithLargeParts);
   CPPUNIT_TEST(SurvivesAReplyThatItCannotAllocate);
   CPPUNIT_TEST(StaysWithinItsMemoryWhenTheStoreSendsTooMuch);
+  CPPUNIT_TEST(StaysWithinItsMemoryWhenAListHasNoEnd);
+  CPPUNIT_TEST(StaysWithinItsMemoryWhenAnotherVmSendsTooMuch);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   /** The memory of the smallest VM. */
   static constexpr std::size_t kMaxMemoryBytes = std::size_t{ 160 } << 20U;
+  /** The least memory that a VM of the deployments has. */
+  static constexpr std::size_t kSmallestBytes = std::size_t{ 112 } << 20U;
   static constexpr std::size_t kBodyBytes = std::size_t{ 1 } << 20U;
   static constexpr std::size_t kReplyBytes = std::size_t{ 12 } << 20U;
 
@@ -43,26 +47,40 @@
   // all callers.
   void StaysWithinItsMemoryWhenTheStoreSendsTooMuch()
   {
-    constexpr std::size_t kSmallest = 112;
-    Start(4);
-    mFleet->mMemoryMegabytes = kSmallest;
-    mFleet->Daemon(0).Kill();
-    mFleet->StartDaemon(0);
-    AwaitCondition([&] { return mFleet->SendRequest({}).Status() == 200; },
-                   "requests are served");
-    mFleet->Store().SetAllVmPortStates(VmPortState::kSendsTooMuch);
-    const TimePoint until =
-      std::chrono::steady_clock::now() + std::chrono::seconds(8);
-    while (std::chrono::steady_clock::now() < until) {
-      CPPUNIT_ASSERT_EQUAL(200U, mFleet->SendRequest({}).Status());
-      boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+    ExpectServiceWhileTheStore(VmPortState::kSendsTooMuch);
+  }
+
+  // Guards against a list that is read for as long as the store goes on.
+  void StaysWithinItsMemoryWhenAListHasNoEnd()
+  {
+    ExpectServiceWhileTheStore(VmPortState::kSendsEndlessPages);
+  }
+
+  // Guards against bytes of another VM that are no frame, or a frame that is
+  // never finished, on connection after connection.
+  void StaysWithinItsMemoryWhenAnotherVmSendsTooMuch()
+  {
+    constexpr unsigned kConnections = 20;
+    constexpr std::size_t kUnfinishedBytes = std::size_t{ 15 } << 20U;
+    StartSmallest();
+    PeerHello hello;
+    hello.mVm = IdFromName<VmId>("vm-9");
+    hello.mIncarnation = Incarnation(1);
+    hello.mPeerAddress = Endpoint{ "127.0.0.1", 9 };
+    hello.mExpectedVm = IdFromName<VmId>("vm-0");
+    // A length of 16 MiB, less than which follows.
+    const std::string frame = std::string("\0\0\0\1", kFrameLengthBytes) +
+                              std::string(kUnfinishedBytes, 'x');
+    Connections connections;
+    for (unsigned count = 0; count < kConnections; ++count) {
+      for (const std::string& first : { std::string(), EncodeHello(hello) }) {
+        connections.push_back(
+          std::make_unique<RawConnection>(mFleet->PeerEndpoint(0)));
+        connections.back()->Send(first + frame);
+        CountReply({ .mPath = "/once/x" });
+      }
     }
-    const std::size_t peak = mFleet->Daemon(0).PeakMemoryBytes();
-    CPPUNIT_ASSERT_MESSAGE("peak " + std::to_string(peak),
-                           peak < kSmallest << 20U);
-    mFleet->Store().SetAllVmPortStates(VmPortState::kServes);
-    AwaitCondition([&] { return mFleet->HasLogged(0, "store-available"); },
-                   "the store is followed again");
+    AssertServedWithin(kSmallestBytes);
   }
 
   void ServesWhileCallersDoNotReadTheirAnswers()
@@ -177,6 +195,36 @@
   using Connections = std::vector<std::unique_ptr<RawConnection>>;
 
   /** Starts a fleet that takes large bodies and has room at its targets. */
+  /** Starts a daemon with kSmallestBytes. */
+  void StartSmallest()
+  {
+    Start(4);
+    mFleet->mMemoryMegabytes = kSmallestBytes >> 20U;
+    mFleet->Daemon(0).Kill();
+    mFleet->StartDaemon(0);
+    AwaitCondition([&] { return mFleet->SendRequest({}).Status() == 200; },
+                   "requests are served");
+  }
+
+  void ExpectServiceWhileTheStore(VmPortState aState)
+  {
+    StartSmallest();
+    mFleet->Store().SetAllVmPortStates(aState);
+    mFleet->Store().AbortWatches();
+    const TimePoint until =
+      std::chrono::steady_clock::now() + std::chrono::seconds(8);
+    while (std::chrono::steady_clock::now() < until) {
+      CPPUNIT_ASSERT_EQUAL(200U, mFleet->SendRequest({}).Status());
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+    }
+    const std::size_t peak = mFleet->Daemon(0).PeakMemoryBytes();
+    CPPUNIT_ASSERT_MESSAGE("peak " + std::to_string(peak),
+                           peak < kSmallestBytes);
+    mFleet->Store().SetAllVmPortStates(VmPortState::kServes);
+    AwaitCondition([&] { return mFleet->HasLogged(0, "store-available"); },
+                   "the store is followed again");
+  }
+
   void Start(std::size_t aShards)
   {
     mFleet = std::make_unique<ForwarderFleet>(1, aShards);
--- a/tests/platform/StandInStore.cpp
+++ b/tests/platform/StandInStore.cpp
@@ -245,6 +245,7 @@
       constexpr std::size_t kTooManyBytes = std::size_t{ 60 } << 20U;
       return JsonResponse(kOk, std::string(kTooManyBytes, ' '));
     }
+    case VmPortState::kSendsEndlessPages:
     case VmPortState::kServes:
       break;
   }
@@ -255,13 +256,35 @@
     return Watch(aVmPort, path);
   }
   if (aRequest.mMethod == "GET") {
-    return Read(path);
+    return Read(aVmPort, path);
   }
   return Write(aRequest, path);
 }
 
 HttpResponse
-StandInStore::Read(const HttpPath& aPath)
+StandInStore::EndlessPage()
+{
+  constexpr std::size_t kItems = 500;
+  Json items = Json::array();
+  for (std::size_t count = 0; count < kItems; ++count) {
+    // Readable entries, which are kept: these are of targets.
+    const std::string number = std::to_string(1'000'000 + ++mEndlessItems);
+    const Json target{ { "service", "one" },  { "address", "127.0.0.1:9" },
+                       { "zone", "zone-a" },  { "version", "1" },
+                       { "slots", 1 },        { "state", "ready" },
+                       { "warmupLeftMs", 0 }, { "seq", 1 },
+                       { "born", 1 } };
+    items.push_back(
+      Describe("servers/" + number, Item{ target.dump(), mRevision, 1, 0 }));
+  }
+  return JsonResponse(
+    kOk,
+    Json{ { "items", items }, { "hasMore", true }, { "asOf", mRevision } }
+      .dump());
+}
+
+HttpResponse
+StandInStore::Read(VmPort& aVmPort, const HttpPath& aPath)
 {
   const bool mayBeStale = Parameter(aPath, "serializable") == "1";
   const std::string after = Parameter(aPath, "after");
@@ -275,6 +298,9 @@
              : JsonResponse(kOk,
                             Describe(position->first, position->second).dump());
   }
+  if (aVmPort.mState == VmPortState::kSendsEndlessPages) {
+    return EndlessPage();
+  }
   Json found = Json::array();
   const std::string prefix = Parameter(aPath, "prefix");
   bool hasMore = false;
--- a/tests/platform/StandInStore.h
+++ b/tests/platform/StandInStore.h
@@ -34,6 +34,8 @@
   kLimits,
   /** Answers with more bytes than a process may hold, which are no answer. */
   kSendsTooMuch,
+  /** Answers a list with one page after the other, without end. */
+  kSendsEndlessPages,
 };
 
 /** The fault that is injected into writes. */
@@ -145,7 +147,8 @@
   HttpResponse Handle(VmPort& aVmPort, const HttpRequest& aRequest);
   /** The content that the store had at a time. */
   Snapshot SnapshotAt(TimePoint aTime) const;
-  HttpResponse Read(const HttpPath& aPath);
+  HttpResponse Read(VmPort& aVmPort, const HttpPath& aPath);
+  HttpResponse EndlessPage();
   HttpResponse Watch(VmPort& aVmPort, const HttpPath& aPath);
   /** Blocks until the store ends. */
   HttpResponse LoseReply();
@@ -170,6 +173,8 @@
   /** Every change since the last compaction, by its revision. */
   std::map<std::uint64_t, Json> mHistory;
   std::uint64_t mRevision = 7;
+  /** The items of endless pages so far. */
+  std::uint64_t mEndlessItems = 0;
   /** Watches from before this revision get 410: their history is compacted. */
   std::uint64_t mCompactedRevision = 0;
   std::map<std::uint64_t, Lease> mLeases;
