--- a/tests/platform/ProcessMemoryTests.cpp
+++ b/tests/platform/ProcessMemoryTests.cpp
@@ -47,13 +47,15 @@
   // all callers.
   void StaysWithinItsMemoryWhenTheStoreSendsTooMuch()
   {
-    ExpectServiceWhileTheStore(VmPortState::kSendsTooMuch);
+    ExpectServiceWhileTheStore(VmPortState::kSendsTooMuch,
+                               std::chrono::seconds(8));
   }
 
   // Guards against a list that is read for as long as the store goes on.
   void StaysWithinItsMemoryWhenAListHasNoEnd()
   {
-    ExpectServiceWhileTheStore(VmPortState::kSendsEndlessPages);
+    ExpectServiceWhileTheStore(VmPortState::kSendsEndlessPages,
+                               std::chrono::seconds(14));
   }
 
   // Guards against bytes of another VM that are no frame, or a frame that is
@@ -206,13 +208,12 @@
                    "requests are served");
   }
 
-  void ExpectServiceWhileTheStore(VmPortState aState)
+  void ExpectServiceWhileTheStore(VmPortState aState, Duration aTime)
   {
     StartSmallest();
     mFleet->Store().SetAllVmPortStates(aState);
     mFleet->Store().AbortWatches();
-    const TimePoint until =
-      std::chrono::steady_clock::now() + std::chrono::seconds(8);
+    const TimePoint until = std::chrono::steady_clock::now() + aTime;
     while (std::chrono::steady_clock::now() < until) {
       CPPUNIT_ASSERT_EQUAL(200U, mFleet->SendRequest({}).Status());
       boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
