--- a/modules/wasabispread_forwarding/StoreClient.cpp
+++ b/modules/wasabispread_forwarding/StoreClient.cpp
@@ -14,7 +14,7 @@
 constexpr Duration kWatchMargin = std::chrono::milliseconds(900);
 /** The most bytes of the answer to a list or a watch: a page has 1 MB or one
     value, which takes 1.4 MB as text. A watch whose changes take more is
-   followed by a list. */
+    followed by a list. */
 constexpr std::uint64_t kMaxChangesBytes = 8ULL << 20U;
 /** The most bytes of any other answer. */
 constexpr std::uint64_t kMaxAnswerBytes = 1ULL << 20U;
--- a/modules/wasabispread_forwarding/StoreClient.h
+++ b/modules/wasabispread_forwarding/StoreClient.h
@@ -13,9 +13,9 @@
 
 /** Calls the store on three connections: one for listing and watching entries,
     one for the lease of this VM's entry, one for the lease of its claims. A
-   call that finds its connection in use by another, as the end of a lease may
-   find its renewal, is made on a new one. Every call blocks its fiber, except
-   AbandonWatch(). */
+    call that finds its connection in use by another, as the end of a lease may
+    find its renewal, is made on a new one. Every call blocks its fiber, except
+    AbandonWatch(). */
 class StoreClient
 {
 public:
--- a/modules/wasabispread_forwarding_decisions/AnswerTiming.cpp
+++ b/modules/wasabispread_forwarding_decisions/AnswerTiming.cpp
@@ -13,7 +13,7 @@
 
 /** The largest part of a timeout or soft timeout that is kept in reserve. What
     is left must be enough to ask the targets: only answers show that the
-   reserve is too large. */
+    reserve is too large. */
 constexpr double kMaxReserve = 0.25;
 /** Part of the soft timeout that is granted to a caller whose soft timeout is
     already over: by then most shards have answered. */
--- a/modules/wasabispread_forwarding_decisions/Requests.cpp
+++ b/modules/wasabispread_forwarding_decisions/Requests.cpp
@@ -23,7 +23,7 @@
 constexpr Duration kConfirmPoll = std::chrono::milliseconds(3);
 /** Time after a hold-up of this process in which no hedge is sent. The targets
     get at once what arrived in the hold-up, so that all replies are late;
-   hedges would double that load. */
+    hedges would double that load. */
 constexpr Duration kBacklogTime = std::chrono::milliseconds(250);
 /** Share of the allowance for extra attempts that hedges leave to retries after
     failures. */
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -524,8 +524,8 @@
 
 /** Gives up the quota of organisations that have no limit in the new
     configuration. What this VM counted of it is kept: a granting VM that did
-   not learn of that configuration counts on, and the counts of one session only
-    rise. */
+    not learn of that configuration counts on, and the counts of one session
+    only rise. */
 void
 ForgetOrganisationsOf(ForwarderState& aState)
 {
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.cpp
@@ -549,7 +549,7 @@
 }
 
 /** Gives up a question to a VM of the zone: what waits takes another way,
-   unless it has waited for too long. */
+    unless it has waited for too long. */
 void
 GiveUpInZone(ForwarderState& aState,
              OrganisationId aOrganisation,
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.h
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUse.h
@@ -42,7 +42,7 @@
           ForwarderEffects& aEffects);
 
 /** Takes back the quota, taken at aTaken, of a request that has not run and
-   will not run. */
+    will not run. */
 void
 TakeBackQuota(ForwarderState& aState,
               OrganisationId aOrganisation,
--- a/modules/wasabispread_forwarding_decisions/organisations/QuotaUseTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/QuotaUseTests.cpp
@@ -249,7 +249,7 @@
   }
 
   /** Guards against two VMs that grant the same quota: the store may let
-     another one begin when the lease has ended. */
+      another one begin when the lease has ended. */
   void StopsGrantingBeforeItsLeaseEnds()
   {
     auto vm = MakeVm();
@@ -575,7 +575,7 @@
   }
 
   /** Guards against two VMs that grant the same quota, whatever they know of
-     one another: calls to the store are late or lost, VMs start anew or are
+      one another: calls to the store are late or lost, VMs start anew or are
       suspended. */
   void GrantsAtOneVmAtATime()
   {
--- a/modules/wasabispread_organisations/HeldQuota.cpp
+++ b/modules/wasabispread_organisations/HeldQuota.cpp
@@ -25,7 +25,7 @@
 constexpr double kMaxWanted = 64;
 
 /** Gives back what the granting VM does not count as held. aCounted is its
-   count when it had settled aNeed. */
+    count when it had settled aNeed. */
 void
 KeepAtMost(HeldQuota& aHeld, const QuotaNeed& aNeed, std::uint64_t aCounted)
 {
--- a/modules/wasabispread_runtime/PeerTransport.cpp
+++ b/modules/wasabispread_runtime/PeerTransport.cpp
@@ -27,11 +27,11 @@
 /** The least time between heartbeats on one connection. */
 constexpr Duration kHeartbeatInterval = std::chrono::seconds(1);
 /** How long the answer to a heartbeat is awaited, beside the time that the
-   bytes before it take at kSlowLinkBytes a second. */
+    bytes before it take at kSlowLinkBytes a second. */
 constexpr Duration kHeartbeatTimeout = std::chrono::milliseconds(1500);
 constexpr std::size_t kSlowLinkBytes = 16U << 10U;
 /** A timer that is this late shows that this process stood still. The answer
-   may have arrived and is read within kArrivedReadTime. */
+    may have arrived and is read within kArrivedReadTime. */
 constexpr Duration kLateTimer = std::chrono::milliseconds(100);
 constexpr Duration kArrivedReadTime = std::chrono::milliseconds(250);
 /** How long an accepted connection may be idle before the kernel checks whether
