--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -527,7 +527,7 @@
     not learn of that configuration counts on, and the counts of one session
     only rise. */
 void
-ForgetOrganisationsOf(ForwarderState& aState)
+GiveUpQuotaWithoutLimit(ForwarderState& aState)
 {
   for (auto& [id, quota] : aState.mQuota.mOrganisations) {
     if (!LimitOf(aState, id).IsLimited()) {
@@ -581,7 +581,7 @@
   aState.mConfiguration = aChange.mConfiguration;
   aState.mConfigurationText = aChange.mText;
   aState.mConfigurationSince = aNow;
-  ForgetOrganisationsOf(aState);
+  GiveUpQuotaWithoutLimit(aState);
   aState.mRoutedServices.clear();
   for (const Route& route : aState.mConfiguration->mRoutes) {
     aState.mRoutedServices.insert(route.mShards.begin(), route.mShards.end());
