--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -302,12 +302,13 @@
         await target.register()
         return target
 
-    async def configure(self, routes, services):
+    async def configure(self, routes, services, **more):
         self.version += 3
         await self.store.write("op/config", {
             "version": self.version, "routes": routes, "services": services,
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
-                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+            **more})
 
     def start_vm(self, number):
         """Starts a daemon as deploy/system.toml does."""
