Put aside what cannot be read of a configuration, not the version

Cause: the reader turned any exception of any field into an unread version, and the version before it stayed in force, although the store had accepted the new one and all bounds run from that. Evidence: with a name without a space the same version is in force; each part of the users' table does the same, by the same handler.

What only bounds or orders takes its strictest value; what decides where requests run, or whose they are, is refused as not run (503) alone. Names are what a header field can hold.

--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -123,6 +123,12 @@
     aState.mConfiguration == nullptr
       ? 0
       : static_cast<double>(aState.mConfiguration->mVersion.Value()));
+  list.AddGauge(
+    "configuration_parts_unreadable",
+    "Parts of that version that cannot be read and are put aside.",
+    aState.mConfiguration == nullptr
+      ? 0
+      : static_cast<double>(aState.mConfiguration->mUnreadable.mCount));
   list.AddGauge(
     "configuration_age_seconds",
     "How long that version has been in force.",
--- a/modules/wasabispread_forwarding_decisions/Refusal.cpp
+++ b/modules/wasabispread_forwarding_decisions/Refusal.cpp
@@ -13,9 +13,8 @@
 /** Retry delay while targets are missing: they come back with their next
     registration. */
 constexpr Duration kNoTargetRetry = std::chrono::milliseconds(400);
-
 /** Retry delay after a refusal that only another configuration can change. */
-constexpr Duration kNoRegionRetry = std::chrono::seconds(5);
+constexpr Duration kConfigurationRetry = std::chrono::seconds(5);
 
 std::optional<Problem>
 CheckOwner(ForwarderState const& aState,
@@ -36,11 +35,14 @@
     problem.mClosesConnection = true;
     return problem;
   }
+  if (decision.mVerdict == KeyVerdict::kUndecided) {
+    return NotRunProblem(decision.mReason, kConfigurationRetry);
+  }
   if (OwnerOf(*aState.mConfiguration, aRoute, decision.mOrganisation)
         .mHasNoRegion) {
     return NotRunProblem("the route and the organisation have no allowed "
                          "region in common",
-                         kNoRegionRetry);
+                         kConfigurationRetry);
   }
   return std::nullopt;
 }
@@ -91,6 +93,11 @@
   }
   const Route* route =
     FindRoute(*aState.mConfiguration, aRequest.mHost, aRequest.mTarget);
+  if (route == nullptr && aState.mConfiguration->mHasUnplacedRoutes) {
+    return NotRunProblem("the request may be meant for a route that cannot be "
+                         "read from the configuration",
+                         kConfigurationRetry);
+  }
   if (route == nullptr) {
     return Problem{ ProblemKind::kNoRoute,
                     "no route of host \"" + aRequest.mHost +
@@ -98,6 +105,10 @@
                     "check the host and the path, or add a route",
                     std::nullopt };
   }
+  if (route->mIsUnreadable) {
+    return NotRunProblem("the route cannot be read from the configuration",
+                         kConfigurationRetry);
+  }
   if (auto problem = CheckOwner(aState, aRequest, *route, aNow)) {
     return problem;
   }
--- a/modules/wasabispread_forwarding_decisions/Routing.cpp
+++ b/modules/wasabispread_forwarding_decisions/Routing.cpp
@@ -42,6 +42,17 @@
 
 } // namespace
 
+void
+UnreadableParts::Add(std::string aPlace, std::string aReason)
+{
+  // One line of the log is written for each listed part.
+  constexpr std::size_t kMaxListed = 32;
+  ++mCount;
+  if (mListed.size() < kMaxListed) {
+    mListed.push_back({ std::move(aPlace), std::move(aReason) });
+  }
+}
+
 void
 IndexRoutes(RoutingConfiguration& aConfiguration)
 {
@@ -56,8 +67,12 @@
     std::stable_sort(positions.begin(),
                      positions.end(),
                      [&](std::size_t aLeft, std::size_t aRight) {
-                       return aConfiguration.mRoutes[aLeft].mPrefix.size() >
-                              aConfiguration.mRoutes[aRight].mPrefix.size();
+                       const Route& left = aConfiguration.mRoutes[aLeft];
+                       const Route& right = aConfiguration.mRoutes[aRight];
+                       if (left.mPrefix.size() != right.mPrefix.size()) {
+                         return left.mPrefix.size() > right.mPrefix.size();
+                       }
+                       return !left.mIsUnreadable && right.mIsUnreadable;
                      });
   }
 }
--- a/modules/wasabispread_forwarding_decisions/Routing.h
+++ b/modules/wasabispread_forwarding_decisions/Routing.h
@@ -30,7 +30,7 @@
 };
 
 /** Where requests under one host and path prefix are sent. Invariant: exactly
-    one of mParts and mShards is empty. */
+    one of mParts and mShards is empty, or both are and mIsUnreadable is set. */
 struct Route
 {
   RouteId mId;
@@ -59,6 +59,9 @@
   bool mIsPublic = false;
   /** The regions whose targets may serve it; empty for all. */
   std::vector<RegionName> mRegions;
+  /** Whether a field that decides where its requests may run cannot be read, so
+      that they are refused. */
+  bool mIsUnreadable = false;
 
   bool IsSearch() const { return !mShards.empty(); }
 
@@ -91,6 +94,25 @@
   Duration mIdleTime = std::chrono::seconds(15);
 };
 
+/** A part of a configuration that cannot be read. */
+struct UnreadablePart
+{
+  /** Its place in the configuration's text, such as "routes[2].service". */
+  std::string mPlace;
+  /** What is wrong with it, without its content, which may be a key. */
+  std::string mReason;
+};
+
+/** The parts of a configuration that cannot be read. The first ones are
+    listed. */
+struct UnreadableParts
+{
+  std::vector<UnreadablePart> mListed;
+  std::size_t mCount = 0;
+
+  void Add(std::string aPlace, std::string aReason);
+};
+
 /** One version of the routing configuration. */
 struct RoutingConfiguration
 {
@@ -101,13 +123,18 @@
   /** The organisations whose keys requests carry; none when requests need no
       key. */
   std::optional<OrganisationDirectory> mOrganisations;
+  /** Whether there are routes whose host cannot be read. A request that no
+      other route matches may be meant for one of them. */
+  bool mHasUnplacedRoutes = false;
+  UnreadableParts mUnreadable;
   /** The positions in mRoutes of each host's routes, longest prefix first. */
   std::map<std::string, std::vector<std::size_t>, std::less<>> mRoutesOfHost;
 };
 
 using RoutingPointer = std::shared_ptr<const RoutingConfiguration>;
 
-/** Fills mRoutesOfHost. */
+/** Fills mRoutesOfHost. Of two routes with one host and prefix, the first one
+    that can be read is used. */
 void
 IndexRoutes(RoutingConfiguration& aConfiguration);
 
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -559,6 +559,24 @@
   }
 }
 
+/** Writes a record for each listed part of a configuration that cannot be
+    read. */
+void
+LogUnreadableParts(const RoutingConfiguration& aConfiguration,
+                   ForwarderEffects& aEffects)
+{
+  for (const UnreadablePart& part : aConfiguration.mUnreadable.mListed) {
+    aEffects.push_back(WriteDecisionRecord{
+      { RecordClass::kState,
+        "configuration-part-unreadable",
+        {},
+        { { "version",
+            static_cast<std::int64_t>(aConfiguration.mVersion.Value()) },
+          { "part", part.mPlace },
+          { "reason", part.mReason } } } });
+  }
+}
+
 } // namespace
 
 void
@@ -598,8 +616,11 @@
         { "previous", previous },
         { "source", std::string(aSource) },
         { "routes",
+          static_cast<std::int64_t>(aState.mConfiguration->mRoutes.size()) },
+        { "unreadable_parts",
           static_cast<std::int64_t>(
-            aState.mConfiguration->mRoutes.size()) } } } });
+            aState.mConfiguration->mUnreadable.mCount) } } } });
+  LogUnreadableParts(*aState.mConfiguration, aEffects);
   RefreshAssignments(aState, aNow, aEffects);
 }
 
--- a/modules/wasabispread_forwarding_decisions/organisations/KeyAdmissionTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/KeyAdmissionTests.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(ForwardsCredentialsWithoutOrganisations);
   CPPUNIT_TEST(ServesPublicRoutesWithoutKey);
   CPPUNIT_TEST(WithdrawsKeysWithTheConfiguration);
+  CPPUNIT_TEST(RefusesWhatCannotBeReadAsNotRun);
   CPPUNIT_TEST(RefusesKeysWhenOutOfTouch);
   CPPUNIT_TEST(RefusesKeysAfterASuspension);
   CPPUNIT_TEST(SendsByRankOfTheOrganisationFirst);
@@ -162,6 +163,41 @@
     CPPUNIT_ASSERT(mForwarder->Has("t"));
   }
 
+  /** Guards against a request of a part that cannot be read which runs as
+      another part says, or is rejected as if the part were not there. */
+  void RefusesWhatCannotBeReadAsNotRun()
+  {
+    Route odd = SingleRoute("s", Repeatability::kIdempotent);
+    odd.mName = "odd";
+    odd.mPrefix = "/s/odd/";
+    odd.mParts.clear();
+    odd.mIsUnreadable = true;
+    OrganisationDirectory organisations = Organisations();
+    organisations.PutAside({ "key-p" });
+    mForwarder->Configure(
+      { SingleRoute("s", Repeatability::kIdempotent), odd }, organisations, 2);
+    StayInTouch();
+    const auto ask = [&](const char* aKey, const char* aPath) {
+      mForwarder->mKey = Present(aKey);
+      return ProblemOf(mForwarder->Ask(aPath));
+    };
+    for (const auto& [key, path] :
+         { std::pair("key-p", "/s/x"), std::pair("key-u", "/s/odd/x") }) {
+      const Problem problem = ask(key, path);
+      CPPUNIT_ASSERT(problem.mKind == ProblemKind::kNotRun);
+      CPPUNIT_ASSERT(problem.mRetryAfter.has_value());
+    }
+    CPPUNIT_ASSERT(ask("key-u", "/none/").mKind == ProblemKind::kNoRoute);
+    auto unplaced = *mForwarder->mState.mConfiguration;
+    unplaced.mHasUnplacedRoutes = true;
+    mForwarder->mState.mConfiguration =
+      std::make_shared<const RoutingConfiguration>(std::move(unplaced));
+    CPPUNIT_ASSERT(ask("key-u", "/none/").mKind == ProblemKind::kNotRun);
+    CPPUNIT_ASSERT(mForwarder->Received().empty());
+    mForwarder->Ask("/s/x");
+    CPPUNIT_ASSERT(mForwarder->Has("t"));
+  }
+
   /** Guards against keys that a VM serves although it would not have learned of
       their withdrawal. The knowledge gets old where nothing answers. */
   void RefusesKeysWhenOutOfTouch()
--- a/modules/wasabispread_organisations/KeyCheck.cpp
+++ b/modules/wasabispread_organisations/KeyCheck.cpp
@@ -27,13 +27,19 @@
          const KnowledgeRule& aRule)
 {
   const bool isUsable = aAge < UsableAge(aRule);
-  const Organisation* holder = aKey.mForm == KeyForm::kPresent
-                                 ? aOrganisations.FindByKey(aKey.mText)
-                                 : nullptr;
+  const KeyHolder found = aKey.mForm == KeyForm::kPresent
+                            ? aOrganisations.FindHolder(aKey.mText)
+                            : KeyHolder{};
+  const Organisation* const holder = found.mOrganisation;
   if (aIsPublicRoute) {
     const bool counts = isUsable || !aRule.mIsStrict;
     return { KeyVerdict::kAllowed, counts ? holder : nullptr, "" };
   }
+  if (aOrganisations.IsUnread()) {
+    return { KeyVerdict::kUndecided,
+             nullptr,
+             "the organisations of the configuration cannot be read" };
+  }
   switch (aKey.mForm) {
     case KeyForm::kAbsent:
       return { KeyVerdict::kUnauthorised, nullptr, "the request has no key" };
@@ -52,6 +58,12 @@
              nullptr,
              "this VM's knowledge of keys is too old" };
   }
+  if (found.mIsUndecided) {
+    return { KeyVerdict::kUndecided,
+             nullptr,
+             "the configuration does not say in a usable way who holds this "
+             "key" };
+  }
   if (holder == nullptr) {
     return { KeyVerdict::kUnauthorised,
              nullptr,
@@ -69,9 +81,11 @@
     case KeyVerdict::kUnauthorised:
       return "unauthorised";
     case KeyVerdict::kKnowledgeTooOld:
+      return "knowledge-too-old";
+    case KeyVerdict::kUndecided:
       break;
   }
-  return "knowledge-too-old";
+  return "undecided";
 }
 
 } // namespace wasabispread
--- a/modules/wasabispread_organisations/KeyCheck.h
+++ b/modules/wasabispread_organisations/KeyCheck.h
@@ -58,6 +58,8 @@
   kUnauthorised,
   /** What this VM knows is too old to decide. */
   kKnowledgeTooOld,
+  /** The configuration does not say in a usable way who holds the key. */
+  kUndecided,
 };
 
 struct KeyDecision
--- a/modules/wasabispread_organisations/KeyCheckTests.cpp
+++ b/modules/wasabispread_organisations/KeyCheckTests.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(RejectsKeysOfTwoOrganisations);
   CPPUNIT_TEST(RejectsUnusableNames);
   CPPUNIT_TEST(FindsHolders);
+  CPPUNIT_TEST(LeavesKeysWithoutAHolderUndecided);
   CPPUNIT_TEST(RejectsRequestsWithoutUsableKey);
   CPPUNIT_TEST(RefusesKeysWhenKnowledgeIsOld);
   CPPUNIT_TEST(ServesPublicRoutes);
@@ -77,6 +78,35 @@
     CPPUNIT_ASSERT(!directory.HasLimits());
   }
 
+  /** Guards against a key that is rejected, or served as another
+      organisation's, because an entry beside it is odd. */
+  void LeavesKeysWithoutAHolderUndecided()
+  {
+    OrganisationDirectory directory;
+    CPPUNIT_ASSERT(directory.Add(Named("a"), { "key-1", "key-2" }));
+    CPPUNIT_ASSERT(!directory.Add(Named("b"), { "key-2", "key-3" }));
+    CPPUNIT_ASSERT(!directory.Add(Named("c"), { "key-2" }));
+    CPPUNIT_ASSERT(!directory.Add(Named(""), { "key-4" }));
+    directory.PutAside({ "key-5" });
+    const auto verdict = [&](const char* aKey, Duration aAge) {
+      return CheckKey(directory, Present(aKey), false, aAge, kLenient).mVerdict;
+    };
+    for (const char* key : { "key-2", "key-4", "key-5" }) {
+      CPPUNIT_ASSERT(verdict(key, kFresh) == KeyVerdict::kUndecided);
+      CPPUNIT_ASSERT(verdict(key, kOld) == KeyVerdict::kKnowledgeTooOld);
+      CPPUNIT_ASSERT(
+        CheckKey(directory, Present(key), true, kFresh, kStrict).mVerdict ==
+        KeyVerdict::kAllowed);
+    }
+    for (const char* key : { "key-1", "key-3" }) {
+      CPPUNIT_ASSERT(verdict(key, kFresh) == KeyVerdict::kAllowed);
+    }
+    CPPUNIT_ASSERT(verdict("unknown", kFresh) == KeyVerdict::kUnauthorised);
+    directory.AddUnreadKeys();
+    CPPUNIT_ASSERT(verdict("unknown", kFresh) == KeyVerdict::kUndecided);
+    CPPUNIT_ASSERT(verdict("key-1", kFresh) == KeyVerdict::kAllowed);
+  }
+
   void RejectsRequestsWithoutUsableKey()
   {
     const OrganisationDirectory directory = OneOrganisation();
--- a/modules/wasabispread_organisations/Organisation.h
+++ b/modules/wasabispread_organisations/Organisation.h
@@ -49,19 +49,53 @@
   std::vector<RegionName> mRegions;
 };
 
-/** The organisations of one configuration. Invariant: each value of mHolderOf
-    is a position in mOrganisations. */
+/** Who holds a key. */
+struct KeyHolder
+{
+  /** Null when no organisation that can be served holds it. */
+  const Organisation* mOrganisation = nullptr;
+  /** Whether the configuration has the key, or may have it, without a usable
+      statement of whose it is. False when mOrganisation is not null. */
+  bool mIsUndecided = false;
+};
+
+/** The organisations of one configuration, and the keys of those that cannot be
+    served. Invariant: each value of mHolderOf is a position in mOrganisations
+    or kNobody. */
 class OrganisationDirectory
 {
 public:
-  /** Adds an organisation with its keys; kInvalidFile, without naming a key,
-      when its name or one of its keys is in use or empty. */
+  /** Adds an organisation with its keys. A key that another organisation has
+      too then belongs to neither. Two entries with one name are one
+      organisation, with the keys of both and the stricter terms of each. The
+      keys of an entry without a name, or without a region that its other entry
+      allows, are put aside. The error, kInvalidFile, tells what was odd without
+      naming a key; the rest is added all the same. */
   Result<std::monostate> Add(Organisation aOrganisation,
                              const std::vector<std::string>& aKeys);
 
-  /** The organisation that holds a key; null when none does. The cost does not
-      depend on the number of keys. */
-  const Organisation* FindByKey(std::string_view aKey) const;
+  /** Puts aside the keys of an organisation that cannot be served. */
+  void PutAside(const std::vector<std::string>& aKeys);
+
+  /** Records that some organisation has keys that could not be read. */
+  void AddUnreadKeys() { mHasUnreadKeys = true; }
+
+  /** Records that no organisation could be read. */
+  void MarkUnread();
+
+  /** Whether no organisation could be read, so that nothing is known about any
+      key. */
+  bool IsUnread() const { return mIsUnread; }
+
+  /** Who holds a key. The cost does not depend on the number of keys. */
+  KeyHolder FindHolder(std::string_view aKey) const;
+
+  /** The organisation that holds a key; null when none that can be served
+      does. */
+  const Organisation* FindByKey(std::string_view aKey) const
+  {
+    return FindHolder(aKey).mOrganisation;
+  }
 
   /** Null when there is no such organisation. */
   const Organisation* Find(OrganisationId aId) const;
@@ -72,6 +106,9 @@
   const std::vector<Organisation>& All() const { return mOrganisations; }
 
 private:
+  /** The holder of a key that was put aside. */
+  static constexpr std::size_t kNobody = SIZE_MAX;
+
   /** Hashes a key by the library's hash function. */
   struct KeyHash
   {
@@ -87,6 +124,8 @@
     mHolderOf;
   std::unordered_map<OrganisationId, std::size_t> mPositionOf;
   bool mHasLimits = false;
+  bool mHasUnreadKeys = false;
+  bool mIsUnread = false;
 };
 
 } // namespace wasabispread
--- a/tests/platform/StoreContentProcessTests.cpp
+++ b/tests/platform/StoreContentProcessTests.cpp
@@ -16,6 +16,7 @@
 {
   CPPUNIT_TEST_SUITE(StoreContentProcessTests);
   CPPUNIT_TEST(SurvivesEntriesOfOtherWriters);
+  CPPUNIT_TEST(FollowsVersionsWithOddOrganisations);
   CPPUNIT_TEST(LearnsOfDrainingTargetsThoughPagesAreOld);
   CPPUNIT_TEST(LearnsOfAllTargetsThoughPagesAreOld);
   CPPUNIT_TEST_SUITE_END();
@@ -82,6 +83,58 @@
       CPPUNIT_ASSERT(fleet.HasLogged(daemon, "entry-unreadable"));
     }
   }
+
+  /** Guards against a version that is not in force, so that withdrawn keys and
+      dropped routes stay in use, because of one organisation in it. */
+  void FollowsVersionsWithOddOrganisations()
+  {
+    using Json = nlohmann::json;
+    ForwarderFleet fleet;
+    const auto configure = [&](const Json& aName, const std::string& aFirst) {
+      ConfigurationChoice choice;
+      choice.mOrganisations = {
+        { { "name", "first" }, { "apiKeys", Json::array({ aFirst }) } },
+        { { "name", aName }, { "apiKeys", Json::array({ "key-n" }) } }
+      };
+      return fleet.Configure(choice);
+    };
+    const auto statusOf = [&](const std::string& aPath,
+                              const std::string& aKey) {
+      ForwarderRequest request;
+      request.mPath = aPath;
+      request.mHeaders.push_back({ "Authorization", "Bearer " + aKey });
+      return fleet.SendRequest(request).Status();
+    };
+    configure("second", "key-1");
+    AwaitCondition([&] { return statusOf("/one/x", "key-1") == 200; },
+                   "keys are in force");
+    unsigned key = 1;
+    for (const Json& name : { Json("Two Words"),
+                              Json("\xc3\xa9t\xc3\xa9"),
+                              Json(" x"),
+                              Json("x\r\nX-Other: 1"),
+                              Json(nullptr) }) {
+      const std::string withdrawn = "key-" + std::to_string(key);
+      const std::string added = "key-" + std::to_string(++key);
+      const std::uint64_t version = configure(name, added);
+      const std::string path = VersionPrefix(version) + "x";
+      AwaitCondition([&] { return statusOf(path, added) == 200; },
+                     "the version with " + name.dump() + " is in force");
+      CPPUNIT_ASSERT_EQUAL(401U, statusOf(path, withdrawn));
+      const std::size_t runs = fleet.Runs().size();
+      const bool isServed = key < 4;
+      CPPUNIT_ASSERT_EQUAL(isServed ? 200U : 503U, statusOf(path, "key-n"));
+      CPPUNIT_ASSERT_EQUAL(runs + (isServed ? 1U : 0U), fleet.Runs().size());
+      if (isServed) {
+        CPPUNIT_ASSERT_EQUAL(
+          name.get<std::string>(),
+          std::string(
+            FindHeader(fleet.Runs().back().mHeaders, "Wasabispread-Tenant")));
+      }
+    }
+    CPPUNIT_ASSERT(fleet.HasLogged(0, "configuration-part-unreadable"));
+  }
+
   /** Guards against a restarted daemon that uses a draining target, because the
       list's later pages were older than the first one. */
   void LearnsOfDrainingTargetsThoughPagesAreOld()
