Prove nothing about keys by a configuration that cannot be read

Callers with a withdrawn key were served for good when the text that withdrew it was no configuration: with strict withdrawal too, as long as the VM heard the store.

Cause: the proof of how old the knowledge of keys is rested on the revision that arrived, not on what was applied. What such a text may add (a key, a route) is refused as not run in place of 401 and 404.

--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -123,6 +123,9 @@
     aState.mConfiguration == nullptr
       ? 0
       : static_cast<double>(aState.mConfiguration->mVersion.Value()));
+  list.AddGauge("configuration_unreadable",
+                "1 while the newest configuration in the store cannot be read.",
+                aState.mStore.mIsConfigurationUnreadable ? 1 : 0);
   list.AddGauge(
     "configuration_parts_unreadable",
     "Parts of that version that cannot be read and are put aside.",
--- a/modules/wasabispread_forwarding_decisions/Refusal.cpp
+++ b/modules/wasabispread_forwarding_decisions/Refusal.cpp
@@ -93,7 +93,9 @@
   }
   const Route* route =
     FindRoute(*aState.mConfiguration, aRequest.mHost, aRequest.mTarget);
-  if (route == nullptr && aState.mConfiguration->mHasUnplacedRoutes) {
+  const bool mayHaveRoute = aState.mConfiguration->mHasUnplacedRoutes ||
+                            aState.mStore.mIsConfigurationUnreadable;
+  if (route == nullptr && mayHaveRoute) {
     return NotRunProblem("the request may be meant for a route that cannot be "
                          "read from the configuration",
                          kConfigurationRetry);
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -61,6 +61,35 @@
   }
 }
 
+void
+RecordUnreadableConfiguration(ForwarderState& aState,
+                              const std::string& aReason,
+                              ForwarderEffects& aEffects)
+{
+  ++aState.mCounters.mUnreadableEntries;
+  aState.mStore.mIsConfigurationUnreadable = true;
+  const std::int64_t version =
+    aState.mConfiguration == nullptr
+      ? 0
+      : static_cast<std::int64_t>(aState.mConfiguration->mVersion.Value());
+  aEffects.push_back(WriteDecisionRecord{
+    { RecordClass::kNotable,
+      "configuration-unreadable",
+      {},
+      { { "reason", aReason }, { "version_in_force", version } } } });
+}
+
+/** Whether a complete list of entries has a configuration, readable or not. */
+bool
+HasConfiguration(const std::vector<StoreChange>& aEntries)
+{
+  return std::any_of(
+    aEntries.begin(), aEntries.end(), [](const StoreChange& aEntry) {
+      return std::holds_alternative<ConfigurationChange>(aEntry) ||
+             std::holds_alternative<UnreadableConfiguration>(aEntry);
+    });
+}
+
 /** Applies one change of the store. */
 struct ChangeHandler
 {
@@ -70,9 +99,15 @@
 
   void operator()(const ConfigurationChange& aChange)
   {
+    mState.mStore.mIsConfigurationUnreadable = false;
     AdoptConfiguration(mState, aChange, "store", mNow, mEffects);
   }
 
+  void operator()(const UnreadableConfiguration& aChange)
+  {
+    RecordUnreadableConfiguration(mState, aChange.mReason, mEffects);
+  }
+
   void operator()(const TargetChange& aChange)
   {
     ApplyTarget(mState, aChange.mRecord, mNow, mEffects);
@@ -376,6 +411,11 @@
   if (std::exchange(aState.mEra.mIsFirstList, false)) {
     KeepUnconfirmed(aState, content.mEntries, aNow);
   } else {
+    if (aState.mConfiguration != nullptr &&
+        !HasConfiguration(content.mEntries)) {
+      RecordUnreadableConfiguration(
+        aState, "the store has no configuration", aEffects);
+    }
     RemoveMembersMissingFrom(aState.mMembership, content.mEntries, aNow);
     SetEvacuations(aState, EvacuatedZones(content.mEntries), aNow, aEffects);
   }
@@ -597,6 +637,7 @@
       : static_cast<std::int64_t>(aState.mConfiguration->mVersion.Value());
   LogKeysAbolished(aState.mConfiguration, *aChange.mConfiguration, aEffects);
   aState.mConfiguration = aChange.mConfiguration;
+  aState.mStore.mIsConfigurationUnreadable = false;
   aState.mConfigurationText = aChange.mText;
   aState.mConfigurationSince = aNow;
   GiveUpQuotaWithoutLimit(aState);
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.h
@@ -45,6 +45,10 @@
   bool mNeedsList = true;
   /** All changes up to this revision are applied. */
   StoreRevision mRevision;
+  /** Whether the newest configuration in the store cannot be read, so that the
+      one in force is not the newest and nothing is known of what it
+      withdrew. */
+  bool mIsConfigurationUnreadable = false;
   /** Whether the next list must not be old. */
   bool mNeedsFreshList = false;
   /** When the store last answered a list or a watch. */
--- a/modules/wasabispread_forwarding_decisions/StoreFreshness.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFreshness.cpp
@@ -63,8 +63,11 @@
 NextSoundCheck(const ForwarderState& aState)
 {
   const KnowledgeRule& rule = aState.mPolicy.mKnowledgeRule;
+  // No answer of the store proves anything about keys while the newest
+  // configuration cannot be read.
   const bool isNeeded = rule.mIsStrict && aState.mConfiguration != nullptr &&
-                        aState.mConfiguration->mOrganisations;
+                        aState.mConfiguration->mOrganisations &&
+                        !aState.mStore.mIsConfigurationUnreadable;
   return isNeeded ? aState.mFreshness.mSoundUntil + RefreshAge(rule)
                   : TimePoint::max();
 }
@@ -140,6 +143,10 @@
 void
 RecordSound(ForwarderState& aState, TimePoint aTime)
 {
+  if (aState.mStore.mIsConfigurationUnreadable) {
+    // What the newest version withdrew is not applied.
+    return;
+  }
   TimePoint& soundUntil = aState.mFreshness.mSoundUntil;
   soundUntil = std::max(soundUntil, aTime);
 }
--- a/modules/wasabispread_forwarding_decisions/StoreFreshness.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFreshness.h
@@ -51,7 +51,8 @@
 SoundAge(const ForwarderState& aState, TimePoint aNow);
 
 /** Records that all changes that the store had at aTime are applied, where
-    aTime is before the question was sent whose answer shows it. */
+    aTime is before the question was sent whose answer shows it. Does nothing
+    while the newest configuration cannot be read. */
 void
 RecordSound(ForwarderState& aState, TimePoint aTime);
 
--- a/modules/wasabispread_forwarding_decisions/StoreMessage.h
+++ b/modules/wasabispread_forwarding_decisions/StoreMessage.h
@@ -40,6 +40,12 @@
   SharedBytes mText;
 };
 
+/** The configuration was removed, or replaced by a text that is none. */
+struct UnreadableConfiguration
+{
+  std::string mReason;
+};
+
 /** A target's entry was written. */
 struct TargetChange
 {
@@ -112,6 +118,7 @@
 };
 
 using StoreChange = std::variant<ConfigurationChange,
+                                 UnreadableConfiguration,
                                  TargetChange,
                                  TargetRemoval,
                                  MemberChange,
--- a/modules/wasabispread_forwarding_decisions/organisations/KnowledgeTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/organisations/KnowledgeTests.cpp
@@ -40,7 +40,8 @@
     mVm.RunFor(std::chrono::milliseconds(1 + mRandom() % 120));
     if (mRandom() % 10 == 0) {
       ++mRevision;
-      mWrites.push_back({ RealNow(), mRevision, ++mVersion });
+      mWrites.push_back(
+        { RealNow(), mRevision, ++mVersion, mRandom() % 6 != 0 });
     }
     if (mRandom() % 200 == 0) {
       const std::chrono::milliseconds time(100 + mRandom() % 5000);
@@ -75,6 +76,7 @@
     TimePoint mTime{};
     std::uint64_t mRevision = 0;
     std::uint64_t mVersion = 0;
+    bool mIsReadable = true;
   };
 
   struct Answer
@@ -95,7 +97,14 @@
 
   TimePoint RealNow() const { return mVm.mNow + mSuspended; }
 
-  ConfigurationChange ConfigurationOf(std::uint64_t aVersion) const
+  static StoreChange ChangeOf(const Write& aWrite)
+  {
+    return aWrite.mIsReadable
+             ? StoreChange(ConfigurationOf(aWrite.mVersion))
+             : StoreChange(UnreadableConfiguration{ "no JSON text" });
+  }
+
+  static ConfigurationChange ConfigurationOf(std::uint64_t aVersion)
   {
     RoutingConfiguration configuration;
     configuration.mVersion = ConfigurationVersion(aVersion);
@@ -114,7 +123,7 @@
     std::uint64_t revision = aAfter;
     for (std::size_t position = 0; position < known; ++position) {
       if (mWrites[position].mRevision > aAfter) {
-        changes.mChanges.push_back(ConfigurationOf(mWrites[position].mVersion));
+        changes.mChanges.push_back(ChangeOf(mWrites[position]));
         revision = std::max(revision, mWrites[position].mRevision);
       }
     }
@@ -176,13 +185,23 @@
   /** Another VM whose knowledge is some time old. */
   void AnswerRouting(const RequestPeerRouting& aRequest)
   {
-    const std::chrono::milliseconds age(mRandom() % 3000);
+    Duration age = std::chrono::milliseconds(mRandom() % 3000);
+    // It states an age from before a text that it cannot read.
+    for (auto write = mWrites.rbegin(); write != mWrites.rend(); ++write) {
+      if (write->mTime > RealNow() - age) {
+        continue;
+      }
+      if (write->mIsReadable) {
+        break;
+      }
+      age = RealNow() - write->mTime + std::chrono::milliseconds(1);
+    }
     PeerRouting routing;
     routing.mSequence = aRequest.mSequence;
     routing.mAge = age;
     routing.mTargets.push_back({ "t", 1, 1, ServiceId(1), { "t", 1 }, {}, 1 });
     for (const Write& write : mWrites) {
-      if (write.mTime <= RealNow() - age) {
+      if (write.mTime <= RealNow() - age && write.mIsReadable) {
         routing.mConfiguration = ConfigurationOf(write.mVersion);
       }
     }
@@ -237,6 +256,7 @@
   CPPUNIT_TEST(CountsFromTheQuestionToARelay);
   CPPUNIT_TEST(CountsFromTheQuestionToAnotherVm);
   CPPUNIT_TEST(AsksTheStoreItselfWhenItMustBeStrict);
+  CPPUNIT_TEST(ProvesNothingByAConfigurationThatCannotBeRead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -318,6 +338,45 @@
     }
     CPPUNIT_ASSERT(vm.mStoreChecks - before <= 12);
   }
+
+  /** Guards against a key that is served for good after its withdrawal by a
+      text that a VM cannot read, because the VM heard the store. */
+  void ProvesNothingByAConfigurationThatCannotBeRead()
+  {
+    ForwarderPolicy policy = TestPolicy();
+    policy.mKnowledgeRule = KnowledgeRule{ true, std::chrono::seconds(5) };
+    ForwarderHarness vm(policy);
+    const auto configure = [&](std::uint64_t aVersion) {
+      vm.Configure({ SingleRoute("s", Repeatability::kIdempotent) },
+                   OrganisationDirectory{},
+                   aVersion);
+    };
+    const auto kindOf = [&](const char* aTarget) {
+      return std::get<Problem>(*vm.AnswerTo(vm.Ask(aTarget))).mKind;
+    };
+    const auto stayInTouch = [&](int aSteps) {
+      for (int step = 0; step < aSteps; ++step) {
+        vm.AnswerStoreChecksWith(vm.mState.mStore.mRevision);
+        vm.RunFor(std::chrono::milliseconds(500));
+      }
+    };
+    configure(1);
+    CPPUNIT_ASSERT(kindOf("/added/") == ProblemKind::kNoRoute);
+    vm.Change(UnreadableConfiguration{ "no JSON text" });
+    const TimePoint soundUntil = vm.mState.mFreshness.mSoundUntil;
+    stayInTouch(10);
+    CPPUNIT_ASSERT(vm.mState.mFreshness.mSoundUntil == soundUntil);
+    CPPUNIT_ASSERT(RefusesKeys(vm.mState, vm.mNow));
+    // Other VMs are told no younger age.
+    CPPUNIT_ASSERT(*MakeRoutingReply(vm.mState, {}, vm.mNow).mAge ==
+                   vm.mNow - soundUntil);
+    CPPUNIT_ASSERT(kindOf("/added/") == ProblemKind::kNotRun);
+    CPPUNIT_ASSERT(vm.mState.mConfiguration->mVersion.Value() == 1);
+    configure(2);
+    stayInTouch(4);
+    CPPUNIT_ASSERT(!RefusesKeys(vm.mState, vm.mNow));
+    CPPUNIT_ASSERT(kindOf("/added/") == ProblemKind::kNoRoute);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(KnowledgeTests);
--- a/tests/platform/StoreContentProcessTests.cpp
+++ b/tests/platform/StoreContentProcessTests.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST_SUITE(StoreContentProcessTests);
   CPPUNIT_TEST(SurvivesEntriesOfOtherWriters);
   CPPUNIT_TEST(FollowsVersionsWithOddOrganisations);
+  CPPUNIT_TEST(RefusesKeysWithoutAReadableConfiguration);
   CPPUNIT_TEST(LearnsOfDrainingTargetsThoughPagesAreOld);
   CPPUNIT_TEST(LearnsOfAllTargetsThoughPagesAreOld);
   CPPUNIT_TEST_SUITE_END();
@@ -135,6 +136,44 @@
     CPPUNIT_ASSERT(fleet.HasLogged(0, "configuration-part-unreadable"));
   }
 
+  /** Guards against keys that are served longer than the bound on withdrawals
+      after a text that may withdraw them and cannot be read. */
+  void RefusesKeysWithoutAReadableConfiguration()
+  {
+    constexpr Duration kWithdrawalTime = std::chrono::seconds(3);
+    ForwarderFleet fleet(1,
+                         1,
+                         FleetLinks::kDirect,
+                         "[keys]\nstrict = true\n"
+                         "withdrawal_milliseconds = 3000\n");
+    ConfigurationChoice choice;
+    choice.mOrganisations = {
+      { { "name", "first" }, { "apiKeys", nlohmann::json::array({ "k" }) } }
+    };
+    const auto configure = [&] { fleet.Configure(choice); };
+    const auto status = [&] {
+      ForwarderRequest request;
+      request.mHeaders.push_back({ "Authorization", "Bearer k" });
+      return fleet.SendRequest(request).Status();
+    };
+    const std::function<void()> odd[] = {
+      [&] { fleet.Store().Put("op/config", "{\"version\":"); },
+      [&] { fleet.Store().Put("op/config", "{\"routes\":[]}"); },
+      [&] { fleet.Store().Remove("op/config"); }
+    };
+    for (const auto& write : odd) {
+      configure();
+      AwaitCondition([&] { return status() == 200; }, "the key is served");
+      write();
+      boost::this_fiber::sleep_for(kWithdrawalTime);
+      for (int count = 0; count < 10; ++count) {
+        CPPUNIT_ASSERT_EQUAL(503U, status());
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
+      }
+    }
+    CPPUNIT_ASSERT(fleet.HasLogged(0, "configuration-unreadable"));
+  }
+
   /** Guards against a restarted daemon that uses a draining target, because the
       list's later pages were older than the first one. */
   void LearnsOfDrainingTargetsThoughPagesAreOld()
