--- a/tests/platform/StoreContentProcessTests.cpp
+++ b/tests/platform/StoreContentProcessTests.cpp
@@ -91,11 +91,12 @@
   {
     using Json = nlohmann::json;
     ForwarderFleet fleet;
+    const std::string namedKey = "key-\xc3\xa9";
     const auto configure = [&](const Json& aName, const std::string& aFirst) {
       ConfigurationChoice choice;
       choice.mOrganisations = {
         { { "name", "first" }, { "apiKeys", Json::array({ aFirst }) } },
-        { { "name", aName }, { "apiKeys", Json::array({ "key-n" }) } }
+        { { "name", aName }, { "apiKeys", Json::array({ namedKey }) } }
       };
       return fleet.Configure(choice);
     };
@@ -124,7 +125,7 @@
       CPPUNIT_ASSERT_EQUAL(401U, statusOf(path, withdrawn));
       const std::size_t runs = fleet.Runs().size();
       const bool isServed = key < 4;
-      CPPUNIT_ASSERT_EQUAL(isServed ? 200U : 503U, statusOf(path, "key-n"));
+      CPPUNIT_ASSERT_EQUAL(isServed ? 200U : 503U, statusOf(path, namedKey));
       CPPUNIT_ASSERT_EQUAL(runs + (isServed ? 1U : 0U), fleet.Runs().size());
       if (isServed) {
         CPPUNIT_ASSERT_EQUAL(
