Tell operators which configuration is in the store and what is put aside

StoreFollowerTests::TellsOfConfigurationsThatAreNotNewer and SettingsFileTests::ChecksAConfigurationBeforeItIsWritten pass; both ask for what was not there.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -31,6 +31,8 @@
 struct CommandLine
 {
   std::string mSettingsFile;
+  /** The configuration to check; empty when the daemon is to run. */
+  std::string mConfigurationFile;
   bool mCheckOnly = false;
   bool mForwards = false;
   bool mShowHelp = false;
@@ -52,6 +54,10 @@
     "check-settings",
     options::bool_switch(&line.mCheckOnly),
     "check the settings file and exit")(
+    "check-configuration",
+    options::value<std::string>(&line.mConfigurationFile),
+    "tell which parts of a routing configuration, in JSON, cannot be read, "
+    "and exit")(
     "help,h", options::bool_switch(&line.mShowHelp), "show this text")(
     "version", options::bool_switch(&line.mShowVersion), "show the release");
   try {
@@ -70,7 +76,7 @@
     std::cout << "wasabispreadd " << WASABISPREAD_RELEASE << "\n";
     return line;
   }
-  if (line.mSettingsFile.empty()) {
+  if (line.mSettingsFile.empty() && line.mConfigurationFile.empty()) {
     return Fail(
       ErrorKind::kUsage, "no settings file was given", "add --settings FILE");
   }
@@ -115,6 +121,38 @@
   return aExit;
 }
 
+/** Prints what VMs put aside of a routing configuration, before it is written
+    to the store. Returns the exit code. */
+int
+CheckConfiguration(const std::string& aFile)
+{
+  // Above what the store takes for one value.
+  constexpr std::size_t kMaxBytes = 4U << 20U;
+  auto text = forwarding::ReadFile(aFile, kMaxBytes);
+  if (!text) {
+    return Report(text.error(), kExitUsage);
+  }
+  const auto read = platform::MakeAdapter()->ReadConfiguration(
+    std::make_shared<const std::string>(std::move(*text)));
+  if (!read) {
+    return ReportFaults(
+      { Fault{ aFile, 0, 0, read.error().mMessage, read.error().mRemedy } });
+  }
+  const forwarding::UnreadableParts& parts = read->mConfiguration->mUnreadable;
+  for (const forwarding::UnreadablePart& part : parts.mListed) {
+    std::cerr << aFile << ": " << part.mPlace << " " << part.mReason << "\n";
+  }
+  if (parts.mCount > parts.mListed.size()) {
+    std::cerr << aFile << ": " << parts.mCount - parts.mListed.size()
+              << " more parts\n";
+  }
+  if (parts.mCount > 0) {
+    return kExitUsage;
+  }
+  std::cout << aFile << ": no fault found\n";
+  return EXIT_SUCCESS;
+}
+
 /** Calls aLog with each further stop signal and the time since this call, at
     most kMaxIgnoredSignals times. */
 void
@@ -249,6 +287,9 @@
   if (line->mShowHelp || line->mShowVersion) {
     return EXIT_SUCCESS;
   }
+  if (!line->mConfigurationFile.empty()) {
+    return CheckConfiguration(line->mConfigurationFile);
+  }
   if (line->mForwards) {
     return CheckAndRun(*line,
                        ReadSettings<ForwarderSettings>(line->mSettingsFile,
--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -26,8 +26,7 @@
 /** How long a stop that was held up beyond its end waits for the answers that
     are due. */
 constexpr Duration kMaxOverrun = std::chrono::seconds(1);
-/** The largest settings file that is read, and the size of each read. */
-constexpr std::size_t kMaxSettingsBytes = 256U << 10U;
+/** The size of each read of a file. */
 constexpr std::size_t kReadBytes = 16U << 10U;
 
 ForwarderPolicy
@@ -71,7 +70,7 @@
 }
 
 Result<std::string>
-ReadFile(const std::string& aFile)
+ReadFile(const std::string& aFile, std::size_t aMaxBytes)
 {
   std::error_code ignored;
   std::ifstream stream;
@@ -86,15 +85,15 @@
   }
   std::string text;
   std::string part(kReadBytes, '\0');
-  while (stream && text.size() <= kMaxSettingsBytes) {
+  while (stream && text.size() <= aMaxBytes) {
     stream.read(part.data(), static_cast<std::streamsize>(part.size()));
     text.append(part, 0, static_cast<std::size_t>(stream.gcount()));
   }
-  if (text.size() > kMaxSettingsBytes) {
+  if (text.size() > aMaxBytes) {
     return Fail(ErrorKind::kInvalidSettings,
                 "the file " + aFile + " is larger than " +
-                  std::to_string(kMaxSettingsBytes) + " bytes",
-                "give it only the settings");
+                  std::to_string(aMaxBytes) + " bytes",
+                "give it only the settings, or only the configuration");
   }
   return text;
 }
--- a/modules/wasabispread_forwarding/ForwarderDaemon.h
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.h
@@ -74,9 +74,12 @@
 std::string
 ExtraSettings();
 
+/** The largest settings file that is read, in bytes. */
+inline constexpr std::size_t kMaxSettingsBytes = 256U << 10U;
+
 /** Returns a file's text; kInvalidSettings when it cannot be read, is no
-    regular file or is larger than settings are. Does not block on pipes. */
+    regular file or has more than aMaxBytes. Does not block on pipes. */
 Result<std::string>
-ReadFile(const std::string& aFile);
+ReadFile(const std::string& aFile, std::size_t aMaxBytes = kMaxSettingsBytes);
 
 } // namespace wasabispread::forwarding
--- a/modules/wasabispread_forwarding/ForwarderMetrics.cpp
+++ b/modules/wasabispread_forwarding/ForwarderMetrics.cpp
@@ -123,6 +123,10 @@
     aState.mConfiguration == nullptr
       ? 0
       : static_cast<double>(aState.mConfiguration->mVersion.Value()));
+  list.AddGauge(
+    "configuration_store_version",
+    "The version of the newest configuration in the store that can be read.",
+    static_cast<double>(aState.mStore.mConfigurationVersion.Value()));
   list.AddGauge("configuration_unreadable",
                 "1 while the newest configuration in the store cannot be read.",
                 aState.mStore.mIsConfigurationUnreadable ? 1 : 0);
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -100,6 +100,8 @@
   void operator()(const ConfigurationChange& aChange)
   {
     mState.mStore.mIsConfigurationUnreadable = false;
+    LogIfNotNewer(aChange);
+    mState.mStore.mConfigurationVersion = aChange.mConfiguration->mVersion;
     AdoptConfiguration(mState, aChange, "store", mNow, mEffects);
   }
 
@@ -155,6 +157,30 @@
     ReportUnreadable(aChange.mKey, aChange.mReason);
   }
 
+  /** Writes a record of a configuration that is not adopted although it is
+      another one than that in force; each list has it again. */
+  void LogIfNotNewer(const ConfigurationChange& aChange)
+  {
+    if (mState.mConfiguration == nullptr) {
+      return;
+    }
+    const ConfigurationVersion version = aChange.mConfiguration->mVersion;
+    const ConfigurationVersion inForce = mState.mConfiguration->mVersion;
+    const bool isOther =
+      version < inForce
+        ? version != mState.mStore.mConfigurationVersion
+        : version == inForce && *aChange.mText != *mState.mConfigurationText;
+    if (isOther) {
+      mEffects.push_back(WriteDecisionRecord{
+        { RecordClass::kNotable,
+          "configuration-not-newer",
+          {},
+          { { "version", static_cast<std::int64_t>(version.Value()) },
+            { "version_in_force",
+              static_cast<std::int64_t>(inForce.Value()) } } } });
+    }
+  }
+
   void ReportUnreadable(const std::string& aEntry, const std::string& aReason)
   {
     ++mState.mCounters.mUnreadableEntries;
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.h
@@ -49,6 +49,9 @@
       one in force is not the newest and nothing is known of what it
       withdrew. */
   bool mIsConfigurationUnreadable = false;
+  /** The version of the newest configuration in the store that can be read. It
+      differs from the one in force while the store has an older one. */
+  ConfigurationVersion mConfigurationVersion;
   /** Whether the next list must not be old. */
   bool mNeedsFreshList = false;
   /** When the store last answered a list or a watch. */
--- a/modules/wasabispread_forwarding_decisions/StoreFollowerTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollowerTests.cpp
@@ -17,6 +17,7 @@
 {
   CPPUNIT_TEST_SUITE(StoreFollowerTests);
   CPPUNIT_TEST(ReportsTheCallThatIsNotAnswered);
+  CPPUNIT_TEST(TellsOfConfigurationsThatAreNotNewer);
   CPPUNIT_TEST(BeginsTheWatchAtTheOldestPage);
   CPPUNIT_TEST(MissesNoChangeForAnyAgesOfPages);
   CPPUNIT_TEST(RejectsPagesThatLeadBack);
@@ -47,6 +48,33 @@
                          std::get<std::string>(call->mValue));
   }
 
+  /** Guards against an operator who does not see why a version that the store
+      accepted is not in force. */
+  void TellsOfConfigurationsThatAreNotNewer()
+  {
+    ForwarderHarness forwarder;
+    const auto recordsAfter = [&](std::uint64_t aVersion) {
+      forwarder.Configure({ SingleRoute("s", Repeatability::kIdempotent) },
+                          aVersion);
+      const auto& records = forwarder.mDecisionRecords;
+      return std::count_if(records.begin(),
+                           records.end(),
+                           [](const forwarding::DecisionRecord& aRecord) {
+                             return std::string(aRecord.mEvent) ==
+                                    "configuration-not-newer";
+                           });
+    };
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{ 0 }, recordsAfter(5));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{ 0 }, recordsAfter(5));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{ 1 }, recordsAfter(3));
+    // Each list has it again.
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{ 1 }, recordsAfter(3));
+    CPPUNIT_ASSERT(forwarder.mState.mConfiguration->mVersion.Value() == 5);
+    CPPUNIT_ASSERT(forwarder.mState.mStore.mConfigurationVersion.Value() == 3);
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{ 1 }, recordsAfter(6));
+    CPPUNIT_ASSERT(forwarder.mState.mStore.mConfigurationVersion.Value() == 6);
+  }
+
   /** Guards against a change that is in no page and before the watch. */
   void BeginsTheWatchAtTheOldestPage()
   {
--- a/tests/platform/SettingsFileTests.cpp
+++ b/tests/platform/SettingsFileTests.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(ServesWithAHugeSettingsFile);
   CPPUNIT_TEST(ServesWithDeeplyNestedSettings);
   CPPUNIT_TEST(ServesWithArbitraryBytes);
+  CPPUNIT_TEST(ChecksAConfigurationBeforeItIsWritten);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -110,6 +111,37 @@
     ExpectServiceAndStop("settings-rejected");
   }
 
+  /** Guards against an operator who learns only from the VMs that a part of a
+      configuration is put aside. */
+  void ChecksAConfigurationBeforeItIsWritten()
+  {
+    const auto check = [&](const std::string& aText) {
+      Write(aText);
+      return RunToEnd("wasabispreadd",
+                      { "--check-configuration", mFile },
+                      mFile + ".checked");
+    };
+    CPPUNIT_ASSERT_EQUAL(
+      0, check(R"({"version":1,"routes":[],"services":[]})").mExitCode);
+    const FinishedProcess odd =
+      check(R"({"version":1,"routes":[{"host":"h"}],"services":[],)"
+            R"("tenants":[{"name":" a","apiKeys":["key-1"]}]})");
+    CPPUNIT_ASSERT_EQUAL(2, odd.mExitCode);
+    for (const char* part :
+         { "routes[0].prefix is absent",
+           "routes[0].service is absent",
+           "tenants[0].name cannot be the value of a header field" }) {
+      CPPUNIT_ASSERT_MESSAGE(odd.mOutput,
+                             odd.mOutput.find(part) != std::string::npos);
+    }
+    CPPUNIT_ASSERT(odd.mOutput.find("key-1") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(2, check("{").mExitCode);
+    CPPUNIT_ASSERT_EQUAL(
+      0,
+      check(std::string(300'000, ' ') + R"({"version":1,"routes":[]})")
+        .mExitCode);
+  }
+
 private:
   void Write(const std::string& aText) const
   {
