Try a store again in time for a configuration

Cause: a VM beside one that watches for its zone waited up to 7.2 s before it tried again: 4 s, and a random part of a wait that was doubled before it was bounded; and nobody told it that the store was back while the VMs that it asked were those of a zone that was cut off.

The wait is bounded by the time in which a configuration has to be in force, random part included, and the watching VM tells its zone when it reaches the store.

--- a/modules/wasabispread_config/ForwarderSettings.cpp
+++ b/modules/wasabispread_config/ForwarderSettings.cpp
@@ -94,6 +94,27 @@
   keys.RejectUnknownKeys();
 }
 
+void
+ReadConfigurationTime(TableReader& aReader,
+                      const std::string& aFile,
+                      Faults& aFaults,
+                      ForwarderSettings& aSettings)
+{
+  constexpr double kMinMilliseconds = 500;
+  constexpr double kMaxMilliseconds = 3'600'000;
+  const toml::table* table = aReader.OptionalTable("configuration");
+  if (table == nullptr) {
+    return;
+  }
+  TableReader configuration(*table, aFile, "[configuration]", aFaults);
+  const auto time = configuration.OptionalNumber(
+    "apply_milliseconds", kMinMilliseconds, kMaxMilliseconds);
+  if (time) {
+    aSettings.mConfigurationTime = Milliseconds(*time);
+  }
+  configuration.RejectUnknownKeys();
+}
+
 /** The most requests by which a bound may be exceeded besides its share: more
     would limit nothing. */
 constexpr double kMaxSlackRequests = 1e6;
@@ -223,6 +244,7 @@
   ReadListen(reader, aFile, faults, settings);
   ReadExtraAttempts(reader, aFile, faults, settings);
   ReadKeys(reader, aFile, faults, settings);
+  ReadConfigurationTime(reader, aFile, faults, settings);
   ReadQuota(reader, aFile, faults, settings);
   ReadColdTargets(reader, aFile, faults, settings);
   ReadRegions(reader, aFile, faults, settings);
--- a/modules/wasabispread_config/ForwarderSettings.h
+++ b/modules/wasabispread_config/ForwarderSettings.h
@@ -46,6 +46,8 @@
       withdrawal, and how long after the withdrawal it may still be served. */
   bool mIsStrictOnKeys = false;
   Duration mKeyWithdrawalTime = std::chrono::seconds(5);
+  /** How long after it was written a configuration has to be in force. */
+  Duration mConfigurationTime = std::chrono::seconds(5);
   /** The window over which the requests of an organisation are limited, and by
       how much they may exceed the limit: by a share and by a number. */
   Duration mQuotaWindow = std::chrono::seconds(5);
--- a/modules/wasabispread_forwarding_decisions/ChangeRelayTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ChangeRelayTests.cpp
@@ -75,6 +75,9 @@
   CPPUNIT_TEST(ReplacesAWatchWithALostAnswerWhileAsked);
   CPPUNIT_TEST(ReplacesAWatchWithALostAnswerFromBeforeItWasAsked);
   CPPUNIT_TEST(DoesNotTakeARenewedLeaseForNewsOfTheStore);
+  CPPUNIT_TEST(TriesTheStoreOftenEnoughForAConfiguration);
+  CPPUNIT_TEST(TriesTheStoreWhenTheRelayReachesIt);
+  CPPUNIT_TEST(TellsItsZoneThatTheStoreIsBack);
   CPPUNIT_TEST(IsNotReadyBeforeItCaughtUpWithItsFirstList);
   CPPUNIT_TEST(KeepsWhatIsNewerThanAListFromTheStore);
   CPPUNIT_TEST_SUITE_END();
@@ -294,6 +297,70 @@
                    std::chrono::seconds(5));
   }
 
+  /** Guards against a VM that acts by an old configuration long after the store
+      is available again. The load: an outage in which no other VM is heard. */
+  void TriesTheStoreOftenEnoughForAConfiguration()
+  {
+    constexpr Duration kConfigurationTime = std::chrono::seconds(5);
+    JoinZone();
+    TimePoint last = mForwarder->mNow;
+    FailStore();
+    for (int failure = 0; failure < 200; ++failure) {
+      while (!IsStoreCalled()) {
+        mForwarder->RunFor(Milliseconds(10));
+        CPPUNIT_ASSERT(mForwarder->mNow - last < kConfigurationTime * 2 / 3);
+      }
+      last = mForwarder->mNow;
+      FailStore();
+    }
+  }
+
+  /** Guards against the same where the VM that watches for the zone reaches the
+      store again. */
+  void TriesTheStoreWhenTheRelayReachesIt()
+  {
+    JoinZone();
+    for (int failure = 0; failure < 6; ++failure) {
+      FailStore();
+      while (!IsStoreCalled()) {
+        mForwarder->RunFor(Milliseconds(10));
+      }
+    }
+    FailStore();
+    const std::size_t lists = mForwarder->mLists.size();
+    mForwarder->Deliver(RevisionReported{ StoreRevision(9), {} });
+    mForwarder->RunFor(Milliseconds(700));
+    CPPUNIT_ASSERT_EQUAL(lists, mForwarder->mLists.size());
+    mForwarder->RunFor(Milliseconds(800));
+    CPPUNIT_ASSERT_EQUAL(lists + 1, mForwarder->mLists.size());
+  }
+
+  void TellsItsZoneThatTheStoreIsBack()
+  {
+    mForwarder->Change(MemberChange{ MemberOf("vm-a", 0.5) });
+    for (const char* name : { "vm-1", "vm-2", "vm-3" }) {
+      mForwarder->Change(MemberChange{ MemberOf(name, 0.1) });
+    }
+    MemberRecord other = MemberOf("vm-4", 0.1);
+    other.mZone = ZoneName("b");
+    mForwarder->Change(MemberChange{ other });
+    FailStore();
+    mForwarder->RunFor(std::chrono::seconds(2));
+    mForwarder->mPeerMessages.clear();
+    // The leases of the other VMs ended in the outage.
+    mForwarder->Deliver(EntriesListed{
+      StoreContent{ {}, mForwarder->mState.mStore.mRevision, {} } });
+    for (const char* name : { "vm-1", "vm-2", "vm-3" }) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                           SentTo<RevisionReport>(*mForwarder, name).size());
+    }
+    CPPUNIT_ASSERT(SentTo<RevisionReport>(*mForwarder, "vm-4").empty());
+    mForwarder->Deliver(EntriesListed{
+      StoreContent{ {}, mForwarder->mState.mStore.mRevision, {} } });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         SentTo<RevisionReport>(*mForwarder, "vm-1").size());
+  }
+
   /** Guards against a restarted VM that uses a target which left while the list
       that it reads first was already old. */
   void IsNotReadyBeforeItCaughtUpWithItsFirstList()
@@ -347,6 +414,23 @@
     CPPUNIT_ASSERT(mForwarder->mWatches.size() > watches);
   }
 
+  /** Lets the call to the store under way fail. */
+  void FailStore()
+  {
+    const Error error{ ErrorKind::kPlatformUnavailable, "down", "wait" };
+    if (mForwarder->mState.mStore.mNeedsList) {
+      mForwarder->Deliver(EntriesListed{ tl::unexpected<Error>(error) });
+    } else {
+      mForwarder->Deliver(ChangesWatched{ tl::unexpected<Error>(error) });
+    }
+  }
+
+  bool IsStoreCalled() const
+  {
+    const auto& call = mForwarder->mState.mStore.mPendingCall;
+    return call && call->mKind != PendingStoreCall::Kind::kRelay;
+  }
+
   /** Adds three VMs to the zone, of which vm-3 is the largest. */
   void JoinZone()
   {
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -81,6 +81,8 @@
       the store was unavailable. */
   Duration mReregistrationGrace = std::chrono::seconds(2);
   KnowledgeRule mKnowledgeRule;
+  /** How long after it was written a configuration has to be in force. */
+  Duration mConfigurationTime = std::chrono::seconds(5);
   QuotaRule mQuotaRule;
   ColdRule mColdRule;
   /** The region of each zone. */
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -22,6 +22,13 @@
 constexpr Duration kMaxRetry = std::chrono::milliseconds(800);
 /** As kMaxRetry, for a VM whose relay tries more often for it. */
 constexpr Duration kMaxRetryBesideRelay = std::chrono::seconds(4);
+/** The largest part of the time in which a configuration has to be in force
+    that passes before a failed call is made again, without its random part of
+    up to half as much. The rest is for the call. */
+constexpr double kMaxRetryShare = 0.4;
+/** The time over which the VMs of a zone spread their calls when they hear that
+    the store is available again. */
+constexpr Duration kReturnSpread = std::chrono::milliseconds(600);
 /** Bounds of the interval between reads: well within the seconds in which a
     configuration must be in force and a draining target may still get
     requests. */
@@ -41,6 +48,27 @@
   aState.mTimers.Arm(aWhen, ForwarderTimer::kFollowStore);
 }
 
+/** The longest delay, without its random part, before a failed call is made
+    again. */
+Duration
+MaxRetry(const ForwarderState& aState, TimePoint aNow)
+{
+  if (!ChooseRelay(aState, aNow)) {
+    return kMaxRetry;
+  }
+  const auto share = Duration(static_cast<std::int64_t>(
+    kMaxRetryShare *
+    static_cast<double>(aState.mPolicy.mConfigurationTime.count())));
+  return std::clamp(share, kMaxRetry, kMaxRetryBesideRelay);
+}
+
+Duration
+RandomPart(ForwarderState& aState, Duration aTime)
+{
+  return Duration(static_cast<std::int64_t>(
+    aState.mRandom.Fraction() * static_cast<double>(aTime.count())));
+}
+
 void
 HandleStoreReply(ForwarderState& aState,
                  TimePoint aNow,
@@ -370,20 +398,17 @@
                              { { "error", aError.mMessage } } } });
   }
   RefuseWaitingVms(aState, aNow, aEffects);
-  const Duration maxRetry =
-    ChooseRelay(aState, aNow) ? kMaxRetryBesideRelay : kMaxRetry;
+  const Duration maxRetry = MaxRetry(aState, aNow);
   Duration wait = kFirstRetry;
   for (unsigned count = 0; count < store.mFailures && wait < maxRetry;
        ++count) {
-    wait *= 2;
+    wait = std::min(2 * wait, maxRetry);
   }
   ++store.mFailures;
   // Missed changes are read by listing all entries, because the answers to a
   // watch that lags far behind hold only a limited number of changes each.
   store.mNeedsList = true;
-  const auto jitter = Duration(static_cast<std::int64_t>(
-    aState.mRandom.Fraction() * static_cast<double>(wait.count()) / 2));
-  ArmFollowTimer(aState, aNow + std::min(wait, maxRetry) + jitter);
+  ArmFollowTimer(aState, aNow + wait + RandomPart(aState, wait / 2));
   if (!aState.mMembership.mIsAskingPeers) {
     RequestRoutingFromNextPeer(aState, aNow, aEffects);
   }
@@ -423,6 +448,11 @@
     }
     return;
   }
+  if (store.IsUnavailable()) {
+    // Before the list is applied: VMs whose leases ended in the outage are not
+    // in it.
+    ReportStoreReturn(aState, aNow, aEffects);
+  }
   HandleStoreReply(aState, aNow, aEffects);
   const bool isFresh = listed && store.mNeedsFreshList;
   if (isFresh) {
@@ -569,6 +599,16 @@
   }
 }
 
+void
+RetryStoreAfterReport(ForwarderState& aState, TimePoint aNow)
+{
+  const StoreState& store = aState.mStore;
+  if (store.IsUnavailable() && !store.mPendingCall) {
+    const TimePoint when = std::max(aNow, store.mLastFailure + kMaxRetry);
+    ArmFollowTimer(aState, when + RandomPart(aState, kReturnSpread));
+  }
+}
+
 void
 ApplyRelayedChanges(ForwarderState& aState,
                     const std::vector<StoreChanges>& aChanges,
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.h
@@ -113,6 +113,11 @@
                  TimePoint aNow,
                  ForwarderEffects& aEffects);
 
+/** As RetryStoreSooner(), at a time that differs between VMs, because the VM
+    that watches for the zone reports the store's revision to all of it. */
+void
+RetryStoreAfterReport(ForwarderState& aState, TimePoint aNow);
+
 /** Applies changes that another VM passed on. */
 void
 ApplyRelayedChanges(ForwarderState& aState,
--- a/modules/wasabispread_forwarding_decisions/StoreFreshness.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFreshness.cpp
@@ -250,6 +250,32 @@
     return;
   }
   RecordRevision(aState, aEvent.mRevision, aNow - aEvent.mAge, aNow);
+  RetryStoreAfterReport(aState, aNow);
+}
+
+void
+ReportStoreReturn(const ForwarderState& aState,
+                  TimePoint aNow,
+                  ForwarderEffects& aEffects)
+{
+  const std::vector<const Member*> followers = Followers(aState);
+  const std::size_t own = OwnPosition(aState, followers);
+  if (aState.IsStopping() || own == followers.size()) {
+    return;
+  }
+  for (const auto& [name, member] : aState.mMembership.mMembers) {
+    const bool isTold = name != aState.mPolicy.mName &&
+                        member.mLeftAt == TimePoint::max() &&
+                        member.mRecord.mZone == aState.mPolicy.mZone;
+    if (isTold) {
+      aEffects.push_back(
+        SendPeerMessage{ IdFromName<VmId>(name),
+                         member.mRecord.mAddress,
+                         RevisionReport{ aState.mStore.mRevision.Value(),
+                                         KnowledgeAge(aState, aNow),
+                                         aState.mEra.mEra } });
+    }
+  }
 }
 
 void
--- a/modules/wasabispread_forwarding_decisions/StoreFreshness.h
+++ b/modules/wasabispread_forwarding_decisions/StoreFreshness.h
@@ -82,6 +82,13 @@
                        TimePoint aNow,
                        ForwarderEffects& aEffects);
 
+/** Tells the VMs of the zone that the store is available again, if this VM
+    watches for them: they try it less often themselves. */
+void
+ReportStoreReturn(const ForwarderState& aState,
+                  TimePoint aNow,
+                  ForwarderEffects& aEffects);
+
 /** Replaces the watch aWatch if it has still not delivered a revision that the
     store is known to have. */
 void
