Order the entries of a target by the store's revision

Cause: entries of one id were ordered by the time of the target's start, from its own clock, so that all entries of the second start counted as older. The store's revision orders the writes of a key; the start's time is only compared for equality where a revision is known.

--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -15,6 +15,7 @@
 #include "StoreFreshness.h"
 #include "organisations/QuotaState.h"
 #include "placement/Evacuation.h"
+#include "store/EntryOrder.h"
 #include "store/StoreEra.h"
 
 #include <unordered_map>
@@ -124,16 +125,6 @@
   std::uint64_t mUnreadableLoads = 0;
 };
 
-/** The version of a target's entry: a later start is newer, then a higher
-    sequence. */
-struct EntryVersion
-{
-  std::uint64_t mBorn = 0;
-  std::uint64_t mSequence = 0;
-
-  friend auto operator<=>(const EntryVersion&, const EntryVersion&) = default;
-};
-
 /** What is kept for a route across versions of the configuration. */
 struct RouteState
 {
@@ -180,9 +171,8 @@
   std::unordered_map<ServiceId, WindowedExtraAttemptBudget> mBudgets;
   /** The services to which routes of mConfiguration lead. */
   std::unordered_set<ServiceId> mRoutedServices;
-  /** The newest version seen of each instance's entry, kept after the entry's
-      removal. */
-  std::unordered_map<InstanceId, EntryVersion> mEntryVersions;
+  /** What is known of each instance's entries, kept after their removal. */
+  std::unordered_map<InstanceId, EntryHistory> mEntryHistories;
   /** The starts of targets that stated that they leave. */
   std::unordered_map<InstanceId, LeavingTarget> mLeavingTargets;
   AnswerReserve mAnswerReserve;
--- a/modules/wasabispread_forwarding_decisions/Membership.cpp
+++ b/modules/wasabispread_forwarding_decisions/Membership.cpp
@@ -270,8 +270,9 @@
   // targets have just started.
   std::vector<StoreChange> entries;
   for (const RegisteredTarget& target : aEvent.mTargets) {
-    ApplyTarget(aState, ToTargetRecord(target), aNow, aEffects);
-    entries.push_back(TargetChange{ ToTargetRecord(target) });
+    const TargetChange change{ ToTargetRecord(target) };
+    ApplyTarget(aState, change, aNow, aEffects);
+    entries.push_back(change);
   }
   if (!entries.empty()) {
     RemoveTargetsMissingFrom(aState, entries, aNow, aEffects);
--- a/modules/wasabispread_forwarding_decisions/Registry.cpp
+++ b/modules/wasabispread_forwarding_decisions/Registry.cpp
@@ -21,20 +21,6 @@
   return target == aState.mTargets.end() ? nullptr : &target->second;
 }
 
-/** Whether an entry is older than the newest one seen of its instance: writes
-    may reach the store out of order. */
-bool
-IsOutdated(ForwarderState& aState, const TargetRecord& aRecord)
-{
-  const EntryVersion version{ aRecord.mBorn, aRecord.mSequence };
-  EntryVersion& known = aState.mEntryVersions[aRecord.mInstance];
-  if (version < known) {
-    return true;
-  }
-  known = version;
-  return false;
-}
-
 void
 LogTarget(const ForwarderState& aState,
           const char* aEvent,
@@ -74,17 +60,13 @@
   LogTarget(aState, "target-added", aRecord, aEffects);
 }
 
-} // namespace
-
+/** Applies the newest entry of an instance. */
 void
-ApplyTarget(ForwarderState& aState,
+ApplyNewest(ForwarderState& aState,
             const TargetRecord& aRecord,
             TimePoint aNow,
             ForwarderEffects& aEffects)
 {
-  if (IsOutdated(aState, aRecord)) {
-    return;
-  }
   TargetState* known = FindTarget(aState, aRecord.mInstance);
   const bool isInUse = known != nullptr && !known->mIsRetired;
   if (isInUse && !IsSameStart(known->mRecord, aRecord)) {
@@ -114,6 +96,24 @@
   RefreshColdLimit(aState, *known, aNow, aEffects);
 }
 
+} // namespace
+
+void
+ApplyTarget(ForwarderState& aState,
+            const TargetChange& aChange,
+            TimePoint aNow,
+            ForwarderEffects& aEffects)
+{
+  const TargetRecord& record = aChange.mRecord;
+  const EntryOrder order =
+    RecordEntry(aState.mEntryHistories[record.mInstance],
+                EntryVersion{ record.mBorn, record.mSequence },
+                aChange.mRevision);
+  if (order == EntryOrder::kNewest) {
+    ApplyNewest(aState, record, aNow, aEffects);
+  }
+}
+
 void
 RemoveTarget(ForwarderState& aState,
              const InstanceId& aInstance,
--- a/modules/wasabispread_forwarding_decisions/Registry.h
+++ b/modules/wasabispread_forwarding_decisions/Registry.h
@@ -10,10 +10,10 @@
 struct ForwarderState;
 
 /** Applies a registration: a new target, a new start of a known one, or a
-    change of its state. */
+    change of its state. One that is not the newest changes nothing. */
 void
 ApplyTarget(ForwarderState& aState,
-            const TargetRecord& aRecord,
+            const TargetChange& aChange,
             TimePoint aNow,
             ForwarderEffects& aEffects);
 
--- a/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(StopsUsingADrainingTarget);
   CPPUNIT_TEST(IgnoresOlderEntriesOfATarget);
   CPPUNIT_TEST(AcceptsANewStartUnderTheSameName);
+  CPPUNIT_TEST(AcceptsANewStartWithAnEarlierTime);
   CPPUNIT_TEST(KeepsTargetsWithMissingEntriesForTheGracePeriod);
   CPPUNIT_TEST(RemovesTargetsMissingFromAList);
   CPPUNIT_TEST(ListsAgainWhenHistoryIsLost);
@@ -79,6 +80,51 @@
     CPPUNIT_ASSERT(IsServed());
   }
 
+  /** An entry as the store has it at a revision. */
+  void Register(std::uint64_t aRevision,
+                std::uint64_t aBorn,
+                std::uint64_t aSequence,
+                bool aIsDraining = false,
+                const std::string& aService = "s")
+  {
+    TargetRecord record;
+    record.mInstance = InstanceId("t");
+    record.mBorn = aBorn;
+    record.mSequence = aSequence;
+    record.mService = IdFromName<ServiceId>(aService);
+    record.mAddress = Endpoint{ "t", 1 };
+    record.mZone = ZoneName("a");
+    record.mSlots = 2;
+    record.mIsDraining = aIsDraining;
+    mForwarder->Change(TargetChange{ record, StoreRevision(aRevision) });
+  }
+
+  /** Guards against a draining target that is used because it started again
+      after its clock was set back. */
+  void AcceptsANewStartWithAnEarlierTime()
+  {
+    Register(50, 2000, 7);
+    CPPUNIT_ASSERT(IsServed());
+    Register(51, 1500, 1);
+    CPPUNIT_ASSERT(IsServed());
+    // A page that is older than that.
+    Register(50, 2000, 7);
+    Register(52, 1500, 2, true);
+    CPPUNIT_ASSERT(!IsServed());
+    Register(53, 1400, 1);
+    CPPUNIT_ASSERT(IsServed());
+    // The revisions of another era are not compared with these.
+    mForwarder->mEra = 1;
+    mForwarder->Change(EvacuationChange{ ZoneName("z"), false });
+    mForwarder->mEra = 2;
+    mForwarder->Change(EvacuationChange{ ZoneName("z"), false });
+    mForwarder->RunFor(std::chrono::seconds(1));
+    mForwarder->Deliver(EntriesListed{
+      StoreContent{ {}, StoreRevision(1), StoreRevision(1), 2 } });
+    Register(2, 1400, 2, true);
+    CPPUNIT_ASSERT(!IsServed());
+  }
+
   void KeepsTargetsWithMissingEntriesForTheGracePeriod()
   {
     mForwarder->AddTarget("back", "s", 1);
--- a/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
+++ b/modules/wasabispread_forwarding_decisions/StoreFollower.cpp
@@ -140,7 +140,7 @@
 
   void operator()(const TargetChange& aChange)
   {
-    ApplyTarget(mState, aChange.mRecord, mNow, mEffects);
+    ApplyTarget(mState, aChange, mNow, mEffects);
   }
 
   void operator()(const TargetRemoval& aChange)
--- a/modules/wasabispread_forwarding_decisions/StoreMessage.h
+++ b/modules/wasabispread_forwarding_decisions/StoreMessage.h
@@ -50,6 +50,8 @@
 struct TargetChange
 {
   TargetRecord mRecord;
+  /** The revision of the entry; 0 when another VM passed it on. */
+  StoreRevision mRevision = {};
 };
 
 /** A target's entry was removed, or was replaced by one that cannot be read. */
--- a/modules/wasabispread_forwarding_decisions/store/StoreEra.cpp
+++ b/modules/wasabispread_forwarding_decisions/store/StoreEra.cpp
@@ -63,6 +63,9 @@
   store.mRevision = StoreRevision{};
   store.mNewestListed = StoreRevision{};
   aState.mFreshness.mNewestSeen = StoreRevision{};
+  for (auto& [instance, history] : aState.mEntryHistories) {
+    history.mRevision = StoreRevision{};
+  }
   store.mNeedsList = true;
   store.mNeedsFreshList = true;
   ForgetChanges(aState.mRelay, StoreRevision{});
--- a/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
+++ b/modules/wasabispread_forwarding_decisions/wasabispread_forwarding_decisions.h
@@ -48,6 +48,7 @@
 #include "organisations/RequestOwner.h"
 #include "placement/Evacuation.h"
 #include "placement/Homes.h"
+#include "store/EntryOrder.h"
 #include "store/StoreEra.h"
 
 #include "RequestState.h"
