Use a target again that an entry of another writer replaced

Cause: any readable entry raised the mark below which the target's own entries count as outdated, and nothing lowered it. An entry that seems overtaken is kept now, and applied when the store has had it for four heartbeats: the store removes the entry of a target that is silent for three, so its target lives. Until then a write that is executed late still counts for nothing; a late word that the present start drains counts at once.

--- a/modules/wasabispread_config/ForwarderSettings.cpp
+++ b/modules/wasabispread_config/ForwarderSettings.cpp
@@ -115,6 +115,27 @@
   configuration.RejectUnknownKeys();
 }
 
+void
+ReadTargets(TableReader& aReader,
+            const std::string& aFile,
+            Faults& aFaults,
+            ForwarderSettings& aSettings)
+{
+  constexpr double kMinMilliseconds = 10;
+  constexpr double kMaxMilliseconds = 3'600'000;
+  const toml::table* table = aReader.OptionalTable("targets");
+  if (table == nullptr) {
+    return;
+  }
+  TableReader targets(*table, aFile, "[targets]", aFaults);
+  const auto heartbeat = targets.OptionalNumber(
+    "heartbeat_milliseconds", kMinMilliseconds, kMaxMilliseconds);
+  if (heartbeat) {
+    aSettings.mTargetHeartbeat = Milliseconds(*heartbeat);
+  }
+  targets.RejectUnknownKeys();
+}
+
 /** The most requests by which a bound may be exceeded besides its share: more
     would limit nothing. */
 constexpr double kMaxSlackRequests = 1e6;
@@ -245,6 +266,7 @@
   ReadExtraAttempts(reader, aFile, faults, settings);
   ReadKeys(reader, aFile, faults, settings);
   ReadConfigurationTime(reader, aFile, faults, settings);
+  ReadTargets(reader, aFile, faults, settings);
   ReadQuota(reader, aFile, faults, settings);
   ReadColdTargets(reader, aFile, faults, settings);
   ReadRegions(reader, aFile, faults, settings);
--- a/modules/wasabispread_config/ForwarderSettings.h
+++ b/modules/wasabispread_config/ForwarderSettings.h
@@ -48,6 +48,8 @@
   Duration mKeyWithdrawalTime = std::chrono::seconds(5);
   /** How long after it was written a configuration has to be in force. */
   Duration mConfigurationTime = std::chrono::seconds(5);
+  /** How often a target writes its entry in the store. */
+  Duration mTargetHeartbeat = std::chrono::milliseconds(1200);
   /** The window over which the requests of an organisation are limited, and by
       how much they may exceed the limit: by a share and by a number. */
   Duration mQuotaWindow = std::chrono::seconds(5);
--- a/modules/wasabispread_config/ForwarderSettingsTests.cpp
+++ b/modules/wasabispread_config/ForwarderSettingsTests.cpp
@@ -58,6 +58,7 @@
     const auto settings =
       ParseExtra("[keys]\nstrict = true\nwithdrawal_milliseconds = 4000\n"
                  "[configuration]\napply_milliseconds = 3000\n"
+                 "[targets]\nheartbeat_milliseconds = 900\n"
                  "[quota]\nwindow_seconds = 10\noverage = 0.2\nslack = 7\n"
                  "[cold_targets]\noverage = 1.5\nslack = 5\n"
                  "[regions]\n\"zone-a\" = \"north\"\n");
@@ -65,6 +66,8 @@
     CPPUNIT_ASSERT(settings->mIsStrictOnKeys);
     CPPUNIT_ASSERT(settings->mKeyWithdrawalTime == std::chrono::seconds(4));
     CPPUNIT_ASSERT(settings->mConfigurationTime == std::chrono::seconds(3));
+    CPPUNIT_ASSERT(settings->mTargetHeartbeat ==
+                   std::chrono::milliseconds(900));
     CPPUNIT_ASSERT(settings->mQuotaWindow == std::chrono::seconds(10));
     CPPUNIT_ASSERT_EQUAL(0.2, settings->mQuotaOverage);
     CPPUNIT_ASSERT_EQUAL(7.0, settings->mQuotaSlack);
@@ -74,6 +77,7 @@
     for (const char* extra : { "[keys]\nstrict = 1\n",
                                "[keys]\nwithdrawal_milliseconds = 0\n",
                                "[configuration]\napply_milliseconds = 0\n",
+                               "[targets]\nheartbeat_milliseconds = \"1\"\n",
                                "[quota]\nwindow_seconds = 0\n",
                                "[quota]\noverage = -0.1\n",
                                "[quota]\nslack = \"many\"\n",
--- a/modules/wasabispread_forwarding/ForwarderDaemon.cpp
+++ b/modules/wasabispread_forwarding/ForwarderDaemon.cpp
@@ -42,6 +42,7 @@
                                                aSettings.mExtraAttemptWindow };
   policy.mKnowledgeRule =
     KnowledgeRule{ aSettings.mIsStrictOnKeys, aSettings.mKeyWithdrawalTime };
+  policy.mTargetHeartbeat = aSettings.mTargetHeartbeat;
   policy.mConfigurationTime = aSettings.mConfigurationTime;
   policy.mQuotaRule = QuotaRule{ aSettings.mQuotaWindow,
                                  aSettings.mQuotaOverage,
--- a/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwarderReducer.cpp
@@ -255,6 +255,9 @@
           FollowStore(mState, mNow, mEffects);
         }
         break;
+      case ForwarderTimer::kConfirmEntries:
+        ConfirmEntries(mState, mNow, mEffects);
+        break;
       case ForwarderTimer::kReportSilence:
         ReportStoreSilence(mState, mNow, mEffects);
         break;
--- a/modules/wasabispread_forwarding_decisions/ForwarderState.h
+++ b/modules/wasabispread_forwarding_decisions/ForwarderState.h
@@ -44,6 +44,8 @@
   kWatchOverdue,
   /** Key: the target whose entry is missing from the store. */
   kEntryMissing,
+  /** No key: overtaken entries that the store still has are confirmed. */
+  kConfirmEntries,
   /** Key: the target that takes requests again. */
   kPauseEnd,
   /** No key: assignments are computed again, because VMs that started together
@@ -81,6 +83,9 @@
   /** How long a target may take to register again whose entry vanished while
       the store was unavailable. */
   Duration mReregistrationGrace = std::chrono::seconds(2);
+  /** How often a target writes its entry; the store removes the entry of one
+      that is silent for three times as long. */
+  Duration mTargetHeartbeat = std::chrono::milliseconds(1200);
   KnowledgeRule mKnowledgeRule;
   /** How long after it was written a configuration has to be in force. */
   Duration mConfigurationTime = std::chrono::seconds(5);
@@ -173,6 +178,8 @@
   std::unordered_set<ServiceId> mRoutedServices;
   /** What is known of each instance's entries, kept after their removal. */
   std::unordered_map<InstanceId, EntryHistory> mEntryHistories;
+  /** The entries that were overtaken and may be confirmed. */
+  std::unordered_map<InstanceId, OvertakenEntry> mOvertakenEntries;
   /** The starts of targets that stated that they leave. */
   std::unordered_map<InstanceId, LeavingTarget> mLeavingTargets;
   AnswerReserve mAnswerReserve;
--- a/modules/wasabispread_forwarding_decisions/Registry.cpp
+++ b/modules/wasabispread_forwarding_decisions/Registry.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/** The heartbeats of silence after which the store removes a target's entry,
+    and one more for the way of the last write. */
+constexpr int kHeartbeatsBeforeRemoval = 3 + 1;
+
 TargetState*
 FindTarget(ForwarderState& aState, const InstanceId& aInstance)
 {
@@ -96,6 +100,51 @@
   RefreshColdLimit(aState, *known, aNow, aEffects);
 }
 
+Duration
+HeartbeatOf(const ForwarderState& aState)
+{
+  return aState.mPolicy.mTargetHeartbeat;
+}
+
+EntryVersion
+VersionOf(const TargetRecord& aRecord)
+{
+  return { aRecord.mBorn, aRecord.mSequence };
+}
+
+void
+ArmConfirmation(ForwarderState& aState, TimePoint aWhen)
+{
+  aState.mTimers.Arm(aWhen, ForwarderTimer::kConfirmEntries);
+}
+
+/** Keeps an overtaken entry until it is confirmed. */
+void
+HandleOvertaken(ForwarderState& aState,
+                const TargetChange& aChange,
+                TimePoint aNow,
+                ForwarderEffects& aEffects)
+{
+  const TargetRecord& record = aChange.mRecord;
+  const TargetState* target = FindTarget(aState, record.mInstance);
+  if (record.mIsDraining && target != nullptr &&
+      IsSameStart(target->mRecord, record)) {
+    // Whenever it was written: a start that drains does so until its end.
+    ApplyNewest(aState, record, aNow, aEffects);
+    return;
+  }
+  const bool isFirst = aState.mOvertakenEntries.empty();
+  OvertakenEntry& known = aState.mOvertakenEntries[record.mInstance];
+  const bool isSame = known.mSince != TimePoint{} &&
+                      IsSameStart(known.mRecord, record) &&
+                      known.mRecord.mIsDraining == record.mIsDraining;
+  known = { record, aChange.mRevision, isSame ? known.mSince : aNow };
+  if (isFirst) {
+    ArmConfirmation(aState,
+                    aNow + kHeartbeatsBeforeRemoval * HeartbeatOf(aState));
+  }
+}
+
 } // namespace
 
 void
@@ -105,12 +154,41 @@
             ForwarderEffects& aEffects)
 {
   const TargetRecord& record = aChange.mRecord;
-  const EntryOrder order =
-    RecordEntry(aState.mEntryHistories[record.mInstance],
-                EntryVersion{ record.mBorn, record.mSequence },
-                aChange.mRevision);
+  const EntryOrder order = RecordEntry(aState.mEntryHistories[record.mInstance],
+                                       VersionOf(record),
+                                       aChange.mRevision);
   if (order == EntryOrder::kNewest) {
+    aState.mOvertakenEntries.erase(record.mInstance);
     ApplyNewest(aState, record, aNow, aEffects);
+  } else if (order == EntryOrder::kOvertaken) {
+    HandleOvertaken(aState, aChange, aNow, aEffects);
+  }
+}
+
+void
+ConfirmEntries(ForwarderState& aState,
+               TimePoint aNow,
+               ForwarderEffects& aEffects)
+{
+  const Duration silence = kHeartbeatsBeforeRemoval * HeartbeatOf(aState);
+  std::vector<TargetRecord> confirmed;
+  for (const auto& [instance, entry] : aState.mOvertakenEntries) {
+    // What the store had at that time is known.
+    if (aState.mFreshness.mCompleteUntil >= entry.mSince + silence) {
+      confirmed.push_back(entry.mRecord);
+    }
+  }
+  for (const TargetRecord& record : confirmed) {
+    aState.mOvertakenEntries.erase(record.mInstance);
+    ConfirmEntry(aState.mEntryHistories[record.mInstance], VersionOf(record));
+    LogTarget(aState, "target-confirmed", record, aEffects);
+    ApplyNewest(aState, record, aNow, aEffects);
+  }
+  if (!confirmed.empty()) {
+    RefreshAssignments(aState, aNow, aEffects);
+  }
+  if (!aState.mOvertakenEntries.empty()) {
+    ArmConfirmation(aState, aNow + HeartbeatOf(aState));
   }
 }
 
@@ -121,6 +199,7 @@
              ForwarderEffects& aEffects)
 {
   RecordEntryRemoved(aState, aInstance, aNow);
+  aState.mOvertakenEntries.erase(aInstance);
   TargetState* target = FindTarget(aState, aInstance);
   if (target == nullptr || target->mIsRetired) {
     return;
@@ -152,6 +231,9 @@
       listed.insert(change->mRecord.mInstance);
     }
   }
+  std::erase_if(aState.mOvertakenEntries, [&](const auto& aEntry) {
+    return !listed.contains(aEntry.first);
+  });
   std::vector<InstanceId> missing;
   for (const auto& [key, target] : aState.mTargets) {
     if (!target.mIsRetired && target.mEntryMissingSince == TimePoint::max() &&
--- a/modules/wasabispread_forwarding_decisions/Registry.h
+++ b/modules/wasabispread_forwarding_decisions/Registry.h
@@ -10,13 +10,22 @@
 struct ForwarderState;
 
 /** Applies a registration: a new target, a new start of a known one, or a
-    change of its state. One that is not the newest changes nothing. */
+    change of its state. One that is not the newest changes nothing, unless
+    the store still has it when the entry of a silent target would be gone. */
 void
 ApplyTarget(ForwarderState& aState,
             const TargetChange& aChange,
             TimePoint aNow,
             ForwarderEffects& aEffects);
 
+/** Applies the overtaken entries that the store has had for so long that their
+    targets must have written them. Called whenever the kConfirmEntries timer
+    fires. */
+void
+ConfirmEntries(ForwarderState& aState,
+               TimePoint aNow,
+               ForwarderEffects& aEffects);
+
 /** Handles the removal of a target's entry. While the store is unavailable and
     shortly after it is available again, entries of running targets also vanish
     and are written again; until that time is over, the target stays in use. */
--- a/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(IgnoresOlderEntriesOfATarget);
   CPPUNIT_TEST(AcceptsANewStartUnderTheSameName);
   CPPUNIT_TEST(AcceptsANewStartWithAnEarlierTime);
+  CPPUNIT_TEST(UsesATargetAgainAfterEntriesOfAnotherWriter);
+  CPPUNIT_TEST(IgnoresWritesThatAreExecutedLate);
   CPPUNIT_TEST(KeepsTargetsWithMissingEntriesForTheGracePeriod);
   CPPUNIT_TEST(RemovesTargetsMissingFromAList);
   CPPUNIT_TEST(ListsAgainWhenHistoryIsLost);
@@ -125,6 +127,63 @@
     CPPUNIT_ASSERT(!IsServed());
   }
 
+  /** Guards against a target that is never used again after an entry of another
+      writer under its id, which looked like a later one. */
+  void UsesATargetAgainAfterEntriesOfAnotherWriter()
+  {
+    std::uint64_t revision = 50;
+    std::uint64_t sequence = 1;
+    Register(revision, 100, sequence);
+    CPPUNIT_ASSERT(IsServed());
+    // A later start of no known service, and a far count of the same start.
+    for (const std::uint64_t born : { 9000, 100 }) {
+      Register(++revision, born, 1'000'000, born == 100, "other");
+      CPPUNIT_ASSERT(!IsServed());
+      for (int heartbeat = 0; heartbeat < 6; ++heartbeat) {
+        Register(++revision, 100, ++sequence);
+        mForwarder->RunFor(std::chrono::milliseconds(1200));
+      }
+      CPPUNIT_ASSERT(IsServed());
+      // It is known as the present one from now on.
+      Register(++revision, 100, ++sequence, true);
+      CPPUNIT_ASSERT(!IsServed());
+      Register(++revision, 100, ++sequence);
+      CPPUNIT_ASSERT(IsServed());
+    }
+  }
+
+  /** Guards against a start that was replaced, or drains, and is used because
+      one of its writes was executed late. */
+  void IgnoresWritesThatAreExecutedLate()
+  {
+    Register(50, 100, 5);
+    Register(51, 200, 1, true);
+    Register(52, 100, 6);
+    mForwarder->RunFor(std::chrono::milliseconds(1200));
+    CPPUNIT_ASSERT(!IsServed());
+    Register(53, 200, 2, true);
+    Register(54, 200, 1);
+    mForwarder->RunFor(std::chrono::milliseconds(1200));
+    CPPUNIT_ASSERT(!IsServed());
+    Register(55, 200, 3, true);
+    mForwarder->RunFor(std::chrono::seconds(10));
+    CPPUNIT_ASSERT(!IsServed());
+    // A late word that it drains is true all the same.
+    Register(56, 300, 5);
+    CPPUNIT_ASSERT(IsServed());
+    Register(57, 300, 4, true);
+    CPPUNIT_ASSERT(!IsServed());
+    // Nothing is confirmed by a store that is not heard, nor once it is gone.
+    Register(58, 300, 2);
+    mForwarder->RunFor(std::chrono::seconds(20));
+    CPPUNIT_ASSERT(!IsServed());
+    mForwarder->RemoveTarget("t");
+    mForwarder->RunFor(std::chrono::seconds(20));
+    mForwarder->Change(EvacuationChange{ ZoneName("z"), false });
+    mForwarder->RunFor(std::chrono::seconds(2));
+    CPPUNIT_ASSERT(!IsServed());
+  }
+
   void KeepsTargetsWithMissingEntriesForTheGracePeriod()
   {
     mForwarder->AddTarget("back", "s", 1);
--- a/modules/wasabispread_forwarding_decisions/store/EntryOrder.cpp
+++ b/modules/wasabispread_forwarding_decisions/store/EntryOrder.cpp
@@ -7,11 +7,8 @@
 
 namespace wasabispread::forwarding {
 
-namespace {
-
-/** Makes the entry the newest one. */
 void
-Accept(EntryHistory& aHistory, const EntryVersion& aVersion)
+ConfirmEntry(EntryHistory& aHistory, const EntryVersion& aVersion)
 {
   // Writes that are under way for longer than a few starts take do not occur.
   constexpr std::size_t kMaxReplaced = 8;
@@ -29,8 +26,6 @@
   aHistory.mNewest = aVersion;
 }
 
-} // namespace
-
 EntryOrder
 RecordEntry(EntryHistory& aHistory,
             const EntryVersion& aVersion,
@@ -40,7 +35,7 @@
     if (aVersion < aHistory.mNewest) {
       return EntryOrder::kOlder;
     }
-    Accept(aHistory, aVersion);
+    ConfirmEntry(aHistory, aVersion);
     return EntryOrder::kNewest;
   }
   if (aRevision < aHistory.mRevision) {
@@ -56,7 +51,7 @@
   if (isOvertaken) {
     return EntryOrder::kOvertaken;
   }
-  Accept(aHistory, aVersion);
+  ConfirmEntry(aHistory, aVersion);
   return EntryOrder::kNewest;
 }
 
--- a/modules/wasabispread_forwarding_decisions/store/EntryOrder.h
+++ b/modules/wasabispread_forwarding_decisions/store/EntryOrder.h
@@ -7,6 +7,11 @@
  * or of an earlier moment of the same one. What a target states about itself
  * tells these apart: the time of its start, which is compared for equality only
  * where revisions are known, and the count of its entries.
+ *
+ * Another writer may put an entry under a target's id that looks like a later
+ * one. A target writes its own again with each heartbeat, and the store removes
+ * the entry of a target that is silent. So an entry that seems overtaken and
+ * stays longer than that is the target's present one.
  */
 #pragma once
 
@@ -52,6 +57,19 @@
   kOvertaken,
 };
 
+/** An entry that was overtaken and that the store still has. */
+struct OvertakenEntry
+{
+  TargetRecord mRecord;
+  StoreRevision mRevision;
+  /** Since when the store has had an entry of this start and state. */
+  TimePoint mSince{};
+};
+
+/** Makes an overtaken entry the newest one. */
+void
+ConfirmEntry(EntryHistory& aHistory, const EntryVersion& aVersion);
+
 /** Judges an entry and records it unless it is older. aRevision is 0 for an
     entry that another VM passed on, whose age is not known: then the version
     alone orders. */
--- a/modules/wasabispread_forwarding_decisions/store/StoreEra.cpp
+++ b/modules/wasabispread_forwarding_decisions/store/StoreEra.cpp
@@ -63,6 +63,7 @@
   store.mRevision = StoreRevision{};
   store.mNewestListed = StoreRevision{};
   aState.mFreshness.mNewestSeen = StoreRevision{};
+  aState.mOvertakenEntries.clear();
   for (auto& [instance, history] : aState.mEntryHistories) {
     history.mRevision = StoreRevision{};
   }
