--- a/tests/platform/OrganisationSoakTests.cpp
+++ b/tests/platform/OrganisationSoakTests.cpp
@@ -37,6 +37,7 @@
 constexpr const char* kLimitedKey = "k-limited";
 constexpr const char* kWithdrawnKey = "k-withdrawn";
 constexpr const char* kOtherKey = "k-other";
+constexpr const char* kOddKey = "k-odd";
 constexpr std::array kKeys{ kLimitedKey, kWithdrawnKey, kOtherKey };
 /** The organisation of the first key, and that of the others: quota, which ends
     in a long outage, must not hide a withdrawn key that is served. */
@@ -70,7 +71,7 @@
       mFleet.mZones[target] = "zone-b";
       mFleet.Register(mFleet.Target(target));
     }
-    Configure();
+    Configure(false);
     // Before it is in force, keys have no meaning.
     for (std::size_t vm = 0; vm < mVms; ++vm) {
       AwaitCondition([&] { return SendOne(vm, "k-unknown") == 401; },
@@ -146,7 +147,9 @@
                    "a VM serves a key");
   }
 
-  void Configure()
+  /** Writes the next version; aMayBeOdd tells whether it may have a part that
+      cannot be read, which must not keep the rest out of force. */
+  void Configure(bool aMayBeOdd = true)
   {
     using Json = nlohmann::json;
     Json keys{ kOtherKey };
@@ -160,6 +163,13 @@
                                   mIsLowered ? 2 : kLimit.mRatePerSecond },
                                 { "burst", kLimit.mBurst } },
                               { { "name", kOther }, { "apiKeys", keys } } };
+    const std::array odd{ Json{ { "name", " odd" } },
+                          Json{ { "name", "odd" }, { "ratePerS", "1" } },
+                          Json{ { "apiKeys", Json::array({ kOddKey }) } },
+                          Json("odd") };
+    if (aMayBeOdd && mRandom.Fraction() < 0.5) {
+      choice.mOrganisations.push_back(odd.at(Pick(odd.size())));
+    }
     mFleet.Configure(choice);
   }
 
