--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -164,6 +164,7 @@
   reply.mKind = aKind;
   reply.mSignature = "proof of " + aInstance;
   reply.mIsReusable = !mEndsConnections;
+  reply.mNamesRequest = mRepliesNameRequests;
   const auto limit = mRequestLimits.find(aInstance);
   if (limit != mRequestLimits.end()) {
     reply.mRequestLimit = limit->second;
