--- a/modules/wasabispread_forwarding_decisions/Registry.cpp
+++ b/modules/wasabispread_forwarding_decisions/Registry.cpp
@@ -121,24 +121,24 @@
 /** Keeps an overtaken entry until it is confirmed. */
 void
 HandleOvertaken(ForwarderState& aState,
-                const TargetChange& aChange,
+                const TargetRecord& aRecord,
                 TimePoint aNow,
                 ForwarderEffects& aEffects)
 {
-  const TargetRecord& record = aChange.mRecord;
-  const TargetState* target = FindTarget(aState, record.mInstance);
-  if (record.mIsDraining && target != nullptr &&
-      IsSameStart(target->mRecord, record)) {
+  const TargetState* target = FindTarget(aState, aRecord.mInstance);
+  if (aRecord.mIsDraining && target != nullptr &&
+      IsSameStart(target->mRecord, aRecord)) {
     // Whenever it was written: a start that drains does so until its end.
-    ApplyNewest(aState, record, aNow, aEffects);
+    aState.mOvertakenEntries.erase(aRecord.mInstance);
+    ApplyNewest(aState, aRecord, aNow, aEffects);
     return;
   }
   const bool isFirst = aState.mOvertakenEntries.empty();
-  OvertakenEntry& known = aState.mOvertakenEntries[record.mInstance];
+  OvertakenEntry& known = aState.mOvertakenEntries[aRecord.mInstance];
   const bool isSame = known.mSince != TimePoint{} &&
-                      IsSameStart(known.mRecord, record) &&
-                      known.mRecord.mIsDraining == record.mIsDraining;
-  known = { record, aChange.mRevision, isSame ? known.mSince : aNow };
+                      IsSameStart(known.mRecord, aRecord) &&
+                      known.mRecord.mIsDraining == aRecord.mIsDraining;
+  known = { aRecord, isSame ? known.mSince : aNow };
   if (isFirst) {
     ArmConfirmation(aState,
                     aNow + kHeartbeatsBeforeRemoval * HeartbeatOf(aState));
@@ -161,7 +161,7 @@
     aState.mOvertakenEntries.erase(record.mInstance);
     ApplyNewest(aState, record, aNow, aEffects);
   } else if (order == EntryOrder::kOvertaken) {
-    HandleOvertaken(aState, aChange, aNow, aEffects);
+    HandleOvertaken(aState, record, aNow, aEffects);
   }
 }
 
--- a/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/RegistryTests.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(AcceptsANewStartWithAnEarlierTime);
   CPPUNIT_TEST(UsesATargetAgainAfterEntriesOfAnotherWriter);
   CPPUNIT_TEST(IgnoresWritesThatAreExecutedLate);
+  CPPUNIT_TEST(ForgetsAnOvertakenEntryWhenItsStartDrains);
   CPPUNIT_TEST(KeepsTargetsWithMissingEntriesForTheGracePeriod);
   CPPUNIT_TEST(RemovesTargetsMissingFromAList);
   CPPUNIT_TEST(ListsAgainWhenHistoryIsLost);
@@ -184,6 +185,21 @@
     CPPUNIT_ASSERT(!IsServed());
   }
 
+  /** Guards against a draining target that is used again because an entry from
+      before its word was kept. */
+  void ForgetsAnOvertakenEntryWhenItsStartDrains()
+  {
+    Register(50, 100, 1'000'000);
+    Register(51, 100, 6);
+    Register(52, 100, 7, true);
+    CPPUNIT_ASSERT(!IsServed());
+    for (int second = 0; second < 10; ++second) {
+      mForwarder->Change(EvacuationChange{ ZoneName("z"), false });
+      mForwarder->RunFor(std::chrono::seconds(1));
+      CPPUNIT_ASSERT(!IsServed());
+    }
+  }
+
   void KeepsTargetsWithMissingEntriesForTheGracePeriod()
   {
     mForwarder->AddTarget("back", "s", 1);
--- a/modules/wasabispread_forwarding_decisions/store/EntryOrder.h
+++ b/modules/wasabispread_forwarding_decisions/store/EntryOrder.h
@@ -61,7 +61,6 @@
 struct OvertakenEntry
 {
   TargetRecord mRecord;
-  StoreRevision mRevision;
   /** Since when the store has had an entry of this start and state. */
   TimePoint mSince{};
 };
