Revert "Believe no refusal without an id on a connection in use"

An order that a pausing target turns away without an id is not run, and its caller may send it again; with the change it was told that nothing is known.

--- a/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
+++ b/modules/wasabispread_forwarding_decisions/ForwardingTests.cpp
@@ -32,8 +32,6 @@
   CPPUNIT_TEST(RefusesBeforeTheFirstConfiguration);
   CPPUNIT_TEST(NeverRetriesAtMostOnceRequestsThatMayHaveRun);
   CPPUNIT_TEST(RetriesAtMostOnceRequestsThatDidNotRun);
-  CPPUNIT_TEST(TakesNoStrayBytesForARefusal);
-  CPPUNIT_TEST(KeepsATargetDespiteStrayBytes);
   CPPUNIT_TEST(NeverAnswersNotRunForARequestThatRan);
   CPPUNIT_TEST(RetriesAnIdempotentRequestAtAnotherTarget);
   CPPUNIT_TEST(HedgesALateRequest);
@@ -272,55 +270,6 @@
     CPPUNIT_ASSERT(mForwarder->Received().empty());
   }
 
-  /** Guards against an order that runs twice, or is answered as not run
-     although it runs, because a target sent further bytes after the reply
-     before. */
-  void TakesNoStrayBytesForARefusal()
-  {
-    for (const ReplyKind kind :
-         { ReplyKind::kNotRun, ReplyKind::kMisdirected }) {
-      StartWithTwoTargets(Repeatability::kAtMostOnce);
-      mForwarder->Ask("/s/1");
-      const std::string first = Holder();
-      mForwarder->Reply(first, ReplyKind::kSuccess);
-      mForwarder->mRepliesNameRequests = false;
-      CallerToken caller;
-      do {
-        caller = mForwarder->Ask("/s/2");
-        if (Holder() != first) {
-          mForwarder->mRepliesNameRequests = true;
-          mForwarder->Reply(Holder(), ReplyKind::kSuccess);
-          mForwarder->mRepliesNameRequests = false;
-        }
-      } while (mForwarder->Received().empty());
-      const std::size_t closed = mForwarder->mClosed.size();
-      mForwarder->Reply(first, kind, "", 503);
-      CPPUNIT_ASSERT(mForwarder->Received().empty());
-      CPPUNIT_ASSERT(ProblemOf(mForwarder->AnswerTo(caller))->mKind ==
-                     ProblemKind::kFailed);
-      // The order's own reply may still come.
-      CPPUNIT_ASSERT(mForwarder->mClosed.size() > closed);
-    }
-  }
-
-  /** Guards against a healthy target that is given up for good because of such
-      bytes. */
-  void KeepsATargetDespiteStrayBytes()
-  {
-    mForwarder = std::make_unique<ForwarderHarness>();
-    mForwarder->Configure({ SingleRoute("s", Repeatability::kIdempotent) });
-    mForwarder->AddTarget("t-1", "s");
-    mForwarder->RunFor(std::chrono::seconds(1));
-    mForwarder->Ask("/s/1");
-    mForwarder->Reply("t-1", ReplyKind::kSuccess);
-    mForwarder->mRepliesNameRequests = false;
-    mForwarder->Ask("/s/2");
-    mForwarder->Reply("t-1", ReplyKind::kMisdirected, "", 421);
-    mForwarder->RunFor(std::chrono::seconds(1));
-    mForwarder->Ask("/s/3");
-    CPPUNIT_ASSERT(mForwarder->Has("t-1"));
-  }
-
   void RetiresATargetWhoseAddressIsReused()
   {
     StartWithTwoTargets(Repeatability::kAtMostOnce);
--- a/modules/wasabispread_forwarding_decisions/Message.h
+++ b/modules/wasabispread_forwarding_decisions/Message.h
@@ -80,8 +80,6 @@
   std::string mSignature;
   /** The message as read, without connection-level fields. */
   HttpResponse mMessage;
-  /** Whether it names the request, so that it belongs to no other one. */
-  bool mNamesRequest = false;
   /** Whether the connection can carry another exchange. */
   bool mIsReusable = false;
   /** How long the target keeps the connection open without a request; none when
--- a/modules/wasabispread_forwarding_decisions/Replies.cpp
+++ b/modules/wasabispread_forwarding_decisions/Replies.cpp
@@ -391,10 +391,6 @@
   if (found == aState.mConnections.end()) {
     return;
   }
-  // A target may send further bytes after a reply. Without the request's id
-  // they look like a reply to the next request on the connection.
-  const bool mayBeStray =
-    found->second.mHasCarriedReply && !aEvent.mReply.mNamesRequest;
   found->second.mHasCarriedReply = true;
   const TargetConnection connection = found->second;
   const TargetKey targetKey = connection.mTarget;
@@ -405,13 +401,6 @@
   if (request != nullptr && aEvent.mReply.mKind == ReplyKind::kSuccess) {
     KeepGreatestRecords(aEvent.mReply, *request->mRoute);
   }
-  const bool isMisdirected =
-    aEvent.mReply.mKind == ReplyKind::kMisdirected && !mayBeStray;
-  if (mayBeStray && request != nullptr && !request->mRoute->IsIdempotent()) {
-    // That the request has not run is not known.
-    aEvent.mReply.mKind = ReplyKind::kInvalid;
-    aEvent.mReply.mIsReusable = false;
-  }
   const auto reply = std::make_shared<const Reply>(std::move(aEvent.mReply));
   RecordReply(aState, target, connection, reply->mKind, aNow);
   RecordStatedLoad(aState, target, *reply, aNow, aEffects);
@@ -423,7 +412,7 @@
                     reply->mKeepAlive,
                     aNow,
                     aEffects);
-  if (isMisdirected && !target.mIsRetired) {
+  if (reply->mKind == ReplyKind::kMisdirected && !target.mIsRetired) {
     LogConnection(aState,
                   "target-misdirected",
                   target,
--- a/tests/support/ForwarderHarness.cpp
+++ b/tests/support/ForwarderHarness.cpp
@@ -164,7 +164,6 @@
   reply.mKind = aKind;
   reply.mSignature = "proof of " + aInstance;
   reply.mIsReusable = !mEndsConnections;
-  reply.mNamesRequest = mRepliesNameRequests;
   const auto limit = mRequestLimits.find(aInstance);
   if (limit != mRequestLimits.end()) {
     reply.mRequestLimit = limit->second;
--- a/tests/support/ForwarderHarness.h
+++ b/tests/support/ForwarderHarness.h
@@ -122,8 +122,6 @@
   std::map<std::string, Duration> mWantedPauses;
   /** The loads that targets state in their replies, by instance. */
   std::map<std::string, StatedLoad> mStatedLoads;
-  /** Whether replies name their request. */
-  bool mRepliesNameRequests = true;
   /** Whether each reply ends its connection. */
   bool mEndsConnections = false;
   /** Whether every attempt to connect is refused. */
